Move the abstract classes for what is outside from platform/ to ports/

Cause: the operators' platform gets a folder platform/ of its own at the root; one word would mean two things.

--- a/packages/daisyturn/src/__fixtures__/__tests__/fakeEngine.test.ts
+++ b/packages/daisyturn/src/__fixtures__/__tests__/fakeEngine.test.ts
@@ -12,7 +12,7 @@
     Priority,
     type StreamEvent,
     StreamEventKind,
-} from "../../platform/engine.js";
+} from "../../ports/engine.js";
 import { CallFaultKind, createFakeEngine, type FakeEngine } from "../fakeEngine.js";
 import { StreamFaultKind } from "../fakeStream.js";
 
--- a/packages/daisyturn/src/__fixtures__/fakeEngine.ts
+++ b/packages/daisyturn/src/__fixtures__/fakeEngine.ts
@@ -11,7 +11,7 @@
     type LoadReport,
     type OrderAnswer,
     type StreamEvent,
-} from "../platform/engine.js";
+} from "../ports/engine.js";
 import { estimateTokenCount } from "../request/promptBlocks.js";
 import { createFakeOrderDesk, type FakeOrderDesk, type FakeOrderDeskOptions } from "./fakeOrderDesk.js";
 import { createFakeStream, type FakeStream, type StreamFault } from "./fakeStream.js";
--- a/packages/daisyturn/src/__fixtures__/fakeOrderDesk.ts
+++ b/packages/daisyturn/src/__fixtures__/fakeOrderDesk.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import { type EngineOrder, EnginePhase, EngineRole, OrderAnswer, OrderKind } from "../platform/engine.js";
+import { type EngineOrder, EnginePhase, EngineRole, OrderAnswer, OrderKind } from "../ports/engine.js";
 
 /** The part of a fake engine that orders change. */
 export interface FakeOrderDesk {
--- a/packages/daisyturn/src/__fixtures__/fakePlainService.ts
+++ b/packages/daisyturn/src/__fixtures__/fakePlainService.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import Result from "true-myth/result";
-import { PlainService, type ServiceAnswer, type ServiceCall } from "../platform/plainService.js";
+import { PlainService, type ServiceAnswer, type ServiceCall } from "../ports/plainService.js";
 import { CallFaultKind, failureOf, untilAborted } from "./fakeEngine.js";
 
 /** Settings of a fake plain service. */
--- a/packages/daisyturn/src/__fixtures__/fakeStream.ts
+++ b/packages/daisyturn/src/__fixtures__/fakeStream.ts
@@ -7,7 +7,7 @@
     type StreamEvent,
     StreamEventKind,
     type StreamTokens,
-} from "../platform/engine.js";
+} from "../ports/engine.js";
 
 /** What goes wrong with a stream of a fake engine. */
 export enum StreamFaultKind {
--- a/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
+++ b/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
@@ -1,7 +1,7 @@
 import { createIdSource, FailureReason, hashText, MemoryEventLog, notRun, SystemClock } from "daisyturn-utils";
 import { err, ok } from "true-myth/result";
-import { Priority } from "../../../platform/engine.js";
-import type { PlainService } from "../../../platform/plainService.js";
+import { Priority } from "../../../ports/engine.js";
+import type { PlainService } from "../../../ports/plainService.js";
 import type { Placement, PlacementOutcome, PlacementUsage, RoutingRequest } from "../../../process/router.js";
 import type { ClaimKeeper } from "../../../request/claimKeeper.js";
 import {
--- a/packages/daisyturn/src/connection/caller/__fixtures__/createScriptedEngine.ts
+++ b/packages/daisyturn/src/connection/caller/__fixtures__/createScriptedEngine.ts
@@ -7,7 +7,7 @@
     type GenerateRequest,
     type StreamEvent,
     StreamEventKind,
-} from "../../../platform/engine.js";
+} from "../../../ports/engine.js";
 
 /** Answers one call of `generate` or `resume`. */
 export type EngineScript = (
--- a/packages/daisyturn/src/connection/caller/__tests__/badInput.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/badInput.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { afterEach, describe, test } from "node:test";
 import { ok } from "true-myth/result";
-import { type StreamEvent, StreamEventKind } from "../../../platform/engine.js";
+import { type StreamEvent, StreamEventKind } from "../../../ports/engine.js";
 import {
     completionBody,
     jsonHeaders,
--- a/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
@@ -9,7 +9,7 @@
     type GenerateRequest,
     type StreamEvent,
     StreamEventKind,
-} from "../../../platform/engine.js";
+} from "../../../ports/engine.js";
 import { PlacementOutcome } from "../../../process/router.js";
 import { ItemKind } from "../../../version/configurationItems.js";
 import { postCompletion, streamCompletion, waitUntil } from "../__fixtures__/callerRequests.js";
--- a/packages/daisyturn/src/connection/caller/__tests__/drainCallers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/drainCallers.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { ok } from "true-myth/result";
-import type { StreamEvent } from "../../../platform/engine.js";
+import type { StreamEvent } from "../../../ports/engine.js";
 import { postCompletion, readStream, waitUntil } from "../__fixtures__/callerRequests.js";
 import { createCallerBench } from "../__fixtures__/createCallerBench.js";
 import { answerText, yieldAnswer, yieldTokens, yieldUntilCancelled } from "../__fixtures__/createScriptedEngine.js";
--- a/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
+++ b/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { err } from "true-myth/result";
-import { TableFaultKind } from "../../../platform/faultyTableService.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import {
     type CellProcess,
     type ConfigurationCell,
--- a/packages/daisyturn/src/process/__fixtures__/cells.ts
+++ b/packages/daisyturn/src/process/__fixtures__/cells.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
 import { PausableClock } from "../../__fixtures__/pausableClock.js";
-import { type VmEntry, VmList, type VmListing, VmState } from "../../platform/vmList.js";
+import { type VmEntry, VmList, type VmListing, VmState } from "../../ports/vmList.js";
 import { createMembership, type MembershipOptions, type RunningMembership } from "../createMembership.js";
 import type { DialingPeerNetwork } from "../dialingPeerNetwork.js";
 import type { MemberState, ProcessIdentity } from "../peerNetwork.js";
--- a/packages/daisyturn/src/process/__fixtures__/configurationCell.ts
+++ b/packages/daisyturn/src/process/__fixtures__/configurationCell.ts
@@ -15,8 +15,8 @@
     createFakePeerNetworks,
     type FakePeerNetworks,
 } from "../../__fixtures__/fakePeerNetwork.js";
-import { createFaultyTableService, type FaultyTableService } from "../../platform/faultyTableService.js";
-import { createMemoryTableService } from "../../platform/memoryTableService.js";
+import { createFaultyTableService, type FaultyTableService } from "../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../ports/memoryTableService.js";
 import {
     RejectionCause,
     type Row,
@@ -24,7 +24,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../platform/tableService.js";
+} from "../../ports/tableService.js";
 import type { ConfigurationTiming } from "../configurationTiming.js";
 import { createConfigurationKeeper } from "../createConfigurationKeeper.js";
 import { createStoreClient } from "../createStoreClient.js";
--- a/packages/daisyturn/src/process/__fixtures__/createDecisionBench.ts
+++ b/packages/daisyturn/src/process/__fixtures__/createDecisionBench.ts
@@ -18,7 +18,7 @@
     type EngineState,
     type LoadReport,
     type OrderAnswer,
-} from "../../platform/engine.js";
+} from "../../ports/engine.js";
 import { createProfile } from "../../version/__fixtures__/items.js";
 import type { ConfigurationItem } from "../../version/configurationItems.js";
 import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
--- a/packages/daisyturn/src/process/__tests__/adoptVersion.test.ts
+++ b/packages/daisyturn/src/process/__tests__/adoptVersion.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { exploreInterleavings } from "../../__fixtures__/exploreInterleavings.js";
-import { TableFaultKind } from "../../platform/faultyTableService.js";
+import { TableFaultKind } from "../../ports/faultyTableService.js";
 import { createChangeRequest, createProfile, put } from "../../version/__fixtures__/items.js";
 import {
     type CellProcess,
--- a/packages/daisyturn/src/process/__tests__/configurationDifferential.test.ts
+++ b/packages/daisyturn/src/process/__tests__/configurationDifferential.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../platform/faultyTableService.js";
+import { TableFaultKind } from "../../ports/faultyTableService.js";
 import {
     createAccount,
     createChangeRequest,
--- a/packages/daisyturn/src/process/__tests__/configurationFailures.test.ts
+++ b/packages/daisyturn/src/process/__tests__/configurationFailures.test.ts
@@ -1,7 +1,7 @@
 import { EventKind, ExecutionVerdict, FailureReason, MemoryEventLog, toJson } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../platform/faultyTableService.js";
+import { TableFaultKind } from "../../ports/faultyTableService.js";
 import { createAccount, createChangeRequest, createProfile, put, remove } from "../../version/__fixtures__/items.js";
 import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
 import {
--- a/packages/daisyturn/src/process/__tests__/createAdmission.test.ts
+++ b/packages/daisyturn/src/process/__tests__/createAdmission.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import type { Result } from "true-myth/result";
-import { Priority } from "../../platform/engine.js";
+import { Priority } from "../../ports/engine.js";
 import { createAccount, createProfile } from "../../version/__fixtures__/items.js";
 import { createDecisionBench, createReport, createRoutingRequest } from "../__fixtures__/createDecisionBench.js";
 import type { AdmissionTicket } from "../admission.js";
--- a/packages/daisyturn/src/process/__tests__/createLeaseKeeper.test.ts
+++ b/packages/daisyturn/src/process/__tests__/createLeaseKeeper.test.ts
@@ -2,9 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createFakeIdentity } from "../../__fixtures__/fakePeerNetwork.js";
-import { createFaultyTableService, TableFaultKind } from "../../platform/faultyTableService.js";
-import { createMemoryTableService } from "../../platform/memoryTableService.js";
-import { absentVersion, type TableService, type Transaction, TransactionOutcome } from "../../platform/tableService.js";
+import { createFaultyTableService, TableFaultKind } from "../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../ports/memoryTableService.js";
+import { absentVersion, type TableService, type Transaction, TransactionOutcome } from "../../ports/tableService.js";
 import { createDriftingClock } from "../__fixtures__/driftingClock.js";
 import { createLeaseKeeper } from "../createLeaseKeeper.js";
 import { createStoreClient } from "../createStoreClient.js";
--- a/packages/daisyturn/src/process/__tests__/slowReports.test.ts
+++ b/packages/daisyturn/src/process/__tests__/slowReports.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { Result } from "true-myth/result";
-import type { Engine } from "../../platform/engine.js";
+import type { Engine } from "../../ports/engine.js";
 import { createDecisionBench, createReport } from "../__fixtures__/createDecisionBench.js";
 
 /** Makes an engine take so long to tell its load, and fail where its caller has given up by then. */
--- a/packages/daisyturn/src/process/admissionQueue.ts
+++ b/packages/daisyturn/src/process/admissionQueue.ts
@@ -1,4 +1,4 @@
-import { Priority } from "../platform/engine.js";
+import { Priority } from "../ports/engine.js";
 import { charactersPerToken } from "../request/promptBlocks.js";
 import type { RoutingRequest } from "./router.js";
 
--- a/packages/daisyturn/src/process/claimExaminer.ts
+++ b/packages/daisyturn/src/process/claimExaminer.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import type { ServiceAnswer } from "../platform/plainService.js";
-import { absentVersion, type Row } from "../platform/tableService.js";
+import type { ServiceAnswer } from "../ports/plainService.js";
+import { absentVersion, type Row } from "../ports/tableService.js";
 import type { ClaimLimits } from "../request/claimLimits.js";
 import { type ClaimRow, ClaimRowState, createUnknownRow, parseClaimRow } from "../request/claimRow.js";
 import { askOwner, type ClaimInquiry, InquiryReplyKind, replyToInquiry } from "./claimInquiry.js";
--- a/packages/daisyturn/src/process/claimPruner.ts
+++ b/packages/daisyturn/src/process/claimPruner.ts
@@ -9,7 +9,7 @@
 } from "daisyturn-utils";
 import Result from "true-myth/result";
 import { z } from "zod";
-import { absentVersion, type Row, TransactionOutcome } from "../platform/tableService.js";
+import { absentVersion, type Row, TransactionOutcome } from "../ports/tableService.js";
 import { claimRowPrefix, ClaimRowState, parseClaimRow } from "../request/claimRow.js";
 import type { ProcessClaimKeeper } from "../request/createClaimKeeper.js";
 import type { Membership } from "./peerNetwork.js";
--- a/packages/daisyturn/src/process/claimWriter.ts
+++ b/packages/daisyturn/src/process/claimWriter.ts
@@ -1,5 +1,5 @@
 import type { IdSource } from "daisyturn-utils";
-import { RejectionCause, type Row, type TransactionAnswer, TransactionOutcome } from "../platform/tableService.js";
+import { RejectionCause, type Row, type TransactionAnswer, TransactionOutcome } from "../ports/tableService.js";
 import { type ClaimRow, formatClaimRow } from "../request/claimRow.js";
 import { type StoreClient, StorePriority } from "./storeClient.js";
 
--- a/packages/daisyturn/src/process/configurationRows.ts
+++ b/packages/daisyturn/src/process/configurationRows.ts
@@ -1,5 +1,5 @@
 import { hashText, type JsonValue, toJson } from "daisyturn-utils";
-import { absentVersion, type Row, type Transaction } from "../platform/tableService.js";
+import { absentVersion, type Row, type Transaction } from "../ports/tableService.js";
 import {
     type AcceptedChange,
     ChangeAction,
--- a/packages/daisyturn/src/process/createAdmission.ts
+++ b/packages/daisyturn/src/process/createAdmission.ts
@@ -1,6 +1,6 @@
 import { type Clock, type EventLog, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { Priority } from "../platform/engine.js";
+import { Priority } from "../ports/engine.js";
 import type { CallerAccount } from "../version/configurationItems.js";
 import { createAccountLimits } from "./accountLimits.js";
 import type { Admission, AdmissionTicket } from "./admission.js";
--- a/packages/daisyturn/src/process/createConfigurationStore.ts
+++ b/packages/daisyturn/src/process/createConfigurationStore.ts
@@ -1,6 +1,6 @@
 import type { Clock, Failure } from "daisyturn-utils";
 import { Result } from "true-myth/result";
-import { absentVersion, type Row, type TransactionAnswer } from "../platform/tableService.js";
+import { absentVersion, type Row, type TransactionAnswer } from "../ports/tableService.js";
 import type { AcceptedChange } from "../version/configurationChange.js";
 import type { ConfigurationItem } from "../version/configurationItems.js";
 import { createConfigurationVersion, type IndexedVersion } from "../version/createConfigurationVersion.js";
--- a/packages/daisyturn/src/process/createController.ts
+++ b/packages/daisyturn/src/process/createController.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog, type IdSource } from "daisyturn-utils";
-import { type EngineRole, OrderKind } from "../platform/engine.js";
-import type { WeightStore } from "../platform/weightStore.js";
+import { type EngineRole, OrderKind } from "../ports/engine.js";
+import type { WeightStore } from "../ports/weightStore.js";
 import type { ConfigurationKeeper } from "./configurationKeeper.js";
 import type { ChangeUnderWay, Controller } from "./controller.js";
 import type { LeaseKeeper } from "./lease.js";
--- a/packages/daisyturn/src/process/createEndedRuns.ts
+++ b/packages/daisyturn/src/process/createEndedRuns.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import type { VmListing } from "../platform/vmList.js";
+import type { VmListing } from "../ports/vmList.js";
 import { EndProof, type MemberEntry } from "./heartbeatMessage.js";
 import type { ProcessIdentity } from "./peerNetwork.js";
 
--- a/packages/daisyturn/src/process/createLeaseKeeper.ts
+++ b/packages/daisyturn/src/process/createLeaseKeeper.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog, type IdSource, type Random } from "daisyturn-utils";
-import { absentVersion, RejectionCause, type Row, TransactionOutcome } from "../platform/tableService.js";
+import { absentVersion, RejectionCause, type Row, TransactionOutcome } from "../ports/tableService.js";
 import { createLeaseTenure, type LeaseTenure, readClocks } from "./createLeaseTenure.js";
 import type { Lease, LeaseKeeper } from "./lease.js";
 import { fencingRowKey, type FencingValue, parseFencingValue, renewalRowKey } from "./leaseRows.js";
--- a/packages/daisyturn/src/process/createLoadView.ts
+++ b/packages/daisyturn/src/process/createLoadView.ts
@@ -1,6 +1,6 @@
 import { type Clock, type EventLog, type JsonObject, toJson } from "daisyturn-utils";
 import { setMaxListeners } from "node:events";
-import type { Engine } from "../platform/engine.js";
+import type { Engine } from "../ports/engine.js";
 import { type CacheIndex, createCacheIndex } from "./cacheIndex.js";
 import { createEngineLoad, type EndedWork, type EngineLoad, type SentWork } from "./engineLoad.js";
 import { createLoadExchange, ExchangeSection, type LoadExchange } from "./loadExchange.js";
--- a/packages/daisyturn/src/process/createMemberDirectory.ts
+++ b/packages/daisyturn/src/process/createMemberDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import type { VmListing } from "../platform/vmList.js";
+import type { VmListing } from "../ports/vmList.js";
 import { createEndedRuns } from "./createEndedRuns.js";
 import type { MemberRecord, MemberTable } from "./createMemberTable.js";
 import type { SeedList } from "./createSeedList.js";
--- a/packages/daisyturn/src/process/createMembership.ts
+++ b/packages/daisyturn/src/process/createMembership.ts
@@ -1,6 +1,6 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import { once } from "node:events";
-import type { VmEntry, VmList } from "../platform/vmList.js";
+import type { VmEntry, VmList } from "../ports/vmList.js";
 import { createDigestExchange, type DigestExchange } from "./createDigestExchange.js";
 import { createHeartbeats, type MisjudgementListener } from "./createHeartbeats.js";
 import { createMemberDirectory } from "./createMemberDirectory.js";
--- a/packages/daisyturn/src/process/createSeedList.ts
+++ b/packages/daisyturn/src/process/createSeedList.ts
@@ -1,5 +1,5 @@
 import { splitAddress } from "../connection/peerSockets.js";
-import type { VmEntry, VmListing } from "../platform/vmList.js";
+import type { VmEntry, VmListing } from "../ports/vmList.js";
 import type { DialingPeerNetwork } from "./dialingPeerNetwork.js";
 
 /** Addresses where members may be found. */
--- a/packages/daisyturn/src/process/createStoreClient.ts
+++ b/packages/daisyturn/src/process/createStoreClient.ts
@@ -7,7 +7,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../platform/tableService.js";
+} from "../ports/tableService.js";
 import { createCommitGrouper } from "./store/groupCommits.js";
 import { createTransactionSettler } from "./store/settleTransaction.js";
 import { StoreSide } from "./store/storeBreaker.js";
--- a/packages/daisyturn/src/process/createTargetDirectory.ts
+++ b/packages/daisyturn/src/process/createTargetDirectory.ts
@@ -1,5 +1,5 @@
-import type { Engine } from "../platform/engine.js";
-import type { PlainService } from "../platform/plainService.js";
+import type { Engine } from "../ports/engine.js";
+import type { PlainService } from "../ports/plainService.js";
 import { type Target, TargetKind } from "../version/configurationItems.js";
 import type { ConfigurationKeeper } from "./configurationKeeper.js";
 import type { TargetDirectory } from "./targetDirectory.js";
--- a/packages/daisyturn/src/process/engineFilter.ts
+++ b/packages/daisyturn/src/process/engineFilter.ts
@@ -1,4 +1,4 @@
-import { EnginePhase, EngineRole } from "../platform/engine.js";
+import { EnginePhase, EngineRole } from "../ports/engine.js";
 import type { Profile } from "../version/configurationItems.js";
 import type { ConfigurationKeeper } from "./configurationKeeper.js";
 import type { EngineLoad } from "./engineLoad.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/exploreCalls.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/exploreCalls.ts
@@ -1,4 +1,4 @@
-import { EngineRole } from "../../../platform/engine.js";
+import { EngineRole } from "../../../ports/engine.js";
 import { OrderRequestState } from "../orderRows.js";
 import type { OrderWorld } from "./orderWorld.js";
 import { runRoleChange } from "./runRoleChange.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/hostTable.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/hostTable.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { Result } from "true-myth/result";
-import { RejectionCause, TableService, type Transaction, TransactionOutcome } from "../../../platform/tableService.js";
+import { RejectionCause, TableService, type Transaction, TransactionOutcome } from "../../../ports/tableService.js";
 import { CallKind, type ProcessHost } from "./processHost.js";
 
 /** The table service as one process reaches it. */
--- a/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
@@ -1,7 +1,7 @@
 import { createSeededRandom, FakeClock, type JsonValue, MemoryEventLog } from "daisyturn-utils";
 import { createFakeIdentity, createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
-import { createMemoryTableService } from "../../../platform/memoryTableService.js";
-import { TableService, type Transaction } from "../../../platform/tableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
+import { TableService, type Transaction } from "../../../ports/tableService.js";
 import { createTarget } from "../../../version/__fixtures__/items.js";
 import type { ConfigurationItem, Hold, Target } from "../../../version/configurationItems.js";
 import type { ConfigurationVersion } from "../../../version/configurationVersion.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/orderedEngine.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/orderedEngine.ts
@@ -6,7 +6,7 @@
     type EngineState,
     OrderAnswer,
     OrderKind,
-} from "../../../platform/engine.js";
+} from "../../../ports/engine.js";
 
 /** What an engine of the tests remembers of an order that it took. */
 export interface TakenOrder {
--- a/packages/daisyturn/src/process/orders/__fixtures__/raceOverSeeds.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/raceOverSeeds.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { EngineRole } from "../../../platform/engine.js";
+import { EngineRole } from "../../../ports/engine.js";
 import { isRequestOpen, OrderRequestState } from "../orderRows.js";
 import { applyInOrder, type RaceOptions, runRacingOperators } from "./runRacingOperators.js";
 
--- a/packages/daisyturn/src/process/orders/__fixtures__/runRacingOperators.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/runRacingOperators.ts
@@ -1,6 +1,6 @@
 import type { Random } from "daisyturn-utils";
 import { createSeededRandom } from "daisyturn-utils";
-import { EnginePhase, EngineRole, OrderKind } from "../../../platform/engine.js";
+import { EnginePhase, EngineRole, OrderKind } from "../../../ports/engine.js";
 import { createHold } from "../../../version/__fixtures__/items.js";
 import { HoldKind } from "../../../version/configurationItems.js";
 import type { OrderWish } from "../createOrderCommands.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/runRoleChange.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/runRoleChange.ts
@@ -1,4 +1,4 @@
-import { EnginePhase, EngineRole } from "../../../platform/engine.js";
+import { EnginePhase, EngineRole } from "../../../ports/engine.js";
 import { isOrderOpen, isRequestOpen, OrderRequestState } from "../orderRows.js";
 import { createOrderWorld, type OrderWorld, type OrderWorldOptions, pauseMilliseconds } from "./orderWorld.js";
 import type { WorldProcess } from "./worldProcess.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
@@ -8,8 +8,8 @@
     type Random,
 } from "daisyturn-utils";
 import { Result } from "true-myth/result";
-import { Engine, type EngineOrder, type EngineState, type OrderAnswer } from "../../../platform/engine.js";
-import { WeightStore } from "../../../platform/weightStore.js";
+import { Engine, type EngineOrder, type EngineState, type OrderAnswer } from "../../../ports/engine.js";
+import { WeightStore } from "../../../ports/weightStore.js";
 import type { ConfigurationKeeper } from "../../configurationKeeper.js";
 import type { Controller } from "../../controller.js";
 import { createController } from "../../createController.js";
--- a/packages/daisyturn/src/process/orders/__tests__/controller.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/controller.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EngineRole, OrderKind } from "../../../platform/engine.js";
+import { EngineRole, OrderKind } from "../../../ports/engine.js";
 import { createOrderWorld } from "../__fixtures__/orderWorld.js";
 import { chooseRequests } from "../chooseRequests.js";
 import { type ChangeKind, type OrderRequest, OrderRequestState } from "../orderRows.js";
--- a/packages/daisyturn/src/process/orders/__tests__/createOrderCommands.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/createOrderCommands.test.ts
@@ -1,7 +1,7 @@
 import { FailureReason } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EngineRole, OrderKind } from "../../../platform/engine.js";
+import { EngineRole, OrderKind } from "../../../ports/engine.js";
 import { createHold } from "../../../version/__fixtures__/items.js";
 import { HoldKind } from "../../../version/configurationItems.js";
 import { createOrderWorld } from "../__fixtures__/orderWorld.js";
--- a/packages/daisyturn/src/process/orders/__tests__/createOrderRecords.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/createOrderRecords.test.ts
@@ -1,7 +1,7 @@
 import { createIdSource, createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createMemoryTableService } from "../../../platform/memoryTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import { headKey } from "../../configurationRows.js";
 import { createStoreClient } from "../../createStoreClient.js";
 import type { ControllerTenure } from "../controllerTenure.js";
--- a/packages/daisyturn/src/process/orders/chooseRequests.ts
+++ b/packages/daisyturn/src/process/orders/chooseRequests.ts
@@ -1,4 +1,4 @@
-import { OrderKind } from "../../platform/engine.js";
+import { OrderKind } from "../../ports/engine.js";
 import { type OrderRequest, OrderRequestState } from "./orderRows.js";
 
 /** What the controller is already at. */
--- a/packages/daisyturn/src/process/orders/createChangeDriver.ts
+++ b/packages/daisyturn/src/process/orders/createChangeDriver.ts
@@ -1,4 +1,4 @@
-import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../platform/engine.js";
+import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../ports/engine.js";
 import type { ControllerTenure } from "./controllerTenure.js";
 import { createDoubtOvertaker } from "./createDoubtOvertaker.js";
 import { createOrderDispatcher } from "./createOrderDispatcher.js";
--- a/packages/daisyturn/src/process/orders/createDoubtOvertaker.ts
+++ b/packages/daisyturn/src/process/orders/createDoubtOvertaker.ts
@@ -1,4 +1,4 @@
-import { type EngineOrder, EnginePhase, OrderKind } from "../../platform/engine.js";
+import { type EngineOrder, EnginePhase, OrderKind } from "../../ports/engine.js";
 import type { ControllerTenure } from "./controllerTenure.js";
 import type { OrderDispatcher } from "./createOrderDispatcher.js";
 import type { EngineRows } from "./createOrderRecords.js";
--- a/packages/daisyturn/src/process/orders/createOrderCommands.ts
+++ b/packages/daisyturn/src/process/orders/createOrderCommands.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { Result } from "true-myth/result";
-import { RejectionCause, type TransactionAnswer, TransactionOutcome } from "../../platform/tableService.js";
+import { RejectionCause, type TransactionAnswer, TransactionOutcome } from "../../ports/tableService.js";
 import type { ConfigurationKeeper } from "../configurationKeeper.js";
 import { fencingRowKey, type FencingValue, parseFencingValue } from "../leaseRows.js";
 import type { Membership } from "../peerNetwork.js";
--- a/packages/daisyturn/src/process/orders/createOrderDispatcher.ts
+++ b/packages/daisyturn/src/process/orders/createOrderDispatcher.ts
@@ -1,5 +1,5 @@
 import { EventKind } from "daisyturn-utils";
-import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../platform/engine.js";
+import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../ports/engine.js";
 import type { ControllerTenure } from "./controllerTenure.js";
 import type { EngineRows } from "./createOrderRecords.js";
 import { type OrderContext, StepResult } from "./orderContext.js";
--- a/packages/daisyturn/src/process/orders/createOrderRecords.ts
+++ b/packages/daisyturn/src/process/orders/createOrderRecords.ts
@@ -8,7 +8,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../platform/tableService.js";
+} from "../../ports/tableService.js";
 import { headKey, type HeadValue } from "../configurationRows.js";
 import { fencingCondition } from "../leaseTransactions.js";
 import { type StoreClient, StorePriority } from "../storeClient.js";
--- a/packages/daisyturn/src/process/orders/createOrderSender.ts
+++ b/packages/daisyturn/src/process/orders/createOrderSender.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import { ExecutionVerdict } from "daisyturn-utils";
-import { type Engine, type EngineOrder, OrderAnswer } from "../../platform/engine.js";
+import { type Engine, type EngineOrder, OrderAnswer } from "../../ports/engine.js";
 import type { Lease } from "../lease.js";
 import { OrderFate } from "./orderRows.js";
 
--- a/packages/daisyturn/src/process/orders/judgeChangeGoal.ts
+++ b/packages/daisyturn/src/process/orders/judgeChangeGoal.ts
@@ -1,4 +1,4 @@
-import { EngineRole, OrderKind } from "../../platform/engine.js";
+import { EngineRole, OrderKind } from "../../ports/engine.js";
 import { type Hold, HoldKind, TargetKind } from "../../version/configurationItems.js";
 import type { ConfigurationVersion } from "../../version/configurationVersion.js";
 import type { ChangeGoal } from "./orderRows.js";
--- a/packages/daisyturn/src/process/orders/orderContext.ts
+++ b/packages/daisyturn/src/process/orders/orderContext.ts
@@ -1,5 +1,5 @@
 import type { Clock, EventLog, IdSource } from "daisyturn-utils";
-import type { WeightStore } from "../../platform/weightStore.js";
+import type { WeightStore } from "../../ports/weightStore.js";
 import type { ConfigurationKeeper } from "../configurationKeeper.js";
 import type { Membership, ProcessIdentity } from "../peerNetwork.js";
 import type { TargetDirectory } from "../targetDirectory.js";
--- a/packages/daisyturn/src/process/orders/orderRows.ts
+++ b/packages/daisyturn/src/process/orders/orderRows.ts
@@ -1,4 +1,4 @@
-import type { EngineOrder, EngineRole, OrderKind } from "../../platform/engine.js";
+import type { EngineOrder, EngineRole, OrderKind } from "../../ports/engine.js";
 import type { ProcessIdentity } from "../peerNetwork.js";
 
 /** How far an order has come. An order is open while Planned or Sent, and the next one waits for its end. */
--- a/packages/daisyturn/src/process/orders/parseOrderRows.ts
+++ b/packages/daisyturn/src/process/orders/parseOrderRows.ts
@@ -1,6 +1,6 @@
 import type { JsonValue } from "daisyturn-utils";
 import { z } from "zod";
-import { EngineRole, OrderKind } from "../../platform/engine.js";
+import { EngineRole, OrderKind } from "../../ports/engine.js";
 import { processIdentitySchema } from "../leaseRows.js";
 import {
     type ChangeKind,
--- a/packages/daisyturn/src/process/orders/planNextStep.ts
+++ b/packages/daisyturn/src/process/orders/planNextStep.ts
@@ -1,4 +1,4 @@
-import { EnginePhase, type EngineState, OrderKind } from "../../platform/engine.js";
+import { EnginePhase, type EngineState, OrderKind } from "../../ports/engine.js";
 import { isInPlace } from "./orderEffect.js";
 import { ChangeStage, type EngineChange, OrderRequestState } from "./orderRows.js";
 
--- a/packages/daisyturn/src/process/orders/readEngineState.ts
+++ b/packages/daisyturn/src/process/orders/readEngineState.ts
@@ -1,4 +1,4 @@
-import type { Engine, EngineState } from "../../platform/engine.js";
+import type { Engine, EngineState } from "../../ports/engine.js";
 import type { OrderContext } from "./orderContext.js";
 
 /** Asks an engine for its state; undefined if it does not answer in time. */
--- a/packages/daisyturn/src/process/orders/stateFates.ts
+++ b/packages/daisyturn/src/process/orders/stateFates.ts
@@ -1,4 +1,4 @@
-import { TransactionOutcome } from "../../platform/tableService.js";
+import { TransactionOutcome } from "../../ports/tableService.js";
 import type { UnsettledOrder } from "./createOrderSender.js";
 import type { OrderContext } from "./orderContext.js";
 import { type EngineOrders, isOrderOpen, OrderFate, type OrderRecord } from "./orderRows.js";
--- a/packages/daisyturn/src/process/roles/createRolePlanner.ts
+++ b/packages/daisyturn/src/process/roles/createRolePlanner.ts
@@ -1,5 +1,5 @@
 import { type Clock, type EventFields, EventKind, type EventLog } from "daisyturn-utils";
-import { EngineRole } from "../../platform/engine.js";
+import { EngineRole } from "../../ports/engine.js";
 import type { ConfigurationKeeper } from "../configurationKeeper.js";
 import type { Controller } from "../controller.js";
 import type { LoadView } from "../createLoadView.js";
--- a/packages/daisyturn/src/process/roles/rolePool.ts
+++ b/packages/daisyturn/src/process/roles/rolePool.ts
@@ -1,4 +1,4 @@
-import { EnginePhase, EngineRole } from "../../platform/engine.js";
+import { EnginePhase, EngineRole } from "../../ports/engine.js";
 import type { ConfigurationVersion } from "../../version/configurationVersion.js";
 import type { EngineLoad } from "../engineLoad.js";
 import type { ArrivalRates } from "./arrivalMeter.js";
--- a/packages/daisyturn/src/process/store/__fixtures__/interleavings.ts
+++ b/packages/daisyturn/src/process/store/__fixtures__/interleavings.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { EagerClock } from "../../../__fixtures__/eagerClock.js";
-import { TableFaultKind } from "../../../platform/faultyTableService.js";
-import { createMemoryTableService } from "../../../platform/memoryTableService.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import {
     absentVersion,
     type RowCondition,
@@ -9,7 +9,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../../platform/tableService.js";
+} from "../../../ports/tableService.js";
 import { createStoreClient } from "../../createStoreClient.js";
 import { StorePriority } from "../../storeClient.js";
 import { addWriteMarker } from "../writeMarker.js";
--- a/packages/daisyturn/src/process/store/__fixtures__/naiveTable.ts
+++ b/packages/daisyturn/src/process/store/__fixtures__/naiveTable.ts
@@ -1,5 +1,5 @@
 import { strict as assert } from "node:assert";
-import { absentVersion, type Row, type Transaction } from "../../../platform/tableService.js";
+import { absentVersion, type Row, type Transaction } from "../../../ports/tableService.js";
 
 /** One transaction of a caller that took effect, and the number of the commit that carried it. */
 export interface OrderedCommit {
--- a/packages/daisyturn/src/process/store/__fixtures__/storeSetup.ts
+++ b/packages/daisyturn/src/process/store/__fixtures__/storeSetup.ts
@@ -1,6 +1,6 @@
 import { type Clock, createSeededRandom, FakeClock, type JsonValue, MemoryEventLog } from "daisyturn-utils";
-import { createFaultyTableService } from "../../../platform/faultyTableService.js";
-import { createMemoryTableService } from "../../../platform/memoryTableService.js";
+import { createFaultyTableService } from "../../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import {
     absentVersion,
     type RowCondition,
@@ -8,7 +8,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../../platform/tableService.js";
+} from "../../../ports/tableService.js";
 import { createStoreClient, type StoreClientOptions } from "../../createStoreClient.js";
 
 /** Creates a store client over a table service that fails as the test says. */
--- a/packages/daisyturn/src/process/store/__tests__/interleavings.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/interleavings.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../../platform/faultyTableService.js";
-import { TransactionOutcome } from "../../../platform/tableService.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import { TransactionOutcome } from "../../../ports/tableService.js";
 import {
     assertTrueAnswer,
     type Interleaving,
--- a/packages/daisyturn/src/process/store/__tests__/outages.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/outages.test.ts
@@ -1,8 +1,8 @@
 import { EventKind, FailureReason } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../../platform/faultyTableService.js";
-import { RejectionCause, TransactionOutcome } from "../../../platform/tableService.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import { RejectionCause, TransactionOutcome } from "../../../ports/tableService.js";
 import { StorePriority } from "../../storeClient.js";
 import { createRows, createStoreSetup } from "../__fixtures__/storeSetup.js";
 import { addWriteMarker } from "../writeMarker.js";
--- a/packages/daisyturn/src/process/store/groupCommits.ts
+++ b/packages/daisyturn/src/process/store/groupCommits.ts
@@ -5,7 +5,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../platform/tableService.js";
+} from "../../ports/tableService.js";
 import type { StorePriority } from "../storeClient.js";
 import { refuse, type TransactionSettler } from "./settleTransaction.js";
 import { Admission, OutageConduct, type StoreChannel } from "./storeChannel.js";
--- a/packages/daisyturn/src/process/store/judgeOutcome.ts
+++ b/packages/daisyturn/src/process/store/judgeOutcome.ts
@@ -7,7 +7,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../platform/tableService.js";
+} from "../../ports/tableService.js";
 
 /**
  * Whether sending the transaction twice can't make it take effect twice: its own commit makes one of its conditions
--- a/packages/daisyturn/src/process/store/settleTransaction.ts
+++ b/packages/daisyturn/src/process/store/settleTransaction.ts
@@ -7,7 +7,7 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../platform/tableService.js";
+} from "../../ports/tableService.js";
 import type { StorePriority } from "../storeClient.js";
 import { canRepeat, evidenceKeys, findOwnRow, judgeOutcome } from "./judgeOutcome.js";
 import { Admission, OutageConduct, type StoreCall, type StoreChannel } from "./storeChannel.js";
--- a/packages/daisyturn/src/process/store/transactionGroup.ts
+++ b/packages/daisyturn/src/process/store/transactionGroup.ts
@@ -1,4 +1,4 @@
-import { absentVersion, type Row, type Transaction } from "../../platform/tableService.js";
+import { absentVersion, type Row, type Transaction } from "../../ports/tableService.js";
 
 /** Groups stay under this many written rows. */
 export const mostRowsPerGroup = 100;
--- a/packages/daisyturn/src/process/store/writeMarker.ts
+++ b/packages/daisyturn/src/process/store/writeMarker.ts
@@ -1,7 +1,7 @@
 import { type Clock, type Failure, FailureReason, type JsonValue, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
-import { absentVersion, type Row, type Transaction, TransactionOutcome } from "../../platform/tableService.js";
+import { absentVersion, type Row, type Transaction, TransactionOutcome } from "../../ports/tableService.js";
 import { type StoreClient, StorePriority } from "../storeClient.js";
 
 /** Keys of all markers begin with this. */
--- a/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
+++ b/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
@@ -8,9 +8,9 @@
 } from "daisyturn-utils";
 import Result from "true-myth/result";
 import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
-import { createFaultyTableService } from "../../platform/faultyTableService.js";
-import { createMemoryTableService } from "../../platform/memoryTableService.js";
-import type { ServiceAnswer, ServiceCall } from "../../platform/plainService.js";
+import { createFaultyTableService } from "../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../ports/memoryTableService.js";
+import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
 import { createClaimPruner } from "../../process/claimPruner.js";
 import { createStoreClient } from "../../process/createStoreClient.js";
 import type { Membership, ProcessIdentity } from "../../process/peerNetwork.js";
--- a/packages/daisyturn/src/request/__fixtures__/createNaiveClaimKeeper.ts
+++ b/packages/daisyturn/src/request/__fixtures__/createNaiveClaimKeeper.ts
@@ -1,6 +1,6 @@
 import { ExecutionVerdict, type Failure } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../../platform/plainService.js";
+import type { ServiceAnswer } from "../../ports/plainService.js";
 import type { ClaimRequest, SendCall } from "../claimKeeper.js";
 import { failWithKeyReused, failWithOutcomeUnknown } from "../claimVerdicts.js";
 
--- a/packages/daisyturn/src/request/__tests__/claimDifferential.test.ts
+++ b/packages/daisyturn/src/request/__tests__/claimDifferential.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { it } from "node:test";
 import Result from "true-myth/result";
-import { TableFaultKind } from "../../platform/faultyTableService.js";
+import { TableFaultKind } from "../../ports/faultyTableService.js";
 import { createClaimBench, createClaimRequest } from "../__fixtures__/createClaimBench.js";
 import { createNaiveClaimKeeper } from "../__fixtures__/createNaiveClaimKeeper.js";
 import type { SendCall } from "../claimKeeper.js";
--- a/packages/daisyturn/src/request/answerChannel.ts
+++ b/packages/daisyturn/src/request/answerChannel.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { StreamEnd, StreamTokens } from "../platform/engine.js";
+import type { StreamEnd, StreamTokens } from "../ports/engine.js";
 import { buildErrorBody } from "./answer.js";
 import type { CallerExchange, EventWriter } from "./callerExchange.js";
 import { type CompletionNames, createCompletionWriter } from "./completionText.js";
--- a/packages/daisyturn/src/request/claimRow.ts
+++ b/packages/daisyturn/src/request/claimRow.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, hashText, type JsonValue, notRun, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import type { ServiceAnswer, ServiceCall } from "../platform/plainService.js";
+import type { ServiceAnswer, ServiceCall } from "../ports/plainService.js";
 import type { OwnClaim } from "../process/ownClaims.js";
 import type { ProcessIdentity } from "../process/peerNetwork.js";
 import type { ClaimLimits } from "./claimLimits.js";
--- a/packages/daisyturn/src/request/claimVerdicts.ts
+++ b/packages/daisyturn/src/request/claimVerdicts.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../platform/plainService.js";
+import type { ServiceAnswer } from "../ports/plainService.js";
 import { type ExaminedClaim, ExaminedKind } from "../process/claimExaminer.js";
 import { ClaimState, type ClaimView } from "./claimKeeper.js";
 
--- a/packages/daisyturn/src/request/continueAnswer.ts
+++ b/packages/daisyturn/src/request/continueAnswer.ts
@@ -1,6 +1,6 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
-import type { Sampling, StreamEnd } from "../platform/engine.js";
+import type { Sampling, StreamEnd } from "../ports/engine.js";
 import { type AnswerChannel, createStreamedChannel } from "./answerChannel.js";
 import type { AnswerProgress } from "./answerProgress.js";
 import type { CallerExchange } from "./callerExchange.js";
--- a/packages/daisyturn/src/request/createClaimKeeper.ts
+++ b/packages/daisyturn/src/request/createClaimKeeper.ts
@@ -1,8 +1,8 @@
 import { type Clock, EventKind, type EventLog, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import { type IdSource, mayHaveRun } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../platform/plainService.js";
-import type { Row } from "../platform/tableService.js";
+import type { ServiceAnswer } from "../ports/plainService.js";
+import type { Row } from "../ports/tableService.js";
 import { createClaimExaminer, type ExaminedClaim, ExaminedKind } from "../process/claimExaminer.js";
 import { answerInquiries } from "../process/claimInquiry.js";
 import { createClaimRecorder } from "../process/claimRecorder.js";
--- a/packages/daisyturn/src/request/dispatch.ts
+++ b/packages/daisyturn/src/request/dispatch.ts
@@ -7,7 +7,7 @@
     type StreamEnd,
     type StreamEvent,
     StreamEventKind,
-} from "../platform/engine.js";
+} from "../ports/engine.js";
 import type { Placement } from "../process/router.js";
 import type { AnswerRun } from "./answerRun.js";
 import { cancelStream } from "./followStream.js";
--- a/packages/daisyturn/src/request/followStream.ts
+++ b/packages/daisyturn/src/request/followStream.ts
@@ -1,6 +1,6 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { Engine, StreamEnd, StreamEvent } from "../platform/engine.js";
+import type { Engine, StreamEnd, StreamEvent } from "../ports/engine.js";
 import type { AnswerProgress } from "./answerProgress.js";
 import { relay, type TokenSink } from "./relay.js";
 import type { RequestParts } from "./requestParts.js";
--- a/packages/daisyturn/src/request/handlePlainCall.ts
+++ b/packages/daisyturn/src/request/handlePlainCall.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { ServiceAnswer, ServiceCall } from "../platform/plainService.js";
+import type { ServiceAnswer, ServiceCall } from "../ports/plainService.js";
 import type { CallerAccount, Service } from "../version/configurationItems.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { type SendPermit, standingPermit } from "./claimKeeper.js";
--- a/packages/daisyturn/src/request/sendCall.ts
+++ b/packages/daisyturn/src/request/sendCall.ts
@@ -1,6 +1,6 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { PlainService, ServiceAnswer, ServiceCall } from "../platform/plainService.js";
+import type { PlainService, ServiceAnswer, ServiceCall } from "../ports/plainService.js";
 import type { Service } from "../version/configurationItems.js";
 import type { SendPermit } from "./claimKeeper.js";
 import type { RequestParts } from "./requestParts.js";
--- a/packages/daisyturn/src/request/serveModelRequest.ts
+++ b/packages/daisyturn/src/request/serveModelRequest.ts
@@ -1,6 +1,6 @@
 import { EventKind, type Failure } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { StreamEnd } from "../platform/engine.js";
+import type { StreamEnd } from "../ports/engine.js";
 import { admit } from "./admit.js";
 import { type AnswerChannel, type AnswerSource, createStreamedChannel, createWholeChannel } from "./answerChannel.js";
 import { createProgress } from "./answerProgress.js";
--- a/packages/daisyturn/src/request/takeClaim.ts
+++ b/packages/daisyturn/src/request/takeClaim.ts
@@ -1,7 +1,7 @@
 import { type Clock, EventKind, type EventLog, type Failure } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../platform/plainService.js";
-import { absentVersion, type Row } from "../platform/tableService.js";
+import type { ServiceAnswer } from "../ports/plainService.js";
+import { absentVersion, type Row } from "../ports/tableService.js";
 import { type ClaimExaminer, type ExaminedClaim, ExaminedKind } from "../process/claimExaminer.js";
 import type { ClaimRecorder } from "../process/claimRecorder.js";
 import { ClaimWriteOutcome, type ClaimWriter } from "../process/claimWriter.js";
--- a/packages/daisyturn/src/version/__fixtures__/items.ts
+++ b/packages/daisyturn/src/version/__fixtures__/items.ts
@@ -1,5 +1,5 @@
 import { hashText } from "daisyturn-utils";
-import { EngineRole, Priority } from "../../platform/engine.js";
+import { EngineRole, Priority } from "../../ports/engine.js";
 import { ChangeAction, type ChangeRequest, type ItemChange } from "../configurationChange.js";
 import {
     type CallerAccount,
--- a/packages/daisyturn/src/version/configurationItems.ts
+++ b/packages/daisyturn/src/version/configurationItems.ts
@@ -1,4 +1,4 @@
-import type { EngineRole, Priority } from "../platform/engine.js";
+import type { EngineRole, Priority } from "../ports/engine.js";
 
 /** Kinds of item that the fleet's configuration is made of. */
 export enum ItemKind {
--- a/packages/daisyturn/src/version/itemSchemas.ts
+++ b/packages/daisyturn/src/version/itemSchemas.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { EngineRole, Priority } from "../platform/engine.js";
+import { EngineRole, Priority } from "../ports/engine.js";
 import { ChangeAction, type ItemChange } from "./configurationChange.js";
 import { HoldKind, ItemKind, ServiceKind, TargetKind } from "./configurationItems.js";
 
