Forward calls on the operators' platform: first whole path

Ruled out: carrying a forwarded call through the typed engine port: its bytes are opaque and its streams are events of the target's own; a naive relay: it reads shared parts of prompts again. Change: platform/ decodes names and formats; the library gets the forwarded call (route, place, send, relay, retry, resume), the list of targets and the configuration followed in the store, health by evidence, loads and kept parts told among the processes by datagrams; the daemon wires them. No tests of its own yet; they follow.

--- /dev/null
+++ b/packages/daisyturn-daemon/src/forwarding.ts
@@ -0,0 +1,3 @@
+export { createForwardingProcess, type ForwardingProcess } from "./forwarding/createForwardingProcess.js";
+export type { ForwardingAdapters } from "./forwarding/forwardingAdapters.js";
+export type { ForwardingSettings } from "./forwarding/forwardingSettings.js";
--- /dev/null
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -0,0 +1,129 @@
+import {
+    createHybridLogicalClock,
+    createLogfmtEventLog,
+    createSeededRandom,
+    EventKind,
+    SystemClock,
+    UserError,
+} from "daisyturn-utils";
+import {
+    createForwardServer,
+    followTable,
+    type FollowTiming,
+    openDatagramChannel,
+    serveForwardedCall,
+    shareLoads,
+} from "daisyturn/forwarding";
+import { randomBytes, randomInt } from "node:crypto";
+import { createLogWriter } from "../entry/createLogWriter.js";
+import { createForwardingParts } from "./createForwardingParts.js";
+import { createReadinessServer } from "./createReadinessServer.js";
+import type { ForwardingAdapters } from "./forwardingAdapters.js";
+import type { ForwardingSettings } from "./forwardingSettings.js";
+
+/** A process that forwards calls to targets. */
+export interface ForwardingProcess {
+    /** Listens, and becomes ready once configuration and targets are known. */
+    start(): Promise<void>;
+    /** Puts other settings in force; those that can't be read leave the old ones. */
+    reload(load: () => ForwardingSettings): void;
+    /** Is not ready from now on, finishes what runs, and resolves within the time that the platform grants. */
+    stop(): Promise<void>;
+}
+
+/** Left of the granted time for the process to end by itself. */
+const endMarginMilliseconds = 700;
+/** A feed's call ends early enough for another to bring what a silent connection has hidden, within the bound. */
+const feedMarginMilliseconds = 1_200;
+const shortestFeedWait = 500;
+/** Changes of several targets at once come in one answer. */
+const mergeMilliseconds = 150;
+const seedLimit = 0x7fffffff;
+const incarnationBytes = 6;
+
+/** Creates the process. */
+export function createForwardingProcess(
+    initialSettings: ForwardingSettings,
+    adapters: ForwardingAdapters,
+): ForwardingProcess {
+    let settings = initialSettings;
+    const clock = new SystemClock();
+    const logWriter = createLogWriter(undefined);
+    const eventLog = createLogfmtEventLog({
+        processId: settings.processId,
+        incarnation: randomBytes(incarnationBytes).toString("hex"),
+        hybridClock: createHybridLogicalClock(clock),
+        writeLine: logWriter.writeLine,
+    });
+    const parts = createForwardingParts({
+        adapters,
+        settings: () => settings,
+        clock,
+        random: createSeededRandom(randomInt(seedLimit)),
+        eventLog,
+    });
+    const server = createForwardServer({
+        listen: settings.callers,
+        protocol: adapters.callerProtocol,
+        serve: (call, exchange) => serveForwardedCall(parts, call, exchange),
+        clock,
+        eventLog,
+    });
+    const background = new AbortController();
+    let isStopping = false;
+    const isReady = () => !isStopping && parts.keeper.current() !== undefined && parts.targets.isKnown();
+    const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady);
+    parts.keeper.onChanged(table => server.setLimits(table.configuration.limits));
+
+    const follow = () => {
+        const waitMilliseconds = Math.max(shortestFeedWait, settings.contactMilliseconds - feedMarginMilliseconds);
+        const timing: FollowTiming = { waitMilliseconds, mergeMilliseconds };
+        const common = { timing, clock, eventLog, onCall: parts.targets.noteStoreCall };
+        const { configurationFeed, targetFeed } = adapters;
+        const { signal } = background;
+        void followTable({ ...common, name: "configuration", feed: configurationFeed, follower: parts.keeper }, signal);
+        void followTable({ ...common, name: "targets", feed: targetFeed, follower: parts.targets }, signal);
+    };
+
+    const share = () => {
+        const { address, port } = settings.peers;
+        const { channel, close } = openDatagramChannel(address, port, eventLog);
+        const self = { peerId: settings.processId, host: address, port };
+        const { loads, caches } = parts;
+        const registry = adapters.peerRegistry;
+        void shareLoads({ self, registry, channel, loads, caches, clock, eventLog }, background.signal).then(close);
+    };
+
+    const start = async () => {
+        eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
+        follow();
+        share();
+        await readiness.start();
+        await server.start();
+    };
+
+    const reload = (load: () => ForwardingSettings) => {
+        try {
+            settings = load();
+            eventLog.record(EventKind.SettingsReloaded, {});
+        }
+        catch (error) {
+            if (!(error instanceof UserError)) {
+                throw error;
+            }
+            eventLog.record(EventKind.Fault, { reason: `settings left as they were: ${error.message}` });
+        }
+    };
+
+    const stop = async () => {
+        isStopping = true;
+        eventLog.record(EventKind.ProcessDraining, { running: server.running() });
+        await server.drain(clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds);
+        eventLog.record(EventKind.ProcessStopped, { running: server.running() });
+        background.abort();
+        parts.connections.close();
+        logWriter.flush();
+    };
+
+    return { start, reload, stop };
+}
--- /dev/null
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -0,0 +1,19 @@
+import type { ListenAddress, RetryAllowance } from "daisyturn/forwarding";
+
+/** What a process that forwards calls is told of its place and of the fleet's bounds. Times are in milliseconds. */
+export interface ForwardingSettings {
+    readonly processId: string;
+    readonly availabilityZone: string;
+    readonly callers: ListenAddress;
+    /** Where the balancer asks whether the process takes requests. */
+    readonly readiness: ListenAddress;
+    /** Where the other processes of the fleet send datagrams. */
+    readonly peers: ListenAddress;
+    /** Where counters are served as text; absent: nowhere. */
+    readonly metricsPort?: number;
+    /** How long after a disturbance of its links a process must be up to date again. */
+    readonly contactMilliseconds: number;
+    /** From the request to stop until the process is killed. */
+    readonly graceMilliseconds: number;
+    readonly retries: RetryAllowance;
+}
--- a/packages/daisyturn-utils/src/eventLog.ts
+++ b/packages/daisyturn-utils/src/eventLog.ts
@@ -39,6 +39,11 @@
     PeerLeft = "peer_left",
     /** Others took this process for dead or ended, for instance while it was paused. */
     Misjudged = "misjudged",
+    TargetListed = "target_listed",
+    TargetGone = "target_gone",
+    TargetSuspected = "target_suspected",
+    TargetTrusted = "target_trusted",
+    KvReleaseFailed = "kv_release_failed",
     EngineDegraded = "engine_degraded",
     EngineRecovered = "engine_recovered",
     EngineState = "engine_state",
@@ -46,6 +51,8 @@
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
     StoreOutcomeSettled = "store_outcome_settled",
+    SettingsReloaded = "settings_reloaded",
+    LogLinesDropped = "log_lines_dropped",
     Fault = "fault",
 }
 
--- a/packages/daisyturn-utils/src/failure.ts
+++ b/packages/daisyturn-utils/src/failure.ts
@@ -8,6 +8,7 @@
     NotFound = "not_found",
     Conflict = "conflict",
     BodyTooLarge = "body_too_large",
+    HeaderTooLarge = "header_too_large",
     RateLimited = "rate_limited",
     Overloaded = "overloaded",
     DeadlineUnreachable = "deadline_unreachable",
--- a/packages/daisyturn/src/connection/caller/readBody.ts
+++ b/packages/daisyturn/src/connection/caller/readBody.ts
@@ -15,7 +15,12 @@
 const utf8 = new TextDecoder("utf-8", { fatal: true, ignoreBOM: true });
 
 /** Reads a body as UTF-8 text, giving up as soon as it is known to break a limit. */
-export function readBody(incoming: IncomingMessage, limits: BodyLimits): Promise<Result<string, Failure>> {
+export async function readBody(incoming: IncomingMessage, limits: BodyLimits): Promise<Result<string, Failure>> {
+    return (await readBytes(incoming, limits)).andThen(decode);
+}
+
+/** Reads a body as it is, giving up as soon as it is known to break a limit. */
+export function readBytes(incoming: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer, Failure>> {
     const announced = Number(incoming.headers["content-length"] ?? 0);
     if (announced > limits.maxBytes) {
         return Promise.resolve(err(tooLarge(limits.maxBytes)));
@@ -25,7 +30,7 @@
         const pieces: Buffer[] = [];
         let byteCount = 0;
 
-        const finish = (result: Result<string, Failure>) => {
+        const finish = (result: Result<Buffer, Failure>) => {
             clearTimeout(timer);
             incoming.off("data", take).off("end", end).off("close", cut);
             resolve(result);
@@ -42,7 +47,7 @@
                 pieces.push(piece);
             }
         };
-        const end = () => finish(decode(pieces));
+        const end = () => finish(ok(pieces.length === 1 && pieces[0] ? pieces[0] : Buffer.concat(pieces)));
         const cut = () => finish(err(notRun(FailureReason.Cancelled, "The connection closed within the body.")));
         const expire = () => finish(err(notRun(FailureReason.BadRequest, "The body did not arrive in time.")));
 
@@ -51,8 +56,7 @@
     });
 }
 
-function decode(pieces: readonly Buffer[]): Result<string, Failure> {
-    const bytes = pieces.length === 1 && pieces[0] ? pieces[0] : Buffer.concat(pieces);
+function decode(bytes: Buffer): Result<string, Failure> {
     try {
         return ok(utf8.decode(bytes));
     }
--- /dev/null
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -0,0 +1,169 @@
+import { type Clock, EventKind, type EventLog, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
+import { refuseCall } from "../../request/forwarding/refuseCall.js";
+import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
+import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
+import { type CallerConnection, createCallerListener } from "../caller/createCallerListener.js";
+import { readBytes } from "../caller/readBody.js";
+import { createForwardExchange, type ForwardExchange } from "./forwardExchange.js";
+
+/** The server for calls that are forwarded as they are. */
+export interface ForwardServer {
+    start(): Promise<void>;
+    /** Puts other limits in force; connections that are open keep those of their last request. */
+    setLimits(limits: ForwardLimits): void;
+    /**
+     * Stops without cutting a request: takes requests until the balancer has noticed that the process is not ready,
+     * closing each connection after its answer, and finishes what runs.
+     * @param deadline monotonic time after which what still runs is given up
+     */
+    drain(deadline: number): Promise<void>;
+    running(): number;
+}
+
+/** What {@link createForwardServer} needs. */
+export interface ForwardServerOptions {
+    readonly listen: ListenAddress;
+    readonly protocol: CallerProtocol;
+    readonly serve: (call: ForwardedCall, exchange: ForwardExchange) => Promise<void>;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Node's own limit is set once for all; the configured one is smaller and checked request by request. */
+const listenerHeaderBytes = 128 * 1024;
+/** Where a caller does not say how long it waits. */
+const defaultPatienceMilliseconds = 30_000;
+/** The balancer asks once a second and gives up after two misses; connections under way arrive a little later. */
+const balancerNoticeMilliseconds = 2_400;
+const drainPollMilliseconds = 50;
+
+/** Creates the server. */
+export function createForwardServer(options: ForwardServerOptions): ForwardServer {
+    const { clock, eventLog, protocol } = options;
+    let limits: ForwardLimits | undefined;
+    let isClosing = false;
+    let running = 0;
+    let heldBodyBytes = 0;
+
+    const take = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
+        running += 1;
+        const exchange = createForwardExchange(outgoing, connection, () => isClosing);
+        let bodyBytes = 0;
+        const reserve = (byteCount: number) => {
+            bodyBytes += byteCount;
+            heldBodyBytes += byteCount;
+            return heldBodyBytes <= defaultCallerLimits.maxTotalBodyBytes;
+        };
+        try {
+            await handle(incoming, outgoing, exchange, reserve);
+        }
+        catch (error) {
+            reportFault(exchange, error);
+        }
+        await exchange.closed;
+        heldBodyBytes -= bodyBytes;
+        running -= 1;
+    };
+
+    const handle = async (
+        incoming: IncomingMessage,
+        outgoing: ServerResponse,
+        exchange: ForwardExchange,
+        reserve: (byteCount: number) => boolean,
+    ) => {
+        const arrivedAt = clock.monotonicNow();
+        const described = protocol.describeCall(incoming.rawHeaders);
+        const fault = checkHeaderSize(incoming, limits) ?? (described.isErr ? described.error : undefined);
+        if (fault || described.isErr) {
+            refuseUnread(outgoing, exchange, fault);
+            return;
+        }
+        const body = await readBytes(incoming, {
+            maxBytes: limits?.maxBodyBytes ?? defaultCallerLimits.maxBodyBytes,
+            milliseconds: defaultCallerLimits.bodyMilliseconds,
+            reserve,
+            askForBody: () => incoming.headers.expect !== undefined && outgoing.writeContinue(),
+        });
+        if (body.isErr) {
+            refuseUnread(outgoing, exchange, body.error);
+            return;
+        }
+        const patience = described.value.patienceMilliseconds ?? defaultPatienceMilliseconds;
+        await options.serve({
+            ...described.value,
+            method: incoming.method ?? "GET",
+            host: stripPort(incoming.headers.host ?? ""),
+            url: incoming.url ?? "/",
+            body: body.value,
+            arrivedAt,
+            deadline: arrivedAt + patience,
+        }, exchange);
+    };
+
+    /** The rest of the request is not read, so no other request may follow on the connection. */
+    const refuseUnread = (outgoing: ServerResponse, exchange: ForwardExchange, failure: Failure | undefined) => {
+        outgoing.shouldKeepAlive = false;
+        refuseCall(exchange, failure ?? notRun(FailureReason.BadRequest, "The request can't be read."), clock);
+    };
+
+    const reportFault = (exchange: ForwardExchange, error: unknown) => {
+        const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+        eventLog.record(EventKind.Fault, { reason });
+        refuseCall(exchange, mayHaveRun(FailureReason.Internal, "The request failed inside daisyturn."), clock);
+    };
+
+    const server: Server = createCallerListener(
+        undefined,
+        { ...defaultCallerLimits, maxHeaderBytes: listenerHeaderBytes },
+        (incoming, outgoing, connection) => void take(incoming, outgoing, connection),
+    );
+
+    const start = () =>
+        new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(options.listen.port, options.listen.address, () => {
+                server.off("error", reject);
+                resolve();
+            });
+        });
+
+    const drain = async (deadline: number) => {
+        isClosing = true;
+        const noticedAt = Math.min(deadline, clock.monotonicNow() + balancerNoticeMilliseconds);
+        await clock.sleepUntil(noticedAt);
+        while (running > 0 && clock.monotonicNow() < deadline) {
+            await clock.sleepUntil(clock.monotonicNow() + drainPollMilliseconds);
+        }
+        server.close();
+        server.closeIdleConnections();
+    };
+
+    return {
+        start,
+        drain,
+        running: () => running,
+        setLimits: next => {
+            limits = next;
+            server.keepAliveTimeout = next.idleMilliseconds;
+            server.headersTimeout = next.headerMilliseconds;
+        },
+    };
+}
+
+function checkHeaderSize(incoming: IncomingMessage, limits: ForwardLimits | undefined): Failure | undefined {
+    if (!limits) {
+        return undefined;
+    }
+    // Two bytes between name and value, two at the end of the line.
+    const bytes = incoming.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    return bytes > limits.maxHeaderBytes
+        ? notRun(FailureReason.HeaderTooLarge, `The header is longer than ${limits.maxHeaderBytes} bytes.`)
+        : undefined;
+}
+
+function stripPort(host: string): string {
+    const colon = host.lastIndexOf(":");
+    return colon < 0 || host.endsWith("]") ? host : host.slice(0, colon);
+}
--- /dev/null
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -0,0 +1,84 @@
+import { type Failure, FailureReason, notRun } from "daisyturn-utils";
+import type { ServerResponse } from "node:http";
+import type { HeaderFields } from "../../ports/forwardedCall.js";
+import type { CallerConnection } from "../caller/createCallerListener.js";
+
+/** The way back to one caller. */
+export interface ForwardExchange {
+    /** Aborted once the caller is gone; the reason is a `Failure`. */
+    readonly signal: AbortSignal;
+    isHeadSent(): boolean;
+    /** Sends a whole answer. */
+    answer(status: number, fields: HeaderFields, body: Buffer): void;
+    /** Begins an answer whose length is not known yet. */
+    begin(status: number, fields: HeaderFields): void;
+    write(chunk: Buffer): void;
+    /** Ends an answer that was begun, as complete. */
+    end(): void;
+    /** Breaks the answer off, so that it can't be taken for complete. */
+    breakOff(): void;
+    /** Resolves once the answer is sent or the caller is gone. */
+    readonly closed: Promise<void>;
+}
+
+/** Bytes kept for a caller that reads slowly; one that lets more pile up is cut off. */
+const maxBufferedBytes = 1024 * 1024;
+
+/** Creates the exchange of one request. */
+export function createForwardExchange(
+    outgoing: ServerResponse,
+    connection: CallerConnection,
+    isClosing: () => boolean,
+): ForwardExchange {
+    const gone = new AbortController();
+    const closed = new Promise<void>(resolve => {
+        const finish = () => {
+            connection.closeListeners.delete(leave);
+            resolve();
+        };
+        const leave = () => {
+            if (!outgoing.writableFinished) {
+                gone.abort(notRun(FailureReason.Cancelled, "The caller closed the connection."));
+            }
+            finish();
+        };
+        connection.closeListeners.add(leave);
+        outgoing.once("finish", finish);
+        outgoing.once("error", leave);
+    });
+
+    const writeHead = (status: number, fields: HeaderFields) => {
+        outgoing.sendDate = false;
+        if (isClosing()) {
+            outgoing.shouldKeepAlive = false;
+        }
+        outgoing.writeHead(status, [...fields]);
+    };
+
+    return {
+        signal: gone.signal,
+        closed,
+        isHeadSent: () => outgoing.headersSent,
+        answer: (status, fields, body) => {
+            if (outgoing.headersSent || gone.signal.aborted) {
+                return;
+            }
+            writeHead(status, [...fields, "Content-Length", String(body.length)]);
+            outgoing.end(body);
+        },
+        begin: writeHead,
+        write: chunk => {
+            outgoing.write(chunk);
+            if (outgoing.writableLength > maxBufferedBytes) {
+                outgoing.destroy();
+            }
+        },
+        end: () => outgoing.end(),
+        breakOff: () => outgoing.destroy(),
+    };
+}
+
+/** The failure for which an aborted signal was aborted. */
+export function abortFailure(signal: AbortSignal): Failure {
+    return signal.reason as Failure;
+}
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -10,6 +10,8 @@
     readonly clock: Clock;
     /** Connections kept to the service at most. */
     readonly connections?: number;
+    /** Milliseconds within which a connection is made or given up; undici's own limit where absent. */
+    readonly connectMilliseconds?: number;
 }
 
 /** One HTTP request to the platform. */
@@ -47,6 +49,7 @@
     const pool = new Pool(options.url, {
         connections: options.connections ?? defaultConnections,
         pipelining: 1,
+        ...(options.connectMilliseconds !== undefined && { connect: { timeout: options.connectMilliseconds } }),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         // Each call has its own deadline.
--- /dev/null
+++ b/packages/daisyturn/src/ports/peerRegistry.ts
@@ -0,0 +1,18 @@
+import type { Failure } from "daisyturn-utils";
+import type { Result } from "true-myth/result";
+
+/** Another process of the fleet, and where it takes datagrams. */
+export interface RegisteredPeer {
+    readonly peerId: string;
+    /** IP number. */
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Where the processes of the fleet find each other. Only an adapter knows the wire. */
+export abstract class PeerRegistry {
+    /** Enters this process, or says that it still runs, and reads who else is entered. */
+    abstract refresh(self: RegisteredPeer, deadline: number): Promise<Result<readonly RegisteredPeer[], Failure>>;
+    /** Takes this process's entry away. */
+    abstract leave(self: RegisteredPeer, deadline: number): Promise<void>;
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createTargetHealth.ts
@@ -0,0 +1,219 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import { createDecayingRate, type DecayingRate } from "../decayingRate.js";
+
+/** What a call showed of its target's health. */
+export enum TargetEvidence {
+    /** An answer that is no error of the target. */
+    Answered = "answered",
+    /** An answer with an error of the target's own. */
+    AnsweredError = "answered_error",
+    /** No connection could be made. */
+    Unreachable = "unreachable",
+    /** The connection broke, or the answer made no sense. */
+    Broken = "broken",
+    /** Nothing was heard for longer than any call should take. */
+    Silent = "silent",
+}
+
+/** Which targets are left alone for a while, going by what their calls have shown. */
+export interface TargetHealth {
+    note(targetId: string, evidence: TargetEvidence): void;
+    /** Notes that bytes of an answer arrived. */
+    noteHeard(targetId: string): void;
+    /** Notes a call that waits for its answer; to be ended once the answer begins or the call is over. */
+    beginWait(targetId: string): { end(): void; };
+    /** Whether calls have waited for long while nothing at all was heard of the target. */
+    isSilent(targetId: string): boolean;
+    /**
+     * Those of a service's targets that may be sent work. Never fewer than half: where that many seem to fail, the
+     * cause is more likely elsewhere, and the others could not bear the work.
+     */
+    selectTrusted<Target extends { readonly targetId: string; }>(targets: readonly Target[]): readonly Target[];
+    forget(targetId: string): void;
+}
+
+interface HealthState {
+    failures: number;
+    /** Monotonic time until which the target is left alone. */
+    suspectUntil: number;
+    /** Whether the next call shows if the target works again; others wait for it. */
+    isOnTrial: boolean;
+    trialUntil: number;
+    heardAt: number;
+    readonly waits: Set<{ readonly since: number; }>;
+    readonly answers: DecayingRate;
+    readonly errors: DecayingRate;
+}
+
+/** The first suspicion lasts this long; each further failure doubles it. */
+const firstSuspicionMilliseconds = 400;
+const longestSuspicionMilliseconds = 3_000;
+/** A single broken answer may be chance; two in a row are not. */
+const brokenAnswersForSuspicion = 2;
+/** Longer than the queue of a target that works, as far as calls are still worth waiting for. */
+const silenceMilliseconds = 2_000;
+/** A trial call that has not ended by then no longer keeps others away. */
+const trialMilliseconds = 1_000;
+/** Over this time the part of failing answers is taken. */
+const errorMemoryMilliseconds = 4_000;
+/** Below this many answers in that time, the part of failing ones says little. */
+const leastAnswers = 6;
+/** A target is taken for failing where its part of errors is above the others' by this much. */
+const errorExcess = 0.22;
+const errorSuspicionMilliseconds = 2_000;
+
+/** Creates the health view of one process. */
+export function createTargetHealth(clock: Clock, eventLog: EventLog): TargetHealth {
+    const states = new Map<string, HealthState>();
+
+    const find = (targetId: string): HealthState => {
+        let state = states.get(targetId);
+        if (!state) {
+            const now = clock.monotonicNow();
+            state = {
+                failures: 0,
+                suspectUntil: -Infinity,
+                isOnTrial: false,
+                trialUntil: -Infinity,
+                heardAt: now,
+                waits: new Set(),
+                answers: createDecayingRate(errorMemoryMilliseconds, now),
+                errors: createDecayingRate(errorMemoryMilliseconds, now),
+            };
+            states.set(targetId, state);
+        }
+        return state;
+    };
+
+    const suspect = (targetId: string, state: HealthState, milliseconds: number, reason: string) => {
+        state.suspectUntil = clock.monotonicNow() + milliseconds;
+        state.isOnTrial = false;
+        eventLog.record(EventKind.TargetSuspected, {
+            target: targetId,
+            reason,
+            failures: state.failures,
+            forMilliseconds: milliseconds,
+        });
+    };
+
+    const noteFailure = (targetId: string, state: HealthState, evidence: TargetEvidence) => {
+        state.failures += 1;
+        state.errors.add(1, clock.monotonicNow());
+        if (evidence === TargetEvidence.Broken && state.failures < brokenAnswersForSuspicion) {
+            return;
+        }
+        if (state.suspectUntil > clock.monotonicNow()) {
+            return;
+        }
+        const milliseconds = Math.min(
+            longestSuspicionMilliseconds,
+            firstSuspicionMilliseconds * 2 ** Math.min(state.failures - 1, 8),
+        );
+        suspect(targetId, state, milliseconds, evidence);
+    };
+
+    const noteSuccess = (targetId: string, state: HealthState) => {
+        if (state.failures > 0 || state.isOnTrial) {
+            if (state.suspectUntil > -Infinity) {
+                eventLog.record(EventKind.TargetTrusted, { target: targetId, failures: state.failures });
+            }
+            state.failures = 0;
+            state.isOnTrial = false;
+            state.suspectUntil = -Infinity;
+        }
+    };
+
+    const note = (targetId: string, evidence: TargetEvidence) => {
+        const state = find(targetId);
+        const now = clock.monotonicNow();
+        if (evidence === TargetEvidence.Answered) {
+            state.answers.add(1, now);
+            noteSuccess(targetId, state);
+        }
+        else if (evidence === TargetEvidence.AnsweredError) {
+            state.errors.add(1, now);
+        }
+        else {
+            noteFailure(targetId, state, evidence);
+        }
+    };
+
+    const errorFraction = (state: HealthState | undefined): number => {
+        const now = clock.monotonicNow();
+        const errors = state?.errors.perSecond(now) ?? 0;
+        const answers = (state?.answers.perSecond(now) ?? 0) + errors;
+        return answers * errorMemoryMilliseconds / 1_000 < leastAnswers ? 0 : errors / answers;
+    };
+
+    /** Leaves alone a target whose answers fail much more often than the median of its group. */
+    const findFailing = (targetIds: readonly string[]) => {
+        if (targetIds.length < 2) {
+            return;
+        }
+        const fractions = targetIds.map(targetId => errorFraction(states.get(targetId)));
+        const sorted = [...fractions].sort((left, right) => left - right);
+        const median = sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+        targetIds.forEach((targetId, index) => {
+            const state = states.get(targetId);
+            const isFailing = (fractions[index] ?? 0) > median + errorExcess;
+            if (state && isFailing && !state.isOnTrial && state.suspectUntil <= clock.monotonicNow()) {
+                suspect(targetId, state, errorSuspicionMilliseconds, "answers fail more often than its group's");
+            }
+        });
+    };
+
+    const isSilent = (targetId: string) => {
+        const state = states.get(targetId);
+        const oldest = state?.waits.values().next().value;
+        const limit = clock.monotonicNow() - silenceMilliseconds;
+        return state !== undefined && oldest !== undefined && oldest.since < limit && state.heardAt < limit;
+    };
+
+    /** Once a suspicion ends, a single call goes first and shows whether the target works. */
+    const mayTake = (targetId: string): boolean => {
+        const state = states.get(targetId);
+        if (!state) {
+            return true;
+        }
+        const now = clock.monotonicNow();
+        if (isSilent(targetId)) {
+            if (state.suspectUntil <= now) {
+                noteFailure(targetId, state, TargetEvidence.Silent);
+            }
+            return false;
+        }
+        if (state.suspectUntil > now) {
+            return false;
+        }
+        return !state.isOnTrial || state.trialUntil <= now;
+    };
+
+    const beginTrial = (targetId: string) => {
+        const state = states.get(targetId);
+        if (state && state.suspectUntil > -Infinity && state.suspectUntil <= clock.monotonicNow()) {
+            state.isOnTrial = true;
+            state.trialUntil = clock.monotonicNow() + trialMilliseconds;
+        }
+    };
+
+    return {
+        note,
+        noteHeard: targetId => {
+            find(targetId).heardAt = clock.monotonicNow();
+        },
+        beginWait: targetId => {
+            const state = find(targetId);
+            const wait = { since: clock.monotonicNow() };
+            state.waits.add(wait);
+            beginTrial(targetId);
+            return { end: () => void state.waits.delete(wait) };
+        },
+        isSilent,
+        selectTrusted: targets => {
+            findFailing(targets.map(target => target.targetId));
+            const trusted = targets.filter(target => mayTake(target.targetId));
+            return trusted.length * 2 >= targets.length ? trusted : targets;
+        },
+        forget: targetId => states.delete(targetId),
+    };
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -0,0 +1,139 @@
+import type { Clock } from "daisyturn-utils";
+import type { ReportedLoad } from "../../ports/forwardedCall.js";
+
+/** Work that this process has placed at a target. */
+export interface PlacedWork {
+    /** The expensive part (of a prompt: its prefill) is done; the call itself still runs. */
+    finishHeavyPart(): void;
+    end(): void;
+}
+
+/** What one process has under way at one target. */
+export interface WorkUnderWay {
+    readonly targetId: string;
+    readonly calls: number;
+    /** Estimated milliseconds of expensive work not yet done. */
+    readonly work: number;
+}
+
+/** How busy targets are: from this process's own calls, from what its peers tell, and from the targets' answers. */
+export interface TargetLoads {
+    /** @param milliseconds the expensive part of the call, as estimated */
+    begin(targetId: string, milliseconds: number): PlacedWork;
+    noteReport(targetId: string, load: ReportedLoad): void;
+    /** Takes in all that a peer has under way. */
+    notePeer(peerId: string, work: readonly WorkUnderWay[]): void;
+    /** What this process has under way, for its peers. */
+    listOwn(): readonly WorkUnderWay[];
+    /** Calls that run or wait at the target, of all processes. */
+    calls(targetId: string): number;
+    /** Milliseconds until the target turns to a new call, as far as its expensive work goes. */
+    wait(targetId: string): number;
+    forget(targetId: string): void;
+}
+
+interface TargetLoad {
+    calls: number;
+    work: number;
+    /** Calls of other processes when the target last reported, and the monotonic time of the report. */
+    reportedOthers: number;
+    reportedAt: number;
+}
+
+interface PeerLoad {
+    readonly heardAt: number;
+    readonly work: ReadonlyMap<string, WorkUnderWay>;
+}
+
+/** After this many milliseconds, a report counts 1/e: calls last a few tens to a few hundred milliseconds. */
+const reportMemoryMilliseconds = 800;
+/** What a peer told is forgotten after this time: it has ended, or its datagrams are lost. */
+const peerMemoryMilliseconds = 1_500;
+/** Expensive work of a call of which only the target's report is known: the middle of short and long prompts. */
+const unknownWorkMilliseconds = 8;
+
+/** Creates the view of one process. */
+export function createTargetLoads(clock: Clock): TargetLoads {
+    const own = new Map<string, TargetLoad>();
+    const peers = new Map<string, PeerLoad>();
+
+    const find = (targetId: string): TargetLoad => {
+        let load = own.get(targetId);
+        if (!load) {
+            load = { calls: 0, work: 0, reportedOthers: 0, reportedAt: clock.monotonicNow() };
+            own.set(targetId, load);
+        }
+        return load;
+    };
+
+    const reportedOthers = (load: TargetLoad | undefined) =>
+        load ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportMemoryMilliseconds) : 0;
+
+    /** Sums what the peers told, as far as it is fresh; undefined where no peer is heard. */
+    const sumPeers = (targetId: string): { calls: number; work: number; } | undefined => {
+        const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
+        const sum = { calls: 0, work: 0 };
+        let isHeard = false;
+        for (const peer of peers.values()) {
+            if (peer.heardAt >= oldest) {
+                isHeard = true;
+                const told = peer.work.get(targetId);
+                sum.calls += told?.calls ?? 0;
+                sum.work += told?.work ?? 0;
+            }
+        }
+        return isHeard ? sum : undefined;
+    };
+
+    const begin = (targetId: string, milliseconds: number): PlacedWork => {
+        const load = find(targetId);
+        load.calls += 1;
+        load.work += milliseconds;
+        let isHeavy = true;
+        let isRunning = true;
+        const finishHeavyPart = () => {
+            if (isHeavy) {
+                isHeavy = false;
+                load.work = Math.max(0, load.work - milliseconds);
+            }
+        };
+        return {
+            finishHeavyPart,
+            end: () => {
+                finishHeavyPart();
+                if (isRunning) {
+                    isRunning = false;
+                    load.calls -= 1;
+                }
+            },
+        };
+    };
+
+    const listOwn = () =>
+        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work }]) => ({ targetId, calls, work }));
+
+    return {
+        begin,
+        listOwn,
+        noteReport: (targetId, { running, waiting }) => {
+            const load = find(targetId);
+            load.reportedOthers = Math.max(0, running + waiting - load.calls);
+            load.reportedAt = clock.monotonicNow();
+        },
+        notePeer: (peerId, work) => {
+            const byTarget = new Map(work.map(entry => [entry.targetId, entry]));
+            peers.set(peerId, { heardAt: clock.monotonicNow(), work: byTarget });
+        },
+        calls: targetId => {
+            const load = own.get(targetId);
+            const told = sumPeers(targetId)?.calls ?? 0;
+            return (load?.calls ?? 0) + Math.max(told, reportedOthers(load));
+        },
+        wait: targetId => {
+            const load = own.get(targetId);
+            const told = sumPeers(targetId)?.work;
+            return (load?.work ?? 0) + (told ?? reportedOthers(load) * unknownWorkMilliseconds);
+        },
+        forget: targetId => own.delete(targetId),
+    };
+}
--- a/packages/daisyturn/src/request/answer.ts
+++ b/packages/daisyturn/src/request/answer.ts
@@ -12,6 +12,7 @@
     [FailureReason.Conflict]: 409,
     [FailureReason.AlreadyRunning]: 409,
     [FailureReason.BodyTooLarge]: 413,
+    [FailureReason.HeaderTooLarge]: 431,
     [FailureReason.IdempotencyKeyReused]: 422,
     [FailureReason.RateLimited]: 429,
     [FailureReason.Cancelled]: 499,
@@ -30,6 +31,11 @@
     [FailureReason.DeadlinePassed]: 504,
 };
 
+/** The status that tells a caller of a failure. */
+export function statusOfFailure(reason: FailureReason): number {
+    return statusByReason[reason];
+}
+
 /** The `error` object of a refusal, in the form of the OpenAI HTTP API with the verdict added. */
 export interface ErrorBody {
     readonly error: {
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/callRun.ts
@@ -0,0 +1,97 @@
+import { EventKind, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
+import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
+import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
+import { createFailureHistory, type FailureHistory, isWorthAnotherTarget, maySendAgain } from "../retryPolicy.js";
+import type { ForwardingParts } from "./forwardingParts.js";
+
+/** One forwarded call on its way, and what its attempts have shown. */
+export interface CallRun {
+    readonly call: ForwardedCall;
+    readonly route: ForwardRoute;
+    readonly service: ForwardService;
+    readonly exchange: ForwardExchange;
+    /** Aborted with a `Failure` once the caller is gone or its time is up. */
+    readonly signal: AbortSignal;
+    /** Monotonic time at which the answer must be whole. */
+    readonly deadline: number;
+    readonly history: FailureHistory;
+    /** Targets that failed this call. */
+    readonly avoid: Set<string>;
+    /** Targets that were sent this call to run it. */
+    readonly sentTo: Set<string>;
+}
+
+/** Sends that never reached a target are free, but not without end. */
+const mostAttempts = 4;
+/** With less time left, another attempt would only add load. */
+const leastRetryMilliseconds = 30;
+
+/** Starts the run of a call. */
+export function createCallRun(
+    call: ForwardedCall,
+    route: ForwardRoute,
+    service: ForwardService,
+    exchange: ForwardExchange,
+    signal: AbortSignal,
+    deadline: number,
+): CallRun {
+    const history = createFailureHistory();
+    return {
+        call,
+        route,
+        service,
+        exchange,
+        signal,
+        deadline,
+        history,
+        avoid: new Set(),
+        sentTo: new Set(),
+    };
+}
+
+/** Whether a call that may have run may be sent again, from the last event on where it is a stream. */
+export function isRepeatable(route: ForwardRoute): boolean {
+    return route.kind === CallKind.Idempotent || (route.kind === CallKind.Stream && route.isResumable);
+}
+
+/** The final failure of a call: why it ended, and whether any attempt may have run. */
+export function concludeRun(run: CallRun, last: Failure): Failure {
+    return run.history.conclude(run.signal.aborted ? run.signal.reason as Failure : last);
+}
+
+/**
+ * Notes a failed attempt and takes leave for another one, from the route's limit and the fleet's budget.
+ * @param reachedTarget whether the target was sent the call: a connection that could not be made costs no budget
+ */
+export function mayTryAgain(parts: ForwardingParts, run: CallRun, failure: Failure, reachedTarget: boolean): boolean {
+    run.history.note(failure);
+    const hasTime = run.deadline - parts.clock.monotonicNow() > leastRetryMilliseconds;
+    const isWorthwhile = isWorthAnotherTarget(failure) && run.history.attempts < mostAttempts;
+    const isAllowed = maySendAgain(failure, isRepeatable(run.route));
+    if (run.signal.aborted || !hasTime || !isWorthwhile || !isAllowed) {
+        return false;
+    }
+    const isSpent = reachedTarget && run.sentTo.size >= run.route.maxAttempts;
+    if (isSpent || (reachedTarget && !parts.budget.tryTake(run.service.name))) {
+        return false;
+    }
+    parts.eventLog.record(EventKind.RequestRetried, {
+        request: run.call.callId,
+        reason: failure.reason,
+        verdict: failure.verdict,
+        attempts: run.history.attempts,
+        cause: failure.message,
+    });
+    return true;
+}
+
+/** Nobody can take the call now. */
+export function describeNoTarget(run: CallRun): Failure {
+    return notRun(FailureReason.NoTarget, `No target of service ${run.service.name} is open.`);
+}
+
+/** Whether a failed send had reached its target. */
+export function hasReached(failure: Failure): boolean {
+    return failure.verdict === ExecutionVerdict.MayHaveRun || failure.reason === FailureReason.TargetRefused;
+}
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -0,0 +1,27 @@
+import type { Clock, EventLog } from "daisyturn-utils";
+import type { TargetConnections } from "../../connection/target/createTargetConnections.js";
+import type { TargetProtocol } from "../../ports/forwardedCall.js";
+import type { CacheBeliefs } from "../../process/forwarding/createCacheBeliefs.js";
+import type { CallPlacement } from "../../process/forwarding/createCallPlacement.js";
+import type { ForwardingKeeper } from "../../process/forwarding/createForwardingKeeper.js";
+import type { PaceView } from "../../process/forwarding/createPaceView.js";
+import type { TargetHealth } from "../../process/forwarding/createTargetHealth.js";
+import type { TargetList } from "../../process/forwarding/createTargetList.js";
+import type { TargetLoads } from "../../process/forwarding/createTargetLoads.js";
+import type { WindowedRetryBudget } from "../../process/forwarding/createWindowedRetryBudget.js";
+
+/** The parts of the process that a forwarded call passes through. */
+export interface ForwardingParts {
+    readonly keeper: Pick<ForwardingKeeper, "current">;
+    readonly targets: TargetList;
+    readonly loads: TargetLoads;
+    readonly health: TargetHealth;
+    readonly caches: CacheBeliefs;
+    readonly paces: PaceView;
+    readonly placement: CallPlacement;
+    readonly budget: WindowedRetryBudget;
+    readonly connections: TargetConnections;
+    readonly protocol: TargetProtocol;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -0,0 +1,185 @@
+import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import { err, ok, type Result } from "true-myth/result";
+import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
+import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
+import type { PlacedStep, PromptWay } from "../../process/forwarding/createCallPlacement.js";
+import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
+import { createEventRelay, type EventRelay } from "./eventRelay.js";
+import type { ForwardingParts } from "./forwardingParts.js";
+import { sendToTarget, type TargetReply } from "./sendToTarget.js";
+
+/** How a prompt call ended: by a stream that was passed on, or by an answer that is still to be sent. */
+export interface PromptOutcome {
+    readonly isPassedOn: boolean;
+    readonly reply: TargetReply;
+}
+
+/** A prefill that failed is tried elsewhere so often before the prompt is read where it is decoded. */
+const mostPrefills = 2;
+const firstFailureStatus = 300;
+const firstErrorStatus = 500;
+/** Priorities of routes start here, so that there is room before and behind. */
+const firstUrgency = 4;
+const lastUrgency = 9;
+/** A release that takes longer is left to the cache's own end. */
+const releaseMilliseconds = 500;
+const lateRelease = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
+
+/**
+ * Has engines answer a prompt: reads it at one and decodes at another, or both at one, whichever is sooner; and goes on
+ * at another engine after a failure, where the route allows it.
+ */
+export async function runPromptCall(
+    parts: ForwardingParts,
+    run: CallRun,
+    prompt: PromptDescription,
+): Promise<Result<PromptOutcome, Failure>> {
+    const relay = createEventRelay(run.exchange);
+    let prefills = 0;
+    for (;;) {
+        const way = parts.placement.placePrompt(
+            run.service,
+            prompt,
+            run.call.body.length,
+            run.avoid,
+            prefills >= mostPrefills,
+        );
+        if (!way) {
+            return err(concludeRun(run, describeNoTarget(run)));
+        }
+        let kvSource: KvSource | undefined;
+        if (way.prefill) {
+            prefills += 1;
+            const prefilled = await prefill(parts, run, prompt, way.prefill);
+            if (prefilled.isErr) {
+                run.avoid.add(way.prefill.target.targetId);
+                if (!mayTryAgain(parts, run, toRepeatable(prefilled.error), hasReached(prefilled.error))) {
+                    return err(concludeRun(run, prefilled.error));
+                }
+                continue;
+            }
+            kvSource = prefilled.value;
+        }
+        const decoded = await decode(parts, run, prompt, way, kvSource, relay);
+        if (decoded.isOk) {
+            return decoded;
+        }
+        if (kvSource && !hasBeenFetched(decoded.error)) {
+            releaseKv(parts, run, kvSource);
+        }
+        run.avoid.add(way.decode.target.targetId);
+        relay.dropPartialEvent();
+        if (!mayTryAgain(parts, run, decoded.error, hasReached(decoded.error))) {
+            return err(concludeRun(run, decoded.error));
+        }
+    }
+}
+
+/** Reading a prompt makes no answer, so it may be repeated whatever the route says. */
+function toRepeatable(failure: Failure): Failure {
+    return { ...failure, verdict: ExecutionVerdict.NotRun };
+}
+
+async function prefill(
+    parts: ForwardingParts,
+    run: CallRun,
+    prompt: PromptDescription,
+    step: PlacedStep,
+): Promise<Result<KvSource, Failure>> {
+    const startedAt = parts.clock.monotonicNow();
+    const reply = await sendToTarget(parts, run, {
+        target: step.target,
+        terms: { prefillOnly: true, urgency: urgencyOf(run) },
+        isRepeatable: true,
+        work: step.work,
+    });
+    if (reply.isErr) {
+        return err(reply.error);
+    }
+    const { head, body } = reply.value;
+    if (head.status >= firstFailureStatus) {
+        const message = `The engine did not read the prompt and answered with status ${head.status}.`;
+        return err(mayHaveRun(FailureReason.TargetFailed, message));
+    }
+    parts.paces.observe(step.target.targetId, step.wait, step.work, parts.clock.monotonicNow() - startedAt);
+    parts.caches.note(step.target.targetId, prompt.parts, run.service.engine?.kvTokens ?? 0);
+    return parts.protocol.readKvHandle(body).map(handle => ({ address: step.target.address, handle }));
+}
+
+async function decode(
+    parts: ForwardingParts,
+    run: CallRun,
+    prompt: PromptDescription,
+    way: PromptWay,
+    kvSource: KvSource | undefined,
+    relay: EventRelay,
+): Promise<Result<PromptOutcome, Failure>> {
+    const { target, work, wait } = way.decode;
+    const startedAt = parts.clock.monotonicNow();
+    const reply = await sendToTarget(parts, run, {
+        target,
+        terms: { kvSource, urgency: urgencyOf(run), lastEventId: relay.lastEventId() },
+        isRepeatable: isRepeatable(run.route),
+        work,
+        onPiece: (head, piece) => relay.take(head.status, head.forwardedFields, piece),
+        onFirstByte: () => {
+            if (!kvSource) {
+                parts.paces.observe(target.targetId, wait, work, parts.clock.monotonicNow() - startedAt);
+            }
+        },
+    });
+    if (reply.isErr) {
+        if (hasReached(reply.error)) {
+            run.sentTo.add(target.targetId);
+        }
+        return err(reply.error);
+    }
+    run.sentTo.add(target.targetId);
+    parts.caches.note(target.targetId, prompt.parts, run.service.engine?.kvTokens ?? 0);
+    return concludeStream(run, relay, reply.value);
+}
+
+function concludeStream(run: CallRun, relay: EventRelay, reply: TargetReply): Result<PromptOutcome, Failure> {
+    const { status, forwardedFields } = reply.head;
+    if (status < firstFailureStatus) {
+        relay.end(status, forwardedFields);
+        return ok({ isPassedOn: true, reply });
+    }
+    const isError = status >= firstErrorStatus;
+    if (relay.hasBegun() || (isError && isRepeatable(run.route) && run.sentTo.size < run.route.maxAttempts)) {
+        return err(mayHaveRun(FailureReason.TargetFailed, `The engine answered with status ${status}.`));
+    }
+    return ok({ isPassedOn: false, reply });
+}
+
+/** A target that refused the call has not fetched the cache, or can't: then it lapses by itself soon. */
+function hasBeenFetched(failure: Failure): boolean {
+    return failure.verdict !== ExecutionVerdict.NotRun;
+}
+
+/** Frees a cache that nobody will fetch; failing that, it lapses by itself. */
+function releaseKv(parts: ForwardingParts, run: CallRun, source: KvSource): void {
+    const controller = new AbortController();
+    const timer = setTimeout(() => controller.abort(lateRelease), releaseMilliseconds);
+    const sink = { onHead: () => undefined, onChunk: () => undefined };
+    const send = {
+        head: parts.protocol.encodeKvRelease(source.handle),
+        body: undefined,
+        signal: controller.signal,
+        sink,
+    };
+    void parts.connections.send(source.address, ConnectionCare.Reuse, send).then(result => {
+        clearTimeout(timer);
+        if (result.isErr) {
+            parts.eventLog.record(EventKind.KvReleaseFailed, {
+                request: run.call.callId,
+                address: source.address,
+                reason: result.error.message,
+            });
+        }
+    });
+}
+
+function urgencyOf(run: CallRun): number {
+    return Math.min(lastUrgency, firstUrgency + run.route.priority);
+}
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -0,0 +1,192 @@
+import { type Clock, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import { err, ok, type Result } from "true-myth/result";
+import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
+import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../ports/listedTarget.js";
+import { TargetEvidence, type TargetHealth } from "../../process/forwarding/createTargetHealth.js";
+import { type CallRun } from "./callRun.js";
+import type { ForwardingParts } from "./forwardingParts.js";
+
+/** One send of a call to one target. */
+export interface CallSend {
+    readonly target: ListedTarget;
+    readonly terms: Omit<SendTerms, "targetId" | "remainingMilliseconds">;
+    /** Whether the send may be given up when the target falls silent, since it can be repeated elsewhere. */
+    readonly isRepeatable: boolean;
+    /** Estimated expensive work at the target, in milliseconds. */
+    readonly work: number;
+    /** Takes pieces of a successful answer as they arrive; absent: they are collected. */
+    readonly onPiece?: (head: ReplyHead, piece: Buffer) => void;
+    /** Called with the first bytes of the answer's body, or its end: the expensive work is done. */
+    readonly onFirstByte?: () => void;
+}
+
+/** A whole answer of a target. */
+export interface TargetReply {
+    readonly head: ReplyHead;
+    /** Empty where the pieces were taken as they arrived. */
+    readonly body: Buffer;
+}
+
+const firstErrorStatus = 500;
+const firstFailureStatus = 300;
+/** Longest answer that is collected before it is passed on. */
+const maxCollectedBytes = 16 * 1024 * 1024;
+/** How long a stream may pause before its target is looked at, and then from time to time. */
+const silenceCheckMilliseconds = 350;
+
+/** Sends a call, keeps load and health of the target up to date, and gives each failure its verdict. */
+export async function sendToTarget(
+    parts: ForwardingParts,
+    run: CallRun,
+    send: CallSend,
+): Promise<Result<TargetReply, Failure>> {
+    const { target } = send;
+    const { loads, health, clock, protocol } = parts;
+    if (run.signal.aborted) {
+        return err(run.signal.reason as Failure);
+    }
+    // Asked last: the list may have changed since the target was chosen.
+    if (!parts.targets.isOpen(target.targetId)) {
+        return err(notRun(FailureReason.NoTarget, "The chosen target has just stopped taking new work."));
+    }
+    const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
+    const pieces: Buffer[] = [];
+    const work = loads.begin(target.targetId, send.work);
+    const wait = health.beginWait(target.targetId);
+    const watch = watchSilence(clock, health, run.signal, target.targetId, send.isRepeatable);
+
+    const noteFirstByte = () => {
+        work.finishHeavyPart();
+        wait.end();
+        send.onFirstByte?.();
+    };
+    const result = await parts.connections.send(
+        target.address,
+        send.isRepeatable ? ConnectionCare.Reuse : ConnectionCare.Proven,
+        {
+            head: protocol.encodeCall(run.call, {
+                ...send.terms,
+                targetId: target.targetId,
+                remainingMilliseconds: run.deadline - clock.monotonicNow(),
+            }),
+            body: run.call.body.length > 0 ? run.call.body : undefined,
+            signal: watch.signal,
+            sink: {
+                onHead: (status, fields) => {
+                    const head = protocol.readHead(status, fields);
+                    health.noteHeard(target.targetId);
+                    if (head.load) {
+                        loads.noteReport(target.targetId, head.load);
+                    }
+                    reply.head = head;
+                    return head.callId === run.call.callId
+                        ? undefined
+                        : mayHaveRun(FailureReason.TargetFailed, "The answer belongs to another call.");
+                },
+                onChunk: chunk => {
+                    health.noteHeard(target.targetId);
+                    watch.noteHeard();
+                    reply.bytes += chunk.length;
+                    if (reply.bytes === chunk.length) {
+                        noteFirstByte();
+                    }
+                    if (send.onPiece && reply.head && reply.head.status < firstFailureStatus) {
+                        send.onPiece(reply.head, chunk);
+                    }
+                    else if (reply.bytes <= maxCollectedBytes) {
+                        pieces.push(chunk);
+                    }
+                },
+            },
+        },
+    );
+    watch.end();
+    work.end();
+    wait.end();
+    const judged = judge(result, reply.head, Buffer.concat(pieces), reply.bytes > maxCollectedBytes && !send.onPiece);
+    noteEvidence(parts, run, target.targetId, judged, watch.isSilent());
+    return judged;
+}
+
+function judge(
+    result: Result<void, Failure>,
+    head: ReplyHead | undefined,
+    body: Buffer,
+    isTooLong: boolean,
+): Result<TargetReply, Failure> {
+    if (result.isErr) {
+        return err(result.error);
+    }
+    if (!head) {
+        return err(mayHaveRun(FailureReason.TargetFailed, "The target ended without an answer."));
+    }
+    if (head.isNotRun) {
+        return err(notRun(FailureReason.TargetRefused, `The target refused the call with status ${head.status}.`));
+    }
+    if (isTooLong) {
+        return err(mayHaveRun(FailureReason.TargetFailed, "The answer is longer than can be held."));
+    }
+    return ok({ head, body });
+}
+
+function noteEvidence(
+    parts: ForwardingParts,
+    run: CallRun,
+    targetId: string,
+    judged: Result<TargetReply, Failure>,
+    isSilent: boolean,
+): void {
+    if (isSilent) {
+        parts.health.note(targetId, TargetEvidence.Silent);
+    }
+    else if (judged.isOk) {
+        const isError = judged.value.head.status >= firstErrorStatus;
+        parts.health.note(targetId, isError ? TargetEvidence.AnsweredError : TargetEvidence.Answered);
+    }
+    else if (!run.signal.aborted && judged.error.reason === FailureReason.TargetFailed) {
+        const isSent = judged.error.verdict !== ExecutionVerdict.NotRun;
+        parts.health.note(targetId, isSent ? TargetEvidence.Broken : TargetEvidence.Unreachable);
+    }
+}
+
+interface SilenceWatch {
+    readonly signal: AbortSignal;
+    noteHeard(): void;
+    /** Whether the send was given up since its target had fallen silent. */
+    isSilent(): boolean;
+    end(): void;
+}
+
+/** Ends a send together with its call, or once its target has fallen silent, if it may be repeated. */
+function watchSilence(
+    clock: Clock,
+    health: TargetHealth,
+    callSignal: AbortSignal,
+    targetId: string,
+    isRepeatable: boolean,
+): SilenceWatch {
+    const controller = new AbortController();
+    const follow = () => controller.abort(callSignal.reason);
+    let isSilent = false;
+    let heardAt = clock.monotonicNow();
+    const check = () => {
+        if (health.isSilent(targetId) && clock.monotonicNow() - heardAt > silenceCheckMilliseconds) {
+            isSilent = true;
+            controller.abort(mayHaveRun(FailureReason.TargetFailed, "The target has fallen silent."));
+        }
+    };
+    const timer = isRepeatable ? setInterval(check, silenceCheckMilliseconds) : undefined;
+    callSignal.addEventListener("abort", follow, { once: true });
+    return {
+        signal: controller.signal,
+        noteHeard: () => {
+            heardAt = clock.monotonicNow();
+        },
+        isSilent: () => isSilent,
+        end: () => {
+            clearInterval(timer);
+            callSignal.removeEventListener("abort", follow);
+        },
+    };
+}
