--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,10 +6,10 @@
 };
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "out/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
             curly: ["error", "all"],
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -15,7 +15,7 @@
     setLimits(limits: ForwardLimits): void;
     /**
      * Stops without cutting a request: takes requests until the balancer has noticed that the process is not ready,
-     * closing each connection after its answer, and finishes what runs.
+     * closing each connection after its answer, then only those that are sure to end in time, and finishes what runs.
      * @param deadline monotonic time after which what still runs is given up
      */
     drain(deadline: number): Promise<void>;
@@ -44,6 +44,8 @@
     const { clock, eventLog, protocol } = options;
     let limits: ForwardLimits | undefined;
     let isClosing = false;
+    /** Monotonic time at which the process ends; what may last longer is refused once the balancer has noticed. */
+    let endsAt = Infinity;
     let running = 0;
     let heldBodyBytes = 0;
 
@@ -91,6 +93,11 @@
             return;
         }
         const patience = described.value.patienceMilliseconds ?? defaultPatienceMilliseconds;
+        if (arrivedAt + patience > endsAt) {
+            const message = "This process is stopping; ask again elsewhere.";
+            refuseCall(exchange, notRun(FailureReason.OutOfService, message, clock.wallNow()), clock);
+            return;
+        }
         await options.serve({
             ...described.value,
             method: incoming.method ?? "GET",
@@ -133,6 +140,9 @@
         isClosing = true;
         const noticedAt = Math.min(deadline, clock.monotonicNow() + balancerNoticeMilliseconds);
         await clock.sleepUntil(noticedAt);
+        endsAt = deadline;
+        // Requests on new connections still come where the balancer has nobody else.
+        server.closeIdleConnections();
         while (running > 0 && clock.monotonicNow() < deadline) {
             await clock.sleepUntil(clock.monotonicNow() + drainPollMilliseconds);
         }
