Calls that will be late go behind those that can be on time

Ruled out: holding late calls back in this process (an answer is never held back); refusing them all. Change: late calls get a lower urgency at the engines and are counted apart; what would begin after callers leave is refused at once; prompts that begin alike have a home among the decoding engines too, so that these can read them.

--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -24,19 +24,32 @@
     readonly decode: PlacedStep;
     /** Estimated milliseconds to the first event. */
     readonly firstEvent: number;
+    /** Whether the answer will be late anyway and lets those go first that can still be on time. */
+    readonly isDeferred: boolean;
+}
+
+/** A prompt that is to be placed. */
+export interface PromptDemand {
+    readonly service: ForwardService;
+    readonly prompt: PromptDescription;
+    readonly bodyBytes: number;
+    /** Targets that failed the call. */
+    readonly avoid: ReadonlySet<string>;
+    /** Whether both parts have to be done by one engine. */
+    readonly isWholeOnly: boolean;
+    /** Milliseconds within which the first event is on time. */
+    readonly aim: number;
 }
 
 /** Chooses targets for calls. */
 export interface CallPlacement {
     placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined;
-    /** @param wholeOnly whether both parts have to be done by one engine */
-    placePrompt(
-        service: ForwardService,
-        prompt: PromptDescription,
-        bodyBytes: number,
-        avoid: ReadonlySet<string>,
-        wholeOnly?: boolean,
-    ): PromptWay | undefined;
+    /**
+     * The way that is the soonest, with regard to what it costs others. A call that can't be on time by any way is
+     * deferred: with all in one queue, an overload makes every answer late, while so only those are that exceed what
+     * the engines can do.
+     */
+    placePrompt(demand: PromptDemand): PromptWay | undefined;
 }
 
 /** What {@link createCallPlacement} needs. */
@@ -65,6 +78,11 @@
 const bytesPerKilobyte = 1_024;
 /** A plain target in another availability zone is taken only if it has this many calls fewer, in parts of its slots. */
 const otherZonePenalty = 0.35;
+/**
+ * Decoding elsewhere than at the home of a prompt's beginning counts as so much later: the home would keep what it
+ * fetches, and could then read such prompts itself when the engines for reading are full.
+ */
+const strayMilliseconds = 70;
 /** A chunk of a prompt, read between two steps of a batch. */
 const chunkMilliseconds = 20;
 /** A place in a full batch comes free about this often. */
@@ -90,24 +108,6 @@
             return fill * scatter() + (target.availabilityZone === availabilityZone ? 0 : otherZonePenalty);
         });
 
-    /** Engines in the order in which all processes try them for prompts that begin alike. */
-    const findHome = (engines: readonly ListedTarget[], key: number | undefined): string | undefined =>
-        key === undefined
-            ? undefined
-            : findLeast(engines, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
-
-    const estimateStep = (
-        engine: ListedTarget,
-        prompt: PromptDescription,
-        home: string | undefined,
-        isShared: boolean,
-    ): PlacedStep => {
-        const known = caches.keptTokens(engine.targetId, prompt.parts);
-        const kept = engine.targetId === home ? sumShared(prompt) : known;
-        const work = estimatePrefill(prompt.promptTokens, kept, isShared) * paces.factor(engine.targetId);
-        return { target: engine, work, wait: loads.wait(engine.targetId) + placeWait(engine) };
-    };
-
     const zoneCost = (engine: ListedTarget, bodyBytes: number) =>
         engine.availabilityZone === availabilityZone
             ? 0
@@ -122,77 +122,118 @@
         return excess > 0 ? excess * turnMilliseconds : 0;
     };
 
+    const estimateStep = (
+        engine: ListedTarget,
+        prompt: PromptDescription,
+        home: string | undefined,
+        isDeferred: boolean,
+    ): PlacedStep => {
+        const known = caches.keptTokens(engine.targetId, prompt.parts);
+        const kept = engine.targetId === home ? sumShared(prompt) : known;
+        const isShared = engine.stage === EngineStage.Decode;
+        const work = estimatePrefill(prompt.promptTokens, kept, isShared) * paces.factor(engine.targetId);
+        return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine) };
+    };
+
     const placeSplit = (
+        demand: PromptDemand,
         traits: EngineTraits,
-        prompt: PromptDescription,
-        readers: readonly ListedTarget[],
-        decoders: readonly ListedTarget[],
-        key: number | undefined,
-        bodyBytes: number,
-    ): (PromptWay & { readonly cost: number; }) | undefined => {
-        const readerHome = findHome(readers, key);
-        const steps = readers.map(engine => estimateStep(engine, prompt, readerHome, false));
+        engines: EngineGroups,
+        isDeferred: boolean,
+    ): CostedWay | undefined => {
+        const { prompt, bodyBytes } = demand;
+        const steps = engines.readers.map(engine => estimateStep(engine, prompt, engines.readerHome, isDeferred));
         const prefill = findLeast(steps, step => costOf(step, bodyBytes));
         if (!prefill) {
             return undefined;
         }
-        const decoderHome = findHome(decoders, key);
-        const findTransfer = (engine: ListedTarget) =>
-            estimateTransfer(
-                prompt.promptTokens - (engine.targetId === decoderHome ? sumShared(prompt) : 0),
+        const estimateDecode = (engine: ListedTarget): PlacedStep => {
+            const keptTokens = caches.keptTokens(engine.targetId, prompt.parts);
+            const transfer = estimateTransfer(
+                prompt.promptTokens - keptTokens,
                 traits.bytesPerToken,
                 traits.linkMegabits,
                 engine.availabilityZone !== prefill.target.availabilityZone,
             );
-        // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
-        const decodeWait = (engine: ListedTarget) =>
-            placeWait(engine) + Math.min(loads.wait(engine.targetId), chunkMilliseconds) + findTransfer(engine);
-        const decodeCost = (engine: ListedTarget) => decodeWait(engine) + zoneCost(engine, bodyBytes);
-        const engine = findLeast(decoders, candidate => decodeCost(candidate) * scatter());
-        if (!engine) {
+            // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
+            const chunk = Math.min(loads.wait(engine.targetId, isDeferred), chunkMilliseconds);
+            return { target: engine, work: 0, wait: placeWait(engine) + chunk + transfer };
+        };
+        const decodeCost = (step: PlacedStep) => {
+            const isStray = engines.decoderHome !== undefined && step.target.targetId !== engines.decoderHome;
+            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + (isStray ? strayMilliseconds : 0);
+        };
+        const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
+        if (!decode) {
             return undefined;
         }
-        const tail = decodeWait(engine) + hopMilliseconds;
-        const decode = { target: engine, work: 0, wait: decodeWait(engine) };
-        const cost = costOf(prefill, bodyBytes) + decodeCost(engine) + hopMilliseconds;
-        return { prefill, decode, firstEvent: prefill.wait + prefill.work + tail, cost };
+        const firstEvent = prefill.wait + prefill.work + decode.wait + hopMilliseconds;
+        const cost = costOf(prefill, bodyBytes) + decodeCost(decode) + hopMilliseconds;
+        return { prefill, decode, firstEvent, isDeferred, cost };
     };
 
-    const placeWhole = (
-        prompt: PromptDescription,
-        engines: readonly ListedTarget[],
-        key: number | undefined,
-        bodyBytes: number,
-    ): (PromptWay & { readonly cost: number; }) | undefined => {
-        // Engines that also decode get most prompts read elsewhere, so a common home says nothing of their caches.
-        const homeReaders = engines.some(engine => engine.stage === EngineStage.Decode) ? [] : engines;
-        const home = findHome(homeReaders, key);
-        const steps = engines.map(engine => estimateStep(engine, prompt, home, engine.stage === EngineStage.Decode));
+    const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
+        const { prompt, bodyBytes } = demand;
+        const steps = engines.decoders.map(engine => estimateStep(engine, prompt, engines.wholeHome, isDeferred));
         const decode = findLeast(steps, step => costOf(step, bodyBytes));
-        const firstEvent = (step: PlacedStep) => step.wait + step.work + hopMilliseconds;
-        return decode && { decode, firstEvent: firstEvent(decode), cost: costOf(decode, bodyBytes) };
+        return decode && {
+            decode,
+            firstEvent: decode.wait + decode.work + hopMilliseconds,
+            isDeferred,
+            cost: costOf(decode, bodyBytes),
+        };
     };
 
-    const placePrompt = (
-        service: ForwardService,
-        prompt: PromptDescription,
-        bodyBytes: number,
-        avoid: ReadonlySet<string>,
-        wholeOnly = false,
-    ): PromptWay | undefined => {
-        const usable = listUsable(service.name, avoid);
-        const decoders = usable.filter(target => target.stage !== EngineStage.Prefill);
-        const readers = usable.filter(target => target.stage === EngineStage.Prefill);
-        const key = findAffinityKey(prompt);
-        const whole = placeWhole(prompt, decoders, key, bodyBytes);
-        const canSplit = !wholeOnly && service.engine !== undefined;
-        const split = canSplit ? placeSplit(service.engine, prompt, readers, decoders, key, bodyBytes) : undefined;
+    const findCheapest = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean) => {
+        const { engine: traits } = demand.service;
+        const whole = placeWhole(demand, engines, isDeferred);
+        const split = traits && !demand.isWholeOnly ? placeSplit(demand, traits, engines, isDeferred) : undefined;
         return split && (!whole || split.cost < whole.cost) ? split : whole;
     };
 
+    const placePrompt = (demand: PromptDemand): PromptWay | undefined => {
+        const usable = listUsable(demand.service.name, demand.avoid);
+        const engines = groupEngines(usable, findAffinityKey(demand.prompt));
+        const way = findCheapest(demand, engines, false);
+        return way && way.firstEvent > demand.aim ? findCheapest(demand, engines, true) : way;
+    };
+
     return { placePlain, placePrompt };
 }
 
+type CostedWay = PromptWay & { readonly cost: number; };
+
+/** The engines of a service by what they do, and where each kind looks first for what a prompt begins with. */
+interface EngineGroups {
+    readonly readers: readonly ListedTarget[];
+    readonly decoders: readonly ListedTarget[];
+    readonly readerHome?: string;
+    readonly decoderHome?: string;
+    /** Engines that do both read every prompt themselves, so the home is sure to have what was read before. */
+    readonly wholeHome?: string;
+}
+
+function groupEngines(engines: readonly ListedTarget[], key: number | undefined): EngineGroups {
+    const readers = engines.filter(target => target.stage === EngineStage.Prefill);
+    const decoders = engines.filter(target => target.stage !== EngineStage.Prefill);
+    const decoderHome = findHome(decoders, key);
+    const isWhole = decoders.every(target => target.stage === undefined);
+    return {
+        readers,
+        decoders,
+        readerHome: findHome(readers, key),
+        decoderHome,
+        wholeHome: isWhole ? decoderHome : undefined,
+    };
+}
+
+/** The engine that all processes try first for prompts that begin alike. */
+function findHome(engines: readonly ListedTarget[], key: number | undefined): string | undefined {
+    return key === undefined
+        ? undefined
+        : findLeast(engines, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
+}
+
 function sumShared(prompt: PromptDescription): number {
     return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -14,12 +14,17 @@
     readonly calls: number;
     /** Estimated milliseconds of expensive work not yet done. */
     readonly work: number;
+    /** The same of calls that let all others go first. */
+    readonly deferredWork: number;
 }
 
 /** How busy targets are: from this process's own calls, from what its peers tell, and from the targets' answers. */
 export interface TargetLoads {
-    /** @param milliseconds the expensive part of the call, as estimated */
-    begin(targetId: string, milliseconds: number): PlacedWork;
+    /**
+     * @param milliseconds the expensive part of the call, as estimated
+     * @param isDeferred whether the call lets others go first
+     */
+    begin(targetId: string, milliseconds: number, isDeferred: boolean): PlacedWork;
     noteReport(targetId: string, load: ReportedLoad): void;
     /** Takes in all that a peer has under way. */
     notePeer(peerId: string, work: readonly WorkUnderWay[]): void;
@@ -28,13 +33,14 @@
     /** Calls that run or wait at the target, of all processes. */
     calls(targetId: string): number;
     /** Milliseconds until the target turns to a new call, as far as its expensive work goes. */
-    wait(targetId: string): number;
+    wait(targetId: string, isDeferred: boolean): number;
     forget(targetId: string): void;
 }
 
 interface TargetLoad {
     calls: number;
     work: number;
+    deferredWork: number;
     /** Calls of other processes when the target last reported, and the monotonic time of the report. */
     reportedOthers: number;
     reportedAt: number;
@@ -60,7 +66,7 @@
     const find = (targetId: string): TargetLoad => {
         let load = own.get(targetId);
         if (!load) {
-            load = { calls: 0, work: 0, reportedOthers: 0, reportedAt: clock.monotonicNow() };
+            load = { calls: 0, work: 0, deferredWork: 0, reportedOthers: 0, reportedAt: clock.monotonicNow() };
             own.set(targetId, load);
         }
         return load;
@@ -70,9 +76,9 @@
         load ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportMemoryMilliseconds) : 0;
 
     /** Sums what the peers told, as far as it is fresh; undefined where no peer is heard. */
-    const sumPeers = (targetId: string): { calls: number; work: number; } | undefined => {
+    const sumPeers = (targetId: string): { calls: number; work: number; deferredWork: number; } | undefined => {
         const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
-        const sum = { calls: 0, work: 0 };
+        const sum = { calls: 0, work: 0, deferredWork: 0 };
         let isHeard = false;
         for (const peer of peers.values()) {
             if (peer.heardAt >= oldest) {
@@ -80,21 +86,23 @@
                 const told = peer.work.get(targetId);
                 sum.calls += told?.calls ?? 0;
                 sum.work += told?.work ?? 0;
+                sum.deferredWork += told?.deferredWork ?? 0;
             }
         }
         return isHeard ? sum : undefined;
     };
 
-    const begin = (targetId: string, milliseconds: number): PlacedWork => {
+    const begin = (targetId: string, milliseconds: number, isDeferred: boolean): PlacedWork => {
         const load = find(targetId);
+        const kind = isDeferred ? "deferredWork" : "work";
         load.calls += 1;
-        load.work += milliseconds;
+        load[kind] += milliseconds;
         let isHeavy = true;
         let isRunning = true;
         const finishHeavyPart = () => {
             if (isHeavy) {
                 isHeavy = false;
-                load.work = Math.max(0, load.work - milliseconds);
+                load[kind] = Math.max(0, load[kind] - milliseconds);
             }
         };
         return {
@@ -110,7 +118,12 @@
     };
 
     const listOwn = () =>
-        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work }]) => ({ targetId, calls, work }));
+        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work, deferredWork }]) => ({
+            targetId,
+            calls,
+            work,
+            deferredWork,
+        }));
 
     return {
         begin,
@@ -129,10 +142,11 @@
             const told = sumPeers(targetId)?.calls ?? 0;
             return (load?.calls ?? 0) + Math.max(told, reportedOthers(load));
         },
-        wait: targetId => {
+        wait: (targetId, isDeferred) => {
             const load = own.get(targetId);
-            const told = sumPeers(targetId)?.work;
-            return (load?.work ?? 0) + (told ?? reportedOthers(load) * unknownWorkMilliseconds);
+            const told = sumPeers(targetId);
+            const behind = isDeferred ? (load?.deferredWork ?? 0) + (told?.deferredWork ?? 0) : 0;
+            return behind + (load?.work ?? 0) + (told?.work ?? reportedOthers(load) * unknownWorkMilliseconds);
         },
         forget: targetId => own.delete(targetId),
     };
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -40,8 +40,8 @@
 /** What a process tells its peers: the parameters of a JSON-RPC notification. */
 interface LoadMessage {
     readonly from: string;
-    /** Target, calls, milliseconds. */
-    readonly work: readonly (readonly [string, number, number])[];
+    /** Target, calls, milliseconds of work, milliseconds of deferred work. */
+    readonly work: readonly (readonly [string, number, number, number])[];
     readonly kept: readonly PartPlacement[];
 }
 
@@ -105,12 +105,17 @@
     work: readonly WorkUnderWay[],
     kept: readonly PartPlacement[],
 ): Buffer {
-    const entries = work.map(({ targetId, calls, work: milliseconds }) => [targetId, calls, Math.round(milliseconds)]);
+    const entries = work.map(({ targetId, calls, work: milliseconds, deferredWork }) => [
+        targetId,
+        calls,
+        Math.round(milliseconds),
+        Math.round(deferredWork),
+    ]);
     return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params: { from, work: entries, kept } }));
 }
 
-function toWork([targetId, calls, work]: readonly [string, number, number]): WorkUnderWay {
-    return { targetId, calls, work };
+function toWork([targetId, calls, work, deferredWork]: LoadMessage["work"][number]): WorkUnderWay {
+    return { targetId, calls, work, deferredWork };
 }
 
 /** Undefined for anything that is no message of a peer: anybody may send datagrams. */
@@ -119,7 +124,7 @@
         const message = JSON.parse(datagram.toString("utf8")) as { method?: unknown; params?: Partial<LoadMessage>; };
         const { from, work, kept } = message.params ?? {};
         const isSound = message.method === method && typeof from === "string"
-            && isList(work, ["string", "number", "number"]) && isList(kept, ["string", "string", "number"]);
+            && isList(work, ["string", "number", "number", "number"]) && isList(kept, ["string", "string", "number"]);
         return isSound ? { from, work, kept } as LoadMessage : undefined;
     }
     catch {
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -21,6 +21,7 @@
             terms: {},
             isRepeatable: isRepeatable(run.route),
             work: plainWork,
+            isDeferred: false,
         });
         run.avoid.add(target.targetId);
         if (reply.isOk) {
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -18,9 +18,14 @@
 const mostPrefills = 2;
 const firstFailureStatus = 300;
 const firstErrorStatus = 500;
-/** Priorities of routes start here, so that there is room before and behind. */
-const firstUrgency = 4;
-const lastUrgency = 9;
+/** Priorities of routes start here, and as many follow for calls that are late. The target's range is 0 to 9. */
+const firstUrgency = 2;
+const mostPriorities = 4;
+/** An answer is planned to be on time by this part of its aim: the rest covers what estimates are off. */
+const aimFraction = 0.85;
+/** Callers wait for the first event of a stream for so long, or so many times the aim. */
+const leastPatienceMilliseconds = 2_000;
+const patienceAims = 4;
 /** A release that takes longer is left to the cache's own end. */
 const releaseMilliseconds = 500;
 const lateRelease = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
@@ -37,20 +42,25 @@
     const relay = createEventRelay(run.exchange);
     let prefills = 0;
     for (;;) {
-        const way = parts.placement.placePrompt(
-            run.service,
+        const way = parts.placement.placePrompt({
+            service: run.service,
             prompt,
-            run.call.body.length,
-            run.avoid,
-            prefills >= mostPrefills,
-        );
+            bodyBytes: run.call.body.length,
+            avoid: run.avoid,
+            isWholeOnly: prefills >= mostPrefills,
+            aim: run.call.arrivedAt + run.route.latencyAimMilliseconds * aimFraction - parts.clock.monotonicNow(),
+        });
         if (!way) {
             return err(concludeRun(run, describeNoTarget(run)));
         }
+        const tooLate = findLateness(parts, run, way, relay);
+        if (tooLate) {
+            return err(concludeRun(run, tooLate));
+        }
         let kvSource: KvSource | undefined;
         if (way.prefill) {
             prefills += 1;
-            const prefilled = await prefill(parts, run, prompt, way.prefill);
+            const prefilled = await prefill(parts, run, prompt, way, way.prefill);
             if (prefilled.isErr) {
                 run.avoid.add(way.prefill.target.targetId);
                 if (!mayTryAgain(parts, run, toRepeatable(prefilled.error), hasReached(prefilled.error))) {
@@ -84,14 +94,16 @@
     parts: ForwardingParts,
     run: CallRun,
     prompt: PromptDescription,
+    way: PromptWay,
     step: PlacedStep,
 ): Promise<Result<KvSource, Failure>> {
     const startedAt = parts.clock.monotonicNow();
     const reply = await sendToTarget(parts, run, {
         target: step.target,
-        terms: { prefillOnly: true, urgency: urgencyOf(run) },
+        terms: { prefillOnly: true, urgency: urgencyOf(run, way) },
         isRepeatable: true,
         work: step.work,
+        isDeferred: way.isDeferred,
     });
     if (reply.isErr) {
         return err(reply.error);
@@ -118,9 +130,10 @@
     const startedAt = parts.clock.monotonicNow();
     const reply = await sendToTarget(parts, run, {
         target,
-        terms: { kvSource, urgency: urgencyOf(run), lastEventId: relay.lastEventId() },
+        terms: { kvSource, urgency: urgencyOf(run, way), lastEventId: relay.lastEventId() },
         isRepeatable: isRepeatable(run.route),
         work,
+        isDeferred: way.isDeferred,
         onPiece: (head, piece) => relay.take(head.status, head.forwardedFields, piece),
         onFirstByte: () => {
             if (!kvSource) {
@@ -180,6 +193,26 @@
     });
 }
 
-function urgencyOf(run: CallRun): number {
-    return Math.min(lastUrgency, firstUrgency + run.route.priority);
+/** Calls that will be late anyway go behind all that can still be on time. */
+function urgencyOf(run: CallRun, way: PromptWay): number {
+    const urgency = firstUrgency + Math.min(run.route.priority, mostPriorities - 1);
+    return way.isDeferred ? urgency + mostPriorities : urgency;
+}
+
+/** Callers give a stream up that has not begun by then; what would begin later is refused at once. */
+function findLateness(
+    parts: ForwardingParts,
+    run: CallRun,
+    way: PromptWay,
+    relay: EventRelay,
+): Failure | undefined {
+    const { route, call } = run;
+    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
+    const latest = Math.min(call.arrivedAt + patience, run.deadline);
+    const expected = parts.clock.monotonicNow() + way.firstEvent;
+    if (relay.hasBegun() || expected <= latest) {
+        return undefined;
+    }
+    const retryAt = parts.clock.wallNow() + (expected - latest);
+    return notRun(FailureReason.DeadlineUnreachable, "The answer would begin too late.", retryAt);
 }
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -15,6 +15,8 @@
     readonly isRepeatable: boolean;
     /** Estimated expensive work at the target, in milliseconds. */
     readonly work: number;
+    /** Whether the call lets others go first at the target. */
+    readonly isDeferred: boolean;
     /** Takes pieces of a successful answer as they arrive; absent: they are collected. */
     readonly onPiece?: (head: ReplyHead, piece: Buffer) => void;
     /** Called with the first bytes of the answer's body, or its end: the expensive work is done. */
@@ -52,7 +54,7 @@
     }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const pieces: Buffer[] = [];
-    const work = loads.begin(target.targetId, send.work);
+    const work = loads.begin(target.targetId, send.work, send.isDeferred);
     const wait = health.beginWait(target.targetId);
     const watch = watchSilence(clock, health, run.signal, target.targetId, send.isRepeatable);
 
