Commit the connections to targets, which the ignore rule for the bundle had hidden

Cause: .gitignore named target/ anywhere, so connection/target/ was left out of the commits before; the work tree had it.

--- /dev/null
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -0,0 +1,160 @@
+import { ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import type { Result } from "true-myth/result";
+import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
+import { openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
+
+const gaveUp = notRun(FailureReason.Cancelled, "given up by the test");
+
+interface Exchange {
+    readonly result: Result<void, Failure>;
+    readonly body: string;
+}
+
+function open(address: string): TargetConnection {
+    return openTargetConnection({ address, now: () => performance.now(), onClosed: () => undefined });
+}
+
+async function exchange(connection: TargetConnection, signal = new AbortController().signal): Promise<Exchange> {
+    let body = "";
+    const result = await connection.send({
+        head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
+        body: undefined,
+        signal,
+        sink: {
+            onHead: () => undefined,
+            onChunk: chunk => {
+                body += chunk.toString("latin1");
+            },
+        },
+    });
+    return { result, body };
+}
+
+async function withTarget(
+    onRequest: (socket: Socket, count: number) => void,
+    run: (connection: TargetConnection, target: RawTarget) => Promise<void>,
+): Promise<void> {
+    const target = await startRawTarget(onRequest);
+    const connection = open(target.address);
+    try {
+        await run(connection, target);
+    }
+    finally {
+        connection.close();
+        await target.close();
+    }
+}
+
+function assertFailed({ result }: Exchange, verdict: ExecutionVerdict): void {
+    assert.ok(result.isErr, "the send must fail");
+    assert.equal(result.error.verdict, verdict);
+}
+
+test("an answer with a length is whole", () =>
+    withTarget(
+        socket => void socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"),
+        async connection => {
+            const { result, body } = await exchange(connection);
+            assert.ok(result.isOk);
+            assert.equal(body, "hello");
+            assert.ok(connection.isAlive());
+        },
+    ));
+
+test("an answer without a length that ends with the connection is not taken for whole", () =>
+    withTarget(
+        socket => void socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"),
+        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+    ));
+
+test("an answer without a length whose connection is reset is not whole", () =>
+    withTarget(
+        socket => {
+            socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel");
+            setTimeout(() => socket.resetAndDestroy(), 30);
+        },
+        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+    ));
+
+test("a chunked answer that is cut by the end of a connection announced as closing is not whole", () =>
+    withTarget(
+        socket =>
+            void socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
+        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+    ));
+
+test("a chunked answer that ends before its connection does is whole", () =>
+    withTarget(
+        socket =>
+            void socket.end(
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            ),
+        async connection => {
+            const { result, body } = await exchange(connection);
+            assert.ok(result.isOk);
+            assert.equal(body, "hello");
+        },
+    ));
+
+test("an answer shorter than its length is not whole", () =>
+    withTarget(
+        socket => void socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\nhello"),
+        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+    ));
+
+test("an answer without a length that is cut within its head is none", () =>
+    withTarget(
+        socket => void socket.end("HTTP/1.1 200 OK\r\nConne"),
+        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+    ));
+
+test("bytes after a whole answer close the connection and reach no other call", () =>
+    withTarget(
+        socket => {
+            const answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+            socket.write(answer);
+            setTimeout(() => socket.write(answer.replace("hello", "wrong")), 20);
+        },
+        async connection => {
+            assert.ok((await exchange(connection)).result.isOk);
+            await new Promise(resolve => setTimeout(resolve, 80));
+            assert.equal(connection.isAlive(), false);
+        },
+    ));
+
+test("a call to an address where nobody listens has not run", async () => {
+    const target = await startRawTarget(() => undefined);
+    await target.close();
+    const connection = open(target.address);
+    assertFailed(await exchange(connection), ExecutionVerdict.NotRun);
+    assert.equal(connection.isAlive(), false);
+});
+
+test("a call that is given up before its answer may have run, and its connection is closed", () =>
+    withTarget(
+        () => undefined,
+        async (connection, target) => {
+            const controller = new AbortController();
+            const pending = exchange(connection, controller.signal);
+            while (!target.received()) {
+                await new Promise(resolve => setTimeout(resolve, 5));
+            }
+            controller.abort(gaveUp);
+            const { result } = await pending;
+            assert.ok(result.isErr);
+            assert.equal(result.error.verdict, ExecutionVerdict.MayHaveRun);
+            assert.equal(result.error.reason, FailureReason.Cancelled);
+            assert.equal(connection.isAlive(), false);
+        },
+    ));
+
+test("a call that is given up before the connection is made has not run", async () => {
+    const connection = open("127.0.0.1:9");
+    const controller = new AbortController();
+    const pending = exchange(connection, controller.signal);
+    controller.abort(gaveUp);
+    assertFailed(await pending, ExecutionVerdict.NotRun);
+});
--- /dev/null
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -0,0 +1,187 @@
+import { type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import { connect, type Socket } from "node:net";
+import { err, ok, type Result } from "true-myth/result";
+import { Client, type Dispatcher } from "undici";
+import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
+
+/** Takes an answer as it arrives. */
+export interface ReplySink {
+    /** @returns what is wrong with the answer; the connection is then closed and the send fails with it */
+    onHead(status: number, fields: IncomingFields): Failure | undefined;
+    onChunk(chunk: Buffer): void;
+}
+
+/** One send over one connection. */
+export interface TargetSend {
+    readonly head: OutgoingHead;
+    readonly body: Buffer | undefined;
+    readonly sink: ReplySink;
+    /** Aborted with a `Failure` as its reason. */
+    readonly signal: AbortSignal;
+}
+
+/** One connection to a target; it carries one call at a time. */
+export interface TargetConnection {
+    readonly openedAt: number;
+    /** Monotonic time at which the last answer was whole; undefined before the first one. */
+    lastAnsweredAt(): number | undefined;
+    isAlive(): boolean;
+    /** Resolves once the answer is whole, or with what is known about whether the call may have run. */
+    send(send: TargetSend): Promise<Result<void, Failure>>;
+    close(): void;
+}
+
+/** What {@link openTargetConnection} needs. */
+export interface TargetConnectionOptions {
+    /** IP number and port. */
+    readonly address: string;
+    readonly now: () => number;
+    /** Called once the connection can carry no further call. */
+    readonly onClosed: () => void;
+}
+
+/**
+ * Milliseconds that a connection may take to be made. Round trips take a few; a lost first packet is sent again only
+ * after a second, when another target has long answered.
+ */
+const connectTimeoutMilliseconds = 400;
+/** Targets close idle connections and say when in whole seconds; one that says nothing may do so within a second. */
+const unstatedIdleMilliseconds = 400;
+const longestIdleMilliseconds = 20_000;
+/** Taken off the stated time, so that a call does not cross the target's close. */
+const idleMarginMilliseconds = 300;
+
+/** Opens a connection. Calls handed over before it is made wait for it. */
+export function openTargetConnection(options: TargetConnectionOptions): TargetConnection {
+    const { now } = options;
+    let socket: Socket | undefined;
+    let isAlive = true;
+    let lastAnsweredAt: number | undefined;
+
+    const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) => {
+        const [host, port] = splitAddress(options.address);
+        const opening = connect({ host, port, noDelay: true });
+        socket = opening;
+        const timer = setTimeout(() => opening.destroy(new Error("connect timeout")), connectTimeoutMilliseconds);
+        const fail = (error: Error) => {
+            clearTimeout(timer);
+            done(error, noSocket);
+        };
+        opening.once("error", fail);
+        opening.once("connect", () => {
+            clearTimeout(timer);
+            opening.off("error", fail);
+            done(noError, opening);
+        });
+    };
+
+    const client = new Client(`http://${options.address}`, {
+        connect: connectSocket as never,
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: unstatedIdleMilliseconds,
+        keepAliveMaxTimeout: longestIdleMilliseconds,
+        keepAliveTimeoutThreshold: idleMarginMilliseconds,
+    });
+
+    const close = () => {
+        if (isAlive) {
+            isAlive = false;
+            options.onClosed();
+        }
+        // undici would connect anew for the next call; closing ends that. The call under way has its own error.
+        void client.destroy().catch(() => undefined);
+    };
+    client.on("disconnect", close);
+    client.on("connectionError", close);
+
+    const send = ({ head, body, sink, signal }: TargetSend) =>
+        new Promise<Result<void, Failure>>(resolve => {
+            let isBegun = false;
+            let fault: Failure | undefined;
+
+            const settle = (result: Result<void, Failure>) => {
+                signal.removeEventListener("abort", abandon);
+                resolve(result);
+            };
+            const fail = (error: Error) => {
+                const build = isBegun ? mayHaveRun : notRun;
+                settle(err(fault ?? build(FailureReason.TargetFailed, `The connection failed: ${describe(error)}.`)));
+            };
+            const abandon = () => {
+                const build = isBegun ? mayHaveRun : notRun;
+                const { reason, message } = signal.reason as Failure;
+                fault ??= build(reason, message);
+                settle(err(fault));
+                socket?.destroy();
+                close();
+            };
+            const handler: Dispatcher.DispatchHandler = {
+                onRequestStart: () => {
+                    isBegun = true;
+                },
+                onResponseStart: (controller, status, fields) => {
+                    fault = sink.onHead(status, fields as IncomingFields) ?? checkLength(status, fields as IncomingFields);
+                    if (fault) {
+                        controller.abort(new Error(fault.message));
+                    }
+                },
+                onResponseData: (controller, chunk) => sink.onChunk(chunk),
+                onResponseEnd: () => {
+                    lastAnsweredAt = now();
+                    settle(ok(undefined));
+                },
+                onResponseError: (controller, error) => fail(error),
+            };
+
+            if (signal.aborted) {
+                abandon();
+                return;
+            }
+            signal.addEventListener("abort", abandon, { once: true });
+            try {
+                client.dispatch({
+                    method: head.method as Dispatcher.HttpMethod,
+                    path: head.path,
+                    headers: head.fields as HeaderFields as string[],
+                    body,
+                }, handler);
+            }
+            catch (error) {
+                fail(error as Error);
+            }
+        });
+
+    return { openedAt: now(), lastAnsweredAt: () => lastAnsweredAt, isAlive: () => isAlive, send, close };
+}
+
+const firstBodyStatus = 200;
+
+/** undici's connector demands null where there is no value. */
+// eslint-disable-next-line no-restricted-syntax
+const noError = null;
+// eslint-disable-next-line no-restricted-syntax
+const noSocket = null;
+
+function splitAddress(address: string): [string, number] {
+    const colon = address.lastIndexOf(":");
+    return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
+
+/**
+ * A body that lasts until the connection closes looks whole wherever it is cut, so it is never taken for an answer: a
+ * target that crashes ends its connection like one that has finished.
+ */
+function checkLength(status: number, fields: IncomingFields): Failure | undefined {
+    const isBodyless = status < firstBodyStatus || status === 204 || status === 304;
+    const isChunked = String(fields["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
+    return isBodyless || isChunked || fields["content-length"] !== undefined
+        ? undefined
+        : mayHaveRun(FailureReason.TargetFailed, "The answer's length is not given.");
+}
+
+/** Only the code is told: a message may hold what a caller wrote. */
+function describe(error: Error & { code?: string; }): string {
+    return error.code ?? error.message.slice(0, 60);
+}
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -15,6 +15,8 @@
     readonly model: string;
     readonly promptTokens: number;
     readonly maxOutputTokens: number;
+    /** The caller's own estimate, or else the most it allows. */
+    readonly expectedOutputTokens: number;
     /** In the order of the prompt. The last part is the request's own. */
     readonly parts: readonly PromptPart[];
 }
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -83,6 +83,17 @@
  * fetches, and could then read such prompts itself when the engines for reading are full.
  */
 const strayMilliseconds = 70;
+/**
+ * Prompts that are read between the steps of a batch stretch each step, and with it the pause between two events of an
+ * answer. A millisecond of such reading counts so many for an answer of several events, up to a limit.
+ */
+const pauseFactor = 2;
+const mostPauseMilliseconds = 300;
+/**
+ * Decoding engines are asked to read prompts in an order that all processes share, each so much later than the one
+ * before: the reading gathers at a few of them, and the others keep short steps for answers of several events.
+ */
+const readingOrderMilliseconds = 12;
 /** A chunk of a prompt, read between two steps of a batch. */
 const chunkMilliseconds = 20;
 /** A place in a full batch comes free about this often. */
@@ -135,6 +146,12 @@
         return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine) };
     };
 
+    const pauseCost = ({ prompt, service }: PromptDemand, engine: ListedTarget) => {
+        const hasPauses = prompt.expectedOutputTokens > (service.engine?.tokensPerEvent ?? 1);
+        const reading = loads.wait(engine.targetId, true) * pauseFactor;
+        return hasPauses ? Math.min(mostPauseMilliseconds, reading) : 0;
+    };
+
     const placeSplit = (
         demand: PromptDemand,
         traits: EngineTraits,
@@ -160,8 +177,9 @@
             return { target: engine, work: 0, wait: placeWait(engine) + chunk + transfer };
         };
         const decodeCost = (step: PlacedStep) => {
+            const pause = pauseCost(demand, step.target);
             const isStray = engines.decoderHome !== undefined && step.target.targetId !== engines.decoderHome;
-            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + (isStray ? strayMilliseconds : 0);
+            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause + (isStray ? strayMilliseconds : 0);
         };
         const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
         if (!decode) {
@@ -175,12 +193,15 @@
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
         const { prompt, bodyBytes } = demand;
         const steps = engines.decoders.map(engine => estimateStep(engine, prompt, engines.wholeHome, isDeferred));
-        const decode = findLeast(steps, step => costOf(step, bodyBytes));
+        const cost = (step: PlacedStep) =>
+            costOf(step, bodyBytes) + pauseCost(demand, step.target)
+            + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
+        const decode = findLeast(steps, cost);
         return decode && {
             decode,
             firstEvent: decode.wait + decode.work + hopMilliseconds,
             isDeferred,
-            cost: costOf(decode, bodyBytes),
+            cost: cost(decode),
         };
     };
 
@@ -206,6 +227,7 @@
 /** The engines of a service by what they do, and where each kind looks first for what a prompt begins with. */
 interface EngineGroups {
     readonly readers: readonly ListedTarget[];
+    /** In an order that all processes share. */
     readonly decoders: readonly ListedTarget[];
     readonly readerHome?: string;
     readonly decoderHome?: string;
@@ -215,7 +237,7 @@
 
 function groupEngines(engines: readonly ListedTarget[], key: number | undefined): EngineGroups {
     const readers = engines.filter(target => target.stage === EngineStage.Prefill);
-    const decoders = engines.filter(target => target.stage !== EngineStage.Prefill);
+    const decoders = sortByHash(engines.filter(target => target.stage !== EngineStage.Prefill));
     const decoderHome = findHome(decoders, key);
     const isWhole = decoders.every(target => target.stage === undefined);
     return {
@@ -227,6 +249,13 @@
     };
 }
 
+function sortByHash(engines: readonly ListedTarget[]): ListedTarget[] {
+    return engines
+        .map(engine => ({ engine, hash: hashTextTo32Bits(engine.targetId) }))
+        .sort((left, right) => left.hash - right.hash)
+        .map(({ engine }) => engine);
+}
+
 /** The engine that all processes try first for prompts that begin alike. */
 function findHome(engines: readonly ListedTarget[], key: number | undefined): string | undefined {
     return key === undefined
--- a/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
+++ b/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
@@ -43,6 +43,8 @@
     readonly bytesPerToken: number;
     /** Bandwidth of the link between engines, in megabits a second. */
     readonly linkMegabits: number;
+    /** Output tokens that one event of an answer holds. */
+    readonly tokensPerEvent: number;
 }
 
 /** A group of targets that do the same work. */
