--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -2,8 +2,10 @@
 import {
     createCacheBeliefs,
     createCallPlacement,
+    createClosedTargets,
     createForwardingKeeper,
     createPaceView,
+    createReadingDemand,
     createTargetConnections,
     createTargetHealth,
     createTargetList,
@@ -45,6 +47,8 @@
     const health = createTargetHealth(clock, eventLog);
     const caches = createCacheBeliefs(clock);
     const paces = createPaceView();
+    const demand = createReadingDemand(clock);
+    const closed = createClosedTargets(clock);
     const connections = createTargetConnections(clock);
     const placement = createCallPlacement({
         targets,
@@ -52,6 +56,7 @@
         health,
         caches,
         paces,
+        closed,
         random,
         availabilityZone: settings().availabilityZone,
     });
@@ -64,6 +69,8 @@
         health,
         caches,
         paces,
+        demand,
+        closed,
         placement,
         budget,
         connections,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -20,6 +20,7 @@
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
+import { startStageChanges } from "./startStageChanges.js";
 
 /** A process that forwards calls to targets. */
 export interface ForwardingProcess {
@@ -36,8 +37,8 @@
 /** A feed's call ends early enough for another to bring what a silent connection has hidden, within the bound. */
 const feedMarginMilliseconds = 1_200;
 const shortestFeedWait = 500;
-/** Changes of several targets at once come in one answer. */
-const mergeMilliseconds = 150;
+/** Changes of several targets come in one priced answer, within this part of the time in which they must be heeded. */
+const mergeFraction = 0.25;
 const seedLimit = 0x7fffffff;
 const incarnationBytes = 6;
 
@@ -48,10 +49,12 @@
 ): ForwardingProcess {
     let settings = initialSettings;
     const clock = new SystemClock();
+    const random = createSeededRandom(randomInt(seedLimit));
+    const incarnation = randomBytes(incarnationBytes).toString("hex");
     const logWriter = createLogWriter(undefined);
     const eventLog = createLogfmtEventLog({
         processId: settings.processId,
-        incarnation: randomBytes(incarnationBytes).toString("hex"),
+        incarnation,
         hybridClock: createHybridLogicalClock(clock),
         writeLine: logWriter.writeLine,
     });
@@ -59,7 +62,7 @@
         adapters,
         settings: () => settings,
         clock,
-        random: createSeededRandom(randomInt(seedLimit)),
+        random,
         eventLog,
     });
     const server = createForwardServer({
@@ -77,6 +80,7 @@
 
     const follow = () => {
         const waitMilliseconds = Math.max(shortestFeedWait, settings.contactMilliseconds - feedMarginMilliseconds);
+        const mergeMilliseconds = settings.drainMilliseconds * mergeFraction;
         const timing: FollowTiming = { waitMilliseconds, mergeMilliseconds };
         const common = { timing, clock, eventLog, onCall: parts.targets.noteStoreCall };
         const { configurationFeed, targetFeed } = adapters;
@@ -85,19 +89,33 @@
         void followTable({ ...common, name: "targets", feed: targetFeed, follower: parts.targets }, signal);
     };
 
-    const share = () => {
+    const actWithPeers = () => {
         const { address, port } = settings.peers;
         const { channel, close } = openDatagramChannel(address, port, eventLog);
         const self = { peerId: settings.processId, host: address, port };
-        const { loads, caches } = parts;
+        const { loads, caches, demand, closed } = parts;
+        const { signal } = background;
         const registry = adapters.peerRegistry;
-        void shareLoads({ self, registry, channel, loads, caches, clock, eventLog }, background.signal).then(close);
+        const peers = shareLoads({ self, registry, channel, loads, caches, demand, closed, clock, eventLog }, signal);
+        signal.addEventListener("abort", close);
+        startStageChanges({
+            settings,
+            adapters,
+            parts,
+            incarnation,
+            isPlanner: () => !isStopping && peers.isFirst(),
+            peerPause: peers.pause,
+            clock,
+            random,
+            eventLog,
+            signal,
+        });
     };
 
     const start = async () => {
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         follow();
-        share();
+        actWithPeers();
         await readiness.start();
         await server.start();
     };
--- a/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
@@ -1,9 +1,11 @@
 import type {
     CallerProtocol,
     ChangeFeed,
+    EngineOrders,
     ForwardingConfiguration,
     ListedTarget,
     PeerRegistry,
+    TableService,
     TargetProtocol,
 } from "daisyturn/forwarding";
 
@@ -18,6 +20,9 @@
     readonly targetFeed: ChangeFeed;
     readonly decodeTarget: (targetId: string, text: string) => ListedTarget;
     readonly peerRegistry: PeerRegistry;
+    /** Rows of the system's own. */
+    readonly tableService: TableService;
+    readonly engineOrders: EngineOrders;
     /** Path at which the balancer asks whether the process takes requests. */
     readonly readinessPath: string;
     close(): Promise<void>;
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -13,7 +13,11 @@
     readonly metricsPort?: number;
     /** How long after a disturbance of its links a process must be up to date again. */
     readonly contactMilliseconds: number;
+    /** From the entry of a target that it is leaving until no new work may reach it. */
+    readonly drainMilliseconds: number;
     /** From the request to stop until the process is killed. */
     readonly graceMilliseconds: number;
     readonly retries: RetryAllowance;
+    /** How long a lease holds off other claimants. */
+    readonly leaseMilliseconds: number;
 }
--- /dev/null
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -0,0 +1,75 @@
+import { type Clock, createIdSource, type EventLog, type Random } from "daisyturn-utils";
+import { changeStages, createLeaseKeeper, createStoreClient } from "daisyturn/forwarding";
+import type { ForwardingProcessParts } from "./createForwardingParts.js";
+import type { ForwardingAdapters } from "./forwardingAdapters.js";
+import type { ForwardingSettings } from "./forwardingSettings.js";
+
+/** What {@link startStageChanges} needs. */
+export interface StageChangesOptions {
+    readonly settings: ForwardingSettings;
+    readonly adapters: ForwardingAdapters;
+    readonly parts: ForwardingProcessParts;
+    readonly incarnation: string;
+    readonly isPlanner: () => boolean;
+    /** Pause between two datagrams to each peer. */
+    readonly peerPause: () => number;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly eventLog: EventLog;
+    readonly signal: AbortSignal;
+}
+
+const leaseName = "stages";
+/** Only lease rows are written and read: a few calls a second while an order is due, none otherwise. */
+const storeCallsPerSecond = 10;
+const renewalIntervalMilliseconds = 1_000;
+/** Datagrams may be lost, so an engine is closed for as long as it takes to tell of it three times. */
+const datagramsBeforeOrder = 3;
+
+/** Starts the changes of engines' stages, with the lease under which they are ordered. */
+export function startStageChanges(options: StageChangesOptions): void {
+    const { settings, adapters, parts, incarnation, clock, random, eventLog, signal } = options;
+    const { processId, availabilityZone, leaseMilliseconds } = settings;
+    const { tableService, engineOrders } = adapters;
+    const storeClient = createStoreClient({
+        tableService,
+        clock,
+        random,
+        eventLog,
+        writesPerSecond: storeCallsPerSecond,
+        readsPerSecond: storeCallsPerSecond,
+        signal,
+    });
+    const peerAddress = `${settings.peers.address}:${settings.peers.port}`;
+    const leaseKeeper = createLeaseKeeper({
+        name: leaseName,
+        self: { processId, incarnation, vmId: processId, availabilityZone, peerAddress },
+        storeClient,
+        clock,
+        random,
+        ids: createIdSource(incarnation),
+        eventLog,
+        leaseMilliseconds,
+        renewalIntervalMilliseconds,
+    });
+    void changeStages({
+        holder: processId,
+        listServices: () => listEngineServices(parts),
+        targets: parts.targets,
+        loads: parts.loads,
+        demand: parts.demand,
+        closed: parts.closed,
+        orders: engineOrders,
+        leaseKeeper,
+        isPlanner: options.isPlanner,
+        leaseMilliseconds,
+        closingMilliseconds: () => options.peerPause() * datagramsBeforeOrder,
+        clock,
+        eventLog,
+    }, signal);
+}
+
+function listEngineServices(parts: ForwardingProcessParts): readonly string[] {
+    const services = parts.keeper.current()?.configuration.services.values() ?? [];
+    return [...services].filter(service => service.engine !== undefined).map(service => service.name);
+}
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -122,7 +122,8 @@
                     isBegun = true;
                 },
                 onResponseStart: (controller, status, fields) => {
-                    fault = sink.onHead(status, fields as IncomingFields) ?? checkLength(status, fields as IncomingFields);
+                    fault = sink.onHead(status, fields as IncomingFields)
+                        ?? checkLength(status, fields as IncomingFields);
                     if (fault) {
                         controller.abort(new Error(fault.message));
                     }
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -19,6 +19,7 @@
     readonly method: "GET" | "POST" | "PUT";
     readonly path: string;
     readonly contentType?: string;
+    readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string;
 }
 
@@ -67,7 +68,10 @@
             origin: options.url,
             method: request.method,
             path: request.path,
-            headers: request.contentType === undefined ? {} : { "content-type": request.contentType },
+            headers: {
+                ...request.headers,
+                ...(request.contentType !== undefined && { "content-type": request.contentType }),
+            },
             body: request.body,
             signal,
             opaque: progress,
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/changeStages.ts
@@ -0,0 +1,171 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import { type EngineOrders, OrderAnswer } from "../../ports/engineOrders.js";
+import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
+import type { Lease, LeaseKeeper } from "../lease.js";
+import type { ClosedTargets } from "./createClosedTargets.js";
+import type { ReadingDemand } from "./createReadingDemand.js";
+import type { TargetList } from "./createTargetList.js";
+import type { TargetLoads } from "./createTargetLoads.js";
+import { planStage } from "./planStage.js";
+
+/** What {@link changeStages} needs. */
+export interface ChangeStagesOptions {
+    readonly holder: string;
+    readonly listServices: () => readonly string[];
+    readonly targets: TargetList;
+    readonly loads: TargetLoads;
+    readonly demand: ReadingDemand;
+    readonly closed: ClosedTargets;
+    readonly orders: EngineOrders;
+    readonly leaseKeeper: LeaseKeeper;
+    /** Whether this process is the one to plan: of those that hear each other, one is enough. */
+    readonly isPlanner: () => boolean;
+    /** After its last order, a holder keeps the lease for so long, so that no other gives orders right after it. */
+    readonly leaseMilliseconds: number;
+    /** Milliseconds until all processes have heard that an engine is closed. */
+    readonly closingMilliseconds: () => number;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+const planMilliseconds = 500;
+/** A need that lasts this many looks is acted upon: reading soon, since calls are late without it. */
+const looksForReading = 2;
+/** Going back gains little and costs seconds of an engine, so only after a demand that stays low. */
+const looksForDecoding = 40;
+const callTimeoutMilliseconds = 1_000;
+/** A change takes seconds; an engine that has not changed by then is open again. */
+const changeTimeoutMilliseconds = 8_000;
+/** After an order that failed, others come first. */
+const pauseMilliseconds = 4_000;
+/** While so many engines of a service change at once, the others bear the load. */
+const enginesPerChange = 8;
+
+/**
+ * Follows the mix of long prompts and long answers with the stages of the engines, until the signal is aborted. One
+ * process at a time gives orders, under a lease, each with the lease's fencing number and the engine's order count.
+ */
+export async function changeStages(options: ChangeStagesOptions, signal: AbortSignal): Promise<void> {
+    const { targets, loads, demand, closed, orders, leaseKeeper, clock, eventLog } = options;
+    const needs = new Map<string, { stage: EngineStage; looks: number; }>();
+    const changing = new Map<string, number>();
+    let lastNeedAt = -Infinity;
+    let keeping: { readonly stop: AbortController; } | undefined;
+
+    const keepLease = () => {
+        lastNeedAt = clock.monotonicNow();
+        if (!keeping) {
+            const stop = new AbortController();
+            keeping = { stop };
+            void leaseKeeper.run(stop.signal);
+        }
+    };
+
+    const dropLease = () => {
+        if (keeping && clock.monotonicNow() - lastNeedAt > options.leaseMilliseconds && changing.size === 0) {
+            keeping.stop.abort();
+            keeping = undefined;
+        }
+    };
+
+    const look = (service: string) => {
+        const engines = targets.open(service).filter(target => target.stage !== undefined);
+        const readers = engines.filter(target => target.stage === EngineStage.Prefill);
+        const view = {
+            readers: readers.length,
+            decoders: engines.length - readers.length,
+            demand: demand.engines(service),
+        };
+        const stage = engines.length > 1 ? planStage(view) : undefined;
+        const known = needs.get(service);
+        if (!stage) {
+            needs.delete(service);
+            return;
+        }
+        const looks = known?.stage === stage ? known.looks + 1 : 1;
+        needs.set(service, { stage, looks });
+        const isUrgent = stage === EngineStage.Prefill || view.decoders < 2;
+        if (looks < (isUrgent ? looksForReading : looksForDecoding) || countChanging(engines) >= limitOf(engines)) {
+            return;
+        }
+        keepLease();
+        const lease = leaseKeeper.current();
+        const target = chooseTarget(engines, stage);
+        if (lease && target) {
+            eventLog.record(EventKind.RolePlanned, { target: target.targetId, stage, ...view });
+            void change(target, stage, lease);
+        }
+    };
+
+    const limitOf = (engines: readonly ListedTarget[]) => Math.ceil(engines.length / enginesPerChange);
+
+    const countChanging = (engines: readonly ListedTarget[]) =>
+        engines.filter(engine => (changing.get(engine.targetId) ?? 0) > clock.monotonicNow()).length;
+
+    /** The engine of the other stage that has least under way. */
+    const chooseTarget = (engines: readonly ListedTarget[], stage: EngineStage) =>
+        engines
+            .filter(engine => engine.stage !== stage && !changing.has(engine.targetId))
+            .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
+
+    const change = async (target: ListedTarget, stage: EngineStage, lease: Lease) => {
+        const until = clock.monotonicNow() + changeTimeoutMilliseconds;
+        changing.set(target.targetId, until);
+        closed.close(target.targetId, until);
+        await clock.sleepUntil(clock.monotonicNow() + options.closingMilliseconds(), signal);
+        const answer = await order(target, stage, lease);
+        eventLog.record(EventKind.OrderSent, {
+            target: target.targetId,
+            stage,
+            fencing: lease.fencingNumber,
+            outcome: answer,
+        });
+        lastNeedAt = clock.monotonicNow();
+        if (answer === OrderAnswer.Accepted || answer === OrderAnswer.Unknown) {
+            await waitForStage(target, stage, until);
+        }
+        closed.reopen(target.targetId);
+        if (answer !== OrderAnswer.Accepted) {
+            await clock.sleepUntil(clock.monotonicNow() + pauseMilliseconds, signal);
+        }
+        changing.delete(target.targetId);
+    };
+
+    /** The lease is looked at last, right before the order is sent. */
+    const order = async (target: ListedTarget, stage: EngineStage, lease: Lease): Promise<OrderAnswer> => {
+        const status = await orders.readStatus(target, clock.monotonicNow() + callTimeoutMilliseconds);
+        const isOrderable = status.isOk && !status.value.isBusy && status.value.stage !== stage;
+        if (!isOrderable || !targets.isOpen(target.targetId) || signal.aborted || !lease.isHeld()) {
+            return OrderAnswer.Rejected;
+        }
+        return orders.changeStage({
+            target,
+            stage,
+            holder: options.holder,
+            fencingNumber: lease.fencingNumber,
+            expectedOrders: status.value.orders,
+        }, clock.monotonicNow() + callTimeoutMilliseconds);
+    };
+
+    const waitForStage = async (target: ListedTarget, stage: EngineStage, until: number) => {
+        const hasChanged = () => targets.find(target.targetId)?.stage === stage;
+        while (!hasChanged() && clock.monotonicNow() < until && !signal.aborted) {
+            await clock.sleepUntil(clock.monotonicNow() + planMilliseconds / 2, signal);
+        }
+        if (hasChanged()) {
+            eventLog.record(EventKind.OrderConfirmed, { target: target.targetId, stage });
+        }
+    };
+
+    while (!signal.aborted) {
+        await clock.sleepUntil(clock.monotonicNow() + planMilliseconds, signal);
+        if (options.isPlanner() && !signal.aborted) {
+            options.listServices().forEach(look);
+        }
+        else {
+            needs.clear();
+        }
+        dropLease();
+    }
+    keeping?.stop.abort();
+}
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -4,11 +4,12 @@
 import type { EngineTraits, ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { hashTextTo32Bits, rendezvousWeight } from "../rendezvous.js";
 import type { CacheBeliefs } from "./createCacheBeliefs.js";
+import type { ClosedTargets } from "./createClosedTargets.js";
 import type { PaceView } from "./createPaceView.js";
 import type { TargetHealth } from "./createTargetHealth.js";
 import type { TargetList } from "./createTargetList.js";
 import type { TargetLoads } from "./createTargetLoads.js";
-import { estimatePrefill, estimateTransfer } from "./estimatePrefill.js";
+import { estimatePrefill, estimateTransfer, sharedEngineFactor } from "./estimatePrefill.js";
 
 /** Where one part of a call goes. */
 export interface PlacedStep {
@@ -24,6 +25,8 @@
     readonly decode: PlacedStep;
     /** Estimated milliseconds to the first event. */
     readonly firstEvent: number;
+    /** Milliseconds that an engine which only reads would need for the prompt. */
+    readonly reading: number;
     /** Whether the answer will be late anyway and lets those go first that can still be on time. */
     readonly isDeferred: boolean;
 }
@@ -59,6 +62,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly closed: ClosedTargets;
     readonly random: Random;
     readonly availabilityZone: string;
 }
@@ -103,14 +107,16 @@
 
 /** Creates the placement policy of one process. */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
-    const { targets, loads, health, caches, paces, random, availabilityZone } = options;
+    const { targets, loads, health, caches, paces, closed, random, availabilityZone } = options;
 
     const listUsable = (service: string, avoid: ReadonlySet<string>): readonly ListedTarget[] => {
-        const trusted = health.selectTrusted(targets.open(service));
+        const trusted = health.selectTrusted(listOpen(service));
         const untried = trusted.filter(target => !avoid.has(target.targetId));
-        return untried.length > 0 ? untried : targets.open(service).filter(target => !avoid.has(target.targetId));
+        return untried.length > 0 ? untried : listOpen(service).filter(target => !avoid.has(target.targetId));
     };
 
+    const listOpen = (service: string) => targets.open(service).filter(target => !closed.isClosed(target.targetId));
+
     const scatter = () => 1 + spread * (random.fraction() - 0.5);
 
     const placePlain = (service: string, avoid: ReadonlySet<string>) =>
@@ -187,7 +193,7 @@
         }
         const firstEvent = prefill.wait + prefill.work + decode.wait + hopMilliseconds;
         const cost = costOf(prefill, bodyBytes) + decodeCost(decode) + hopMilliseconds;
-        return { prefill, decode, firstEvent, isDeferred, cost };
+        return { prefill, decode, firstEvent, reading: prefill.work, isDeferred, cost };
     };
 
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
@@ -200,6 +206,7 @@
         return decode && {
             decode,
             firstEvent: decode.wait + decode.work + hopMilliseconds,
+            reading: decode.target.stage === EngineStage.Decode ? decode.work / sharedEngineFactor : decode.work,
             isDeferred,
             cost: cost(decode),
         };
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
@@ -0,0 +1,49 @@
+import type { Clock } from "daisyturn-utils";
+import { createDecayingRate, type DecayingRate } from "../decayingRate.js";
+
+/** Milliseconds of reading a second, as an engine that only reads would need them. */
+export type ServiceDemand = readonly [service: string, millisecondsPerSecond: number];
+
+/** How much reading of prompts is asked of a service's engines, by all processes together. */
+export interface ReadingDemand {
+    note(service: string, milliseconds: number): void;
+    listOwn(): readonly ServiceDemand[];
+    notePeer(peerId: string, demand: readonly ServiceDemand[]): void;
+    /** Engines that would read without a pause. */
+    engines(service: string): number;
+}
+
+/** Prompts of the last seconds count: long enough to even out single long ones. */
+const memoryMilliseconds = 2_500;
+const peerMemoryMilliseconds = 3_000;
+const millisecondsPerSecond = 1_000;
+
+/** Creates the view of one process. */
+export function createReadingDemand(clock: Clock): ReadingDemand {
+    const own = new Map<string, DecayingRate>();
+    const peers = new Map<string, { readonly heardAt: number; readonly demand: ReadonlyMap<string, number>; }>();
+    const ownRate = (service: string) => own.get(service)?.perSecond(clock.monotonicNow()) ?? 0;
+
+    return {
+        note: (service, milliseconds) => {
+            let rate = own.get(service);
+            if (!rate) {
+                rate = createDecayingRate(memoryMilliseconds, clock.monotonicNow());
+                own.set(service, rate);
+            }
+            rate.add(milliseconds, clock.monotonicNow());
+        },
+        listOwn: () => [...own.keys()].map(service => [service, ownRate(service)] as const),
+        notePeer: (peerId, demand) => {
+            peers.set(peerId, { heardAt: clock.monotonicNow(), demand: new Map(demand) });
+        },
+        engines: service => {
+            const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
+            let sum = ownRate(service);
+            for (const peer of peers.values()) {
+                sum += peer.heardAt >= oldest ? peer.demand.get(service) ?? 0 : 0;
+            }
+            return sum / millisecondsPerSecond;
+        },
+    };
+}
--- a/packages/daisyturn/src/process/forwarding/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetList.ts
@@ -9,6 +9,8 @@
     open(service: string): readonly ListedTarget[];
     /** Whether new work may still go to a target; asked again right before each send. */
     isOpen(targetId: string): boolean;
+    /** A listed target, leaving or not. */
+    find(targetId: string): ListedTarget | undefined;
     /** Whether the list was read at least once. */
     isKnown(): boolean;
     /** Tells of each call to the store, so that lapses during an outage are known as such. */
@@ -121,6 +123,7 @@
             dropLapsed();
             return targets.get(targetId)?.isLeaving === false;
         },
+        find: targetId => targets.get(targetId),
         isKnown: () => isKnown,
         noteStoreCall: isAnswered => {
             if (!isAnswered) {
--- a/packages/daisyturn/src/process/forwarding/estimatePrefill.ts
+++ b/packages/daisyturn/src/process/forwarding/estimatePrefill.ts
@@ -11,7 +11,7 @@
 /** Fixed part of each prefill: its share of a step, which it often has in common with others. */
 const stepMilliseconds = 2;
 /** An engine that also decodes reads prompts at half the speed, between the tokens of other requests. */
-const sharedEngineFactor = 2;
+export const sharedEngineFactor = 2;
 /** Setting up a transfer of KV cache. */
 const transferSetupMilliseconds = 3;
 /** Links between availability zones take twice as long. */
--- a/packages/daisyturn/src/process/forwarding/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/followTable.ts
@@ -36,8 +36,8 @@
 const answerSlackMilliseconds = 500;
 const readTimeoutMilliseconds = 1_000;
 /** First and longest pause after a failed call; between them it doubles. */
-const firstRetryMilliseconds = 100;
-const longestRetryMilliseconds = 800;
+const firstRetryMilliseconds = 250;
+const longestRetryMilliseconds = 1_200;
 
 /** Follows one table until the signal is aborted: reads it whole, then takes its changes, and anew after a loss. */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<void> {
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/planStage.ts
@@ -0,0 +1,39 @@
+import { EngineStage } from "../../ports/listedTarget.js";
+
+/** What a plan goes by. */
+export interface StageView {
+    readonly readers: number;
+    readonly decoders: number;
+    /** Engines that would read all prompts without a pause. */
+    readonly demand: number;
+}
+
+/**
+ * Load at which reading engines are planned. Arrivals come in bursts: above this, queues grow beyond what answers on
+ * time allow, while engines that decode do so in a few milliseconds a step and have room.
+ */
+const plannedLoad = 0.75;
+/** Below this load, one reading engine fewer would do. */
+const spareLoad = 0.35;
+/**
+ * Part of the engines that decodes in any case. A batch makes hundreds of tokens a second, so few are needed, but the
+ * loss of one must be borne.
+ */
+const leastDecodingFraction = 0.3;
+const leastDecoders = 2;
+
+/**
+ * The stage of which one more engine is needed, if any. Decoding engines read prompts at half the speed and, while they
+ * do, stretch every answer they decode; so where the demand for reading allows it, they only decode.
+ */
+export function planStage({ readers, decoders, demand }: StageView): EngineStage | undefined {
+    const engines = readers + decoders;
+    const decodersNeeded = Math.min(engines - 1, Math.max(leastDecoders, Math.ceil(engines * leastDecodingFraction)));
+    if (decoders < decodersNeeded) {
+        return readers > 0 ? EngineStage.Decode : undefined;
+    }
+    if (demand > readers * plannedLoad && decoders > decodersNeeded) {
+        return EngineStage.Prefill;
+    }
+    return readers > 1 && demand < (readers - 1) * spareLoad ? EngineStage.Decode : undefined;
+}
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -1,6 +1,8 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { PeerRegistry, RegisteredPeer } from "../../ports/peerRegistry.js";
 import type { CacheBeliefs, PartPlacement } from "./createCacheBeliefs.js";
+import type { ClosedTargets, Closing } from "./createClosedTargets.js";
+import type { ReadingDemand, ServiceDemand } from "./createReadingDemand.js";
 import type { TargetLoads, WorkUnderWay } from "./createTargetLoads.js";
 
 /** Sends and takes datagrams; none is repeated, since the next one says all again. */
@@ -16,10 +18,20 @@
     readonly channel: DatagramChannel;
     readonly loads: TargetLoads;
     readonly caches: CacheBeliefs;
+    readonly demand: ReadingDemand;
+    readonly closed: ClosedTargets;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
 
+/** What this process knows of its peers. */
+export interface PeerView {
+    /** Pause between two datagrams to each peer, in milliseconds. */
+    pause(): number;
+    /** Whether no peer that was heard lately has a name that sorts before this process's. */
+    isFirst(): boolean;
+}
+
 /** Pause between two datagrams to each peer while there are few of them: about the time that a call runs. */
 const shortestPauseMilliseconds = 100;
 /**
@@ -27,11 +39,16 @@
  * machine. With more peers each hears less often, and their many small parts even out.
  */
 const mostDatagramsPerSecond = 80;
-const registryPauseMilliseconds = 5_000;
+/** Pause between two looks at the registry, which are priced, for each peer: the more there are, the less one counts. */
+const registryPausePerPeer = 400;
+const shortestRegistryPause = 5_000;
+const longestRegistryPause = 15_000;
 /** Until the first peers are found, and after a failure. */
 const registryRetryMilliseconds = 1_000;
 const registryTimeoutMilliseconds = 1_000;
 const millisecondsPerSecond = 1_000;
+/** A peer that was not heard for so long and one more pause is idle or has ended. */
+const heardMilliseconds = 2_000;
 /** Longest list of placements told at once; what is beyond it is learned from the next ones. */
 const mostPlacements = 20;
 
@@ -43,6 +60,8 @@
     /** Target, calls, milliseconds of work, milliseconds of deferred work. */
     readonly work: readonly (readonly [string, number, number, number])[];
     readonly kept: readonly PartPlacement[];
+    readonly demand: readonly ServiceDemand[];
+    readonly closed: readonly Closing[];
 }
 
 /**
@@ -50,15 +69,19 @@
  * and takes in what they tell, until the signal is aborted. Engines report their load late and some answers don't
  * report it at all, so without this each process would see only its own part of a queue.
  */
-export async function shareLoads(options: ShareLoadsOptions, signal: AbortSignal): Promise<void> {
-    const { self, channel, loads, caches, clock, eventLog } = options;
+export function shareLoads(options: ShareLoadsOptions, signal: AbortSignal): PeerView {
+    const { self, channel, loads, caches, demand, closed, clock, eventLog } = options;
+    const heardAt = new Map<string, number>();
     let peers: readonly RegisteredPeer[] = [];
     let wasBusy = false;
 
     channel.onDatagram(datagram => {
         const message = parseMessage(datagram);
         if (message && message.from !== self.peerId) {
+            heardAt.set(message.from, clock.monotonicNow());
             loads.notePeer(message.from, message.work.map(toWork));
+            demand.notePeer(message.from, message.demand);
+            closed.notePeer(message.from, message.closed);
             message.kept.forEach(([targetId, partId, tokens]) => caches.noteTold(targetId, partId, tokens));
         }
     });
@@ -66,14 +89,25 @@
     const tell = () => {
         const work = loads.listOwn();
         const kept = caches.takeNew(mostPlacements);
+        const closings = closed.listOwn();
+        const isBusy = work.length > 0 || kept.length > 0 || closings.length > 0;
         // One more message after the last call tells that nothing is left.
-        if (work.length > 0 || kept.length > 0 || wasBusy) {
-            const datagram = encodeMessage(self.peerId, work, kept);
+        if (isBusy || wasBusy) {
+            const datagram = encodeMessage({
+                from: self.peerId,
+                work: work.map(encodeWork),
+                kept,
+                demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)]),
+                closed: closings,
+            });
             peers.forEach(peer => channel.send(peer, datagram));
         }
-        wasBusy = work.length > 0;
+        wasBusy = isBusy;
     };
 
+    const pause = () =>
+        Math.max(shortestPauseMilliseconds, peers.length * millisecondsPerSecond / mostDatagramsPerSecond);
+
     const findPeers = async () => {
         while (!signal.aborted) {
             const found = await options.registry.refresh(self, clock.monotonicNow() + registryTimeoutMilliseconds);
@@ -83,35 +117,37 @@
             else {
                 eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${found.error.message}` });
             }
-            const pause = found.isOk && peers.length > 0 ? registryPauseMilliseconds : registryRetryMilliseconds;
+            const longPause = Math.min(longestRegistryPause, peers.length * registryPausePerPeer);
+            const hasFound = found.isOk && peers.length > 0;
+            const pause = hasFound ? Math.max(shortestRegistryPause, longPause) : registryRetryMilliseconds;
             await clock.sleepUntil(clock.monotonicNow() + pause, signal);
         }
     };
 
-    const finding = findPeers();
-    while (!signal.aborted) {
-        const pause = Math.max(
-            shortestPauseMilliseconds,
-            peers.length * millisecondsPerSecond / mostDatagramsPerSecond,
-        );
-        await clock.sleepUntil(clock.monotonicNow() + pause, signal);
-        tell();
-    }
-    await finding;
+    const tellAll = async () => {
+        while (!signal.aborted) {
+            await clock.sleepUntil(clock.monotonicNow() + pause(), signal);
+            tell();
+        }
+    };
+
+    void findPeers();
+    void tellAll();
+    return {
+        pause,
+        isFirst: () => {
+            const oldest = clock.monotonicNow() - heardMilliseconds - pause();
+            return [...heardAt].every(([peerId, at]) => at < oldest || peerId > self.peerId);
+        },
+    };
+}
+
+function encodeMessage(params: LoadMessage): Buffer {
+    return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
-function encodeMessage(
-    from: string,
-    work: readonly WorkUnderWay[],
-    kept: readonly PartPlacement[],
-): Buffer {
-    const entries = work.map(({ targetId, calls, work: milliseconds, deferredWork }) => [
-        targetId,
-        calls,
-        Math.round(milliseconds),
-        Math.round(deferredWork),
-    ]);
-    return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params: { from, work: entries, kept } }));
+function encodeWork({ targetId, calls, work, deferredWork }: WorkUnderWay): LoadMessage["work"][number] {
+    return [targetId, calls, Math.round(work), Math.round(deferredWork)];
 }
 
 function toWork([targetId, calls, work, deferredWork]: LoadMessage["work"][number]): WorkUnderWay {
@@ -122,10 +158,11 @@
 function parseMessage(datagram: Buffer): LoadMessage | undefined {
     try {
         const message = JSON.parse(datagram.toString("utf8")) as { method?: unknown; params?: Partial<LoadMessage>; };
-        const { from, work, kept } = message.params ?? {};
+        const { from, work, kept, demand, closed } = message.params ?? {};
         const isSound = message.method === method && typeof from === "string"
-            && isList(work, ["string", "number", "number", "number"]) && isList(kept, ["string", "string", "number"]);
-        return isSound ? { from, work, kept } as LoadMessage : undefined;
+            && isList(work, ["string", "number", "number", "number"]) && isList(kept, ["string", "string", "number"])
+            && isList(demand, ["string", "number"]) && isList(closed, ["string", "number"]);
+        return isSound ? { from, work, kept, demand, closed } as LoadMessage : undefined;
     }
     catch {
         return undefined;
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -3,8 +3,10 @@
 import type { TargetProtocol } from "../../ports/forwardedCall.js";
 import type { CacheBeliefs } from "../../process/forwarding/createCacheBeliefs.js";
 import type { CallPlacement } from "../../process/forwarding/createCallPlacement.js";
+import type { ClosedTargets } from "../../process/forwarding/createClosedTargets.js";
 import type { ForwardingKeeper } from "../../process/forwarding/createForwardingKeeper.js";
 import type { PaceView } from "../../process/forwarding/createPaceView.js";
+import type { ReadingDemand } from "../../process/forwarding/createReadingDemand.js";
 import type { TargetHealth } from "../../process/forwarding/createTargetHealth.js";
 import type { TargetList } from "../../process/forwarding/createTargetList.js";
 import type { TargetLoads } from "../../process/forwarding/createTargetLoads.js";
@@ -18,6 +20,8 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly demand: ReadingDemand;
+    readonly closed: ClosedTargets;
     readonly placement: CallPlacement;
     readonly budget: WindowedRetryBudget;
     readonly connections: TargetConnections;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -57,6 +57,7 @@
         if (tooLate) {
             return err(concludeRun(run, tooLate));
         }
+        parts.demand.note(run.service.name, way.reading);
         let kvSource: KvSource | undefined;
         if (way.prefill) {
             prefills += 1;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -49,7 +49,7 @@
         return err(run.signal.reason as Failure);
     }
     // Asked last: the list may have changed since the target was chosen.
-    if (!parts.targets.isOpen(target.targetId)) {
+    if (!parts.targets.isOpen(target.targetId) || parts.closed.isClosed(target.targetId)) {
         return err(notRun(FailureReason.NoTarget, "The chosen target has just stopped taking new work."));
     }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
