--- a/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -55,6 +55,7 @@
     void changeStages({
         holder: processId,
         listServices: () => listEngineServices(parts),
+        kvTokens: service => parts.keeper.current()?.configuration.services.get(service)?.engine?.kvTokens ?? 0,
         targets: parts.targets,
         loads: parts.loads,
         demand: parts.demand,
--- a/packages/daisyturn/src/process/forwarding/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/changeStages.ts
@@ -12,6 +12,8 @@
 export interface ChangeStagesOptions {
     readonly holder: string;
     readonly listServices: () => readonly string[];
+    /** Tokens of KV cache that one engine of a service holds. */
+    readonly kvTokens: (service: string) => number;
     readonly targets: TargetList;
     readonly loads: TargetLoads;
     readonly demand: ReadingDemand;
@@ -71,10 +73,12 @@
     const look = (service: string) => {
         const engines = targets.open(service).filter(target => target.stage !== undefined);
         const readers = engines.filter(target => target.stage === EngineStage.Prefill);
+        const decoders = engines.filter(target => target.stage !== EngineStage.Prefill);
         const view = {
             readers: readers.length,
-            decoders: engines.length - readers.length,
+            decoders: decoders.length,
             demand: demand.engines(service),
+            decodingFill: findFill(decoders, options.kvTokens(service)),
         };
         const stage = engines.length > 1 ? planStage(view) : undefined;
         const known = needs.get(service);
@@ -97,6 +101,12 @@
         }
     };
 
+    const findFill = (decoders: readonly ListedTarget[], kvTokens: number) => {
+        const calls = sum(decoders, engine => loads.calls(engine.targetId));
+        const tokens = sum(decoders, engine => loads.tokens(engine.targetId));
+        return Math.max(calls / sum(decoders, engine => engine.slots), tokens / (decoders.length * kvTokens)) || 0;
+    };
+
     const limitOf = (engines: readonly ListedTarget[]) => Math.ceil(engines.length / enginesPerChange);
 
     const countChanging = (engines: readonly ListedTarget[]) =>
@@ -169,3 +179,7 @@
     }
     keeping?.stop.abort();
 }
+
+function sum<Item>(items: readonly Item[], amount: (item: Item) => number): number {
+    return items.reduce((total, item) => total + amount(item), 0);
+}
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -71,6 +71,8 @@
 const affinityTokens = 512;
 /** Work counts beyond the time it takes itself: it delays whatever comes after it at the same engine. */
 const externality = 0.8;
+/** Reading at an engine that decodes stretches the steps of all answers it has under way. */
+const decodingExternality = 2.5;
 /** Estimates differ at random by this fraction, so that processes which know the same don't all choose the same. */
 const spread = 0.15;
 /**
@@ -83,8 +85,8 @@
 /** A plain target in another availability zone is taken only if it has this many calls fewer, in parts of its slots. */
 const otherZonePenalty = 0.35;
 /**
- * Decoding elsewhere than at the home of a prompt's beginning counts as so much later: the home would keep what it
- * fetches, and could then read such prompts itself when the engines for reading are full.
+ * Reading or decoding elsewhere than at the home of a prompt's beginning counts as so much later: what the home keeps
+ * serves all that begin alike, and elsewhere it would push out what others begin with.
  */
 const strayMilliseconds = 70;
 /**
@@ -101,7 +103,11 @@
 /** A chunk of a prompt, read between two steps of a batch. */
 const chunkMilliseconds = 20;
 /** A place in a full batch comes free about this often. */
-const turnMilliseconds = 5;
+const turnMilliseconds = 8;
+/** Tokens of KV cache that the ends of calls free in a millisecond, once memory is full. */
+const tokensFreedPerMillisecond = 150;
+/** What is beyond this part of the memory is kept free: a call that outgrows it is put back and read again. */
+const usableMemoryFraction = 0.85;
 /** One hop to an engine and back, with the engine's step, in milliseconds. */
 const hopMilliseconds = 8;
 
@@ -131,27 +137,30 @@
             : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
 
     const costOf = (step: PlacedStep, bodyBytes: number) =>
-        (step.wait + step.work * (1 + externality)) * scatter() + zoneCost(step.target, bodyBytes);
+        (step.wait + step.work * (1 + externalityOf(step.target))) * scatter() + zoneCost(step.target, bodyBytes);
 
-    /** All places of the batch may be taken by calls whose prompts are read: those that wait take turns. */
-    const placeWait = (engine: ListedTarget) => {
-        const excess = loads.calls(engine.targetId) + 1 - engine.slots;
-        return excess > 0 ? excess * turnMilliseconds : 0;
+    const externalityOf = (engine: ListedTarget) =>
+        engine.stage === EngineStage.Decode ? decodingExternality : externality;
+
+    /** With all places of the batch taken, or all memory, a call waits until others end. */
+    const placeWait = (engine: ListedTarget, { prompt, service }: PromptDemand) => {
+        const excess = Math.max(0, loads.calls(engine.targetId) + 1 - engine.slots);
+        const room = (service.engine?.kvTokens ?? Infinity) * usableMemoryFraction;
+        const missing = Math.max(0, loads.tokens(engine.targetId) + countTokens(prompt) - room);
+        return excess * turnMilliseconds + missing / tokensFreedPerMillisecond;
     };
 
-    const estimateStep = (
-        engine: ListedTarget,
-        prompt: PromptDescription,
-        home: string | undefined,
-        isDeferred: boolean,
-    ): PlacedStep => {
-        const known = caches.keptTokens(engine.targetId, prompt.parts);
-        const kept = engine.targetId === home ? sumShared(prompt) : known;
+    const estimateStep = (engine: ListedTarget, demand: PromptDemand, isDeferred: boolean): PlacedStep => {
+        const { prompt } = demand;
+        const kept = caches.keptTokens(engine.targetId, prompt.parts);
         const isShared = engine.stage === EngineStage.Decode;
         const work = estimatePrefill(prompt.promptTokens, kept, isShared) * paces.factor(engine.targetId);
-        return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine) };
+        return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine, demand) };
     };
 
+    const strayCost = (step: PlacedStep, home: string | undefined) =>
+        home !== undefined && step.target.targetId !== home ? strayMilliseconds : 0;
+
     const pauseCost = ({ prompt, service }: PromptDemand, engine: ListedTarget) => {
         const hasPauses = prompt.expectedOutputTokens > (service.engine?.tokensPerEvent ?? 1);
         const reading = loads.wait(engine.targetId, true) * pauseFactor;
@@ -165,8 +174,9 @@
         isDeferred: boolean,
     ): CostedWay | undefined => {
         const { prompt, bodyBytes } = demand;
-        const steps = engines.readers.map(engine => estimateStep(engine, prompt, engines.readerHome, isDeferred));
-        const prefill = findLeast(steps, step => costOf(step, bodyBytes));
+        const steps = engines.readers.map(engine => estimateStep(engine, demand, isDeferred));
+        const readCost = (step: PlacedStep) => costOf(step, bodyBytes) + strayCost(step, engines.readerHome);
+        const prefill = findLeast(steps, readCost);
         if (!prefill) {
             return undefined;
         }
@@ -180,25 +190,25 @@
             );
             // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
             const chunk = Math.min(loads.wait(engine.targetId, isDeferred), chunkMilliseconds);
-            return { target: engine, work: 0, wait: placeWait(engine) + chunk + transfer };
+            return { target: engine, work: 0, wait: placeWait(engine, demand) + chunk + transfer };
         };
         const decodeCost = (step: PlacedStep) => {
             const pause = pauseCost(demand, step.target);
-            const isStray = engines.decoderHome !== undefined && step.target.targetId !== engines.decoderHome;
-            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause + (isStray ? strayMilliseconds : 0);
+            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause
+                + strayCost(step, engines.decoderHome);
         };
         const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
         if (!decode) {
             return undefined;
         }
         const firstEvent = prefill.wait + prefill.work + decode.wait + hopMilliseconds;
-        const cost = costOf(prefill, bodyBytes) + decodeCost(decode) + hopMilliseconds;
+        const cost = readCost(prefill) + decodeCost(decode) + hopMilliseconds;
         return { prefill, decode, firstEvent, reading: prefill.work, isDeferred, cost };
     };
 
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
-        const { prompt, bodyBytes } = demand;
-        const steps = engines.decoders.map(engine => estimateStep(engine, prompt, engines.wholeHome, isDeferred));
+        const { bodyBytes } = demand;
+        const steps = engines.decoders.map(engine => estimateStep(engine, demand, isDeferred));
         const cost = (step: PlacedStep) =>
             costOf(step, bodyBytes) + pauseCost(demand, step.target)
             + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
@@ -238,22 +248,12 @@
     readonly decoders: readonly ListedTarget[];
     readonly readerHome?: string;
     readonly decoderHome?: string;
-    /** Engines that do both read every prompt themselves, so the home is sure to have what was read before. */
-    readonly wholeHome?: string;
 }
 
 function groupEngines(engines: readonly ListedTarget[], key: number | undefined): EngineGroups {
     const readers = engines.filter(target => target.stage === EngineStage.Prefill);
     const decoders = sortByHash(engines.filter(target => target.stage !== EngineStage.Prefill));
-    const decoderHome = findHome(decoders, key);
-    const isWhole = decoders.every(target => target.stage === undefined);
-    return {
-        readers,
-        decoders,
-        readerHome: findHome(readers, key),
-        decoderHome,
-        wholeHome: isWhole ? decoderHome : undefined,
-    };
+    return { readers, decoders, readerHome: findHome(readers, key), decoderHome: findHome(decoders, key) };
 }
 
 function sortByHash(engines: readonly ListedTarget[]): ListedTarget[] {
@@ -270,6 +270,11 @@
         : findLeast(engines, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
 }
 
+/** KV cache that a call holds until its end. */
+export function countTokens({ promptTokens, expectedOutputTokens, maxOutputTokens }: PromptDescription): number {
+    return promptTokens + Math.min(expectedOutputTokens, maxOutputTokens);
+}
+
 function sumShared(prompt: PromptDescription): number {
     return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -16,15 +16,23 @@
     readonly work: number;
     /** The same of calls that let all others go first. */
     readonly deferredWork: number;
+    /** Tokens of KV cache that the calls hold or will hold. */
+    readonly tokens: number;
+}
+
+/** What a call costs its target. */
+export interface CallCost {
+    /** Estimated milliseconds of the expensive part. */
+    readonly work: number;
+    /** Whether the call lets others go first. */
+    readonly isDeferred: boolean;
+    /** Tokens of KV cache that it holds until its end. */
+    readonly tokens: number;
 }
 
 /** How busy targets are: from this process's own calls, from what its peers tell, and from the targets' answers. */
 export interface TargetLoads {
-    /**
-     * @param milliseconds the expensive part of the call, as estimated
-     * @param isDeferred whether the call lets others go first
-     */
-    begin(targetId: string, milliseconds: number, isDeferred: boolean): PlacedWork;
+    begin(targetId: string, cost: CallCost): PlacedWork;
     noteReport(targetId: string, load: ReportedLoad): void;
     /** Takes in all that a peer has under way. */
     notePeer(peerId: string, work: readonly WorkUnderWay[]): void;
@@ -32,6 +40,8 @@
     listOwn(): readonly WorkUnderWay[];
     /** Calls that run or wait at the target, of all processes. */
     calls(targetId: string): number;
+    /** Tokens of KV cache held by calls under way, of all processes. */
+    tokens(targetId: string): number;
     /** Milliseconds until the target turns to a new call, as far as its expensive work goes. */
     wait(targetId: string, isDeferred: boolean): number;
     forget(targetId: string): void;
@@ -41,6 +51,7 @@
     calls: number;
     work: number;
     deferredWork: number;
+    tokens: number;
     /** Calls of other processes when the target last reported, and the monotonic time of the report. */
     reportedOthers: number;
     reportedAt: number;
@@ -66,7 +77,14 @@
     const find = (targetId: string): TargetLoad => {
         let load = own.get(targetId);
         if (!load) {
-            load = { calls: 0, work: 0, deferredWork: 0, reportedOthers: 0, reportedAt: clock.monotonicNow() };
+            load = {
+                calls: 0,
+                work: 0,
+                deferredWork: 0,
+                tokens: 0,
+                reportedOthers: 0,
+                reportedAt: clock.monotonicNow(),
+            };
             own.set(targetId, load);
         }
         return load;
@@ -76,9 +94,9 @@
         load ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportMemoryMilliseconds) : 0;
 
     /** Sums what the peers told, as far as it is fresh; undefined where no peer is heard. */
-    const sumPeers = (targetId: string): { calls: number; work: number; deferredWork: number; } | undefined => {
+    const sumPeers = (targetId: string): Omit<WorkUnderWay, "targetId"> | undefined => {
         const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
-        const sum = { calls: 0, work: 0, deferredWork: 0 };
+        const sum = { calls: 0, work: 0, deferredWork: 0, tokens: 0 };
         let isHeard = false;
         for (const peer of peers.values()) {
             if (peer.heardAt >= oldest) {
@@ -87,22 +105,24 @@
                 sum.calls += told?.calls ?? 0;
                 sum.work += told?.work ?? 0;
                 sum.deferredWork += told?.deferredWork ?? 0;
+                sum.tokens += told?.tokens ?? 0;
             }
         }
         return isHeard ? sum : undefined;
     };
 
-    const begin = (targetId: string, milliseconds: number, isDeferred: boolean): PlacedWork => {
+    const begin = (targetId: string, { work, isDeferred, tokens }: CallCost): PlacedWork => {
         const load = find(targetId);
         const kind = isDeferred ? "deferredWork" : "work";
         load.calls += 1;
-        load[kind] += milliseconds;
+        load.tokens += tokens;
+        load[kind] += work;
         let isHeavy = true;
         let isRunning = true;
         const finishHeavyPart = () => {
             if (isHeavy) {
                 isHeavy = false;
-                load[kind] = Math.max(0, load[kind] - milliseconds);
+                load[kind] = Math.max(0, load[kind] - work);
             }
         };
         return {
@@ -112,17 +132,19 @@
                 if (isRunning) {
                     isRunning = false;
                     load.calls -= 1;
+                    load.tokens -= tokens;
                 }
             },
         };
     };
 
     const listOwn = () =>
-        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work, deferredWork }]) => ({
+        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work, deferredWork, tokens }]) => ({
             targetId,
             calls,
             work,
             deferredWork,
+            tokens,
         }));
 
     return {
@@ -142,6 +164,7 @@
             const told = sumPeers(targetId)?.calls ?? 0;
             return (load?.calls ?? 0) + Math.max(told, reportedOthers(load));
         },
+        tokens: targetId => (own.get(targetId)?.tokens ?? 0) + (sumPeers(targetId)?.tokens ?? 0),
         wait: (targetId, isDeferred) => {
             const load = own.get(targetId);
             const told = sumPeers(targetId);
--- a/packages/daisyturn/src/process/forwarding/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/planStage.ts
@@ -6,6 +6,8 @@
     readonly decoders: number;
     /** Engines that would read all prompts without a pause. */
     readonly demand: number;
+    /** Part of the decoding engines' places, or of their memory if that is more, that is taken. */
+    readonly decodingFill: number;
 }
 
 /**
@@ -13,6 +15,8 @@
  * time allow, while engines that decode do so in a few milliseconds a step and have room.
  */
 const plannedLoad = 0.75;
+/** What decodes is not taken beyond this part of its places: a burst of short prompts fills them within a second. */
+const plannedFill = 0.45;
 /** Below this load, one reading engine fewer would do. */
 const spareLoad = 0.35;
 /**
@@ -26,13 +30,14 @@
  * The stage of which one more engine is needed, if any. Decoding engines read prompts at half the speed and, while they
  * do, stretch every answer they decode; so where the demand for reading allows it, they only decode.
  */
-export function planStage({ readers, decoders, demand }: StageView): EngineStage | undefined {
+export function planStage({ readers, decoders, demand, decodingFill }: StageView): EngineStage | undefined {
     const engines = readers + decoders;
     const decodersNeeded = Math.min(engines - 1, Math.max(leastDecoders, Math.ceil(engines * leastDecodingFraction)));
     if (decoders < decodersNeeded) {
         return readers > 0 ? EngineStage.Decode : undefined;
     }
-    if (demand > readers * plannedLoad && decoders > decodersNeeded) {
+    const fillWithOneLess = decodingFill * decoders / Math.max(1, decoders - 1);
+    if (demand > readers * plannedLoad && decoders > decodersNeeded && fillWithOneLess < plannedFill) {
         return EngineStage.Prefill;
     }
     return readers > 1 && demand < (readers - 1) * spareLoad ? EngineStage.Decode : undefined;
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -57,8 +57,8 @@
 /** What a process tells its peers: the parameters of a JSON-RPC notification. */
 interface LoadMessage {
     readonly from: string;
-    /** Target, calls, milliseconds of work, milliseconds of deferred work. */
-    readonly work: readonly (readonly [string, number, number, number])[];
+    /** Target, calls, milliseconds of work, milliseconds of deferred work, tokens held. */
+    readonly work: readonly (readonly [string, number, number, number, number])[];
     readonly kept: readonly PartPlacement[];
     readonly demand: readonly ServiceDemand[];
     readonly closed: readonly Closing[];
@@ -146,12 +146,12 @@
     return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
-function encodeWork({ targetId, calls, work, deferredWork }: WorkUnderWay): LoadMessage["work"][number] {
-    return [targetId, calls, Math.round(work), Math.round(deferredWork)];
+function encodeWork({ targetId, calls, work, deferredWork, tokens }: WorkUnderWay): LoadMessage["work"][number] {
+    return [targetId, calls, Math.round(work), Math.round(deferredWork), tokens];
 }
 
-function toWork([targetId, calls, work, deferredWork]: LoadMessage["work"][number]): WorkUnderWay {
-    return { targetId, calls, work, deferredWork };
+function toWork([targetId, calls, work, deferredWork, tokens]: LoadMessage["work"][number]): WorkUnderWay {
+    return { targetId, calls, work, deferredWork, tokens };
 }
 
 /** Undefined for anything that is no message of a peer: anybody may send datagrams. */
@@ -160,7 +160,8 @@
         const message = JSON.parse(datagram.toString("utf8")) as { method?: unknown; params?: Partial<LoadMessage>; };
         const { from, work, kept, demand, closed } = message.params ?? {};
         const isSound = message.method === method && typeof from === "string"
-            && isList(work, ["string", "number", "number", "number"]) && isList(kept, ["string", "string", "number"])
+            && isList(work, ["string", "number", "number", "number", "number"])
+            && isList(kept, ["string", "string", "number"])
             && isList(demand, ["string", "number"]) && isList(closed, ["string", "number"]);
         return isSound ? { from, work, kept, demand, closed } as LoadMessage : undefined;
     }
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -1,5 +1,6 @@
 import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
+import type { CallCost } from "../../process/forwarding/createTargetLoads.js";
 import { CallKind } from "../../version/forwarding/forwardingConfiguration.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import type { ForwardingParts } from "./forwardingParts.js";
@@ -7,7 +8,7 @@
 
 const firstErrorStatus = 500;
 /** What a plain call costs its target is not known ahead; only how many run there counts. */
-const plainWork = 0;
+const plainCost: CallCost = { work: 0, isDeferred: false, tokens: 0 };
 
 /** Has a plain service answer a call, at another target after a failure where that can do no harm. */
 export async function runPlainCall(parts: ForwardingParts, run: CallRun): Promise<Result<TargetReply, Failure>> {
@@ -20,8 +21,7 @@
             target,
             terms: {},
             isRepeatable: isRepeatable(run.route),
-            work: plainWork,
-            isDeferred: false,
+            cost: plainCost,
         });
         run.avoid.add(target.targetId);
         if (reply.isOk) {
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
-import type { PlacedStep, PromptWay } from "../../process/forwarding/createCallPlacement.js";
+import { countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/createCallPlacement.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
@@ -103,8 +103,7 @@
         target: step.target,
         terms: { prefillOnly: true, urgency: urgencyOf(run, way) },
         isRepeatable: true,
-        work: step.work,
-        isDeferred: way.isDeferred,
+        cost: { work: step.work, isDeferred: way.isDeferred, tokens: prompt.promptTokens },
     });
     if (reply.isErr) {
         return err(reply.error);
@@ -133,8 +132,7 @@
         target,
         terms: { kvSource, urgency: urgencyOf(run, way), lastEventId: relay.lastEventId() },
         isRepeatable: isRepeatable(run.route),
-        work,
-        isDeferred: way.isDeferred,
+        cost: { work, isDeferred: way.isDeferred, tokens: countTokens(prompt) },
         onPiece: (head, piece) => relay.take(head.status, head.forwardedFields, piece),
         onFirstByte: () => {
             if (!kvSource) {
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -4,6 +4,7 @@
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import { TargetEvidence, type TargetHealth } from "../../process/forwarding/createTargetHealth.js";
+import type { CallCost } from "../../process/forwarding/createTargetLoads.js";
 import { type CallRun } from "./callRun.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
@@ -13,10 +14,7 @@
     readonly terms: Omit<SendTerms, "targetId" | "remainingMilliseconds">;
     /** Whether the send may be given up when the target falls silent, since it can be repeated elsewhere. */
     readonly isRepeatable: boolean;
-    /** Estimated expensive work at the target, in milliseconds. */
-    readonly work: number;
-    /** Whether the call lets others go first at the target. */
-    readonly isDeferred: boolean;
+    readonly cost: CallCost;
     /** Takes pieces of a successful answer as they arrive; absent: they are collected. */
     readonly onPiece?: (head: ReplyHead, piece: Buffer) => void;
     /** Called with the first bytes of the answer's body, or its end: the expensive work is done. */
@@ -54,7 +52,7 @@
     }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const pieces: Buffer[] = [];
-    const work = loads.begin(target.targetId, send.work, send.isDeferred);
+    const work = loads.begin(target.targetId, send.cost);
     const wait = health.beginWait(target.targetId);
     const watch = watchSilence(clock, health, run.signal, target.targetId, send.isRepeatable);
 
