--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -34,6 +34,8 @@
 
 /** Left of the granted time for the process to end by itself. */
 const endMarginMilliseconds = 700;
+/** A store that is away must not hold up the end. */
+const leaveMilliseconds = 200;
 /** A feed's call ends early enough for another to bring what a silent connection has hidden, within the bound. */
 const feedMarginMilliseconds = 1_200;
 const shortestFeedWait = 500;
@@ -51,7 +53,7 @@
     const clock = new SystemClock();
     const random = createSeededRandom(randomInt(seedLimit));
     const incarnation = randomBytes(incarnationBytes).toString("hex");
-    const logWriter = createLogWriter(undefined);
+    const logWriter = createLogWriter(settings.logFile);
     const eventLog = createLogfmtEventLog({
         processId: settings.processId,
         incarnation,
@@ -133,15 +135,28 @@
         }
     };
 
-    const stop = async () => {
+    /** Without it, the others would send datagrams to this address until the entry is stale. */
+    const leavePeers = () => {
+        const { address, port } = settings.peers;
+        const deadline = clock.monotonicNow() + leaveMilliseconds;
+        return adapters.peerRegistry.leave({ peerId: settings.processId, host: address, port }, deadline);
+    };
+
+    const stopOnce = async () => {
         isStopping = true;
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         await server.drain(clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
+        readiness.close();
+        await leavePeers();
         background.abort();
         parts.connections.close();
+        await adapters.close();
         logWriter.flush();
     };
 
+    let stopping: Promise<void> | undefined;
+    const stop = () => stopping ??= stopOnce();
+
     return { start, reload, stop };
 }
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -9,8 +9,8 @@
     readonly readiness: ListenAddress;
     /** Where the other processes of the fleet send datagrams. */
     readonly peers: ListenAddress;
-    /** Where counters are served as text; absent: nowhere. */
-    readonly metricsPort?: number;
+    /** Where log lines go; standard output if absent. */
+    readonly logFile?: string;
     /** How long after a disturbance of its links a process must be up to date again. */
     readonly contactMilliseconds: number;
     /** From the entry of a target that it is leaving until no new work may reach it. */
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -21,8 +21,8 @@
 }
 
 function findTestFiles() {
-    return fs.readdirSync("packages")
-        .map(name => path.join("packages", name, "dist"))
+    return [...fs.readdirSync("packages").map(name => path.join("packages", name)), "platform"]
+        .map(folder => path.join(folder, "dist"))
         .filter(folder => fs.existsSync(folder))
         .flatMap(listTestFiles)
         .filter(hasSource)
