--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -0,0 +1,90 @@
+import { createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import type { PromptDescription } from "../../../ports/forwardedCall.js";
+import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
+import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
+import { createCacheBeliefs } from "../createCacheBeliefs.js";
+import { createCallPlacement, type PromptDemand } from "../createCallPlacement.js";
+import { createClosedTargets } from "../createClosedTargets.js";
+import { createPaceView } from "../createPaceView.js";
+import { createTargetHealth } from "../createTargetHealth.js";
+import { createTargetList } from "../createTargetList.js";
+import { createTargetLoads } from "../createTargetLoads.js";
+
+/** Long prompts share a beginning of this many tokens. */
+export const sharedTokens = 13_000;
+const ownTokens = 4_000;
+
+/** The service that the placement tests use; its figures are those of a model of some ten billion parameters. */
+export const engineService: ForwardService = {
+    name: "engines",
+    maxConnections: 100,
+    engine: { kvTokens: 385_000, bytesPerToken: 163_840, linkMegabits: 1_300_000, tokensPerEvent: 9 },
+};
+
+/** A long prompt whose beginning many others share. */
+export function createLongPrompt(shared: string, own: string): PromptDescription {
+    return {
+        model: "m",
+        promptTokens: sharedTokens + ownTokens,
+        maxOutputTokens: 200,
+        expectedOutputTokens: 100,
+        parts: [{ partId: shared, tokens: sharedTokens }, { partId: own, tokens: ownTokens }],
+    };
+}
+
+/** A short prompt with a short answer. */
+export function createShortPrompt(own: string): PromptDescription {
+    return {
+        model: "m",
+        promptTokens: 380,
+        maxOutputTokens: 9,
+        expectedOutputTokens: 5,
+        parts: [{ partId: own, tokens: 380 }],
+    };
+}
+
+/** Asks for the placement of a prompt. */
+export function createDemand(prompt: PromptDescription, changes: Partial<PromptDemand> = {}): PromptDemand {
+    return {
+        service: engineService,
+        prompt,
+        bodyBytes: prompt.promptTokens * 2,
+        avoid: new Set(),
+        isWholeOnly: false,
+        aim: 500,
+        ...changes,
+    };
+}
+
+/** A placement policy over real views, on a clock that the test moves. */
+export function createPlacementBench(stages: readonly (EngineStage | undefined)[], seed = 1) {
+    const clock = new FakeClock();
+    const eventLog = new MemoryEventLog();
+    const targets = createTargetList({ decode: (targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog });
+    const listed = stages.map((stage, index): ListedTarget => ({
+        targetId: `i-${index}`,
+        service: engineService.name,
+        address: `10.0.0.${index}:80`,
+        availabilityZone: `zone-${index % 3}`,
+        slots: 24,
+        isLeaving: false,
+        stage,
+    }));
+    targets.replace(listed.map(target => ({ key: target.targetId, version: 1, text: JSON.stringify(target) })));
+    const loads = createTargetLoads(clock);
+    const health = createTargetHealth(clock, eventLog);
+    const caches = createCacheBeliefs(clock);
+    const paces = createPaceView();
+    const closed = createClosedTargets(clock);
+    const placement = createCallPlacement({
+        targets,
+        loads,
+        health,
+        caches,
+        paces,
+        closed,
+        random: createSeededRandom(seed),
+        availabilityZone: "zone-0",
+    });
+    return { clock, eventLog, targets, listed, loads, health, caches, paces, closed, placement };
+}
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -85,10 +85,12 @@
 /** A plain target in another availability zone is taken only if it has this many calls fewer, in parts of its slots. */
 const otherZonePenalty = 0.35;
 /**
- * Reading or decoding elsewhere than at the home of a prompt's beginning counts as so much later: what the home keeps
- * serves all that begin alike, and elsewhere it would push out what others begin with.
+ * Reading elsewhere than at the home of a prompt's beginning counts as so much later, in parts of the time to read the
+ * beginning: what the home keeps serves all that begin alike, and a second copy pushes out what others begin with.
  */
-const strayMilliseconds = 70;
+const strayReadingFraction = 0.5;
+/** The same for decoding: the home keeps what it fetches, and can read such prompts when the others are full. */
+const strayDecodingMilliseconds = 70;
 /**
  * Prompts that are read between the steps of a batch stretch each step, and with it the pause between two events of an
  * answer. A millisecond of such reading counts so many for an answer of several events, up to a limit.
@@ -158,8 +160,8 @@
         return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine, demand) };
     };
 
-    const strayCost = (step: PlacedStep, home: string | undefined) =>
-        home !== undefined && step.target.targetId !== home ? strayMilliseconds : 0;
+    const strayCost = (step: PlacedStep, home: string | undefined, milliseconds: number) =>
+        home !== undefined && step.target.targetId !== home ? milliseconds : 0;
 
     const pauseCost = ({ prompt, service }: PromptDemand, engine: ListedTarget) => {
         const hasPauses = prompt.expectedOutputTokens > (service.engine?.tokensPerEvent ?? 1);
@@ -175,7 +177,8 @@
     ): CostedWay | undefined => {
         const { prompt, bodyBytes } = demand;
         const steps = engines.readers.map(engine => estimateStep(engine, demand, isDeferred));
-        const readCost = (step: PlacedStep) => costOf(step, bodyBytes) + strayCost(step, engines.readerHome);
+        const stray = estimatePrefill(sumShared(prompt), 0, false) * strayReadingFraction;
+        const readCost = (step: PlacedStep) => costOf(step, bodyBytes) + strayCost(step, engines.readerHome, stray);
         const prefill = findLeast(steps, readCost);
         if (!prefill) {
             return undefined;
@@ -195,7 +198,7 @@
         const decodeCost = (step: PlacedStep) => {
             const pause = pauseCost(demand, step.target);
             return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause
-                + strayCost(step, engines.decoderHome);
+                + strayCost(step, engines.decoderHome, strayDecodingMilliseconds);
         };
         const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
         if (!decode) {
