--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -12,6 +12,7 @@
     createTargetLoads,
     createWindowedRetryBudget,
     type ForwardingKeeper,
+    type ForwardingMetrics,
     type ForwardingParts,
     type TargetList,
 } from "daisyturn/forwarding";
@@ -26,6 +27,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly eventLog: EventLog;
+    readonly metrics: ForwardingMetrics;
 }
 
 /** The parts of one process, with the followers of the tables that feed them. */
@@ -36,7 +38,7 @@
 
 /** Creates the parts that a forwarded call passes through, and ties them to the coming and going of targets. */
 export function createForwardingParts(options: ForwardingPartsOptions): ForwardingProcessParts {
-    const { adapters, settings, clock, random, eventLog } = options;
+    const { adapters, settings, clock, random, eventLog, metrics } = options;
     const keeper = createForwardingKeeper({
         key: adapters.configurationKey,
         decode: adapters.decodeConfiguration,
@@ -75,6 +77,7 @@
         budget,
         connections,
         protocol: adapters.targetProtocol,
+        metrics,
         clock,
         eventLog,
     };
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -1,4 +1,5 @@
 import {
+    createBoundedEventLog,
     createHybridLogicalClock,
     createLogfmtEventLog,
     createSeededRandom,
@@ -10,6 +11,7 @@
     createForwardServer,
     followTable,
     type FollowTiming,
+    NoForwardingMetrics,
     openDatagramChannel,
     serveForwardedCall,
     shareLoads,
@@ -17,6 +19,7 @@
 import { randomBytes, randomInt } from "node:crypto";
 import { createLogWriter } from "../entry/createLogWriter.js";
 import { createForwardingParts } from "./createForwardingParts.js";
+import { createMetricsServer } from "./createMetricsServer.js";
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
@@ -54,19 +57,23 @@
     const random = createSeededRandom(randomInt(seedLimit));
     const incarnation = randomBytes(incarnationBytes).toString("hex");
     const logWriter = createLogWriter(settings.logFile);
-    const eventLog = createLogfmtEventLog({
+    const metricsServer = settings.metrics && createMetricsServer(settings.metrics);
+    const lines = createLogfmtEventLog({
         processId: settings.processId,
         incarnation,
         hybridClock: createHybridLogicalClock(clock),
         writeLine: logWriter.writeLine,
     });
+    const eventLog = createBoundedEventLog(lines, clock);
     const parts = createForwardingParts({
         adapters,
         settings: () => settings,
         clock,
         random,
         eventLog,
+        metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
     });
+    metricsServer?.observe(parts);
     const server = createForwardServer({
         listen: settings.callers,
         protocol: adapters.callerProtocol,
@@ -119,6 +126,7 @@
         follow();
         actWithPeers();
         await readiness.start();
+        await metricsServer?.start();
         await server.start();
     };
 
@@ -148,6 +156,7 @@
         await server.drain(clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
+        metricsServer?.close();
         await leavePeers();
         background.abort();
         parts.connections.close();
--- /dev/null
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -0,0 +1,100 @@
+import { type CallOutcome, ForwardingMetrics, type ForwardingParts, type ListenAddress } from "daisyturn/forwarding";
+import { createServer } from "node:http";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Counters of one process, and the address at which they are served as text. */
+export interface MetricsServer {
+    readonly metrics: ForwardingMetrics;
+    /** Adds what is read at the moment of asking. */
+    observe(parts: Pick<ForwardingParts, "keeper" | "targets">): void;
+    start(): Promise<void>;
+    close(): void;
+}
+
+/** Upper bounds in seconds, around the aims of plain calls and of prompts. */
+const latencyBuckets = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
+const millisecondsPerSecond = 1_000;
+
+/** Creates the counters. Labels have a handful of values each, whatever routes and targets there are. */
+export function createMetricsServer(listen: ListenAddress): MetricsServer {
+    const registry = new Registry();
+    const registers = [registry];
+    const calls = new Counter({
+        name: "daisyturn_calls_total",
+        help: "Calls by kind of route and by how they ended",
+        labelNames: ["kind", "outcome"],
+        registers,
+    });
+    const firstByte = new Histogram({
+        name: "daisyturn_first_byte_seconds",
+        help: "From a call's arrival to the first byte of its answer",
+        labelNames: ["kind"],
+        buckets: latencyBuckets,
+        registers,
+    });
+    const sends = new Counter({
+        name: "daisyturn_sends_total",
+        help: "Sends to targets by result",
+        labelNames: ["result"],
+        registers,
+    });
+
+    class RegistryMetrics extends ForwardingMetrics {
+        override noteCall(kind: string, outcome: CallOutcome, milliseconds: number): void {
+            calls.inc({ kind, outcome });
+            firstByte.observe({ kind }, milliseconds / millisecondsPerSecond);
+        }
+
+        override noteSend(result: string): void {
+            sends.inc({ result });
+        }
+    }
+
+    const observe = ({ keeper, targets }: Pick<ForwardingParts, "keeper" | "targets">) => {
+        new Gauge({
+            name: "daisyturn_configuration_version",
+            help: "Version of the configuration in force; 0 before the first",
+            registers,
+            collect() {
+                this.set(keeper.current()?.configuration.version ?? 0);
+            },
+        });
+        new Gauge({
+            name: "daisyturn_open_targets",
+            help: "Targets that take new work, by service",
+            labelNames: ["service"],
+            registers,
+            collect() {
+                this.reset();
+                const services = keeper.current()?.configuration.services.keys() ?? [];
+                [...services].forEach(service => this.set({ service }, targets.open(service).length));
+            },
+        });
+    };
+
+    const server = createServer((incoming, outgoing) => {
+        incoming.resume();
+        void registry.metrics().then(text => {
+            outgoing.writeHead(200, { "Content-Type": registry.contentType });
+            outgoing.end(text);
+        }, () => outgoing.destroy());
+    });
+    const start = () =>
+        new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(listen.port, listen.address, () => {
+                server.off("error", reject);
+                resolve();
+            });
+        });
+
+    return {
+        metrics: new RegistryMetrics(),
+        observe,
+        start,
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -9,6 +9,8 @@
     readonly readiness: ListenAddress;
     /** Where the other processes of the fleet send datagrams. */
     readonly peers: ListenAddress;
+    /** Where counters are served as text; nowhere if absent. */
+    readonly metrics?: ListenAddress;
     /** Where log lines go; standard output if absent. */
     readonly logFile?: string;
     /** How long after a disturbance of its links a process must be up to date again. */
--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -1,3 +1,4 @@
+export { createBoundedEventLog, defaultEventLogBounds, type EventLogBounds } from "./boundedEventLog.js";
 export { Clock, SystemClock } from "./clock.js";
 export { type EventFields, EventKind, EventLog, MemoryEventLog, type RecordedEvent } from "./eventLog.js";
 export { type Failure, FailureReason, mayHaveRun, notRun } from "./failure.js";
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -51,7 +51,7 @@
 
     const take = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
         running += 1;
-        const exchange = createForwardExchange(outgoing, connection, () => isClosing);
+        const exchange = createForwardExchange(outgoing, connection, () => isClosing, () => clock.monotonicNow());
         let bodyBytes = 0;
         const reserve = (byteCount: number) => {
             bodyBytes += byteCount;
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -8,6 +8,8 @@
     /** Aborted once the caller is gone; the reason is a `Failure`. */
     readonly signal: AbortSignal;
     isHeadSent(): boolean;
+    /** Monotonic time at which the first byte of the answer was sent; undefined before. */
+    firstByteAt(): number | undefined;
     /** Sends a whole answer. */
     answer(status: number, fields: HeaderFields, body: Buffer): void;
     /** Begins an answer whose length is not known yet. */
@@ -29,8 +31,10 @@
     outgoing: ServerResponse,
     connection: CallerConnection,
     isClosing: () => boolean,
+    now: () => number,
 ): ForwardExchange {
     const gone = new AbortController();
+    let firstByteAt: number | undefined;
     const closed = new Promise<void>(resolve => {
         const finish = () => {
             connection.closeListeners.delete(leave);
@@ -48,6 +52,7 @@
     });
 
     const writeHead = (status: number, fields: HeaderFields) => {
+        firstByteAt = now();
         outgoing.sendDate = false;
         if (isClosing()) {
             outgoing.shouldKeepAlive = false;
@@ -58,6 +63,7 @@
     return {
         signal: gone.signal,
         closed,
+        firstByteAt: () => firstByteAt,
         isHeadSent: () => outgoing.headersSent,
         answer: (status, fields, body) => {
             if (outgoing.headersSent || gone.signal.aborted) {
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -24,6 +24,7 @@
 export * from "./process/forwarding/createTargetLoads.js";
 export * from "./process/forwarding/createWindowedRetryBudget.js";
 export * from "./process/forwarding/followTable.js";
+export * from "./process/forwarding/forwardingMetrics.js";
 export * from "./process/forwarding/planStage.js";
 export * from "./process/forwarding/shareLoads.js";
 export * from "./process/lease.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -0,0 +1,27 @@
+/** How a call ended, for counters; few values, so that labels stay few. */
+export enum CallOutcome {
+    OnTime = "on_time",
+    Late = "late",
+    /** The target's own error was passed on. */
+    TargetError = "target_error",
+    Refused = "refused",
+    Failed = "failed",
+    /** The answer was broken off after it had begun. */
+    BrokenOff = "broken_off",
+    /** The caller left first. */
+    Cancelled = "cancelled",
+}
+
+/** Counts calls. Where the counts go is for whoever embeds the library to say. */
+export abstract class ForwardingMetrics {
+    /** @param milliseconds from the call's arrival to the first byte of its answer */
+    abstract noteCall(kind: string, outcome: CallOutcome, milliseconds: number): void;
+    /** Notes one send to a target by its result: `answered`, or the reason of its failure. */
+    abstract noteSend(result: string): void;
+}
+
+/** Counts nothing. */
+export class NoForwardingMetrics extends ForwardingMetrics {
+    override noteCall(): void {}
+    override noteSend(): void {}
+}
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -11,6 +11,7 @@
     const exchange: ForwardExchange = {
         signal: new AbortController().signal,
         closed: Promise.resolve(),
+        firstByteAt: () => undefined,
         isHeadSent: () => begun > 0,
         answer: () => undefined,
         begin: () => {
--- a/packages/daisyturn/src/request/forwarding/callRun.ts
+++ b/packages/daisyturn/src/request/forwarding/callRun.ts
@@ -4,6 +4,7 @@
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isWorthAnotherTarget, maySendAgain } from "../retryPolicy.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import type { RequestTrace } from "./requestTrace.js";
 
 /** One forwarded call on its way, and what its attempts have shown. */
 export interface CallRun {
@@ -16,6 +17,7 @@
     /** Monotonic time at which the answer must be whole. */
     readonly deadline: number;
     readonly history: FailureHistory;
+    readonly trace: RequestTrace;
     /** Targets that failed this call. */
     readonly avoid: Set<string>;
     /** Targets that were sent this call to run it. */
@@ -37,6 +39,7 @@
     exchange: ForwardExchange,
     signal: AbortSignal,
     deadline: number,
+    trace: RequestTrace,
 ): CallRun {
     const history = createFailureHistory();
     return {
@@ -47,6 +50,7 @@
         signal,
         deadline,
         history,
+        trace,
         avoid: new Set(),
         sentTo: new Set(),
     };
@@ -78,8 +82,7 @@
     if (isSpent || (reachedTarget && !parts.budget.tryTake(run.service.name))) {
         return false;
     }
-    parts.eventLog.record(EventKind.RequestRetried, {
-        request: run.call.callId,
+    run.trace.note(EventKind.RequestRetried, {
         reason: failure.reason,
         verdict: failure.verdict,
         attempts: run.history.attempts,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -11,6 +11,7 @@
 import type { TargetList } from "../../process/forwarding/createTargetList.js";
 import type { TargetLoads } from "../../process/forwarding/createTargetLoads.js";
 import type { WindowedRetryBudget } from "../../process/forwarding/createWindowedRetryBudget.js";
+import type { ForwardingMetrics } from "../../process/forwarding/forwardingMetrics.js";
 
 /** The parts of the process that a forwarded call passes through. */
 export interface ForwardingParts {
@@ -26,6 +27,7 @@
     readonly budget: WindowedRetryBudget;
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
+    readonly metrics: ForwardingMetrics;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/requestTrace.ts
@@ -0,0 +1,46 @@
+import type { EventFields, EventKind, EventLog } from "daisyturn-utils";
+import { hashTextTo32Bits } from "../../process/rendezvous.js";
+
+/**
+ * The decisions that touched one call, kept until its end is known. A call that failed or came late is logged whole, an
+ * ordinary one only if it is among those sampled: so the log of any failed call is complete, and what succeeds costs
+ * nearly nothing.
+ */
+export interface RequestTrace {
+    note(kind: EventKind, fields: EventFields): void;
+    /** Logs what was noted, or forgets it. */
+    end(isOrdinary: boolean): void;
+}
+
+/** Every so many-th ordinary call is logged; chosen by its identifier, so that all processes choose the same. */
+const sampledCalls = 64;
+/** Decisions kept of one call; a call is tried a few times at most. */
+const mostNotes = 24;
+
+interface Note {
+    readonly kind: EventKind;
+    readonly fields: EventFields;
+}
+
+/** Creates the trace of one call. `now` is the monotonic clock. */
+export function createRequestTrace(
+    eventLog: EventLog,
+    callId: string,
+    arrivedAt: number,
+    now: () => number,
+): RequestTrace {
+    const notes: Note[] = [];
+    const isSampled = hashTextTo32Bits(callId) % sampledCalls === 0;
+    return {
+        note: (kind, fields) => {
+            if (notes.length < mostNotes) {
+                notes.push({ kind, fields: { request: callId, after: Math.round(now() - arrivedAt), ...fields } });
+            }
+        },
+        end: isOrdinary => {
+            if (!isOrdinary || isSampled) {
+                notes.forEach(({ kind, fields }) => eventLog.record(kind, fields));
+            }
+        },
+    };
+}
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -1,4 +1,4 @@
-import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
+import { EventKind, type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { CallCost } from "../../process/forwarding/createTargetLoads.js";
 import { CallKind } from "../../version/forwarding/forwardingConfiguration.js";
@@ -17,6 +17,12 @@
         if (!target) {
             return err(concludeRun(run, describeNoTarget(run, parts.clock)));
         }
+        run.trace.note(EventKind.RequestPlaced, {
+            target: target.targetId,
+            zone: target.availabilityZone,
+            calls: Math.round(parts.loads.calls(target.targetId)),
+            slots: target.slots,
+        });
         const reply = await sendToTarget(parts, run, {
             target,
             terms: {},
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -53,6 +53,7 @@
         if (!way) {
             return err(concludeRun(run, describeNoTarget(run, parts.clock)));
         }
+        recordPlacement(run, way);
         const tooLate = findLateness(parts, run, way, relay);
         if (tooLate) {
             return err(concludeRun(run, tooLate));
@@ -86,6 +87,22 @@
     }
 }
 
+function recordPlacement(
+    { trace }: CallRun,
+    { prefill: reader, decode: decoder, firstEvent, isDeferred }: PromptWay,
+): void {
+    trace.note(EventKind.RequestPlaced, {
+        reader: reader?.target.targetId,
+        readerWait: reader && Math.round(reader.wait),
+        readerWork: reader && Math.round(reader.work),
+        target: decoder.target.targetId,
+        wait: Math.round(decoder.wait),
+        work: Math.round(decoder.work),
+        firstEvent: Math.round(firstEvent),
+        deferred: isDeferred,
+    });
+}
+
 /** Reading a prompt makes no answer, so it may be repeated whatever the route says. */
 function toRepeatable(failure: Failure): Failure {
     return { ...failure, verdict: ExecutionVerdict.NotRun };
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -1,4 +1,12 @@
-import { type Clock, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import {
+    type Clock,
+    EventKind,
+    ExecutionVerdict,
+    type Failure,
+    FailureReason,
+    mayHaveRun,
+    notRun,
+} from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
@@ -56,6 +64,13 @@
     const wait = health.beginWait(target.targetId);
     const watch = watchSilence(clock, health, run.signal, target.targetId, send.isRepeatable);
 
+    run.trace.note(EventKind.RequestDispatched, {
+        target: target.targetId,
+        address: target.address,
+        part: describePart(send),
+        remaining: Math.round(run.deadline - clock.monotonicNow()),
+        calls: Math.round(loads.calls(target.targetId)),
+    });
     const noteFirstByte = () => {
         work.finishHeavyPart();
         wait.end();
@@ -102,6 +117,7 @@
         },
     );
     watch.end();
+    recordSend(parts, run, send, reply.head, result);
     work.end();
     wait.end();
     const judged = judge(result, reply.head, Buffer.concat(pieces), reply.bytes > maxCollectedBytes && !send.onPiece);
@@ -109,6 +125,27 @@
     return judged;
 }
 
+function describePart({ terms }: CallSend): string {
+    return terms.prefillOnly ? "prefill" : terms.kvSource ? "decode" : "whole";
+}
+
+function recordSend(
+    parts: ForwardingParts,
+    run: CallRun,
+    { target }: CallSend,
+    head: ReplyHead | undefined,
+    result: Result<void, Failure>,
+): void {
+    parts.metrics.noteSend(result.isErr ? result.error.reason : head?.isNotRun ? "not_run" : "answered");
+    run.trace.note(EventKind.TargetAnswered, {
+        target: target.targetId,
+        status: head?.status,
+        isNotRun: head?.isNotRun,
+        load: head?.load && `${head.load.running}+${head.load.waiting}/${head.load.slots}`,
+        reason: result.isErr ? result.error.message : undefined,
+    });
+}
+
 function judge(
     result: Result<void, Failure>,
     head: ReplyHead | undefined,
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -2,11 +2,13 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import { CallOutcome } from "../../process/forwarding/forwardingMetrics.js";
 import { chooseService } from "../../version/forwarding/createRouteTable.js";
 import { startRequestLife } from "../requestLife.js";
 import { type CallRun, createCallRun } from "./callRun.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { refuseCall } from "./refuseCall.js";
+import { createRequestTrace, type RequestTrace } from "./requestTrace.js";
 import { runPlainCall } from "./runPlainCall.js";
 import { runPromptCall } from "./runPromptCall.js";
 import type { TargetReply } from "./sendToTarget.js";
@@ -16,6 +18,7 @@
 
 const noConfigurationRetryMilliseconds = 300;
 const overloadRetryMilliseconds = 250;
+const firstErrorStatus = 500;
 
 /** Serves one forwarded call: finds its route, has targets run it, and answers or refuses it. */
 export async function serveForwardedCall(
@@ -23,9 +26,10 @@
     call: ForwardedCall,
     exchange: ForwardExchange,
 ): Promise<void> {
-    const started = startRun(parts, call, exchange);
+    const trace = createRequestTrace(parts.eventLog, call.callId, call.arrivedAt, () => parts.clock.monotonicNow());
+    const started = startRun(parts, call, exchange, trace);
     if (started.isErr) {
-        recordRefusal(parts, call, started.error);
+        recordEnd(parts, trace, undefined, "unrouted", started.error);
         refuseCall(exchange, started.error, parts.clock);
         return;
     }
@@ -33,13 +37,12 @@
     parts.budget.noteRequest(run.service.name);
     const answer = await runCall(parts, run);
     end();
-    if (answer.isErr) {
-        const failure = adviseReturn(parts, answer.error);
-        recordRefusal(parts, call, failure, run);
+    const failure = answer.isErr ? adviseReturn(parts, answer.error) : undefined;
+    recordEnd(parts, trace, run, run.route.kind, failure, answer.unwrapOr(undefined));
+    if (failure) {
         refuseCall(exchange, failure, parts.clock);
-        return;
     }
-    if (answer.value) {
+    else if (answer.isOk && answer.value) {
         const { head, body } = answer.value;
         exchange.answer(head.status, head.forwardedFields, body);
     }
@@ -50,6 +53,7 @@
     parts: ForwardingParts,
     call: ForwardedCall,
     exchange: ForwardExchange,
+    trace: RequestTrace,
 ): Result<{ run: CallRun; end: () => void; }, Failure> {
     const table = parts.keeper.current();
     if (!table) {
@@ -66,7 +70,14 @@
     const deadline = Math.min(call.deadline, call.arrivedAt + route.timeoutMilliseconds);
     const wallDeadline = parts.clock.wallNow() + deadline - parts.clock.monotonicNow();
     const life = startRequestLife(parts.clock, exchange.signal, wallDeadline);
-    return ok({ run: createCallRun(call, route, service, exchange, life.signal, deadline), end: life.end });
+    trace.note(EventKind.RequestAccepted, {
+        route: route.name,
+        service: serviceName,
+        generation: table.configuration.version,
+        remaining: Math.round(deadline - parts.clock.monotonicNow()),
+        tokens: call.prompt?.promptTokens,
+    });
+    return ok({ run: createCallRun(call, route, service, exchange, life.signal, deadline, trace), end: life.end });
 }
 
 async function runCall(parts: ForwardingParts, run: CallRun): Promise<Result<Answer, Failure>> {
@@ -84,15 +95,52 @@
     return isAdvised ? failure : { ...failure, retryAt: parts.clock.wallNow() + overloadRetryMilliseconds };
 }
 
-function recordRefusal(parts: ForwardingParts, call: ForwardedCall, failure: Failure, run?: CallRun): void {
-    const kind = failure.reason === FailureReason.Cancelled ? EventKind.RequestCancelled : EventKind.RequestRefused;
-    parts.eventLog.record(kind, {
-        request: call.callId,
-        route: run?.route.name,
-        reason: failure.reason,
-        verdict: failure.verdict,
-        afterMilliseconds: Math.round(parts.clock.monotonicNow() - call.arrivedAt),
-        targets: run && [...run.avoid].join(","),
-        cause: failure.message,
+/** Counts the call, and logs it whole unless it was answered on time. */
+function recordEnd(
+    parts: ForwardingParts,
+    trace: RequestTrace,
+    run: CallRun | undefined,
+    kind: string,
+    failure: Failure | undefined,
+    reply?: Answer,
+): void {
+    const arrivedAt = run?.call.arrivedAt ?? parts.clock.monotonicNow();
+    const milliseconds = (run?.exchange.firstByteAt() ?? parts.clock.monotonicNow()) - arrivedAt;
+    const outcome = judgeOutcome(run, milliseconds, failure, reply);
+    parts.metrics.noteCall(kind, outcome, milliseconds);
+    trace.note(failure ? kindOfFailure(failure) : EventKind.RequestAnswered, {
+        outcome,
+        firstByte: Math.round(milliseconds),
+        aim: run?.route.latencyAimMilliseconds,
+        status: reply?.head.status,
+        reason: failure?.reason,
+        verdict: failure?.verdict,
+        cause: failure?.message,
     });
+    trace.end(outcome === CallOutcome.OnTime);
+}
+
+function kindOfFailure(failure: Failure): EventKind {
+    return failure.reason === FailureReason.Cancelled ? EventKind.RequestCancelled : EventKind.RequestRefused;
+}
+
+function judgeOutcome(
+    run: CallRun | undefined,
+    milliseconds: number,
+    failure: Failure | undefined,
+    reply: Answer,
+): CallOutcome {
+    if (failure) {
+        if (failure.reason === FailureReason.Cancelled) {
+            return CallOutcome.Cancelled;
+        }
+        if (run?.exchange.isHeadSent()) {
+            return CallOutcome.BrokenOff;
+        }
+        return failure.verdict === ExecutionVerdict.NotRun ? CallOutcome.Refused : CallOutcome.Failed;
+    }
+    if (reply && reply.head.status >= firstErrorStatus) {
+        return CallOutcome.TargetError;
+    }
+    return milliseconds <= (run?.route.latencyAimMilliseconds ?? Infinity) ? CallOutcome.OnTime : CallOutcome.Late;
 }
