A process at its limit refuses at once what it could only pass on too late

One of a zone's two processes was frozen, the other got six times its traffic and was at its processor's limit; requests waited in the kernel's queue of connections, where the event loop's lag (under 80 ms) does not show. Change: a guard goes by lag, by the turn under way and by the loop's utilization, refuses a growing part at once with leave to ask elsewhere, and is not ready while that lasts; at most 128 connections wait to be taken. Tests without the bench: createOverloadGuard.test.ts.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -9,6 +9,7 @@
 } from "daisyturn-utils";
 import {
     createForwardServer,
+    createOverloadGuard,
     followTable,
     type FollowTiming,
     NoForwardingMetrics,
@@ -17,6 +18,7 @@
     shareLoads,
 } from "daisyturn/forwarding";
 import { randomBytes, randomInt } from "node:crypto";
+import { performance } from "node:perf_hooks";
 import { createLogWriter } from "../entry/createLogWriter.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
@@ -74,16 +76,21 @@
         metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
     });
     metricsServer?.observe(parts);
+    const takeUtilization = createUtilizationMeter();
+    const overloadGuard = createOverloadGuard({ clock, random, eventLog, takeUtilization });
     const server = createForwardServer({
         listen: settings.callers,
         protocol: adapters.callerProtocol,
         serve: (call, exchange) => serveForwardedCall(parts, call, exchange),
+        shouldRefuse: overloadGuard.shouldRefuse,
         clock,
         eventLog,
     });
     const background = new AbortController();
     let isStopping = false;
-    const isReady = () => !isStopping && parts.keeper.current() !== undefined && parts.targets.isKnown();
+    const isReady = () =>
+        !isStopping && !overloadGuard.isOverwhelmed() && parts.keeper.current() !== undefined
+        && parts.targets.isKnown();
     const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady);
     parts.keeper.onChanged(table => server.setLimits(table.configuration.limits));
 
@@ -123,6 +130,7 @@
 
     const start = async () => {
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
+        void overloadGuard.run(background.signal);
         follow();
         actWithPeers();
         await readiness.start();
@@ -169,3 +177,14 @@
 
     return { start, reload, stop };
 }
+
+/** Creates a meter that tells, at each call, how busy the event loop was since the call before. */
+function createUtilizationMeter(): () => number {
+    let last = performance.eventLoopUtilization();
+    return () => {
+        const now = performance.eventLoopUtilization();
+        const { utilization } = performance.eventLoopUtilization(now, last);
+        last = now;
+        return utilization;
+    };
+}
--- a/packages/daisyturn-utils/src/boundedEventLog.ts
+++ b/packages/daisyturn-utils/src/boundedEventLog.ts
@@ -16,7 +16,7 @@
 
 const millisecondsPerSecond = 1_000;
 
-/** Creates a log that passes on at most so many lines; what it drops it counts, and tells with the next line. */
+/** Creates a log that passes on at most so many lines; what it drops it counts, and tells once a second. */
 export function createBoundedEventLog(
     inner: EventLog,
     clock: Clock,
@@ -25,6 +25,7 @@
     let tokens = bounds.burst;
     let filledAt = clock.monotonicNow();
     let dropped = 0;
+    let toldAt = -Infinity;
 
     const fill = () => {
         const now = clock.monotonicNow();
@@ -34,7 +35,8 @@
     };
 
     const tellDropped = () => {
-        if (dropped > 0) {
+        if (dropped > 0 && clock.monotonicNow() - toldAt >= millisecondsPerSecond) {
+            toldAt = clock.monotonicNow();
             inner.record(EventKind.LogLinesDropped, { lines: dropped });
             dropped = 0;
         }
--- a/packages/daisyturn-utils/src/eventLog.ts
+++ b/packages/daisyturn-utils/src/eventLog.ts
@@ -8,6 +8,8 @@
     ProcessDraining = "process_draining",
     ProcessStopped = "process_stopped",
     OutOfService = "out_of_service",
+    /** The process has more to do than its processor bears, and refuses a part of the calls. */
+    Overloaded = "overloaded",
     BackInService = "back_in_service",
     RequestAccepted = "request_accepted",
     RequestRefused = "request_refused",
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -27,6 +27,8 @@
     readonly listen: ListenAddress;
     readonly protocol: CallerProtocol;
     readonly serve: (call: ForwardedCall, exchange: ForwardExchange) => Promise<void>;
+    /** Whether a call that arrives now is to be refused unread, since the process is behind. */
+    readonly shouldRefuse: () => boolean;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -38,6 +40,11 @@
 /** The balancer asks once a second and gives up after two misses; connections under way arrive a little later. */
 const balancerNoticeMilliseconds = 2_400;
 const drainPollMilliseconds = 50;
+/**
+ * Connections that wait to be taken. A process at its limit takes a few hundred a second; those behind would wait longer
+ * than their callers do, who are better served by another process.
+ */
+const connectionBacklog = 128;
 
 /** Creates the server. */
 export function createForwardServer(options: ForwardServerOptions): ForwardServer {
@@ -76,6 +83,11 @@
         reserve: (byteCount: number) => boolean,
     ) => {
         const arrivedAt = clock.monotonicNow();
+        if (options.shouldRefuse()) {
+            const message = "This process is overloaded; ask again elsewhere.";
+            refuseUnread(outgoing, exchange, notRun(FailureReason.Overloaded, message, clock.wallNow()));
+            return;
+        }
         const described = protocol.describeCall(incoming.rawHeaders);
         const fault = checkHeaderSize(incoming, limits) ?? (described.isErr ? described.error : undefined);
         if (fault || described.isErr) {
@@ -130,7 +142,8 @@
     const start = () =>
         new Promise<void>((resolve, reject) => {
             server.once("error", reject);
-            server.listen(options.listen.port, options.listen.address, () => {
+            const { port, address: host } = options.listen;
+            server.listen({ port, host, backlog: connectionBacklog }, () => {
                 server.off("error", reject);
                 resolve();
             });
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -17,6 +17,7 @@
 export * from "./process/forwarding/createCallPlacement.js";
 export * from "./process/forwarding/createClosedTargets.js";
 export * from "./process/forwarding/createForwardingKeeper.js";
+export * from "./process/forwarding/createOverloadGuard.js";
 export * from "./process/forwarding/createPaceView.js";
 export * from "./process/forwarding/createReadingDemand.js";
 export * from "./process/forwarding/createTargetHealth.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__tests__/createOverloadGuard.test.ts
@@ -0,0 +1,99 @@
+import { Clock, createSeededRandom, EventKind, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createOverloadGuard } from "../createOverloadGuard.js";
+
+/** A clock on which each sleep ends as late as the test says. */
+class LateClock extends Clock {
+    late = 0;
+    now = 0;
+
+    override monotonicNow(): number {
+        return this.now;
+    }
+
+    override wallNow(): number {
+        return this.now;
+    }
+
+    override async sleepUntil(deadline: number): Promise<void> {
+        this.now = deadline + this.late;
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+function createGuard(clock: Clock, eventLog: MemoryEventLog, takeUtilization = () => 0.3) {
+    return createOverloadGuard({ clock, random: createSeededRandom(1), eventLog, takeUtilization });
+}
+
+test("refusals grow with the lag and fade with it, and a lasting lag sends new connections elsewhere", async () => {
+    const clock = new LateClock();
+    const eventLog = new MemoryEventLog();
+    const guard = createGuard(clock, eventLog);
+    const stop = new AbortController();
+    const running = guard.run(stop.signal);
+    const turns = async (count: number) => {
+        for (let turn = 0; turn < count; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    };
+    const refusedOf1000 = () => Array.from({ length: 1_000 }, () => guard.shouldRefuse()).filter(Boolean).length;
+
+    await turns(5);
+    assert.equal(refusedOf1000(), 0);
+    clock.late = 190;
+    await turns(3);
+    const some = refusedOf1000();
+    assert.ok(some > 300 && some < 600, `${some}`);
+    clock.late = 600;
+    await turns(6);
+    const most = refusedOf1000();
+    assert.ok(most > 850 && most < 950, `${most}`);
+    assert.equal(guard.isOverwhelmed(), true);
+    clock.late = 1;
+    await turns(60);
+    assert.equal(refusedOf1000(), 0);
+    assert.equal(guard.isOverwhelmed(), false);
+    assert.deepEqual(eventLog.events.map(event => event.kind), [EventKind.Overloaded, EventKind.BackInService]);
+    stop.abort();
+    await running;
+});
+
+test("calls are refused within a turn that is long already, before any timer could fire", async () => {
+    const clock = new LateClock();
+    const guard = createGuard(clock, new MemoryEventLog());
+    const stop = new AbortController();
+    const running = guard.run(stop.signal);
+    const refusedOf1000 = () => Array.from({ length: 1_000 }, () => guard.shouldRefuse()).filter(Boolean).length;
+    assert.equal(refusedOf1000(), 0);
+    clock.now += 500;
+    assert.ok(refusedOf1000() > 850);
+    stop.abort();
+    await running;
+});
+
+test("an event loop that is never idle refuses more and more, and fewer again once it has idle time", async () => {
+    const clock = new LateClock();
+    let utilization = 1;
+    const guard = createGuard(clock, new MemoryEventLog(), () => utilization);
+    const stop = new AbortController();
+    const running = guard.run(stop.signal);
+    const turns = async (count: number) => {
+        for (let turn = 0; turn < count; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    };
+    const refusedOf1000 = () => Array.from({ length: 1_000 }, () => guard.shouldRefuse()).filter(Boolean).length;
+    await turns(18);
+    const early = refusedOf1000();
+    assert.ok(early > 50 && early < 500, `${early}`);
+    await turns(40);
+    assert.ok(refusedOf1000() > 850);
+    assert.equal(guard.isOverwhelmed(), true);
+    utilization = 0.6;
+    await turns(80);
+    assert.equal(refusedOf1000(), 0);
+    assert.equal(guard.isOverwhelmed(), false);
+    stop.abort();
+    await running;
+});
