--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
@@ -0,0 +1,164 @@
+import { FakeClock, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ok } from "true-myth/result";
+import { EngineOrders, OrderAnswer, type StageOrder } from "../../../ports/engineOrders.js";
+import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
+import type { Lease, LeaseKeeper } from "../../lease.js";
+import { changeStages } from "../changeStages.js";
+import { createClosedTargets } from "../createClosedTargets.js";
+import { createReadingDemand } from "../createReadingDemand.js";
+import { createTargetList } from "../createTargetList.js";
+import { createTargetLoads } from "../createTargetLoads.js";
+
+interface SceneOptions {
+    readonly readers: number;
+    readonly decoders: number;
+    readonly answer?: OrderAnswer;
+    readonly isPlanner?: boolean;
+    readonly isLeaseHeld?: () => boolean;
+}
+
+function createScene(options: SceneOptions) {
+    const clock = new FakeClock();
+    const eventLog = new MemoryEventLog();
+    const targets = createTargetList({ decode: (targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog });
+    const loads = createTargetLoads(clock);
+    const closed = createClosedTargets(clock);
+    const sent: (StageOrder & { readonly wasClosed: boolean; readonly at: number; })[] = [];
+    const list = (targetId: string, stage: EngineStage) =>
+        targets.change([{
+            key: targetId,
+            version: 1,
+            text: JSON.stringify({
+                targetId,
+                service: "engines",
+                address: "10.0.0.1:80",
+                availabilityZone: "z",
+                slots: 8,
+                isLeaving: false,
+                stage,
+            }),
+        }]);
+    targets.replace([]);
+    for (let index = 0; index < options.readers; index++) {
+        list(`p${index}`, EngineStage.Prefill);
+    }
+    for (let index = 0; index < options.decoders; index++) {
+        list(`d${index}`, EngineStage.Decode);
+    }
+
+    class RecordedOrders extends EngineOrders {
+        override async readStatus(target: ListedTarget) {
+            return ok({ stage: target.stage, isBusy: false, orders: 3 }) as never;
+        }
+
+        override async changeStage(order: StageOrder): Promise<OrderAnswer> {
+            const { targetId } = order.target;
+            sent.push({ ...order, wasClosed: closed.isClosed(targetId), at: clock.monotonicNow() });
+            return options.answer ?? OrderAnswer.Accepted;
+        }
+    }
+
+    const lease: Lease = {
+        name: "stages",
+        fencingNumber: 7,
+        deadline: () => Infinity,
+        isHeld: options.isLeaseHeld ?? (() => true),
+        fencingRow: { key: "k", version: 1 },
+    };
+    let isRunning = false;
+    const leaseKeeper: LeaseKeeper = {
+        current: () => isRunning ? lease : undefined,
+        run: async signal => {
+            isRunning = true;
+            await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve()));
+            isRunning = false;
+        },
+        onAcquired: () => undefined,
+        onLost: () => undefined,
+        beforeRelease: () => undefined,
+    };
+    const stop = new AbortController();
+    const done = changeStages({
+        holder: "entry-1",
+        listServices: () => ["engines"],
+        kvTokens: () => 1_000,
+        targets,
+        loads,
+        demand: createReadingDemand(clock),
+        closed,
+        orders: new RecordedOrders(),
+        leaseKeeper,
+        isPlanner: () => options.isPlanner ?? true,
+        leaseMilliseconds: 3_000,
+        closingMilliseconds: () => 300,
+        clock,
+        eventLog,
+    }, stop.signal);
+    const end = async () => {
+        stop.abort();
+        await clock.advance(20_000);
+        await done;
+    };
+    return { clock, sent, list, closed, end, isLeaseKept: () => isRunning };
+}
+
+test("an engine takes over a stage that has none, closed before it is ordered and open once it has changed", async () => {
+    const { clock, sent, list, closed, end } = createScene({ readers: 3, decoders: 0 });
+    await clock.advance(3_000);
+    const [first] = sent;
+    assert.ok(first);
+    assert.deepEqual([first.stage, first.fencingNumber, first.expectedOrders], [EngineStage.Decode, 7, 3]);
+    assert.equal(first.wasClosed, true);
+    assert.ok(first.at <= 2_500, `ordered after ${first.at} ms`);
+    assert.equal(closed.isClosed(first.target.targetId), true);
+    list(first.target.targetId, EngineStage.Decode);
+    await clock.advance(600);
+    assert.equal(closed.isClosed(first.target.targetId), false);
+    await end();
+});
+
+test("no order is sent once the lease is not held, nor by a process that does not plan", async () => {
+    for (const options of [{ isLeaseHeld: () => false }, { isPlanner: false }]) {
+        const { clock, sent, end } = createScene({ readers: 3, decoders: 0, ...options });
+        await clock.advance(10_000);
+        assert.deepEqual(sent, []);
+        await end();
+    }
+});
+
+test("an order without an answer is not repeated while it may still be carried out", async () => {
+    const { clock, sent, closed, end } = createScene({ readers: 1, decoders: 0, answer: OrderAnswer.Unknown });
+    await clock.advance(5_000);
+    assert.equal(sent.length, 0, "the last engine of a stage is not taken where it is the only engine");
+    await end();
+
+    const two = createScene({ readers: 2, decoders: 0, answer: OrderAnswer.Unknown });
+    await two.clock.advance(7_000);
+    assert.equal(two.sent.length, 1);
+    assert.equal(two.closed.isClosed(two.sent[0]?.target.targetId ?? ""), true);
+    await two.end();
+    assert.equal(closed.isClosed("p0"), false);
+});
+
+test("the lease is kept for its length after the last need, and then given back", async () => {
+    const { clock, sent, list, end, isLeaseKept } = createScene({ readers: 3, decoders: 0 });
+    await clock.advance(3_000);
+    sent.forEach(order => list(order.target.targetId, EngineStage.Decode));
+    list("d8", EngineStage.Decode);
+    list("d9", EngineStage.Decode);
+    await clock.advance(1_000);
+    assert.equal(isLeaseKept(), true);
+    await clock.advance(6_000);
+    assert.equal(isLeaseKept(), false);
+    await end();
+});
+
+test("a fleet whose mix it bears is left alone, without a lease", async () => {
+    const { clock, sent, end, isLeaseKept } = createScene({ readers: 3, decoders: 5 });
+    await clock.advance(15_000);
+    assert.deepEqual(sent, []);
+    assert.equal(isLeaseKept(), false);
+    await end();
+});
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__tests__/shareLoads.test.ts
@@ -0,0 +1,118 @@
+import { type Failure, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ok, type Result } from "true-myth/result";
+import { PeerRegistry, type RegisteredPeer } from "../../../ports/peerRegistry.js";
+import { createCacheBeliefs } from "../createCacheBeliefs.js";
+import { createClosedTargets } from "../createClosedTargets.js";
+import { createReadingDemand } from "../createReadingDemand.js";
+import { createTargetLoads } from "../createTargetLoads.js";
+import { DatagramChannel, shareLoads } from "../shareLoads.js";
+
+/** Processes that hear each other at once, unless the test cuts them off. */
+function createProcesses(count: number) {
+    const clock = new FakeClock();
+    const listeners = new Map<string, (datagram: Buffer) => void>();
+    const all: RegisteredPeer[] = [];
+    let sent = 0;
+    let bytes = 0;
+
+    class SharedRegistry extends PeerRegistry {
+        override async refresh(self: RegisteredPeer): Promise<Result<readonly RegisteredPeer[], Failure>> {
+            if (!all.some(peer => peer.peerId === self.peerId)) {
+                all.push(self);
+            }
+            return ok([...all]);
+        }
+
+        override async leave(): Promise<void> {}
+    }
+
+    const stop = new AbortController();
+    const processes = Array.from({ length: count }, (value, index) => {
+        const self = { peerId: `entry-${String(index).padStart(3, "0")}`, host: "10.0.0.1", port: index };
+        class LocalChannel extends DatagramChannel {
+            override send(peer: RegisteredPeer, datagram: Buffer): void {
+                sent += 1;
+                bytes += datagram.length;
+                listeners.get(peer.peerId)?.(datagram);
+            }
+
+            override onDatagram(listener: (datagram: Buffer) => void): void {
+                listeners.set(self.peerId, listener);
+            }
+        }
+        const loads = createTargetLoads(clock);
+        const caches = createCacheBeliefs(clock);
+        const closed = createClosedTargets(clock);
+        const view = shareLoads({
+            self,
+            registry: new SharedRegistry(),
+            channel: new LocalChannel(),
+            loads,
+            caches,
+            demand: createReadingDemand(clock),
+            closed,
+            clock,
+            eventLog: new MemoryEventLog(),
+        }, stop.signal);
+        return { self, loads, caches, closed, view };
+    });
+    return { clock, processes, listeners, stop, counts: () => ({ sent, bytes }) };
+}
+
+test("processes tell each other work, kept parts and closed engines", async () => {
+    const { clock, processes, stop } = createProcesses(3);
+    await clock.advance(6_000);
+    const [first, second] = processes;
+    assert.ok(first && second);
+    const work = first.loads.begin("engine", { work: 80, isDeferred: false, tokens: 500 });
+    first.caches.note("engine", [{ partId: "guide", tokens: 9_000 }, { partId: "own", tokens: 10 }], 100_000);
+    first.closed.close("other", clock.monotonicNow() + 5_000);
+    await clock.advance(250);
+    assert.equal(second.loads.wait("engine", false), 80);
+    assert.equal(second.loads.tokens("engine"), 500);
+    assert.equal(
+        second.caches.keptTokens("engine", [{ partId: "guide", tokens: 9_000 }, { partId: "x", tokens: 1 }]),
+        9_000,
+    );
+    assert.equal(second.closed.isClosed("other"), true);
+    assert.deepEqual(processes.map(({ view }) => view.isFirst()), [true, false, false]);
+    work.end();
+    first.closed.reopen("other");
+    await clock.advance(250);
+    assert.equal(second.loads.wait("engine", false), 0);
+    stop.abort();
+});
+
+test("what is no message of a peer changes nothing", async () => {
+    const { clock, processes, listeners, stop } = createProcesses(2);
+    await clock.advance(2_000);
+    const texts = ["", "{", "[]", "null", "{\"method\":\"load\"}", "{\"method\":\"load\",\"params\":{\"from\":1}}"];
+    texts.push(
+        JSON.stringify({ method: "load", params: { from: "x", work: [["a"]], kept: [], demand: [], closed: [] } }),
+    );
+    texts.forEach(text => listeners.get("entry-001")?.(Buffer.from(text)));
+    assert.equal(processes[1]?.loads.calls("a"), 0);
+    stop.abort();
+});
+
+test("what a process sends stays bounded, however many peers there are", async () => {
+    for (const count of [3, 9, 70]) {
+        const { clock, processes, counts, stop } = createProcesses(count);
+        await clock.advance(16_000);
+        processes.forEach(({ loads }) => {
+            for (let engine = 0; engine < 20; engine++) {
+                loads.begin(`i-${engine}`, { work: 10, isDeferred: false, tokens: 300 });
+            }
+        });
+        const before = counts();
+        await clock.advance(3_000);
+        const perSecond = (counts().sent - before.sent) / count / 3;
+        const bytesPerSecond = (counts().bytes - before.bytes) / count / 3;
+        assert.ok(perSecond > 1 && perSecond <= 90, `${count} processes: ${perSecond} datagrams a second each`);
+        assert.ok(bytesPerSecond <= 60_000, `${count} processes: ${bytesPerSecond} bytes a second each`);
+        stop.abort();
+        await clock.advance(20_000);
+    }
+});
