--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -17,7 +17,6 @@
 /** The service that the placement tests use; its figures are those of a model of some ten billion parameters. */
 export const engineService: ForwardService = {
     name: "engines",
-    maxConnections: 100,
     engine: { kvTokens: 385_000, bytesPerToken: 163_840, linkMegabits: 1_300_000, tokensPerEvent: 9 },
 };
 
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -95,9 +95,7 @@
                         loads.noteReport(target.targetId, head.load);
                     }
                     reply.head = head;
-                    return head.callId === run.call.callId
-                        ? undefined
-                        : mayHaveRun(FailureReason.TargetFailed, "The answer belongs to another call.");
+                    return checkOrigin(run, send, head);
                 },
                 onChunk: chunk => {
                     health.noteHeard(target.targetId);
@@ -125,6 +123,17 @@
     return judged;
 }
 
+/** An answer counts only if it names the call and, where it is a success for the caller, is signed by its target. */
+function checkOrigin(run: CallRun, send: CallSend, head: ReplyHead): Failure | undefined {
+    if (head.callId !== run.call.callId) {
+        return mayHaveRun(FailureReason.TargetFailed, "The answer belongs to another call.");
+    }
+    const isForCaller = !send.terms.prefillOnly && head.status < firstFailureStatus;
+    return isForCaller && !head.isStamped
+        ? mayHaveRun(FailureReason.TargetFailed, "The answer is not signed by its target.")
+        : undefined;
+}
+
 function describePart({ terms }: CallSend): string {
     return terms.prefillOnly ? "prefill" : terms.kvSource ? "decode" : "whole";
 }
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -66,7 +66,7 @@
     if (!route || serviceName === undefined) {
         return err(notRun(FailureReason.NotFound, "No route takes this host and path."));
     }
-    const service = table.configuration.services.get(serviceName) ?? { name: serviceName, maxConnections: 1 };
+    const service = table.configuration.services.get(serviceName) ?? { name: serviceName };
     const deadline = Math.min(call.deadline, call.arrivedAt + route.timeoutMilliseconds);
     const wallDeadline = parts.clock.wallNow() + deadline - parts.clock.monotonicNow();
     const life = startRequestLife(parts.clock, exchange.signal, wallDeadline);
--- a/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
+++ b/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
@@ -50,8 +50,6 @@
 /** A group of targets that do the same work. */
 export interface ForwardService {
     readonly name: string;
-    /** Connections that one target accepts from all callers together. */
-    readonly maxConnections: number;
     /** Absent for plain services. */
     readonly engine?: EngineTraits;
 }
