Streams of plain services are passed on as they come

Cause: a stream route on a service without engines would have been collected whole before it was sent.

--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -1,23 +1,17 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
-import { err, ok, type Result } from "true-myth/result";
+import { err, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
 import { countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/createCallPlacement.js";
+import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
-import { sendToTarget, type TargetReply } from "./sendToTarget.js";
-
-/** How a prompt call ended: by a stream that was passed on, or by an answer that is still to be sent. */
-export interface PromptOutcome {
-    readonly isPassedOn: boolean;
-    readonly reply: TargetReply;
-}
+import { sendToTarget } from "./sendToTarget.js";
 
 /** A prefill that failed is tried elsewhere so often before the prompt is read where it is decoded. */
 const mostPrefills = 2;
 const firstFailureStatus = 300;
-const firstErrorStatus = 500;
 /** Priorities of routes start here, and as many follow for calls that are late. The target's range is 0 to 9. */
 const firstUrgency = 2;
 const mostPriorities = 4;
@@ -38,7 +32,7 @@
     parts: ForwardingParts,
     run: CallRun,
     prompt: PromptDescription,
-): Promise<Result<PromptOutcome, Failure>> {
+): Promise<Result<CallAnswer, Failure>> {
     const relay = createEventRelay(run.exchange);
     let prefills = 0;
     for (;;) {
@@ -142,7 +136,7 @@
     way: PromptWay,
     kvSource: KvSource | undefined,
     relay: EventRelay,
-): Promise<Result<PromptOutcome, Failure>> {
+): Promise<Result<CallAnswer, Failure>> {
     const { target, work, wait } = way.decode;
     const startedAt = parts.clock.monotonicNow();
     const reply = await sendToTarget(parts, run, {
@@ -168,19 +162,6 @@
     return concludeStream(run, relay, reply.value);
 }
 
-function concludeStream(run: CallRun, relay: EventRelay, reply: TargetReply): Result<PromptOutcome, Failure> {
-    const { status, forwardedFields } = reply.head;
-    if (status < firstFailureStatus) {
-        relay.end(status, forwardedFields);
-        return ok({ isPassedOn: true, reply });
-    }
-    const isError = status >= firstErrorStatus;
-    if (relay.hasBegun() || (isError && isRepeatable(run.route) && run.sentTo.size < run.route.maxAttempts)) {
-        return err(mayHaveRun(FailureReason.TargetFailed, `The engine answered with status ${status}.`));
-    }
-    return ok({ isPassedOn: false, reply });
-}
-
 /** A target that refused the call has not fetched the cache, or can't: then it lapses by itself soon. */
 function hasBeenFetched(failure: Failure): boolean {
     return failure.verdict !== ExecutionVerdict.NotRun;
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -82,11 +82,10 @@
 
 async function runCall(parts: ForwardingParts, run: CallRun): Promise<Result<Answer, Failure>> {
     const { prompt } = run.call;
-    if (!prompt || !run.service.engine) {
-        return runPlainCall(parts, run);
-    }
-    const outcome = await runPromptCall(parts, run, prompt);
-    return outcome.map(({ isPassedOn, reply }) => isPassedOn ? undefined : reply);
+    const answer = prompt && run.service.engine
+        ? await runPromptCall(parts, run, prompt)
+        : await runPlainCall(parts, run);
+    return answer.map(({ isPassedOn, reply }) => isPassedOn ? undefined : reply);
 }
 
 /** Where the request has not run and nothing better is known, the caller may come back soon. */
