--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,44 @@
     message: "Use undefined, not null; a library that demands null gets a named constant.",
 };
 
+/** The parts of `process/`. A part may use only those named before it, so there are no cycles between them. */
+const processParts = [
+    "peers",
+    "store",
+    "configuration",
+    "targets",
+    "lease",
+    "membership",
+    "health",
+    "load",
+    "claims",
+    "routing",
+    "admission",
+    "orders",
+    "roles",
+    "forwarding",
+];
+
+const processFolder = "packages/daisyturn/src/process";
+
+/** Forbids imports whose path matches. */
+function forbidImports(regex, message) {
+    return { "no-restricted-imports": ["error", { patterns: [{ regex, message }] }] };
+}
+
+const throughIndex = "Import a part of process/ through its index.js.";
+
+/** Rules of one part: no way past the index of another part, and nothing of a later part. */
+function partRules(part, index) {
+    const later = processParts.slice(index).join("|");
+    const earlier = processParts.slice(0, index).join("|") || "none";
+    const regex = `^\\.\\./(?:(?:${earlier})/(?!index\\.js$)|(?:${later})/)`;
+    return {
+        files: [`${processFolder}/${part}/*.ts`],
+        rules: forbidImports(regex, `${throughIndex} ${part} may use only: ${earlier}.`),
+    };
+}
+
 export default tseslint.config(
     { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "target/**"] },
     ...tseslint.configs.recommended,
@@ -33,6 +71,12 @@
             ],
         },
     },
+    {
+        files: ["packages/daisyturn/src/**/*.ts"],
+        ignores: [`${processFolder}/**`, "**/__tests__/**", "**/__fixtures__/**"],
+        rules: forbidImports(`^(?:\\.\\.?/)+process/(?:${processParts.join("|")})/(?!index\\.js$)`, throughIndex),
+    },
+    ...processParts.map(partRules),
     {
         // A test's describe block holds many short cases; the file limit still applies.
         files: ["**/__tests__/**", "**/__fixtures__/**"],
--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -1,5 +1,6 @@
 export { createBoundedEventLog, defaultEventLogBounds, type EventLogBounds } from "./boundedEventLog.js";
 export { Clock, SystemClock } from "./clock.js";
+export { createDecayingRate, type DecayingRate } from "./decayingRate.js";
 export { type EventFields, EventKind, EventLog, MemoryEventLog, type RecordedEvent } from "./eventLog.js";
 export { type Failure, FailureReason, mayHaveRun, notRun } from "./failure.js";
 export { FakeClock } from "./fakeClock.js";
@@ -9,5 +10,6 @@
 export { type JsonObject, type JsonValue, toJson } from "./jsonValue.js";
 export { createLogfmtEventLog, type EventLogOptions } from "./logfmtEventLog.js";
 export { createSeededRandom, Random } from "./random.js";
+export { hashTextTo32Bits, rendezvousWeight, weightedRendezvous } from "./rendezvous.js";
 export { formatUserError, UserError, type UserErrorDetails } from "./userError.js";
 export { ExecutionVerdict } from "./verdict.js";
--- a/packages/daisyturn/src/__fixtures__/__tests__/fakePeerNetwork.test.ts
+++ b/packages/daisyturn/src/__fixtures__/__tests__/fakePeerNetwork.test.ts
@@ -1,7 +1,7 @@
 import { ExecutionVerdict, FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { PeerMethod } from "../../process/peerNetwork.js";
+import { PeerMethod } from "../../process/peers/index.js";
 import { createFakeIdentity, createFakePeerNetworks } from "../fakePeerNetwork.js";
 
 function createPair() {
--- a/packages/daisyturn/src/__fixtures__/fakePeerNetwork.ts
+++ b/packages/daisyturn/src/__fixtures__/fakePeerNetwork.ts
@@ -1,7 +1,12 @@
 import { type Clock, type Failure, FailureReason, type JsonObject, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { DialingPeerNetwork, type HelloListener } from "../process/dialingPeerNetwork.js";
-import type { PeerHandler, PeerMethod, ProcessIdentity } from "../process/peerNetwork.js";
+import {
+    DialingPeerNetwork,
+    type HelloListener,
+    type PeerHandler,
+    type PeerMethod,
+    type ProcessIdentity,
+} from "../process/peers/index.js";
 
 /** What happens to messages from one process to another. */
 interface Route {
--- a/packages/daisyturn/src/connection/__fixtures__/peerNetworks.ts
+++ b/packages/daisyturn/src/connection/__fixtures__/peerNetworks.ts
@@ -1,6 +1,6 @@
 import { type Clock, createHybridLogicalClock, createSeededRandom, MemoryEventLog, SystemClock } from "daisyturn-utils";
 import type { TestContext } from "node:test";
-import type { ProcessIdentity } from "../../process/peerNetwork.js";
+import type { ProcessIdentity } from "../../process/peers/index.js";
 import { createPeerNetwork, type PeerNetworkOptions, type TcpPeerNetwork } from "../createPeerNetwork.js";
 
 const pollInterval = 5;
--- a/packages/daisyturn/src/connection/__tests__/createPeerNetwork.test.ts
+++ b/packages/daisyturn/src/connection/__tests__/createPeerNetwork.test.ts
@@ -13,7 +13,7 @@
 import { describe, it, type TestContext } from "node:test";
 import { generate } from "selfsigned";
 import type { Result } from "true-myth/result";
-import { PeerMethod } from "../../process/peerNetwork.js";
+import { PeerMethod } from "../../process/peers/index.js";
 import {
     connectNetworks,
     createLocalIdentity,
--- a/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
@@ -10,7 +10,7 @@
     type StreamEvent,
     StreamEventKind,
 } from "../../../ports/engine.js";
-import { PlacementOutcome } from "../../../process/router.js";
+import { PlacementOutcome } from "../../../process/routing/index.js";
 import { ItemKind } from "../../../version/configurationItems.js";
 import { postCompletion, streamCompletion, waitUntil } from "../__fixtures__/callerRequests.js";
 import { type BenchOptions, createCallerBench, createEnginePair } from "../__fixtures__/createCallerBench.js";
--- a/packages/daisyturn/src/connection/caller/callerServerOptions.ts
+++ b/packages/daisyturn/src/connection/caller/callerServerOptions.ts
@@ -1,4 +1,4 @@
-import type { RetryBudgetOptions } from "../../process/createRetryBudget.js";
+import type { RetryBudgetOptions } from "../../process/admission/index.js";
 import type { ProcessParts } from "../../request/requestParts.js";
 
 /** Where to listen. */
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -1,7 +1,7 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { createRetryBudget, defaultRetryBudget } from "../../process/createRetryBudget.js";
+import { createRetryBudget, defaultRetryBudget } from "../../process/admission/index.js";
 import type { RequestParts } from "../../request/requestParts.js";
 import { createResumeTokens } from "../../request/resumeToken.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
--- a/packages/daisyturn/src/connection/createPeerNetwork.ts
+++ b/packages/daisyturn/src/connection/createPeerNetwork.ts
@@ -11,8 +11,13 @@
 import { once } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
 import { err, type Result } from "true-myth/result";
-import { DialingPeerNetwork, type HelloListener } from "../process/dialingPeerNetwork.js";
-import { type PeerHandler, PeerMethod, type ProcessIdentity } from "../process/peerNetwork.js";
+import {
+    DialingPeerNetwork,
+    type HelloListener,
+    type PeerHandler,
+    PeerMethod,
+    type ProcessIdentity,
+} from "../process/peers/index.js";
 import { createPeerAcceptor } from "./peerAcceptor.js";
 import { createPeerDialer } from "./peerDialer.js";
 import { HandshakeMethod, introduceTo } from "./peerHandshake.js";
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -1,7 +1,7 @@
 import { EventKind, type EventLog } from "daisyturn-utils";
 import { createSocket } from "node:dgram";
 import type { RegisteredPeer } from "../../ports/peerRegistry.js";
-import { DatagramChannel } from "../../process/forwarding/shareLoads.js";
+import { DatagramChannel } from "../../process/forwarding/index.js";
 
 /** A channel over UDP, and its end. */
 export interface OpenDatagramChannel {
--- a/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
+++ b/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
@@ -7,7 +7,7 @@
     type CellProcess,
     type ConfigurationCell,
     createConfigurationCell,
-} from "../../../process/__fixtures__/configurationCell.js";
+} from "../../../process/configuration/__fixtures__/configurationCell.js";
 import {
     createHold,
     createModelService,
--- a/packages/daisyturn/src/connection/operator/configurationRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/configurationRoutes.ts
@@ -1,6 +1,6 @@
 import { type Clock, type IdSource, toJson } from "daisyturn-utils";
-import type { FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
-import type { Membership, ProcessIdentity } from "../../process/peerNetwork.js";
+import type { FleetConfigurationKeeper } from "../../process/configuration/index.js";
+import type { Membership, ProcessIdentity } from "../../process/peers/index.js";
 import { createChangeRoutes } from "./createChangeRoutes.js";
 import { createItemRoutes } from "./createItemRoutes.js";
 import { createRetirementRoutes } from "./createRetirementRoutes.js";
--- a/packages/daisyturn/src/connection/operator/createChangeRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/createChangeRoutes.ts
@@ -1,6 +1,6 @@
 import { type IdSource, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import type { FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
+import type { FleetConfigurationKeeper } from "../../process/configuration/index.js";
 import { changeBodySchema, writeIdSchema } from "../../version/itemSchemas.js";
 import { showChange } from "./itemVisibility.js";
 import { refuseProblem } from "./operatorAnswers.js";
--- a/packages/daisyturn/src/connection/operator/createItemRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/createItemRoutes.ts
@@ -1,6 +1,6 @@
 import { type IdSource, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import type { FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
+import type { FleetConfigurationKeeper } from "../../process/configuration/index.js";
 import { ChangeAction } from "../../version/configurationChange.js";
 import { formatItemIdentity, type ItemIdentity, ItemKind } from "../../version/configurationItems.js";
 import { identitySchema, itemSchema } from "../../version/itemSchemas.js";
--- a/packages/daisyturn/src/connection/operator/createRetirementRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/createRetirementRoutes.ts
@@ -1,6 +1,6 @@
 import { type Clock, type IdSource, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import { ChangeState, type FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
+import { ChangeState, type FleetConfigurationKeeper } from "../../process/configuration/index.js";
 import { ChangeAction, type RemoveItem } from "../../version/configurationChange.js";
 import { type ItemIdentity, ItemKind, type Service } from "../../version/configurationItems.js";
 import { identitySchema } from "../../version/itemSchemas.js";
--- a/packages/daisyturn/src/connection/operator/createTargetRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/createTargetRoutes.ts
@@ -1,5 +1,5 @@
 import { type IdSource, toJson } from "daisyturn-utils";
-import type { FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
+import type { FleetConfigurationKeeper } from "../../process/configuration/index.js";
 import { ChangeAction, type ItemChange } from "../../version/configurationChange.js";
 import { HoldKind, ItemKind } from "../../version/configurationItems.js";
 import { holdSchema } from "../../version/itemSchemas.js";
--- a/packages/daisyturn/src/connection/operator/publishForOperator.ts
+++ b/packages/daisyturn/src/connection/operator/publishForOperator.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, type IdSource, notRun, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import type { FleetConfigurationKeeper } from "../../process/fleetConfigurationKeeper.js";
+import type { FleetConfigurationKeeper } from "../../process/configuration/index.js";
 import type { ItemChange } from "../../version/configurationChange.js";
 import { writeIdSchema } from "../../version/itemSchemas.js";
 import type { OperatorAnswer, OperatorIdentity } from "./operatorRoutes.js";
--- a/packages/daisyturn/src/connection/peerAcceptor.ts
+++ b/packages/daisyturn/src/connection/peerAcceptor.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog, type JsonObject } from "daisyturn-utils";
 import type { Socket } from "node:net";
-import type { ProcessIdentity } from "../process/peerNetwork.js";
+import type { ProcessIdentity } from "../process/peers/index.js";
 import { type CellKey, createHandshakeAnswerer, HandshakeMethod } from "./peerHandshake.js";
 import type { PeerLink } from "./peerLinks.js";
 import { createRefusal, type RpcAnswerer, type RpcConnection } from "./rpcConnection.js";
--- a/packages/daisyturn/src/connection/peerHandshake.ts
+++ b/packages/daisyturn/src/connection/peerHandshake.ts
@@ -1,8 +1,7 @@
 import { equalInConstantTime, type JsonObject, toJson } from "daisyturn-utils";
 import { createHmac, randomBytes } from "node:crypto";
 import { z } from "zod";
-import type { ProcessIdentity } from "../process/peerNetwork.js";
-import { processIdentitySchema } from "../process/processIdentitySchema.js";
+import { type ProcessIdentity, processIdentitySchema } from "../process/peers/index.js";
 import { createRefusal, type RpcConnection } from "./rpcConnection.js";
 
 /** Calls of the handshake; no other call is taken before it is done. */
--- a/packages/daisyturn/src/connection/peerLinks.ts
+++ b/packages/daisyturn/src/connection/peerLinks.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import type { ProcessIdentity } from "../process/peerNetwork.js";
+import type { ProcessIdentity } from "../process/peers/index.js";
 import type { RpcConnection } from "./rpcConnection.js";
 
 /** A connection whose peer has proved who it is. */
--- a/packages/daisyturn/src/process/__fixtures__/createLimitsBench.ts
+++ b/packages/daisyturn/src/process/admission/__fixtures__/createLimitsBench.ts
@@ -1,11 +1,10 @@
 import { FakeClock } from "daisyturn-utils";
-import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
-import { createAccount } from "../../version/__fixtures__/items.js";
+import { createFakeIdentity, createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
+import { createAccount } from "../../../version/__fixtures__/items.js";
+import { createLoadExchange, MemberState } from "../../peers/index.js";
+import { createFixedKeeper, createScriptedMembership } from "../../routing/__fixtures__/createDecisionBench.js";
 import { createAccountLimits } from "../accountLimits.js";
 import type { AdmissionTicket } from "../admission.js";
-import { createLoadExchange } from "../loadExchange.js";
-import { MemberState } from "../peerNetwork.js";
-import { createFixedKeeper, createScriptedMembership } from "./createDecisionBench.js";
 
 /** Milliseconds; every third exchange tells everything. */
 const exchangeInterval = 100;
--- a/packages/daisyturn/src/process/__tests__/createAdmission.test.ts
+++ b/packages/daisyturn/src/process/admission/__tests__/createAdmission.test.ts
@@ -2,9 +2,13 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import type { Result } from "true-myth/result";
-import { Priority } from "../../ports/engine.js";
-import { createAccount, createProfile } from "../../version/__fixtures__/items.js";
-import { createDecisionBench, createReport, createRoutingRequest } from "../__fixtures__/createDecisionBench.js";
+import { Priority } from "../../../ports/engine.js";
+import { createAccount, createProfile } from "../../../version/__fixtures__/items.js";
+import {
+    createDecisionBench,
+    createReport,
+    createRoutingRequest,
+} from "../../routing/__fixtures__/createDecisionBench.js";
 import type { AdmissionTicket } from "../admission.js";
 import type { AdmissionQueueBounds } from "../admissionQueue.js";
 import { createAdmission } from "../createAdmission.js";
--- a/packages/daisyturn/src/process/accountLimits.ts
+++ b/packages/daisyturn/src/process/admission/accountLimits.ts
@@ -1,11 +1,18 @@
-import { type Clock, type Failure, FailureReason, type JsonObject, notRun, toJson } from "daisyturn-utils";
+import {
+    type Clock,
+    createDecayingRate,
+    type DecayingRate,
+    type Failure,
+    FailureReason,
+    type JsonObject,
+    notRun,
+    toJson,
+} from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { type CallerAccount, ItemKind } from "../version/configurationItems.js";
+import { type CallerAccount, ItemKind } from "../../version/configurationItems.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import { ExchangeSection, type LoadExchange, type Membership, type ProcessIdentity } from "../peers/index.js";
 import type { AdmissionTicket } from "./admission.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import { createDecayingRate, type DecayingRate } from "./decayingRate.js";
-import { ExchangeSection, type LoadExchange } from "./loadExchange.js";
-import type { Membership, ProcessIdentity } from "./peerNetwork.js";
 
 /**
  * Rates and concurrencies of accounts over all entry processes, without a write to the store for each request.
--- a/packages/daisyturn/src/process/admission.ts
+++ b/packages/daisyturn/src/process/admission/admission.ts
@@ -1,7 +1,7 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { CallerAccount } from "../version/configurationItems.js";
-import type { RoutingRequest } from "./router.js";
+import type { CallerAccount } from "../../version/configurationItems.js";
+import type { RoutingRequest } from "../routing/index.js";
 
 /** Leave to go on; `release` must be called once when the request has ended. */
 export interface AdmissionTicket {
--- a/packages/daisyturn/src/process/admissionQueue.ts
+++ b/packages/daisyturn/src/process/admission/admissionQueue.ts
@@ -1,6 +1,6 @@
-import { Priority } from "../ports/engine.js";
-import { charactersPerToken } from "../request/promptBlocks.js";
-import type { RoutingRequest } from "./router.js";
+import { Priority } from "../../ports/engine.js";
+import { charactersPerToken } from "../../request/promptBlocks.js";
+import type { RoutingRequest } from "../routing/index.js";
 
 /** A request that waits for admission. */
 export interface WaitingRequest {
--- a/packages/daisyturn/src/process/createAdmission.ts
+++ b/packages/daisyturn/src/process/admission/createAdmission.ts
@@ -1,7 +1,11 @@
 import { type Clock, type EventLog, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { Priority } from "../ports/engine.js";
-import type { CallerAccount } from "../version/configurationItems.js";
+import { Priority } from "../../ports/engine.js";
+import type { CallerAccount } from "../../version/configurationItems.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { LoadView } from "../load/index.js";
+import type { Membership, PeerNetwork } from "../peers/index.js";
+import type { PlanningRouter, RoutingRequest } from "../routing/index.js";
 import { createAccountLimits } from "./accountLimits.js";
 import type { Admission, AdmissionTicket } from "./admission.js";
 import {
@@ -11,15 +15,10 @@
     type Lane,
     type WaitingRequest,
 } from "./admissionQueue.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import type { LoadView } from "./createLoadView.js";
-import type { PlanningRouter } from "./createRouter.js";
 import { createEngineRoom, type RoomAssessment } from "./engineRoom.js";
 import { createPartnerUse } from "./partnerUse.js";
-import type { Membership, PeerNetwork } from "./peerNetwork.js";
 import { createRetryTimes } from "./retryTimes.js";
 import { createRoomTurns } from "./roomTurns.js";
-import type { RoutingRequest } from "./router.js";
 
 /** What {@link createAdmission} needs. */
 export interface AdmissionOptions {
--- a/packages/daisyturn/src/process/engineRoom.ts
+++ b/packages/daisyturn/src/process/admission/engineRoom.ts
@@ -1,11 +1,9 @@
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import type { LoadView } from "./createLoadView.js";
-import type { PlanningRouter } from "./createRouter.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { LoadView } from "../load/index.js";
+import type { PlacementOption, PlanningRouter, RoutingRequest } from "../routing/index.js";
 import { computeFairShares } from "./fairShares.js";
 import type { PartnerUse } from "./partnerUse.js";
-import type { PlacementOption } from "./placementCost.js";
 import type { RoomTurns } from "./roomTurns.js";
-import type { RoutingRequest } from "./router.js";
 
 /** What is known of a request's chances now. */
 export interface RoomAssessment {
--- a/packages/daisyturn/src/process/partnerUse.ts
+++ b/packages/daisyturn/src/process/admission/partnerUse.ts
@@ -1,7 +1,5 @@
-import { type Clock, type JsonObject, toJson } from "daisyturn-utils";
-import { createDecayingRate, type DecayingRate } from "./decayingRate.js";
-import { ExchangeSection, type LoadExchange } from "./loadExchange.js";
-import type { Membership, ProcessIdentity } from "./peerNetwork.js";
+import { type Clock, createDecayingRate, type DecayingRate, type JsonObject, toJson } from "daisyturn-utils";
+import { ExchangeSection, type LoadExchange, type Membership, type ProcessIdentity } from "../peers/index.js";
 
 /** Engine time that each partner's requests take, over all entry processes. */
 export interface PartnerUse {
--- a/packages/daisyturn/src/process/roomTurns.ts
+++ b/packages/daisyturn/src/process/admission/roomTurns.ts
@@ -1,6 +1,5 @@
-import type { Clock } from "daisyturn-utils";
+import { type Clock, hashTextTo32Bits, weightedRendezvous } from "daisyturn-utils";
 import type { PartnerUse } from "./partnerUse.js";
-import { hashTextTo32Bits, weightedRendezvous } from "./rendezvous.js";
 
 /**
  * Who may fill an engine up at this moment. While work waits in several processes, each of them would see the same
--- a/packages/daisyturn/src/process/claimInquiry.ts
+++ b/packages/daisyturn/src/process/claims/claimInquiry.ts
@@ -1,8 +1,8 @@
 import { type Clock, type JsonObject, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import { answerSchema } from "../request/claimRow.js";
+import { answerSchema } from "../../request/claimRow.js";
+import { PeerMethod, type PeerNetwork, type ProcessIdentity } from "../peers/index.js";
 import { ClaimStage, type OwnClaims } from "./ownClaims.js";
-import { PeerMethod, type PeerNetwork, type ProcessIdentity } from "./peerNetwork.js";
 import { settlesBefore } from "./settlesBefore.js";
 
 /** How long the owner holds an inquiry back while its call runs, so that the asker hears of the end at once. */
--- a/packages/daisyturn/src/process/claimPruner.ts
+++ b/packages/daisyturn/src/process/claims/claimPruner.ts
@@ -9,11 +9,11 @@
 } from "daisyturn-utils";
 import Result from "true-myth/result";
 import { z } from "zod";
-import { absentVersion, type Row, TransactionOutcome } from "../ports/tableService.js";
-import { claimRowPrefix, ClaimRowState, parseClaimRow } from "../request/claimRow.js";
-import type { ProcessClaimKeeper } from "../request/createClaimKeeper.js";
-import type { Membership } from "./peerNetwork.js";
-import { type PagedStoreClient, StorePriority } from "./storeClient.js";
+import { absentVersion, type Row, TransactionOutcome } from "../../ports/tableService.js";
+import { claimRowPrefix, ClaimRowState, parseClaimRow } from "../../request/claimRow.js";
+import type { ProcessClaimKeeper } from "../../request/createClaimKeeper.js";
+import type { Membership } from "../peers/index.js";
+import { type PagedStoreClient, StorePriority } from "../store/index.js";
 
 /** Row in which the pruning processes hand the work to each other. */
 export const pruningRowKey = "claim-pruning";
--- /dev/null
+++ b/packages/daisyturn/src/process/claims/index.ts
@@ -0,0 +1,13 @@
+/**
+ * Rows that keep a call from running twice when its process ends midway.
+ *
+ * @module
+ */
+
+export * from "./claimExaminer.js";
+export * from "./claimInquiry.js";
+export * from "./claimPruner.js";
+export * from "./claimRecorder.js";
+export * from "./claimWriter.js";
+export * from "./ownClaims.js";
+export * from "./settlesBefore.js";
--- a/packages/daisyturn/src/process/ownClaims.ts
+++ b/packages/daisyturn/src/process/claims/ownClaims.ts
@@ -1,5 +1,5 @@
 import type { IdSource } from "daisyturn-utils";
-import type { ServiceAnswer } from "../ports/plainService.js";
+import type { ServiceAnswer } from "../../ports/plainService.js";
 
 /** How far an attempt of this process to run a call has come. */
 export enum ClaimStage {
--- a/packages/daisyturn/src/process/__fixtures__/configurationCell.ts
+++ b/packages/daisyturn/src/process/configuration/__fixtures__/configurationCell.ts
@@ -14,9 +14,9 @@
     createFakeIdentity,
     createFakePeerNetworks,
     type FakePeerNetworks,
-} from "../../__fixtures__/fakePeerNetwork.js";
-import { createFaultyTableService, type FaultyTableService } from "../../ports/faultyTableService.js";
-import { createMemoryTableService } from "../../ports/memoryTableService.js";
+} from "../../../__fixtures__/fakePeerNetwork.js";
+import { createFaultyTableService, type FaultyTableService } from "../../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import {
     RejectionCause,
     type Row,
@@ -24,12 +24,12 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../ports/tableService.js";
+} from "../../../ports/tableService.js";
+import { type Membership, MemberState, type PeerNetwork, type ProcessIdentity } from "../../peers/index.js";
+import { createStoreClient } from "../../store/index.js";
 import type { ConfigurationTiming } from "../configurationTiming.js";
 import { createConfigurationKeeper } from "../createConfigurationKeeper.js";
-import { createStoreClient } from "../createStoreClient.js";
 import type { FleetConfigurationKeeper } from "../fleetConfigurationKeeper.js";
-import { type Membership, MemberState, type PeerNetwork, type ProcessIdentity } from "../peerNetwork.js";
 
 /** Called before the store carries out a call of a process, and before its answer reaches the process. */
 export type StoreStep = (processId: string, step: string) => Promise<void>;
--- a/packages/daisyturn/src/process/__fixtures__/naiveConfiguration.ts
+++ b/packages/daisyturn/src/process/configuration/__fixtures__/naiveConfiguration.ts
@@ -1,6 +1,6 @@
 import { FailureReason } from "daisyturn-utils";
-import { ChangeAction, type ChangeRequest, type ItemChange } from "../../version/configurationChange.js";
-import { type ConfigurationItem, formatItemIdentity, ItemKind } from "../../version/configurationItems.js";
+import { ChangeAction, type ChangeRequest, type ItemChange } from "../../../version/configurationChange.js";
+import { type ConfigurationItem, formatItemIdentity, ItemKind } from "../../../version/configurationItems.js";
 
 /** The whole state of a configuration kept by one process under one lock. */
 export interface NaiveState {
--- a/packages/daisyturn/src/process/__tests__/adoptVersion.test.ts
+++ b/packages/daisyturn/src/process/configuration/__tests__/adoptVersion.test.ts
@@ -1,14 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { exploreInterleavings } from "../../__fixtures__/exploreInterleavings.js";
-import { TableFaultKind } from "../../ports/faultyTableService.js";
-import { createChangeRequest, createProfile, put } from "../../version/__fixtures__/items.js";
+import { exploreInterleavings } from "../../../__fixtures__/exploreInterleavings.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import { createChangeRequest, createProfile, put } from "../../../version/__fixtures__/items.js";
+import { MemberState } from "../../peers/index.js";
 import {
     type CellProcess,
     type ConfigurationCell,
     createConfigurationCell,
 } from "../__fixtures__/configurationCell.js";
-import { MemberState } from "../peerNetwork.js";
 
 enum PeerCondition {
     /** In force there: the newest generation. */
--- a/packages/daisyturn/src/process/__tests__/configurationDifferential.test.ts
+++ b/packages/daisyturn/src/process/configuration/__tests__/configurationDifferential.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../ports/faultyTableService.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import {
     createAccount,
     createChangeRequest,
@@ -12,9 +12,9 @@
     createTarget,
     put,
     remove,
-} from "../../version/__fixtures__/items.js";
-import type { ChangeRequest, ItemChange } from "../../version/configurationChange.js";
-import { type ConfigurationItem, formatItemIdentity } from "../../version/configurationItems.js";
+} from "../../../version/__fixtures__/items.js";
+import type { ChangeRequest, ItemChange } from "../../../version/configurationChange.js";
+import { type ConfigurationItem, formatItemIdentity } from "../../../version/configurationItems.js";
 import {
     assertNeverBack,
     type CellProcess,
--- a/packages/daisyturn/src/process/__tests__/configurationFailures.test.ts
+++ b/packages/daisyturn/src/process/configuration/__tests__/configurationFailures.test.ts
@@ -1,9 +1,10 @@
 import { EventKind, ExecutionVerdict, FailureReason, MemoryEventLog, toJson } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { TableFaultKind } from "../../ports/faultyTableService.js";
-import { createAccount, createChangeRequest, createProfile, put, remove } from "../../version/__fixtures__/items.js";
-import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import { createAccount, createChangeRequest, createProfile, put, remove } from "../../../version/__fixtures__/items.js";
+import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
+import { MemberState, PeerMethod } from "../../peers/index.js";
 import {
     assertNeverBack,
     type CellProcess,
@@ -13,7 +14,6 @@
 import { answerPull } from "../answerPull.js";
 import { changeKey, headKey } from "../configurationRows.js";
 import { createInForce } from "../createInForce.js";
-import { MemberState, PeerMethod } from "../peerNetwork.js";
 
 function createRequest(name: string, expectedGeneration?: number) {
     return createChangeRequest("north", `write-${name}`, [put(createProfile("north", name))], expectedGeneration);
--- a/packages/daisyturn/src/process/__tests__/configurationInterleavings.test.ts
+++ b/packages/daisyturn/src/process/configuration/__tests__/configurationInterleavings.test.ts
@@ -1,8 +1,9 @@
 import { FailureReason, toJson } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { exploreInterleavings } from "../../__fixtures__/exploreInterleavings.js";
-import { createChangeRequest, createProfile, put, remove } from "../../version/__fixtures__/items.js";
+import { exploreInterleavings } from "../../../__fixtures__/exploreInterleavings.js";
+import { createChangeRequest, createProfile, put, remove } from "../../../version/__fixtures__/items.js";
+import { PeerMethod } from "../../peers/index.js";
 import {
     assertNeverBack,
     type CellProcess,
@@ -10,7 +11,6 @@
     listAccepted,
 } from "../__fixtures__/configurationCell.js";
 import { ChangeState } from "../fleetConfigurationKeeper.js";
-import { PeerMethod } from "../peerNetwork.js";
 
 const dossier = createProfile("north", "dossier");
 const publishDossier = createChangeRequest("north", "w-1", [put(dossier)]);
--- a/packages/daisyturn/src/process/adoptVersion.ts
+++ b/packages/daisyturn/src/process/configuration/adoptVersion.ts
@@ -1,8 +1,8 @@
 import type { Clock, Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
+import type { Membership } from "../peers/index.js";
 import type { ConfigurationTiming } from "./configurationTiming.js";
 import type { ConfigurationPeers } from "./createConfigurationPeers.js";
-import type { Membership } from "./peerNetwork.js";
 
 /** What adoption needs. */
 export interface AdoptionOptions {
--- a/packages/daisyturn/src/process/answerPull.ts
+++ b/packages/daisyturn/src/process/configuration/answerPull.ts
@@ -1,4 +1,4 @@
-import type { ConfigurationItem } from "../version/configurationItems.js";
+import type { ConfigurationItem } from "../../version/configurationItems.js";
 import type { ItemPage, PullAnswer, PullMessage } from "./configurationMessages.js";
 import type { InForce } from "./createInForce.js";
 
--- a/packages/daisyturn/src/process/configurationKeeper.ts
+++ b/packages/daisyturn/src/process/configuration/configurationKeeper.ts
@@ -1,7 +1,7 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { AcceptedChange, ChangeAnswer, ChangeRequest } from "../version/configurationChange.js";
-import type { ConfigurationVersion } from "../version/configurationVersion.js";
+import type { AcceptedChange, ChangeAnswer, ChangeRequest } from "../../version/configurationChange.js";
+import type { ConfigurationVersion } from "../../version/configurationVersion.js";
 
 /** Holds the configuration in force in this process and takes changes. */
 export interface ConfigurationKeeper {
--- a/packages/daisyturn/src/process/configurationRows.ts
+++ b/packages/daisyturn/src/process/configuration/configurationRows.ts
@@ -1,13 +1,13 @@
 import { hashText, type JsonValue, toJson } from "daisyturn-utils";
-import { absentVersion, type Row, type Transaction } from "../ports/tableService.js";
+import { absentVersion, type Row, type Transaction } from "../../ports/tableService.js";
 import {
     type AcceptedChange,
     ChangeAction,
     type ChangeRequest,
     type ItemChange,
-} from "../version/configurationChange.js";
-import { type ConfigurationItem, formatItemIdentity } from "../version/configurationItems.js";
-import { identityOf } from "../version/validateChange.js";
+} from "../../version/configurationChange.js";
+import { type ConfigurationItem, formatItemIdentity } from "../../version/configurationItems.js";
+import { identityOf } from "../../version/validateChange.js";
 
 /** Row whose version every change is conditional on: changes of the whole fleet follow one another. */
 export const headKey = "configuration/head";
--- a/packages/daisyturn/src/process/createChangeAcceptor.ts
+++ b/packages/daisyturn/src/process/configuration/createChangeAcceptor.ts
@@ -10,9 +10,9 @@
     type Random,
 } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { RejectionCause, type TransactionAnswer, TransactionOutcome } from "../ports/tableService.js";
-import type { AcceptedChange, ChangeRequest } from "../version/configurationChange.js";
-import { validateChange } from "../version/validateChange.js";
+import { RejectionCause, type TransactionAnswer, TransactionOutcome } from "../../ports/tableService.js";
+import type { AcceptedChange, ChangeRequest } from "../../version/configurationChange.js";
+import { validateChange } from "../../version/validateChange.js";
 import { isSameChange, type WriteValue } from "./configurationRows.js";
 import type { ConfigurationTiming } from "./configurationTiming.js";
 import type { ConfigurationStore, StoreState } from "./createConfigurationStore.js";
--- a/packages/daisyturn/src/process/createConfigurationKeeper.ts
+++ b/packages/daisyturn/src/process/configuration/createConfigurationKeeper.ts
@@ -9,11 +9,13 @@
     type Random,
 } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { compareChange } from "../version/compareChange.js";
-import type { AcceptedChange, ChangeAnswer, ChangeRequest } from "../version/configurationChange.js";
-import type { ItemIdentity } from "../version/configurationItems.js";
-import { createVersionUsage } from "../version/createVersionUsage.js";
-import { validateChange } from "../version/validateChange.js";
+import { compareChange } from "../../version/compareChange.js";
+import type { AcceptedChange, ChangeAnswer, ChangeRequest } from "../../version/configurationChange.js";
+import type { ItemIdentity } from "../../version/configurationItems.js";
+import { createVersionUsage } from "../../version/createVersionUsage.js";
+import { validateChange } from "../../version/validateChange.js";
+import type { Membership, PeerNetwork, ProcessIdentity } from "../peers/index.js";
+import type { StoreClient } from "../store/index.js";
 import { adoptVersion } from "./adoptVersion.js";
 import { type ConfigurationTiming, defaultConfigurationTiming } from "./configurationTiming.js";
 import { createChangeAcceptor } from "./createChangeAcceptor.js";
@@ -26,10 +28,8 @@
     ProcessUsage,
     RetirementReport,
 } from "./fleetConfigurationKeeper.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "./peerNetwork.js";
 import { createRetirementReport } from "./retirementReport.js";
 import { spreadVersions } from "./spreadVersions.js";
-import type { StoreClient } from "./storeClient.js";
 
 /** What the keeper is made of. */
 export interface ConfigurationKeeperOptions {
--- a/packages/daisyturn/src/process/createConfigurationStore.ts
+++ b/packages/daisyturn/src/process/configuration/createConfigurationStore.ts
@@ -1,9 +1,10 @@
 import type { Clock, Failure } from "daisyturn-utils";
 import { Result } from "true-myth/result";
-import { absentVersion, type Row, type TransactionAnswer } from "../ports/tableService.js";
-import type { AcceptedChange } from "../version/configurationChange.js";
-import type { ConfigurationItem } from "../version/configurationItems.js";
-import { createConfigurationVersion, type IndexedVersion } from "../version/createConfigurationVersion.js";
+import { absentVersion, type Row, type TransactionAnswer } from "../../ports/tableService.js";
+import type { AcceptedChange } from "../../version/configurationChange.js";
+import type { ConfigurationItem } from "../../version/configurationItems.js";
+import { createConfigurationVersion, type IndexedVersion } from "../../version/createConfigurationVersion.js";
+import { type StoreClient, StorePriority } from "../store/index.js";
 import {
     changeKey,
     type CommitBasis,
@@ -16,7 +17,6 @@
     writeKey,
     type WriteValue,
 } from "./configurationRows.js";
-import { type StoreClient, StorePriority } from "./storeClient.js";
 
 /** Changes read in one call of the store. */
 const changesPerRead = 100;
--- a/packages/daisyturn/src/process/createInForce.ts
+++ b/packages/daisyturn/src/process/configuration/createInForce.ts
@@ -1,7 +1,7 @@
 import { EventKind, type EventLog } from "daisyturn-utils";
-import type { AcceptedChange } from "../version/configurationChange.js";
-import type { ConfigurationVersion } from "../version/configurationVersion.js";
-import { createConfigurationVersion, type IndexedVersion } from "../version/createConfigurationVersion.js";
+import type { AcceptedChange } from "../../version/configurationChange.js";
+import type { ConfigurationVersion } from "../../version/configurationVersion.js";
+import { createConfigurationVersion, type IndexedVersion } from "../../version/createConfigurationVersion.js";
 
 /** Changes kept in memory for peers that lag; whoever lags more is sent all items. */
 const keptChanges = 256;
--- a/packages/daisyturn/src/process/fleetConfigurationKeeper.ts
+++ b/packages/daisyturn/src/process/configuration/fleetConfigurationKeeper.ts
@@ -1,9 +1,9 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { ItemDifference } from "../version/compareChange.js";
-import type { ChangeRequest } from "../version/configurationChange.js";
-import type { ItemIdentity } from "../version/configurationItems.js";
-import type { GenerationUsage, VersionPin } from "../version/createVersionUsage.js";
+import type { ItemDifference } from "../../version/compareChange.js";
+import type { ChangeRequest } from "../../version/configurationChange.js";
+import type { ItemIdentity } from "../../version/configurationItems.js";
+import type { GenerationUsage, VersionPin } from "../../version/createVersionUsage.js";
 import type { ConfigurationKeeper } from "./configurationKeeper.js";
 
 /** What became of a change request. */
--- a/packages/daisyturn/src/process/pullVersion.ts
+++ b/packages/daisyturn/src/process/configuration/pullVersion.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "daisyturn-utils";
-import type { ConfigurationItem } from "../version/configurationItems.js";
-import { createConfigurationVersion } from "../version/createConfigurationVersion.js";
+import type { ConfigurationItem } from "../../version/configurationItems.js";
+import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
+import { PeerMethod, type PeerNetwork } from "../peers/index.js";
 import {
     decodeMessage,
     encodeMessage,
@@ -10,7 +11,6 @@
 } from "./configurationMessages.js";
 import { applyChain } from "./createConfigurationStore.js";
 import type { InForce } from "./createInForce.js";
-import { PeerMethod, type PeerNetwork } from "./peerNetwork.js";
 
 /** Changes may come in faster than a large configuration is read; after so many rounds the next pull goes on. */
 const mostRounds = 3;
--- a/packages/daisyturn/src/process/retirementReport.ts
+++ b/packages/daisyturn/src/process/configuration/retirementReport.ts
@@ -1,4 +1,4 @@
-import type { ItemIdentity } from "../version/configurationItems.js";
+import type { ItemIdentity } from "../../version/configurationItems.js";
 import type { PeerUsage } from "./createConfigurationPeers.js";
 import type { RetirementReport } from "./fleetConfigurationKeeper.js";
 
--- a/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
@@ -4,7 +4,7 @@
 import { ok } from "true-myth/result";
 import { EngineOrders, OrderAnswer, type StageOrder } from "../../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
-import type { Lease, LeaseKeeper } from "../../lease.js";
+import type { Lease, LeaseKeeper } from "../../lease/index.js";
 import { changeStages } from "../changeStages.js";
 import { createClosedTargets } from "../createClosedTargets.js";
 import { createReadingDemand } from "../createReadingDemand.js";
--- a/packages/daisyturn/src/process/forwarding/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/changeStages.ts
@@ -1,7 +1,7 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import { type EngineOrders, OrderAnswer } from "../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
-import type { Lease, LeaseKeeper } from "../lease.js";
+import type { Lease, LeaseKeeper } from "../lease/index.js";
 import type { ClosedTargets } from "./createClosedTargets.js";
 import type { ReadingDemand } from "./createReadingDemand.js";
 import type { TargetList } from "./createTargetList.js";
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -1,8 +1,7 @@
-import type { Random } from "daisyturn-utils";
+import { hashTextTo32Bits, type Random, rendezvousWeight } from "daisyturn-utils";
 import type { PromptDescription } from "../../ports/forwardedCall.js";
 import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
 import type { EngineTraits, ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
-import { hashTextTo32Bits, rendezvousWeight } from "../rendezvous.js";
 import type { CacheBeliefs } from "./createCacheBeliefs.js";
 import type { ClosedTargets } from "./createClosedTargets.js";
 import type { PaceView } from "./createPaceView.js";
--- a/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
+++ b/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
@@ -1,5 +1,4 @@
-import type { Clock } from "daisyturn-utils";
-import { createDecayingRate, type DecayingRate } from "../decayingRate.js";
+import { type Clock, createDecayingRate, type DecayingRate } from "daisyturn-utils";
 
 /** Milliseconds of reading a second, as an engine that only reads would need them. */
 export type ServiceDemand = readonly [service: string, millisecondsPerSecond: number];
--- a/packages/daisyturn/src/process/forwarding/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetHealth.ts
@@ -1,5 +1,4 @@
-import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import { createDecayingRate, type DecayingRate } from "../decayingRate.js";
+import { type Clock, createDecayingRate, type DecayingRate, EventKind, type EventLog } from "daisyturn-utils";
 
 /** What a call showed of its target's health. */
 export enum TargetEvidence {
--- a/packages/daisyturn/src/process/forwarding/createWindowedRetryBudget.ts
+++ b/packages/daisyturn/src/process/forwarding/createWindowedRetryBudget.ts
@@ -1,5 +1,4 @@
-import type { Clock } from "daisyturn-utils";
-import { createDecayingRate, type DecayingRate } from "../decayingRate.js";
+import { type Clock, createDecayingRate, type DecayingRate } from "daisyturn-utils";
 
 /** How many repeated sends all processes together may add to a service's requests within a window. */
 export interface RetryAllowance {
--- a/packages/daisyturn/src/process/__tests__/createServiceGuard.test.ts
+++ b/packages/daisyturn/src/process/health/__tests__/createServiceGuard.test.ts
@@ -1,7 +1,7 @@
 import { EventKind, ExecutionVerdict, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { PausableClock } from "../../__fixtures__/pausableClock.js";
+import { PausableClock } from "../../../__fixtures__/pausableClock.js";
 import { createServiceGuard, OutOfServiceReason } from "../createServiceGuard.js";
 
 function createGuard() {
--- a/packages/daisyturn/src/process/createVmWatch.ts
+++ b/packages/daisyturn/src/process/health/createVmWatch.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import { type VmList, VmState } from "../ports/vmList.js";
+import { type VmList, VmState } from "../../ports/vmList.js";
 
 /** What the watch needs. */
 export interface VmWatchOptions {
--- a/packages/daisyturn/src/process/engineHealth.ts
+++ b/packages/daisyturn/src/process/health/engineHealth.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog, type JsonObject, toJson } from "daisyturn-utils";
-import { ExchangeSection, type LoadExchange } from "./loadExchange.js";
+import { ExchangeSection, type LoadExchange } from "../peers/index.js";
 
 /** What the router may do with an engine. */
 export enum EngineStanding {
--- a/packages/daisyturn/src/process/__tests__/createLeaseKeeper.test.ts
+++ b/packages/daisyturn/src/process/lease/__tests__/createLeaseKeeper.test.ts
@@ -1,18 +1,18 @@
 import { createIdSource, createSeededRandom, EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createFakeIdentity } from "../../__fixtures__/fakePeerNetwork.js";
-import { createFaultyTableService, TableFaultKind } from "../../ports/faultyTableService.js";
-import { createMemoryTableService } from "../../ports/memoryTableService.js";
-import { absentVersion, type TableService, type Transaction, TransactionOutcome } from "../../ports/tableService.js";
+import { createFakeIdentity } from "../../../__fixtures__/fakePeerNetwork.js";
+import { createFaultyTableService, TableFaultKind } from "../../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
+import { absentVersion, type TableService, type Transaction, TransactionOutcome } from "../../../ports/tableService.js";
+import { hostTable } from "../../orders/__fixtures__/hostTable.js";
+import { CallFault, CallKind, createProcessHost } from "../../orders/__fixtures__/processHost.js";
+import { createStoreClient } from "../../store/index.js";
 import { createDriftingClock } from "../__fixtures__/driftingClock.js";
 import { createLeaseKeeper } from "../createLeaseKeeper.js";
-import { createStoreClient } from "../createStoreClient.js";
 import type { Lease } from "../lease.js";
 import { fencingRowKey } from "../leaseRows.js";
 import { releaseTransaction, renewalTransaction, takeoverTransaction } from "../leaseTransactions.js";
-import { hostTable } from "../orders/__fixtures__/hostTable.js";
-import { CallFault, CallKind, createProcessHost } from "../orders/__fixtures__/processHost.js";
 
 const times = {
     leaseMilliseconds: 5_000,
--- a/packages/daisyturn/src/process/createLeaseKeeper.ts
+++ b/packages/daisyturn/src/process/lease/createLeaseKeeper.ts
@@ -1,11 +1,11 @@
 import { type Clock, EventKind, type EventLog, type IdSource, type Random } from "daisyturn-utils";
-import { absentVersion, RejectionCause, type Row, TransactionOutcome } from "../ports/tableService.js";
+import { absentVersion, RejectionCause, type Row, TransactionOutcome } from "../../ports/tableService.js";
+import type { ProcessIdentity } from "../peers/index.js";
+import { type StoreClient, StorePriority } from "../store/index.js";
 import { createLeaseTenure, type LeaseTenure, readClocks } from "./createLeaseTenure.js";
 import type { Lease, LeaseKeeper } from "./lease.js";
 import { fencingRowKey, type FencingValue, parseFencingValue, renewalRowKey } from "./leaseRows.js";
 import { releaseTransaction, renewalTransaction, takeoverTransaction } from "./leaseTransactions.js";
-import type { ProcessIdentity } from "./peerNetwork.js";
-import { type StoreClient, StorePriority } from "./storeClient.js";
 
 /** What a lease keeper is made of. */
 export interface LeaseKeeperOptions {
--- /dev/null
+++ b/packages/daisyturn/src/process/lease/index.ts
@@ -0,0 +1,10 @@
+/**
+ * The lease of the one process that may decide for the fleet.
+ *
+ * @module
+ */
+
+export * from "./createLeaseKeeper.js";
+export * from "./lease.js";
+export * from "./leaseRows.js";
+export * from "./leaseTransactions.js";
--- a/packages/daisyturn/src/process/leaseRows.ts
+++ b/packages/daisyturn/src/process/lease/leaseRows.ts
@@ -1,17 +1,9 @@
 import type { JsonValue } from "daisyturn-utils";
 import { z } from "zod";
-import type { ProcessIdentity } from "./peerNetwork.js";
-
-const identitySchema = z.object({
-    processId: z.string(),
-    incarnation: z.string(),
-    vmId: z.string(),
-    availabilityZone: z.string(),
-    peerAddress: z.string(),
-});
+import { type ProcessIdentity, processIdentitySchema } from "../peers/index.js";
 
 const fencingValueSchema = z.object({
-    holder: identitySchema,
+    holder: processIdentitySchema,
     fencingNumber: z.number().int().positive(),
     leaseMilliseconds: z.number().positive(),
     released: z.boolean(),
@@ -40,6 +32,3 @@
 export function parseFencingValue(value: JsonValue): FencingValue | undefined {
     return fencingValueSchema.safeParse(value).data;
 }
-
-/** Schema of a process's identity, for the rows of other modules. */
-export const processIdentitySchema = identitySchema;
--- a/packages/daisyturn/src/process/leaseTransactions.ts
+++ b/packages/daisyturn/src/process/lease/leaseTransactions.ts
@@ -1,5 +1,5 @@
 import { toJson } from "daisyturn-utils";
-import type { RowCondition, Transaction } from "../ports/tableService.js";
+import type { RowCondition, Transaction } from "../../ports/tableService.js";
 import type { Lease } from "./lease.js";
 import { fencingRowKey, type FencingValue, renewalRowKey } from "./leaseRows.js";
 
--- a/packages/daisyturn/src/process/__tests__/engineLoad.test.ts
+++ b/packages/daisyturn/src/process/load/__tests__/engineLoad.test.ts
@@ -1,7 +1,7 @@
 import { FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createReport } from "../__fixtures__/createDecisionBench.js";
+import { createReport } from "../../routing/__fixtures__/createDecisionBench.js";
 import { createCacheIndex } from "../cacheIndex.js";
 import { createEngineLoad, type SentWork } from "../engineLoad.js";
 
--- a/packages/daisyturn/src/process/__tests__/slowReports.test.ts
+++ b/packages/daisyturn/src/process/load/__tests__/slowReports.test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { Result } from "true-myth/result";
-import type { Engine } from "../../ports/engine.js";
-import { createDecisionBench, createReport } from "../__fixtures__/createDecisionBench.js";
+import type { Engine } from "../../../ports/engine.js";
+import { createDecisionBench, createReport } from "../../routing/__fixtures__/createDecisionBench.js";
 
 /** Makes an engine take so long to tell its load, and fail where its caller has given up by then. */
 function slowDown(engine: Engine, clock: Clock, milliseconds: number): void {
--- a/packages/daisyturn/src/process/cacheView.ts
+++ b/packages/daisyturn/src/process/load/cacheView.ts
@@ -1,4 +1,4 @@
-import type { CacheEvent, CacheEventPage } from "../ports/engine.js";
+import type { CacheEvent, CacheEventPage } from "../../ports/engine.js";
 import { type BlockKeys, hashBlocks } from "./blockKeys.js";
 import { type BlockTable, type EngineSlot, noRow, noSlot } from "./blockTable.js";
 
--- a/packages/daisyturn/src/process/createLoadView.ts
+++ b/packages/daisyturn/src/process/load/createLoadView.ts
@@ -1,12 +1,18 @@
 import { type Clock, type EventLog, type JsonObject, toJson } from "daisyturn-utils";
 import { setMaxListeners } from "node:events";
-import type { Engine } from "../ports/engine.js";
+import type { Engine } from "../../ports/engine.js";
+import {
+    createLoadExchange,
+    ExchangeSection,
+    type LoadExchange,
+    type Membership,
+    type PeerNetwork,
+    type ProcessIdentity,
+} from "../peers/index.js";
+import type { TargetDirectory } from "../targets/index.js";
 import { type CacheIndex, createCacheIndex } from "./cacheIndex.js";
 import { createEngineLoad, type EndedWork, type EngineLoad, type SentWork } from "./engineLoad.js";
-import { createLoadExchange, ExchangeSection, type LoadExchange } from "./loadExchange.js";
 import { createPeerInflow } from "./peerInflow.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "./peerNetwork.js";
-import type { TargetDirectory } from "./targetDirectory.js";
 
 /** Work that this process has sent; one of the endings must be called once. */
 export interface SentHandle {
--- a/packages/daisyturn/src/process/engineLoad.ts
+++ b/packages/daisyturn/src/process/load/engineLoad.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import { EnginePhase, EngineRole, type EngineState, type LoadReport } from "../ports/engine.js";
+import { EnginePhase, EngineRole, type EngineState, type LoadReport } from "../../ports/engine.js";
 import type { CacheView } from "./cacheView.js";
 import { createEngineRates, type EngineRates } from "./engineRates.js";
 
--- a/packages/daisyturn/src/process/outputLengths.ts
+++ b/packages/daisyturn/src/process/load/outputLengths.ts
@@ -1,4 +1,4 @@
-import type { Profile } from "../version/configurationItems.js";
+import type { Profile } from "../../version/configurationItems.js";
 
 /** How long the answers of each profile turn out to be. */
 export interface OutputLengths {
--- a/packages/daisyturn/src/process/peerInflow.ts
+++ b/packages/daisyturn/src/process/load/peerInflow.ts
@@ -1,7 +1,5 @@
-import type { Clock } from "daisyturn-utils";
-import { createDecayingRate, type DecayingRate } from "./decayingRate.js";
-import type { LoadExchange } from "./loadExchange.js";
-import type { Membership } from "./peerNetwork.js";
+import { type Clock, createDecayingRate, type DecayingRate } from "daisyturn-utils";
+import type { LoadExchange, Membership } from "../peers/index.js";
 
 /**
  * What peers have probably sent since they last told. Between two exchanges every process sees the engines' queues
--- a/packages/daisyturn/src/process/__fixtures__/cells.ts
+++ b/packages/daisyturn/src/process/membership/__fixtures__/cells.ts
@@ -1,11 +1,10 @@
 import { createSeededRandom, type Failure, FailureReason, FakeClock, MemoryEventLog, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
-import { PausableClock } from "../../__fixtures__/pausableClock.js";
-import { type VmEntry, VmList, type VmListing, VmState } from "../../ports/vmList.js";
+import { createFakeIdentity, createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
+import { PausableClock } from "../../../__fixtures__/pausableClock.js";
+import { type VmEntry, VmList, type VmListing, VmState } from "../../../ports/vmList.js";
+import type { DialingPeerNetwork, MemberState, ProcessIdentity } from "../../peers/index.js";
 import { createMembership, type MembershipOptions, type RunningMembership } from "../createMembership.js";
-import type { DialingPeerNetwork } from "../dialingPeerNetwork.js";
-import type { MemberState, ProcessIdentity } from "../peerNetwork.js";
 
 /** A VM list that fails until it is given entries; it lags by `lag` milliseconds in what it says of itself. */
 export class FakeVmList extends VmList {
--- a/packages/daisyturn/src/process/__tests__/createMembership.test.ts
+++ b/packages/daisyturn/src/process/membership/__tests__/createMembership.test.ts
@@ -1,10 +1,10 @@
 import { EventKind } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createFakeIdentity } from "../../__fixtures__/fakePeerNetwork.js";
+import { createFakeIdentity } from "../../../__fixtures__/fakePeerNetwork.js";
+import { MemberState, PeerMethod } from "../../peers/index.js";
 import { type CellProcess, createFakeCell } from "../__fixtures__/cells.js";
 import { Misjudgement } from "../heartbeatMessage.js";
-import { MemberState, PeerMethod } from "../peerNetwork.js";
 
 function liveIds(process: CellProcess): string[] {
     return process.membership.livePeers().map(peer => peer.processId).sort();
--- a/packages/daisyturn/src/process/createEndedRuns.ts
+++ b/packages/daisyturn/src/process/membership/createEndedRuns.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "daisyturn-utils";
-import type { VmListing } from "../ports/vmList.js";
+import type { VmListing } from "../../ports/vmList.js";
+import type { ProcessIdentity } from "../peers/index.js";
 import { EndProof, type MemberEntry } from "./heartbeatMessage.js";
-import type { ProcessIdentity } from "./peerNetwork.js";
 
 export interface EndedRunsOptions {
     /** The VM that this process runs on: a listing without it is not believed. */
--- a/packages/daisyturn/src/process/createHeartbeats.ts
+++ b/packages/daisyturn/src/process/membership/createHeartbeats.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog, type JsonObject, toJson } from "daisyturn-utils";
-import type { DigestCarrier } from "./createDigestExchange.js";
+import { type DigestCarrier, MemberState, PeerMethod, type PeerNetwork, type ProcessIdentity } from "../peers/index.js";
 import type { MemberDirectory } from "./createMemberDirectory.js";
 import type { MemberRecord, MemberTable } from "./createMemberTable.js";
 import {
@@ -10,7 +10,6 @@
     Misjudgement,
 } from "./heartbeatMessage.js";
 import type { MembershipTiming } from "./membershipTiming.js";
-import { MemberState, PeerMethod, type PeerNetwork, type ProcessIdentity } from "./peerNetwork.js";
 
 /** Told that others have misjudged this process, for instance while it was paused. */
 export type MisjudgementListener = (misjudgement: Misjudgement, by: ProcessIdentity) => void;
--- a/packages/daisyturn/src/process/createMemberDirectory.ts
+++ b/packages/daisyturn/src/process/membership/createMemberDirectory.ts
@@ -1,11 +1,10 @@
 import type { Clock } from "daisyturn-utils";
-import type { VmListing } from "../ports/vmList.js";
+import type { VmListing } from "../../ports/vmList.js";
+import type { DialingPeerNetwork, ProcessIdentity } from "../peers/index.js";
 import { createEndedRuns } from "./createEndedRuns.js";
 import type { MemberRecord, MemberTable } from "./createMemberTable.js";
 import type { SeedList } from "./createSeedList.js";
-import type { DialingPeerNetwork } from "./dialingPeerNetwork.js";
 import { EndProof, type MemberEntry } from "./heartbeatMessage.js";
-import type { ProcessIdentity } from "./peerNetwork.js";
 
 export interface MemberDirectoryOptions {
     readonly network: DialingPeerNetwork;
--- a/packages/daisyturn/src/process/createMemberTable.ts
+++ b/packages/daisyturn/src/process/membership/createMemberTable.ts
@@ -1,7 +1,7 @@
 import { type Clock, EventKind, type EventLog, hashText } from "daisyturn-utils";
+import { type Member, MemberState, type ProcessIdentity } from "../peers/index.js";
 import { EndProof, type MemberEntry, Misjudgement } from "./heartbeatMessage.js";
 import type { MembershipTiming } from "./membershipTiming.js";
-import { type Member, MemberState, type ProcessIdentity } from "./peerNetwork.js";
 
 /** What this process knows of another; all times are monotonic. */
 export interface MemberRecord {
--- a/packages/daisyturn/src/process/createMembership.ts
+++ b/packages/daisyturn/src/process/membership/createMembership.ts
@@ -1,16 +1,22 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import { once } from "node:events";
-import type { VmEntry, VmList } from "../ports/vmList.js";
-import { createDigestExchange, type DigestExchange } from "./createDigestExchange.js";
+import type { VmEntry, VmList } from "../../ports/vmList.js";
+import {
+    createDigestExchange,
+    type DialingPeerNetwork,
+    type DigestExchange,
+    type Membership,
+    MemberState,
+    PeerMethod,
+    type ProcessIdentity,
+} from "../peers/index.js";
 import { createHeartbeats, type MisjudgementListener } from "./createHeartbeats.js";
 import { createMemberDirectory } from "./createMemberDirectory.js";
 import { createMemberTable, type MemberRecord } from "./createMemberTable.js";
 import { createSeedList } from "./createSeedList.js";
 import { createSuspicion } from "./createSuspicion.js";
-import type { DialingPeerNetwork } from "./dialingPeerNetwork.js";
 import { EndProof } from "./heartbeatMessage.js";
 import { createMembershipTiming } from "./membershipTiming.js";
-import { type Membership, MemberState, PeerMethod, type ProcessIdentity } from "./peerNetwork.js";
 
 export interface MembershipOptions {
     readonly network: DialingPeerNetwork;
--- a/packages/daisyturn/src/process/createSeedList.ts
+++ b/packages/daisyturn/src/process/membership/createSeedList.ts
@@ -1,6 +1,6 @@
-import { splitAddress } from "../connection/peerSockets.js";
-import type { VmEntry, VmListing } from "../ports/vmList.js";
-import type { DialingPeerNetwork } from "./dialingPeerNetwork.js";
+import { splitAddress } from "../../connection/peerSockets.js";
+import type { VmEntry, VmListing } from "../../ports/vmList.js";
+import type { DialingPeerNetwork } from "../peers/index.js";
 
 /** Addresses where members may be found. */
 export interface SeedList {
--- a/packages/daisyturn/src/process/createSuspicion.ts
+++ b/packages/daisyturn/src/process/membership/createSuspicion.ts
@@ -1,8 +1,8 @@
 import type { Clock, JsonObject, Random } from "daisyturn-utils";
+import { MemberState, PeerMethod, type PeerNetwork } from "../peers/index.js";
 import type { MemberRecord, MemberTable } from "./createMemberTable.js";
 import { suspicionAnswerSchema, suspicionQuestionSchema } from "./heartbeatMessage.js";
 import type { MembershipTiming } from "./membershipTiming.js";
-import { MemberState, PeerMethod, type PeerNetwork } from "./peerNetwork.js";
 
 export interface SuspicionOptions {
     readonly network: PeerNetwork;
--- a/packages/daisyturn/src/process/heartbeatMessage.ts
+++ b/packages/daisyturn/src/process/membership/heartbeatMessage.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { processIdentitySchema } from "./processIdentitySchema.js";
+import { processIdentitySchema } from "../peers/index.js";
 
 /** Why a run of a process is known to have ended. */
 export enum EndProof {
--- a/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
@@ -6,7 +6,7 @@
 import type { ConfigurationItem, Hold, Target } from "../../../version/configurationItems.js";
 import type { ConfigurationVersion } from "../../../version/configurationVersion.js";
 import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
-import { headKey } from "../../configurationRows.js";
+import { headKey } from "../../configuration/index.js";
 import type { ControllerSettings } from "../orderContext.js";
 import { type EngineOrders, engineOrdersKey, isOrderOpen, type OrderRequest, orderRequestKey } from "../orderRows.js";
 import { parseEngineOrders, parseOrderRequest } from "../parseOrderRows.js";
--- a/packages/daisyturn/src/process/orders/__tests__/createOrderRecords.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/createOrderRecords.test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createMemoryTableService } from "../../../ports/memoryTableService.js";
-import { headKey } from "../../configurationRows.js";
-import { createStoreClient } from "../../createStoreClient.js";
+import { headKey } from "../../configuration/index.js";
+import { createStoreClient } from "../../store/index.js";
 import type { ControllerTenure } from "../controllerTenure.js";
 import { createOrderRecords } from "../createOrderRecords.js";
 import { engineOrdersKey } from "../orderRows.js";
--- a/packages/daisyturn/src/process/orders/controllerTenure.ts
+++ b/packages/daisyturn/src/process/orders/controllerTenure.ts
@@ -1,4 +1,4 @@
-import type { Lease } from "../lease.js";
+import type { Lease } from "../lease/index.js";
 
 /** One holding of the controller lease, as the tasks under it see it. */
 export interface ControllerTenure {
--- a/packages/daisyturn/src/process/createController.ts
+++ b/packages/daisyturn/src/process/orders/createController.ts
@@ -1,23 +1,22 @@
 import { type Clock, EventKind, type EventLog, type IdSource } from "daisyturn-utils";
-import { type EngineRole, OrderKind } from "../ports/engine.js";
-import type { WeightStore } from "../ports/weightStore.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
+import { type EngineRole, OrderKind } from "../../ports/engine.js";
+import type { WeightStore } from "../../ports/weightStore.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { LeaseKeeper } from "../lease/index.js";
+import type { Membership, PeerNetwork, ProcessIdentity } from "../peers/index.js";
+import type { TargetDirectory, TargetGate } from "../targets/index.js";
+import { chooseRequests, isLoad } from "./chooseRequests.js";
 import type { ChangeUnderWay, Controller } from "./controller.js";
-import type { LeaseKeeper } from "./lease.js";
-import { chooseRequests, isLoad } from "./orders/chooseRequests.js";
-import { type ControllerTenure, createControllerTenure } from "./orders/controllerTenure.js";
-import { createChangeDriver } from "./orders/createChangeDriver.js";
-import { createEngineQuiescer } from "./orders/createEngineQuiescer.js";
-import type { OrderCommands } from "./orders/createOrderCommands.js";
-import type { OrderOverview, OrderRecords } from "./orders/createOrderRecords.js";
-import { createOrderSender } from "./orders/createOrderSender.js";
-import { type ControllerSettings, defaultControllerSettings, type OrderContext } from "./orders/orderContext.js";
-import { type EngineOrders, isOrderOpen } from "./orders/orderRows.js";
-import { serveEngine } from "./orders/serveEngine.js";
-import { stateFates } from "./orders/stateFates.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "./peerNetwork.js";
-import type { TargetDirectory } from "./targetDirectory.js";
-import type { TargetGate } from "./targetGate.js";
+import { type ControllerTenure, createControllerTenure } from "./controllerTenure.js";
+import { createChangeDriver } from "./createChangeDriver.js";
+import { createEngineQuiescer } from "./createEngineQuiescer.js";
+import type { OrderCommands } from "./createOrderCommands.js";
+import type { OrderOverview, OrderRecords } from "./createOrderRecords.js";
+import { createOrderSender } from "./createOrderSender.js";
+import { type ControllerSettings, defaultControllerSettings, type OrderContext } from "./orderContext.js";
+import { type EngineOrders, isOrderOpen } from "./orderRows.js";
+import { serveEngine } from "./serveEngine.js";
+import { stateFates } from "./stateFates.js";
 
 /** What a controller is made of. */
 export interface ControllerOptions {
--- a/packages/daisyturn/src/process/orders/createOrderCommands.ts
+++ b/packages/daisyturn/src/process/orders/createOrderCommands.ts
@@ -1,10 +1,10 @@
 import { type Clock, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { Result } from "true-myth/result";
 import { RejectionCause, type TransactionAnswer, TransactionOutcome } from "../../ports/tableService.js";
-import type { ConfigurationKeeper } from "../configurationKeeper.js";
-import { fencingRowKey, type FencingValue, parseFencingValue } from "../leaseRows.js";
-import type { Membership } from "../peerNetwork.js";
-import { type StoreClient, StorePriority } from "../storeClient.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import { fencingRowKey, type FencingValue, parseFencingValue } from "../lease/index.js";
+import type { Membership } from "../peers/index.js";
+import { type StoreClient, StorePriority } from "../store/index.js";
 import type { OrderRecords } from "./createOrderRecords.js";
 import { judgeChangeGoal } from "./judgeChangeGoal.js";
 import {
--- a/packages/daisyturn/src/process/orders/createOrderRecords.ts
+++ b/packages/daisyturn/src/process/orders/createOrderRecords.ts
@@ -9,9 +9,9 @@
     type TransactionAnswer,
     TransactionOutcome,
 } from "../../ports/tableService.js";
-import { headKey, type HeadValue } from "../configurationRows.js";
-import { fencingCondition } from "../leaseTransactions.js";
-import { type StoreClient, StorePriority } from "../storeClient.js";
+import { headKey, type HeadValue } from "../configuration/index.js";
+import { fencingCondition } from "../lease/index.js";
+import { type StoreClient, StorePriority } from "../store/index.js";
 import type { ControllerTenure } from "./controllerTenure.js";
 import {
     type EngineOrders,
--- a/packages/daisyturn/src/process/orders/createOrderSender.ts
+++ b/packages/daisyturn/src/process/orders/createOrderSender.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "daisyturn-utils";
 import { ExecutionVerdict } from "daisyturn-utils";
 import { type Engine, type EngineOrder, OrderAnswer } from "../../ports/engine.js";
-import type { Lease } from "../lease.js";
+import type { Lease } from "../lease/index.js";
 import { OrderFate } from "./orderRows.js";
 
 /** An order of this process whose row is not settled yet. */
--- /dev/null
+++ b/packages/daisyturn/src/process/orders/index.ts
@@ -0,0 +1,13 @@
+/**
+ * Changes of engines under the lease, recorded before they are sent and settled after.
+ *
+ * @module
+ */
+
+export * from "./controller.js";
+export * from "./createController.js";
+export * from "./createOrderCommands.js";
+export * from "./createOrderRecords.js";
+export * from "./judgeChangeGoal.js";
+export * from "./orderContext.js";
+export * from "./orderRows.js";
--- a/packages/daisyturn/src/process/orders/orderContext.ts
+++ b/packages/daisyturn/src/process/orders/orderContext.ts
@@ -1,8 +1,8 @@
 import type { Clock, EventLog, IdSource } from "daisyturn-utils";
 import type { WeightStore } from "../../ports/weightStore.js";
-import type { ConfigurationKeeper } from "../configurationKeeper.js";
-import type { Membership, ProcessIdentity } from "../peerNetwork.js";
-import type { TargetDirectory } from "../targetDirectory.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { Membership, ProcessIdentity } from "../peers/index.js";
+import type { TargetDirectory } from "../targets/index.js";
 import type { ControllerTenure } from "./controllerTenure.js";
 import type { EngineQuiescer } from "./createEngineQuiescer.js";
 import type { EngineRows, OrderRecords } from "./createOrderRecords.js";
--- a/packages/daisyturn/src/process/roles/arrivalMeter.ts
+++ b/packages/daisyturn/src/process/roles/arrivalMeter.ts
@@ -1,7 +1,6 @@
 import { type Clock, type JsonObject, toJson } from "daisyturn-utils";
-import { ExchangeSection, type LoadExchange } from "../loadExchange.js";
-import type { Membership, ProcessIdentity } from "../peerNetwork.js";
-import type { RoutingRequest } from "../router.js";
+import { ExchangeSection, type LoadExchange, type Membership, type ProcessIdentity } from "../peers/index.js";
+import type { RoutingRequest } from "../routing/index.js";
 
 /** What has arrived for one model from one partner. Counts since the start of a process; they only grow. */
 export interface ArrivalCounts {
--- a/packages/daisyturn/src/process/roles/createRolePlanner.ts
+++ b/packages/daisyturn/src/process/roles/createRolePlanner.ts
@@ -1,10 +1,9 @@
 import { type Clock, type EventFields, EventKind, type EventLog } from "daisyturn-utils";
 import { EngineRole } from "../../ports/engine.js";
-import type { ConfigurationKeeper } from "../configurationKeeper.js";
-import type { Controller } from "../controller.js";
-import type { LoadView } from "../createLoadView.js";
-import type { EngineLoad } from "../engineLoad.js";
-import type { LeaseKeeper } from "../lease.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { LeaseKeeper } from "../lease/index.js";
+import type { EngineLoad, LoadView } from "../load/index.js";
+import type { Controller } from "../orders/index.js";
 import { type ArrivalMeter, arrivalWindowMilliseconds } from "./arrivalMeter.js";
 import { chooseSplit, type SplitQuestion } from "./chooseSplit.js";
 import { createMeanDemand, type MeanDemand } from "./meanDemand.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/roles/index.ts
@@ -0,0 +1,10 @@
+/**
+ * How many engines prefill and how many decode.
+ *
+ * @module
+ */
+
+export * from "./arrivalMeter.js";
+export * from "./chooseSplit.js";
+export * from "./createRolePlanner.js";
+export * from "./rolePool.js";
--- a/packages/daisyturn/src/process/roles/rolePool.ts
+++ b/packages/daisyturn/src/process/roles/rolePool.ts
@@ -1,6 +1,6 @@
 import { EnginePhase, EngineRole } from "../../ports/engine.js";
 import type { ConfigurationVersion } from "../../version/configurationVersion.js";
-import type { EngineLoad } from "../engineLoad.js";
+import type { EngineLoad } from "../load/index.js";
 import type { ArrivalRates } from "./arrivalMeter.js";
 
 /** Engines that serve the same models and take a part in planning. */
--- a/packages/daisyturn/src/process/__fixtures__/createDecisionBench.ts
+++ b/packages/daisyturn/src/process/routing/__fixtures__/createDecisionBench.ts
@@ -8,7 +8,7 @@
     type Random,
 } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
+import { createFakeIdentity, createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
 import {
     type CacheEvent,
     type CacheEventPage,
@@ -18,17 +18,17 @@
     type EngineState,
     type LoadReport,
     type OrderAnswer,
-} from "../../ports/engine.js";
-import { createProfile } from "../../version/__fixtures__/items.js";
-import type { ConfigurationItem } from "../../version/configurationItems.js";
-import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
-import type { ConfigurationKeeper } from "../configurationKeeper.js";
-import { createLoadView } from "../createLoadView.js";
+} from "../../../ports/engine.js";
+import { createProfile } from "../../../version/__fixtures__/items.js";
+import type { ConfigurationItem } from "../../../version/configurationItems.js";
+import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
+import type { ConfigurationKeeper } from "../../configuration/index.js";
+import { createLoadView } from "../../load/index.js";
+import type { Membership, PeerNetwork, ProcessIdentity } from "../../peers/index.js";
+import type { TargetGate } from "../../targets/index.js";
 import { createRouter } from "../createRouter.js";
 import type { EngineChoice } from "../engineChoice.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "../peerNetwork.js";
 import type { RoutingRequest } from "../router.js";
-import type { TargetGate } from "../targetGate.js";
 
 const refused = notRun(FailureReason.TargetRefused, "not scripted");
 
--- a/packages/daisyturn/src/process/__tests__/createRouter.test.ts
+++ b/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
@@ -1,8 +1,8 @@
 import { EventKind, FailureReason } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { EnginePhase, EngineRole } from "../../ports/engine.js";
-import { createProfile } from "../../version/__fixtures__/items.js";
+import { EnginePhase, EngineRole } from "../../../ports/engine.js";
+import { createProfile } from "../../../version/__fixtures__/items.js";
 import { createDecisionBench, createReport, createRoutingRequest } from "../__fixtures__/createDecisionBench.js";
 import { PlacementOutcome, type RoutingRequest } from "../router.js";
 
--- a/packages/daisyturn/src/process/createPlacement.ts
+++ b/packages/daisyturn/src/process/routing/createPlacement.ts
@@ -1,13 +1,9 @@
 import type { Clock } from "daisyturn-utils";
-import type { CacheMatch } from "./cacheIndex.js";
-import type { LoadView, SentHandle } from "./createLoadView.js";
-import type { EngineHealth } from "./engineHealth.js";
-import type { EngineLoad } from "./engineLoad.js";
-import type { OutputLengths } from "./outputLengths.js";
+import type { EngineHealth } from "../health/index.js";
+import type { CacheMatch, EngineLoad, LoadView, OutputLengths, SentHandle, TransferRate } from "../load/index.js";
 import type { PlacementOption } from "./placementCost.js";
 import { tokensPerBlock } from "./placementCost.js";
 import { type Placement, PlacementOutcome, type PlacementUsage, type RoutingRequest } from "./router.js";
-import type { TransferRate } from "./transferRate.js";
 
 /** What a placement tells about how it went. */
 export interface PlacementParts {
--- a/packages/daisyturn/src/process/createRouter.ts
+++ b/packages/daisyturn/src/process/routing/createRouter.ts
@@ -1,20 +1,22 @@
 import { type Clock, type EventLog, type Failure, FailureReason, notRun, type Random } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { CacheMatch } from "./cacheIndex.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import type { LoadView } from "./createLoadView.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import { createEngineHealth } from "../health/index.js";
+import {
+    type CacheMatch,
+    createOutputLengths,
+    createTransferRate,
+    type EngineLoad,
+    type LoadView,
+} from "../load/index.js";
+import type { TargetGate } from "../targets/index.js";
 import { createPlacement, type PlacementParts } from "./createPlacement.js";
 import { type EngineChoice, findCheapest, SampledChoice } from "./engineChoice.js";
 import { canServe, isComplete } from "./engineFilter.js";
-import { createEngineHealth } from "./engineHealth.js";
-import type { EngineLoad } from "./engineLoad.js";
-import { createOutputLengths } from "./outputLengths.js";
 import { createOverdueWatch } from "./overdueWatch.js";
 import type { PlacementOption } from "./placementCost.js";
 import { listPlacementWays } from "./placementWays.js";
 import { type Placement, PlacementOutcome, type Router, type RoutingRequest } from "./router.js";
-import type { TargetGate } from "./targetGate.js";
-import { createTransferRate } from "./transferRate.js";
 
 /** What {@link createRouter} needs. */
 export interface RouterOptions {
--- a/packages/daisyturn/src/process/engineChoice.ts
+++ b/packages/daisyturn/src/process/routing/engineChoice.ts
@@ -1,7 +1,6 @@
-import type { Random } from "daisyturn-utils";
+import { hashTextTo32Bits, type Random, rendezvousWeight } from "daisyturn-utils";
 import type { PlacementOption } from "./placementCost.js";
 import { tokensPerBlock } from "./placementCost.js";
-import { hashTextTo32Bits, rendezvousWeight } from "./rendezvous.js";
 import type { RoutingRequest } from "./router.js";
 
 /** What a choice takes into account beside the options. */
--- a/packages/daisyturn/src/process/engineFilter.ts
+++ b/packages/daisyturn/src/process/routing/engineFilter.ts
@@ -1,7 +1,7 @@
-import { EnginePhase, EngineRole } from "../ports/engine.js";
-import type { Profile } from "../version/configurationItems.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import type { EngineLoad } from "./engineLoad.js";
+import { EnginePhase, EngineRole } from "../../ports/engine.js";
+import type { Profile } from "../../version/configurationItems.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import type { EngineLoad } from "../load/index.js";
 
 /** Whether an engine can serve a profile, as far as its reports and its registration tell. */
 export function canServe(load: EngineLoad, profile: Profile, keeper: ConfigurationKeeper): boolean {
--- a/packages/daisyturn/src/process/overdueWatch.ts
+++ b/packages/daisyturn/src/process/routing/overdueWatch.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "daisyturn-utils";
+import type { EngineHealth } from "../health/index.js";
 import { type PendingPlacement, ratioFloorMilliseconds } from "./createPlacement.js";
-import type { EngineHealth } from "./engineHealth.js";
 
 /** Looks for first tokens that don't come: an engine that hangs never reports anything that could be judged. */
 export interface OverdueWatch {
--- a/packages/daisyturn/src/process/placementCost.ts
+++ b/packages/daisyturn/src/process/routing/placementCost.ts
@@ -1,5 +1,5 @@
-import { charactersPerToken, promptBlockCharacters } from "../request/promptBlocks.js";
-import type { EngineLoad } from "./engineLoad.js";
+import { charactersPerToken, promptBlockCharacters } from "../../request/promptBlocks.js";
+import type { EngineLoad } from "../load/index.js";
 import type { RoutingRequest } from "./router.js";
 
 /** Prompt tokens in one block of the prefix cache. */
--- a/packages/daisyturn/src/process/placementWays.ts
+++ b/packages/daisyturn/src/process/routing/placementWays.ts
@@ -1,7 +1,6 @@
 import type { Random } from "daisyturn-utils";
-import type { CacheMatch } from "./cacheIndex.js";
+import type { CacheMatch, EngineLoad, TransferRate } from "../load/index.js";
 import { isDecode, isMixed } from "./engineFilter.js";
-import type { EngineLoad } from "./engineLoad.js";
 import {
     computePressure,
     estimatePrefill,
@@ -11,7 +10,6 @@
     wholeOption,
 } from "./placementCost.js";
 import type { RoutingRequest } from "./router.js";
-import type { TransferRate } from "./transferRate.js";
 
 /** Decode engines whose time between tokens is at most this multiple of the best one's count as equal. */
 const nearDecodeTime = 1.02;
--- a/packages/daisyturn/src/process/router.ts
+++ b/packages/daisyturn/src/process/routing/router.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { Profile } from "../version/configurationItems.js";
+import type { Profile } from "../../version/configurationItems.js";
 
 /** What routing needs to know of a request. */
 export interface RoutingRequest {
--- a/packages/daisyturn/src/process/store/__fixtures__/interleavings.ts
+++ b/packages/daisyturn/src/process/store/__fixtures__/interleavings.ts
@@ -10,8 +10,8 @@
     type TransactionAnswer,
     TransactionOutcome,
 } from "../../../ports/tableService.js";
-import { createStoreClient } from "../../createStoreClient.js";
-import { StorePriority } from "../../storeClient.js";
+import { createStoreClient } from "../createStoreClient.js";
+import { StorePriority } from "../storeClient.js";
 import { addWriteMarker } from "../writeMarker.js";
 import {
     createCommitCounter,
--- a/packages/daisyturn/src/process/store/__fixtures__/storeSetup.ts
+++ b/packages/daisyturn/src/process/store/__fixtures__/storeSetup.ts
@@ -9,7 +9,7 @@
     type TransactionAnswer,
     TransactionOutcome,
 } from "../../../ports/tableService.js";
-import { createStoreClient, type StoreClientOptions } from "../../createStoreClient.js";
+import { createStoreClient, type StoreClientOptions } from "../createStoreClient.js";
 
 /** Creates a store client over a table service that fails as the test says. */
 export function createStoreSetup(options: Partial<StoreClientOptions> = {}) {
--- a/packages/daisyturn/src/process/__tests__/createStoreClient.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/createStoreClient.test.ts
@@ -1,9 +1,9 @@
 import { createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createFaultyTableService, TableFaultKind } from "../../ports/faultyTableService.js";
-import { createMemoryTableService } from "../../ports/memoryTableService.js";
-import { absentVersion, TransactionOutcome } from "../../ports/tableService.js";
+import { createFaultyTableService, TableFaultKind } from "../../../ports/faultyTableService.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
+import { absentVersion, TransactionOutcome } from "../../../ports/tableService.js";
 import { createStoreClient } from "../createStoreClient.js";
 import { StorePriority } from "../storeClient.js";
 
--- a/packages/daisyturn/src/process/store/__tests__/differential.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/differential.test.ts
@@ -5,10 +5,10 @@
 import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import { absentVersion, type Row, type TableService, type Transaction } from "../../../ports/tableService.js";
-import { StorePriority } from "../../storeClient.js";
 import { assertTrueAnswer } from "../__fixtures__/interleavings.js";
 import { replayInOrder } from "../__fixtures__/naiveTable.js";
 import { createCommitCounter, createStoreSetupWith } from "../__fixtures__/storeSetup.js";
+import { StorePriority } from "../storeClient.js";
 import { addWriteMarker, writeMarkerPrefix } from "../writeMarker.js";
 
 /** Which version of a row a condition demands. */
--- a/packages/daisyturn/src/process/store/__tests__/outages.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/outages.test.ts
@@ -3,8 +3,8 @@
 import { describe, it } from "node:test";
 import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import { RejectionCause, TransactionOutcome } from "../../../ports/tableService.js";
-import { StorePriority } from "../../storeClient.js";
 import { createRows, createStoreSetup } from "../__fixtures__/storeSetup.js";
+import { StorePriority } from "../storeClient.js";
 import { addWriteMarker } from "../writeMarker.js";
 
 /** A setup whose store has been silent until the breaker opened; one transaction is stuck in it. */
--- a/packages/daisyturn/src/process/store/__tests__/storeBudget.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/storeBudget.test.ts
@@ -1,8 +1,8 @@
 import { FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { StorePriority } from "../../storeClient.js";
 import { createStoreBudget, mostPassedOver } from "../storeBudget.js";
+import { StorePriority } from "../storeClient.js";
 
 const farDeadline = 1_000_000;
 
--- a/packages/daisyturn/src/process/store/__tests__/writeMarker.test.ts
+++ b/packages/daisyturn/src/process/store/__tests__/writeMarker.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import { TransactionOutcome } from "../../../ports/tableService.js";
-import { StorePriority } from "../../storeClient.js";
 import { createRows, createStoreSetup, deleteRows } from "../__fixtures__/storeSetup.js";
+import { StorePriority } from "../storeClient.js";
 import {
     addWriteMarker,
     defaultMarkerRetentionMilliseconds,
--- a/packages/daisyturn/src/process/createStoreClient.ts
+++ b/packages/daisyturn/src/process/store/createStoreClient.ts
@@ -7,11 +7,11 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../ports/tableService.js";
-import { createCommitGrouper } from "./store/groupCommits.js";
-import { createTransactionSettler } from "./store/settleTransaction.js";
-import { StoreSide } from "./store/storeBreaker.js";
-import { Admission, createStoreChannel, OutageConduct } from "./store/storeChannel.js";
+} from "../../ports/tableService.js";
+import { createCommitGrouper } from "./groupCommits.js";
+import { createTransactionSettler } from "./settleTransaction.js";
+import { StoreSide } from "./storeBreaker.js";
+import { Admission, createStoreChannel, OutageConduct } from "./storeChannel.js";
 import { type PagedStoreClient, StorePriority } from "./storeClient.js";
 
 /** What the client needs, and this process's share of the table service's rate. */
--- a/packages/daisyturn/src/process/store/groupCommits.ts
+++ b/packages/daisyturn/src/process/store/groupCommits.ts
@@ -6,9 +6,9 @@
     type TransactionAnswer,
     TransactionOutcome,
 } from "../../ports/tableService.js";
-import type { StorePriority } from "../storeClient.js";
 import { refuse, type TransactionSettler } from "./settleTransaction.js";
 import { Admission, OutageConduct, type StoreChannel } from "./storeChannel.js";
+import type { StorePriority } from "./storeClient.js";
 import { canJoin, findMemberConflicts, mergeTransactions } from "./transactionGroup.js";
 
 /** Sends transactions of one priority, several as one where they are independent. */
--- a/packages/daisyturn/src/process/store/settleTransaction.ts
+++ b/packages/daisyturn/src/process/store/settleTransaction.ts
@@ -8,9 +8,9 @@
     type TransactionAnswer,
     TransactionOutcome,
 } from "../../ports/tableService.js";
-import type { StorePriority } from "../storeClient.js";
 import { canRepeat, evidenceKeys, findOwnRow, judgeOutcome } from "./judgeOutcome.js";
 import { Admission, OutageConduct, type StoreCall, type StoreChannel } from "./storeChannel.js";
+import type { StorePriority } from "./storeClient.js";
 import { createAbandonment, hasWriteMarker, writeMarkerKey } from "./writeMarker.js";
 
 /** A transaction on its way, and what is known of it so far. */
--- a/packages/daisyturn/src/process/store/storeBudget.ts
+++ b/packages/daisyturn/src/process/store/storeBudget.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import { StorePriority } from "../storeClient.js";
+import { StorePriority } from "./storeClient.js";
 
 /** This process's share of one of the table service's rates. */
 export interface StoreBudget {
--- a/packages/daisyturn/src/process/store/storeChannel.ts
+++ b/packages/daisyturn/src/process/store/storeChannel.ts
@@ -1,9 +1,9 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
-import type { StorePriority } from "../storeClient.js";
 import { createAnswerTimeout } from "./answerTimeout.js";
 import { type BackOff, createBackOff } from "./backOff.js";
 import { createStoreBreaker, type StoreSide } from "./storeBreaker.js";
 import { createStoreBudget } from "./storeBudget.js";
+import type { StorePriority } from "./storeClient.js";
 
 /** Whether a call may be made now. */
 export enum Admission {
--- a/packages/daisyturn/src/process/storeClient.ts
+++ b/packages/daisyturn/src/process/store/storeClient.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { Row, Transaction, TransactionAnswer } from "../ports/tableService.js";
+import type { Row, Transaction, TransactionAnswer } from "../../ports/tableService.js";
 
 /** Who goes first when the process is at its share of the table service's rate. */
 export enum StorePriority {
--- a/packages/daisyturn/src/process/store/writeMarker.ts
+++ b/packages/daisyturn/src/process/store/writeMarker.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
 import { absentVersion, type Row, type Transaction, TransactionOutcome } from "../../ports/tableService.js";
-import { type StoreClient, StorePriority } from "../storeClient.js";
+import { type StoreClient, StorePriority } from "./storeClient.js";
 
 /** Keys of all markers begin with this. */
 export const writeMarkerPrefix = "writes/";
--- a/packages/daisyturn/src/process/__tests__/createTargetGate.test.ts
+++ b/packages/daisyturn/src/process/targets/__tests__/createTargetGate.test.ts
@@ -1,12 +1,12 @@
 import { FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createFakeIdentity, createFakePeerNetworks } from "../../__fixtures__/fakePeerNetwork.js";
-import { createHold, createTarget } from "../../version/__fixtures__/items.js";
-import type { ConfigurationItem } from "../../version/configurationItems.js";
-import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
+import { createFakeIdentity, createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
+import { createHold, createTarget } from "../../../version/__fixtures__/items.js";
+import type { ConfigurationItem } from "../../../version/configurationItems.js";
+import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
+import { PeerMethod } from "../../peers/index.js";
 import { createTargetGate } from "../createTargetGate.js";
-import { PeerMethod } from "../peerNetwork.js";
 
 function createGateRig() {
     const clock = new FakeClock();
--- a/packages/daisyturn/src/process/createTargetDirectory.ts
+++ b/packages/daisyturn/src/process/targets/createTargetDirectory.ts
@@ -1,7 +1,7 @@
-import type { Engine } from "../ports/engine.js";
-import type { PlainService } from "../ports/plainService.js";
-import { type Target, TargetKind } from "../version/configurationItems.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
+import type { Engine } from "../../ports/engine.js";
+import type { PlainService } from "../../ports/plainService.js";
+import { type Target, TargetKind } from "../../version/configurationItems.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
 import type { TargetDirectory } from "./targetDirectory.js";
 
 /** Makes the adapters that the directory hands out. */
--- a/packages/daisyturn/src/process/createTargetGate.ts
+++ b/packages/daisyturn/src/process/targets/createTargetGate.ts
@@ -1,7 +1,7 @@
 import type { Clock, JsonObject } from "daisyturn-utils";
-import type { Target } from "../version/configurationItems.js";
-import type { ConfigurationKeeper } from "./configurationKeeper.js";
-import { PeerMethod, type PeerNetwork } from "./peerNetwork.js";
+import type { Target } from "../../version/configurationItems.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import { PeerMethod, type PeerNetwork } from "../peers/index.js";
 import { parseQuiesceDemand, parseReleaseNotice } from "./quiesceMessages.js";
 import type { TargetGate } from "./targetGate.js";
 
--- a/packages/daisyturn/src/process/targetDirectory.ts
+++ b/packages/daisyturn/src/process/targets/targetDirectory.ts
@@ -1,5 +1,5 @@
-import type { Engine } from "../ports/engine.js";
-import type { PlainService } from "../ports/plainService.js";
+import type { Engine } from "../../ports/engine.js";
+import type { PlainService } from "../../ports/plainService.js";
 
 /** Adapters to the targets of the configuration in force, made when a target first appears. */
 export interface TargetDirectory {
--- a/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
+++ b/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
@@ -11,9 +11,9 @@
 import { createFaultyTableService } from "../../ports/faultyTableService.js";
 import { createMemoryTableService } from "../../ports/memoryTableService.js";
 import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
-import { createClaimPruner } from "../../process/claimPruner.js";
-import { createStoreClient } from "../../process/createStoreClient.js";
-import type { Membership, ProcessIdentity } from "../../process/peerNetwork.js";
+import { createClaimPruner } from "../../process/claims/index.js";
+import type { Membership, ProcessIdentity } from "../../process/peers/index.js";
+import { createStoreClient } from "../../process/store/index.js";
 import type { ClaimRequest, SendCall } from "../claimKeeper.js";
 import { formatClaimRowKey, parseClaimRow } from "../claimRow.js";
 import { createClaimKeeper, type ProcessClaimKeeper } from "../createClaimKeeper.js";
--- a/packages/daisyturn/src/request/createClaimKeeper.ts
+++ b/packages/daisyturn/src/request/createClaimKeeper.ts
@@ -3,14 +3,20 @@
 import Result from "true-myth/result";
 import type { ServiceAnswer } from "../ports/plainService.js";
 import type { Row } from "../ports/tableService.js";
-import { createClaimExaminer, type ExaminedClaim, ExaminedKind } from "../process/claimExaminer.js";
-import { answerInquiries } from "../process/claimInquiry.js";
-import { createClaimRecorder } from "../process/claimRecorder.js";
-import { createClaimWriter } from "../process/claimWriter.js";
-import { ClaimStage, createOwnClaims, type OwnClaim } from "../process/ownClaims.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "../process/peerNetwork.js";
-import { settlesBefore } from "../process/settlesBefore.js";
-import { type StoreClient, StorePriority } from "../process/storeClient.js";
+import {
+    answerInquiries,
+    ClaimStage,
+    createClaimExaminer,
+    createClaimRecorder,
+    createClaimWriter,
+    createOwnClaims,
+    type ExaminedClaim,
+    ExaminedKind,
+    type OwnClaim,
+    settlesBefore,
+} from "../process/claims/index.js";
+import type { Membership, PeerNetwork, ProcessIdentity } from "../process/peers/index.js";
+import { type StoreClient, StorePriority } from "../process/store/index.js";
 import type { ClaimKeeper, ClaimRequest, SendCall } from "./claimKeeper.js";
 import { type ClaimLimits, defaultClaimLimits } from "./claimLimits.js";
 import { type ClaimRow, type ClaimRowState, type ClaimScope, parseClaimRow } from "./claimRow.js";
--- a/packages/daisyturn/src/request/dispatch.ts
+++ b/packages/daisyturn/src/request/dispatch.ts
@@ -8,7 +8,7 @@
     type StreamEvent,
     StreamEventKind,
 } from "../ports/engine.js";
-import type { Placement } from "../process/router.js";
+import type { Placement } from "../process/routing/index.js";
 import type { AnswerRun } from "./answerRun.js";
 import { cancelStream } from "./followStream.js";
 import type { RequestParts } from "./requestParts.js";
--- a/packages/daisyturn/src/request/forwarding/requestTrace.ts
+++ b/packages/daisyturn/src/request/forwarding/requestTrace.ts
@@ -1,5 +1,4 @@
-import type { EventFields, EventKind, EventLog } from "daisyturn-utils";
-import { hashTextTo32Bits } from "../../process/rendezvous.js";
+import { type EventFields, type EventKind, type EventLog, hashTextTo32Bits } from "daisyturn-utils";
 
 /**
  * The decisions that touched one call, kept until its end is known. A call that failed or came late is logged whole, an
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -1,7 +1,7 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { ListedTarget } from "../../ports/listedTarget.js";
-import type { CallCost } from "../../process/forwarding/createTargetLoads.js";
+import type { CallCost } from "../../process/forwarding/index.js";
 import { CallKind } from "../../version/forwarding/forwardingConfiguration.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -2,7 +2,7 @@
 import { err, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
-import { countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/createCallPlacement.js";
+import { countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -11,8 +11,7 @@
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
-import { TargetEvidence, type TargetHealth } from "../../process/forwarding/createTargetHealth.js";
-import type { CallCost } from "../../process/forwarding/createTargetLoads.js";
+import { type CallCost, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
 import { type CallRun } from "./callRun.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
-import { CallOutcome } from "../../process/forwarding/forwardingMetrics.js";
+import { CallOutcome } from "../../process/forwarding/index.js";
 import { chooseService } from "../../version/forwarding/createRouteTable.js";
 import { startRequestLife } from "../requestLife.js";
 import { type CallRun, createCallRun } from "./callRun.js";
--- a/packages/daisyturn/src/request/place.ts
+++ b/packages/daisyturn/src/request/place.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { Placement } from "../process/router.js";
+import type { Placement } from "../process/routing/index.js";
 import { describeForRouting } from "./admit.js";
 import type { ModelRequest } from "./modelRequest.js";
 import type { RequestParts } from "./requestParts.js";
--- a/packages/daisyturn/src/request/produceAnswer.ts
+++ b/packages/daisyturn/src/request/produceAnswer.ts
@@ -1,7 +1,7 @@
 import { EventKind, ExecutionVerdict, type Failure } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
 import { GeneratePart, type StreamEnd, type StreamTokens } from "../ports/engine.js";
-import { type Placement, PlacementOutcome } from "../process/router.js";
+import { type Placement, PlacementOutcome } from "../process/routing/index.js";
 import type { AnswerRun } from "./answerRun.js";
 import { dispatch, type DispatchedStream, dispatchWholeInstead } from "./dispatch.js";
 import { followStream } from "./followStream.js";
--- a/packages/daisyturn/src/request/requestParts.ts
+++ b/packages/daisyturn/src/request/requestParts.ts
@@ -1,10 +1,8 @@
 import type { Clock, EventLog, IdSource } from "daisyturn-utils";
-import type { Admission } from "../process/admission.js";
-import type { RetryBudget } from "../process/createRetryBudget.js";
-import type { FleetConfigurationKeeper } from "../process/fleetConfigurationKeeper.js";
-import type { Router } from "../process/router.js";
-import type { TargetDirectory } from "../process/targetDirectory.js";
-import type { TargetGate } from "../process/targetGate.js";
+import type { Admission, RetryBudget } from "../process/admission/index.js";
+import type { FleetConfigurationKeeper } from "../process/configuration/index.js";
+import type { Router } from "../process/routing/index.js";
+import type { TargetDirectory, TargetGate } from "../process/targets/index.js";
 import type { ClaimKeeper } from "./claimKeeper.js";
 import type { ResumeTokens } from "./resumeToken.js";
 
--- a/packages/daisyturn/src/request/takeClaim.ts
+++ b/packages/daisyturn/src/request/takeClaim.ts
@@ -2,12 +2,18 @@
 import Result from "true-myth/result";
 import type { ServiceAnswer } from "../ports/plainService.js";
 import { absentVersion, type Row } from "../ports/tableService.js";
-import { type ClaimExaminer, type ExaminedClaim, ExaminedKind } from "../process/claimExaminer.js";
-import type { ClaimRecorder } from "../process/claimRecorder.js";
-import { ClaimWriteOutcome, type ClaimWriter } from "../process/claimWriter.js";
-import { ClaimStage, type OwnClaim } from "../process/ownClaims.js";
-import type { ProcessIdentity } from "../process/peerNetwork.js";
-import { type StoreClient, StorePriority } from "../process/storeClient.js";
+import {
+    type ClaimExaminer,
+    type ClaimRecorder,
+    ClaimStage,
+    ClaimWriteOutcome,
+    type ClaimWriter,
+    type ExaminedClaim,
+    ExaminedKind,
+    type OwnClaim,
+} from "../process/claims/index.js";
+import type { ProcessIdentity } from "../process/peers/index.js";
+import { type StoreClient, StorePriority } from "../process/store/index.js";
 import type { SendPermit } from "./claimKeeper.js";
 import type { ClaimLimits } from "./claimLimits.js";
 import { type ClaimRow, createClaimedRow, createFreeRow, parseClaimRow } from "./claimRow.js";
--- a/packages/daisyturn/src/version/forwarding/createRouteTable.ts
+++ b/packages/daisyturn/src/version/forwarding/createRouteTable.ts
@@ -1,4 +1,4 @@
-import { hashTextTo32Bits } from "../../process/rendezvous.js";
+import { hashTextTo32Bits } from "daisyturn-utils";
 import type { ForwardingConfiguration, ForwardRoute, ServiceShare } from "./forwardingConfiguration.js";
 
 /** The routes of one configuration, ready to be searched. */
