--- a/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
@@ -1,12 +1,12 @@
-import { once } from "node:events";
 import type { DaemonSettings } from "../settings/daemonSettings.js";
+import { untilStopSignal } from "../untilStopSignal.js";
 import { createEntryProcess } from "./createEntryProcess.js";
 import type { EntryPolicies } from "./entryPolicies.js";
 
 /** Runs an entry process until SIGTERM or SIGINT; prints where it listens once it is open. */
 export async function serveEntryProcess(settings: DaemonSettings, policies?: EntryPolicies): Promise<void> {
     const entry = createEntryProcess(settings, policies);
-    const stopSignal = Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
+    const stopSignal = untilStopSignal("SIGTERM", "SIGINT");
     const addresses = await entry.start();
     const callers = formatUrl(settings.callers, addresses.callerPort);
     const operators = formatUrl(settings.operators, addresses.operatorPort);
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,4 +1,10 @@
-import { type CallOutcome, ForwardingMetrics, type ForwardingParts, type ListenAddress } from "daisyturn/forwarding";
+import {
+    type CallOutcome,
+    ForwardingMetrics,
+    type ForwardingParts,
+    type ListenAddress,
+    listenAt,
+} from "daisyturn/forwarding";
 import { createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -79,19 +85,10 @@
             outgoing.end(text);
         }, () => outgoing.destroy());
     });
-    const start = () =>
-        new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(listen.port, listen.address, () => {
-                server.off("error", reject);
-                resolve();
-            });
-        });
-
     return {
         metrics: new RegistryMetrics(),
         observe,
-        start,
+        start: () => listenAt(server, listen),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
@@ -1,4 +1,4 @@
-import type { ListenAddress } from "daisyturn/forwarding";
+import { type ListenAddress, listenAt } from "daisyturn/forwarding";
 import { createServer } from "node:http";
 
 /** Answers the balancer's question whether this process takes requests. */
@@ -25,14 +25,7 @@
         outgoing.end();
     });
     return {
-        start: () =>
-            new Promise<void>((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(listen.port, listen.address, () => {
-                    server.off("error", reject);
-                    resolve();
-                });
-            }),
+        start: () => listenAt(server, listen),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -4,6 +4,7 @@
 import { createRetryBudget, defaultRetryBudget } from "../../process/admission/index.js";
 import type { RequestParts } from "../../request/requestParts.js";
 import { createResumeTokens } from "../../request/resumeToken.js";
+import { listenAt } from "../listenAt.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
 import { checkHeader } from "./checkHeader.js";
 import { type CallerConnection, createCallerListener } from "./createCallerListener.js";
@@ -102,14 +103,10 @@
         void serve(incoming, outgoing, connection);
     });
 
-    const start = () =>
-        new Promise<{ readonly port: number; }>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(options.listen.port, options.listen.address, () => {
-                server.off("error", reject);
-                resolve({ port: (server.address() as AddressInfo).port });
-            });
-        });
+    const start = async () => {
+        await listenAt(server, options.listen);
+        return { port: (server.address() as AddressInfo).port };
+    };
 
     const drain = async (deadline: number) => {
         phase = ServerPhase.Leaving;
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -6,6 +6,7 @@
 import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
 import { type CallerConnection, createCallerListener } from "../caller/createCallerListener.js";
 import { readBytes } from "../caller/readBody.js";
+import { listenAt } from "../listenAt.js";
 import { createForwardExchange, type ForwardExchange } from "./forwardExchange.js";
 
 /** The server for calls that are forwarded as they are. */
@@ -139,15 +140,7 @@
         (incoming, outgoing, connection) => void take(incoming, outgoing, connection),
     );
 
-    const start = () =>
-        new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            const { port, address: host } = options.listen;
-            server.listen({ port, host, backlog: connectionBacklog }, () => {
-                server.off("error", reject);
-                resolve();
-            });
-        });
+    const start = () => listenAt(server, options.listen, connectionBacklog);
 
     const drain = async (deadline: number) => {
         isClosing = true;
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -2,6 +2,7 @@
 export * from "./connection/forwarding/createForwardServer.js";
 export * from "./connection/forwarding/forwardExchange.js";
 export * from "./connection/forwarding/openDatagramChannel.js";
+export * from "./connection/listenAt.js";
 export * from "./connection/target/createTargetConnections.js";
 export * from "./ports/changeFeed.js";
 export * from "./ports/engineOrders.js";
