Homes in the zone, peers of the zone told first, idle decoding engines read

Change: with three or more engines of a kind in a zone, prompts have their homes there; peers of the zone are told up to 160 times a second in all, those of other zones 60 (before: 80 for all); engines go over to reading while even the bursts of the last 15 s leave the decoding ones mostly free, and go back only where decoding has been nearly full. One creator of all views in place of two.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -1,15 +1,10 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import {
-    createCacheBeliefs,
     createCallPlacement,
-    createClosedTargets,
     createForwardingKeeper,
-    createPaceView,
-    createReadingDemand,
+    createLeastRunningPlacement,
     createTargetConnections,
-    createTargetHealth,
-    createTargetList,
-    createTargetLoads,
+    createTargetViews,
     createWindowedRetryBudget,
     type ForwardingKeeper,
     type ForwardingMetrics,
@@ -17,7 +12,7 @@
     type TargetList,
 } from "daisyturn/forwarding";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
-import type { ForwardingSettings } from "./forwardingSettings.js";
+import { type ForwardingSettings, PlacementPolicy } from "./forwardingSettings.js";
 
 /** What {@link createForwardingParts} needs. */
 export interface ForwardingPartsOptions {
@@ -44,35 +39,16 @@
         decode: adapters.decodeConfiguration,
         eventLog,
     });
-    const targets = createTargetList({ decode: adapters.decodeTarget, clock, eventLog });
-    const loads = createTargetLoads(clock);
-    const health = createTargetHealth(clock, eventLog);
-    const caches = createCacheBeliefs(clock);
-    const paces = createPaceView();
-    const demand = createReadingDemand(clock);
-    const closed = createClosedTargets(clock);
+    const views = createTargetViews(adapters.decodeTarget, clock, eventLog);
     const connections = createTargetConnections(clock);
-    const placement = createCallPlacement({
-        targets,
-        loads,
-        health,
-        caches,
-        paces,
-        closed,
-        random,
-        availabilityZone: settings().availabilityZone,
-    });
+    const { availabilityZone, placement: policy } = settings();
+    const placement = policy === PlacementPolicy.LeastRunning
+        ? createLeastRunningPlacement({ ...views, availabilityZone })
+        : createCallPlacement({ ...views, random, availabilityZone });
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
-    targets.onGone(targetId => [loads, health, caches, paces].forEach(view => view.forget(targetId)));
     return {
+        ...views,
         keeper,
-        targets,
-        loads,
-        health,
-        caches,
-        paces,
-        demand,
-        closed,
         placement,
         budget,
         connections,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -14,6 +14,7 @@
     type FollowTiming,
     NoForwardingMetrics,
     openDatagramChannel,
+    type RegisteredPeer,
     serveForwardedCall,
     shareLoads,
 } from "daisyturn/forwarding";
@@ -105,10 +106,17 @@
         void followTable({ ...common, name: "targets", feed: targetFeed, follower: parts.targets }, signal);
     };
 
+    const describeSelf = (): RegisteredPeer => ({
+        peerId: settings.processId,
+        host: settings.peers.address,
+        port: settings.peers.port,
+        availabilityZone: settings.availabilityZone,
+    });
+
     const actWithPeers = () => {
         const { address, port } = settings.peers;
         const { channel, close } = openDatagramChannel(address, port, eventLog);
-        const self = { peerId: settings.processId, host: address, port };
+        const self = describeSelf();
         const { loads, caches, demand, closed } = parts;
         const { signal } = background;
         const registry = adapters.peerRegistry;
@@ -153,9 +161,8 @@
 
     /** Without it, the others would send datagrams to this address until the entry is stale. */
     const leavePeers = () => {
-        const { address, port } = settings.peers;
         const deadline = clock.monotonicNow() + leaveMilliseconds;
-        return adapters.peerRegistry.leave({ peerId: settings.processId, host: address, port }, deadline);
+        return adapters.peerRegistry.leave(describeSelf(), deadline);
     };
 
     const stopOnce = async () => {
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -1,5 +1,13 @@
 import type { ListenAddress, RetryAllowance } from "daisyturn/forwarding";
 
+/** How a process chooses targets. */
+export enum PlacementPolicy {
+    /** By estimated time over all ways; see `createCallPlacement`. */
+    Estimated = "estimated",
+    /** By running calls alone: what the other one is measured against. */
+    LeastRunning = "least-running",
+}
+
 /** What a process that forwards calls is told of its place and of the fleet's bounds. Times are in milliseconds. */
 export interface ForwardingSettings {
     readonly processId: string;
@@ -11,6 +19,8 @@
     readonly peers: ListenAddress;
     /** Where counters are served as text; nowhere if absent. */
     readonly metrics?: ListenAddress;
+    /** How targets are chosen; estimated if absent. */
+    readonly placement?: PlacementPolicy;
     /** Where log lines go; standard output if absent. */
     readonly logFile?: string;
     /** How long after a disturbance of its links a process must be up to date again. */
--- a/packages/daisyturn/src/ports/peerRegistry.ts
+++ b/packages/daisyturn/src/ports/peerRegistry.ts
@@ -7,6 +7,7 @@
     /** IP number. */
     readonly host: string;
     readonly port: number;
+    readonly availabilityZone: string;
 }
 
 /** Where the processes of the fleet find each other. Only an adapter knows the wire. */
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__tests__/createRecentPeak.test.ts
@@ -0,0 +1,20 @@
+import { FakeClock } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRecentPeak } from "../createRecentPeak.js";
+
+test("tells the most of the last while, and forgets what is older", async () => {
+    const clock = new FakeClock();
+    const peak = createRecentPeak(clock, 1_000);
+    assert.equal(peak.most(), 0);
+    peak.note(5);
+    await clock.advance(600);
+    peak.note(2);
+    await clock.advance(200);
+    peak.note(3);
+    assert.equal(peak.most(), 5);
+    await clock.advance(300);
+    assert.equal(peak.most(), 3);
+    await clock.advance(1_000);
+    assert.equal(peak.most(), 0);
+});
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/callPlacement.ts
@@ -0,0 +1,48 @@
+import type { PromptDescription } from "../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../ports/listedTarget.js";
+import type { ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
+
+/** Where one part of a call goes. */
+export interface PlacedStep {
+    readonly target: ListedTarget;
+    /** Estimated milliseconds of expensive work there, and before the target turns to it. */
+    readonly work: number;
+    readonly wait: number;
+}
+
+/** How a prompt is served: read at one engine and decoded at another, or both at one. */
+export interface PromptWay {
+    readonly prefill?: PlacedStep;
+    readonly decode: PlacedStep;
+    /** Estimated milliseconds to the first event. */
+    readonly firstEvent: number;
+    /** Milliseconds that an engine which only reads would need for the prompt. */
+    readonly reading: number;
+    /** Whether the answer will be late anyway and lets those go first that can still be on time. */
+    readonly isDeferred: boolean;
+}
+
+/** A prompt that is to be placed. */
+export interface PromptDemand {
+    readonly service: ForwardService;
+    readonly prompt: PromptDescription;
+    readonly bodyBytes: number;
+    /** Targets that failed the call. */
+    readonly avoid: ReadonlySet<string>;
+    /** Whether both parts have to be done by one engine. */
+    readonly isWholeOnly: boolean;
+    /** Milliseconds within which the first event is on time. */
+    readonly aim: number;
+}
+
+/** Chooses targets for calls. */
+export abstract class CallPlacement {
+    abstract placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined;
+    /** The way that a prompt is to go; undefined if no engine can take it. */
+    abstract placePrompt(demand: PromptDemand): PromptWay | undefined;
+}
+
+/** KV cache that a call holds until its end. */
+export function countTokens({ promptTokens, expectedOutputTokens, maxOutputTokens }: PromptDescription): number {
+    return promptTokens + Math.min(expectedOutputTokens, maxOutputTokens);
+}
--- a/packages/daisyturn/src/process/forwarding/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/changeStages.ts
@@ -4,6 +4,7 @@
 import type { Lease, LeaseKeeper } from "../lease/index.js";
 import type { ClosedTargets } from "./createClosedTargets.js";
 import type { ReadingDemand } from "./createReadingDemand.js";
+import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
 import type { TargetList } from "./createTargetList.js";
 import type { TargetLoads } from "./createTargetLoads.js";
 import { leastDecoders, planStage } from "./planStage.js";
@@ -31,6 +32,8 @@
 }
 
 const planMilliseconds = 500;
+/** Peaks of what decodes count for so long: some of the swings between long prompts and long answers. */
+const peakMilliseconds = 15_000;
 /** A need that lasts this many looks is acted upon: longer than the bursts that a change would come too late for. */
 const looksForReading = 8;
 /** Without an engine of a stage, or with the last one decoding, each second costs answers. */
@@ -54,6 +57,7 @@
     const { targets, loads, demand, closed, orders, leaseKeeper, clock, eventLog } = options;
     const needs = new Map<string, { stage: EngineStage; looks: number; }>();
     const changing = new Map<string, number>();
+    const peaks = new Map<string, RecentPeak>();
     let lastNeedAt = -Infinity;
     let keeping: { readonly stop: AbortController; } | undefined;
 
@@ -77,11 +81,13 @@
         const engines = targets.open(service).filter(target => target.stage !== undefined);
         const readers = engines.filter(target => target.stage === EngineStage.Prefill);
         const decoders = engines.filter(target => target.stage !== EngineStage.Prefill);
+        const decodingFill = findFill(decoders, options.kvTokens(service));
         const view = {
             readers: readers.length,
             decoders: decoders.length,
             demand: demand.engines(service),
-            decodingFill: findFill(decoders, options.kvTokens(service)),
+            decodingFill,
+            peakFill: notePeak(service, decodingFill),
         };
         const stage = engines.length > 1 ? planStage(view) : undefined;
         const known = needs.get(service);
@@ -104,6 +110,13 @@
         }
     };
 
+    const notePeak = (service: string, decodingFill: number) => {
+        const peak = peaks.get(service) ?? createRecentPeak(clock, peakMilliseconds);
+        peaks.set(service, peak);
+        peak.note(decodingFill);
+        return peak.most();
+    };
+
     const findFill = (decoders: readonly ListedTarget[], kvTokens: number) => {
         const calls = sum(decoders, engine => loads.calls(engine.targetId));
         const tokens = sum(decoders, engine => loads.tokens(engine.targetId));
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -1,7 +1,7 @@
-import { hashTextTo32Bits, type Random, rendezvousWeight } from "daisyturn-utils";
-import type { PromptDescription } from "../../ports/forwardedCall.js";
+import type { Random } from "daisyturn-utils";
 import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
-import type { EngineTraits, ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
+import type { EngineTraits } from "../../version/forwarding/forwardingConfiguration.js";
+import { CallPlacement, countTokens, type PlacedStep, type PromptDemand, type PromptWay } from "./callPlacement.js";
 import type { CacheBeliefs } from "./createCacheBeliefs.js";
 import type { ClosedTargets } from "./createClosedTargets.js";
 import type { PaceView } from "./createPaceView.js";
@@ -9,50 +9,8 @@
 import type { TargetList } from "./createTargetList.js";
 import type { TargetLoads } from "./createTargetLoads.js";
 import { estimatePrefill, estimateTransfer, sharedEngineFactor } from "./estimatePrefill.js";
-
-/** Where one part of a call goes. */
-export interface PlacedStep {
-    readonly target: ListedTarget;
-    /** Estimated milliseconds of expensive work there, and before the target turns to it. */
-    readonly work: number;
-    readonly wait: number;
-}
-
-/** How a prompt is served: read at one engine and decoded at another, or both at one. */
-export interface PromptWay {
-    readonly prefill?: PlacedStep;
-    readonly decode: PlacedStep;
-    /** Estimated milliseconds to the first event. */
-    readonly firstEvent: number;
-    /** Milliseconds that an engine which only reads would need for the prompt. */
-    readonly reading: number;
-    /** Whether the answer will be late anyway and lets those go first that can still be on time. */
-    readonly isDeferred: boolean;
-}
-
-/** A prompt that is to be placed. */
-export interface PromptDemand {
-    readonly service: ForwardService;
-    readonly prompt: PromptDescription;
-    readonly bodyBytes: number;
-    /** Targets that failed the call. */
-    readonly avoid: ReadonlySet<string>;
-    /** Whether both parts have to be done by one engine. */
-    readonly isWholeOnly: boolean;
-    /** Milliseconds within which the first event is on time. */
-    readonly aim: number;
-}
-
-/** Chooses targets for calls. */
-export interface CallPlacement {
-    placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined;
-    /**
-     * The way that is the soonest, with regard to what it costs others. A call that can't be on time by any way is
-     * deferred: with all in one queue, an overload makes every answer late, while so only those are that exceed what
-     * the engines can do.
-     */
-    placePrompt(demand: PromptDemand): PromptWay | undefined;
-}
+import { findLeast } from "./findLeast.js";
+import { type EngineGroups, groupEngines, sumShared } from "./groupEngines.js";
 
 /** What {@link createCallPlacement} needs. */
 export interface CallPlacementOptions {
@@ -66,8 +24,6 @@
     readonly availabilityZone: string;
 }
 
-/** Prompts that share less than this are placed by load alone: reading it again takes less than a step. */
-const affinityTokens = 512;
 /** Work counts beyond the time it takes itself: it delays whatever comes after it at the same engine. */
 const externality = 0.8;
 /** Reading at an engine that decodes stretches the steps of all answers it has under way. */
@@ -112,7 +68,11 @@
 /** One hop to an engine and back, with the engine's step, in milliseconds. */
 const hopMilliseconds = 8;
 
-/** Creates the placement policy of one process. */
+/**
+ * Creates the placement policy of one process: the way that is the soonest, with regard to what it costs others. A call
+ * that can't be on time by any way is deferred: with all in one queue, an overload makes every answer late, while so
+ * only those are that exceed what the engines can do.
+ */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
     const { targets, loads, health, caches, paces, closed, random, availabilityZone } = options;
 
@@ -233,69 +193,16 @@
 
     const placePrompt = (demand: PromptDemand): PromptWay | undefined => {
         const usable = listUsable(demand.service.name, demand.avoid);
-        const engines = groupEngines(usable, findAffinityKey(demand.prompt));
+        const engines = groupEngines(usable, demand.prompt, availabilityZone);
         const way = findCheapest(demand, engines, false);
         return way && way.firstEvent > demand.aim ? findCheapest(demand, engines, true) : way;
     };
 
-    return { placePlain, placePrompt };
+    class EstimatedPlacement extends CallPlacement {
+        override placePlain = placePlain;
+        override placePrompt = placePrompt;
+    }
+    return new EstimatedPlacement();
 }
 
 type CostedWay = PromptWay & { readonly cost: number; };
-
-/** The engines of a service by what they do, and where each kind looks first for what a prompt begins with. */
-interface EngineGroups {
-    readonly readers: readonly ListedTarget[];
-    /** In an order that all processes share. */
-    readonly decoders: readonly ListedTarget[];
-    readonly readerHome?: string;
-    readonly decoderHome?: string;
-}
-
-function groupEngines(engines: readonly ListedTarget[], key: number | undefined): EngineGroups {
-    const readers = engines.filter(target => target.stage === EngineStage.Prefill);
-    const decoders = sortByHash(engines.filter(target => target.stage !== EngineStage.Prefill));
-    return { readers, decoders, readerHome: findHome(readers, key), decoderHome: findHome(decoders, key) };
-}
-
-function sortByHash(engines: readonly ListedTarget[]): ListedTarget[] {
-    return engines
-        .map(engine => ({ engine, hash: hashTextTo32Bits(engine.targetId) }))
-        .sort((left, right) => left.hash - right.hash)
-        .map(({ engine }) => engine);
-}
-
-/** The engine that all processes try first for prompts that begin alike. */
-function findHome(engines: readonly ListedTarget[], key: number | undefined): string | undefined {
-    return key === undefined
-        ? undefined
-        : findLeast(engines, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
-}
-
-/** KV cache that a call holds until its end. */
-export function countTokens({ promptTokens, expectedOutputTokens, maxOutputTokens }: PromptDescription): number {
-    return promptTokens + Math.min(expectedOutputTokens, maxOutputTokens);
-}
-
-function sumShared(prompt: PromptDescription): number {
-    return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-}
-
-/** Prompts that begin with the same long text get the same key. */
-function findAffinityKey(prompt: PromptDescription): number | undefined {
-    const first = prompt.parts[0];
-    return first && sumShared(prompt) >= affinityTokens ? hashTextTo32Bits(first.partId) : undefined;
-}
-
-function findLeast<Item>(items: readonly Item[], cost: (item: Item) => number): Item | undefined {
-    let best: Item | undefined;
-    let bestCost = Infinity;
-    for (const item of items) {
-        const itemCost = cost(item);
-        if (itemCost < bestCost) {
-            best = item;
-            bestCost = itemCost;
-        }
-    }
-    return best;
-}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createTargetViews.ts
@@ -0,0 +1,42 @@
+import type { Clock, EventLog } from "daisyturn-utils";
+import { type CacheBeliefs, createCacheBeliefs } from "./createCacheBeliefs.js";
+import { type ClosedTargets, createClosedTargets } from "./createClosedTargets.js";
+import { createPaceView, type PaceView } from "./createPaceView.js";
+import { createReadingDemand, type ReadingDemand } from "./createReadingDemand.js";
+import { createTargetHealth, type TargetHealth } from "./createTargetHealth.js";
+import { createTargetList, type TargetList, type TargetListOptions } from "./createTargetList.js";
+import { createTargetLoads, type TargetLoads } from "./createTargetLoads.js";
+
+/** All that one process believes of the targets. */
+export interface TargetViews {
+    readonly targets: TargetList;
+    readonly loads: TargetLoads;
+    readonly health: TargetHealth;
+    readonly caches: CacheBeliefs;
+    readonly paces: PaceView;
+    readonly closed: ClosedTargets;
+    readonly demand: ReadingDemand;
+}
+
+/** Creates the views of one process; what is believed of a target ends with it. */
+export function createTargetViews(
+    decode: TargetListOptions["decode"],
+    clock: Clock,
+    eventLog: EventLog,
+): TargetViews {
+    const targets = createTargetList({ decode, clock, eventLog });
+    const loads = createTargetLoads(clock);
+    const health = createTargetHealth(clock, eventLog);
+    const caches = createCacheBeliefs(clock);
+    const paces = createPaceView();
+    targets.onGone(targetId => [loads, health, caches, paces].forEach(view => view.forget(targetId)));
+    return {
+        targets,
+        loads,
+        health,
+        caches,
+        paces,
+        closed: createClosedTargets(clock),
+        demand: createReadingDemand(clock),
+    };
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/groupEngines.ts
@@ -0,0 +1,71 @@
+import { hashTextTo32Bits, rendezvousWeight } from "daisyturn-utils";
+import type { PromptDescription } from "../../ports/forwardedCall.js";
+import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
+import { findLeast } from "./findLeast.js";
+
+/** The engines of a service by what they do, and where each kind looks first for what a prompt begins with. */
+export interface EngineGroups {
+    readonly readers: readonly ListedTarget[];
+    /** In an order that all processes share. */
+    readonly decoders: readonly ListedTarget[];
+    readonly readerHome?: string;
+    readonly decoderHome?: string;
+}
+
+/** Prompts that share less than this are placed by load alone: reading it again takes less than a step. */
+const affinityTokens = 512;
+/**
+ * With so many engines of a kind in an availability zone, prompts have their homes there, and neither they nor what is
+ * told of them crosses zones. With fewer, each would have to keep the beginnings of all prompts, and reading them again
+ * costs more than the way to another zone.
+ */
+const leastEnginesForZoneHomes = 3;
+
+/** Groups the engines for one prompt, as seen from an availability zone. */
+export function groupEngines(
+    engines: readonly ListedTarget[],
+    prompt: PromptDescription,
+    availabilityZone: string,
+): EngineGroups {
+    const key = findAffinityKey(prompt);
+    const readers = engines.filter(target => target.stage === EngineStage.Prefill);
+    const decoders = sortByHash(engines.filter(target => target.stage !== EngineStage.Prefill));
+    return {
+        readers,
+        decoders,
+        readerHome: findHome(readers, key, availabilityZone),
+        decoderHome: findHome(decoders, key, availabilityZone),
+    };
+}
+
+/** Tokens that other prompts may begin with too: all parts but the last one, which is the prompt's own. */
+export function sumShared(prompt: PromptDescription): number {
+    return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+function sortByHash(engines: readonly ListedTarget[]): ListedTarget[] {
+    return engines
+        .map(engine => ({ engine, hash: hashTextTo32Bits(engine.targetId) }))
+        .sort((left, right) => left.hash - right.hash)
+        .map(({ engine }) => engine);
+}
+
+/** The engine that all processes of a zone try first for prompts that begin alike. */
+function findHome(
+    engines: readonly ListedTarget[],
+    key: number | undefined,
+    availabilityZone: string,
+): string | undefined {
+    if (key === undefined) {
+        return undefined;
+    }
+    const near = engines.filter(engine => engine.availabilityZone === availabilityZone);
+    const candidates = near.length >= leastEnginesForZoneHomes ? near : engines;
+    return findLeast(candidates, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
+}
+
+/** Prompts that begin with the same long text get the same key. */
+function findAffinityKey(prompt: PromptDescription): number | undefined {
+    const first = prompt.parts[0];
+    return first && sumShared(prompt) >= affinityTokens ? hashTextTo32Bits(first.partId) : undefined;
+}
--- a/packages/daisyturn/src/process/forwarding/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/planStage.ts
@@ -8,6 +8,8 @@
     readonly demand: number;
     /** Part of the decoding engines' places, or of their memory if that is more, that is taken. */
     readonly decodingFill: number;
+    /** The most of it in the last while, over some bursts. */
+    readonly peakFill: number;
 }
 
 /**
@@ -20,6 +22,14 @@
 const plannedFill = 0.3;
 /** Below this load, one reading engine fewer would do. */
 const spareLoad = 0.35;
+/**
+ * While even the bursts leave most places of the decoding engines free, more engines read from this load on: prompts
+ * come in bursts of three times the mean, and whoever meets a queue waits or reads again what another engine keeps.
+ */
+const plannedLoadWhileIdle = 0.3;
+const idlePeakFill = 0.4;
+/** Engines go back to decoding only if those that decode have ever been this full of late. */
+const needyPeakFill = 0.6;
 /**
  * Part of the engines that decodes in any case. A batch makes hundreds of tokens a second, so few are needed, but the
  * loss of one must be borne.
@@ -31,18 +41,21 @@
  * The stage of which one more engine is needed, if any. Decoding engines read prompts at half the speed and, while they
  * do, stretch every answer they decode; so where the demand for reading allows it, they only decode.
  */
-export function planStage({ readers, decoders, demand, decodingFill }: StageView): EngineStage | undefined {
+export function planStage({ readers, decoders, demand, decodingFill, peakFill }: StageView): EngineStage | undefined {
     const engines = readers + decoders;
     const decodersNeeded = Math.min(engines - 1, Math.max(leastDecoders, Math.ceil(engines * leastDecodingFraction)));
     if (decoders < decodersNeeded) {
         return readers > 0 ? EngineStage.Decode : undefined;
     }
-    const fillWithOneLess = decodingFill * decoders / Math.max(1, decoders - 1);
     if (readers === 0 && decoders > leastDecoders) {
         return EngineStage.Prefill;
     }
-    if (demand > readers * plannedLoad && decoders > decodersNeeded && fillWithOneLess < plannedFill) {
+    const withOneLess = decoders / Math.max(1, decoders - 1);
+    const isNeeded = demand > readers * plannedLoad && decodingFill * withOneLess < plannedFill;
+    const isFree = demand > readers * plannedLoadWhileIdle && peakFill * withOneLess < idlePeakFill;
+    if ((isNeeded || isFree) && decoders > decodersNeeded) {
         return EngineStage.Prefill;
     }
-    return readers > 1 && demand < (readers - 1) * spareLoad ? EngineStage.Decode : undefined;
+    const isSpare = readers > 1 && demand < (readers - 1) * spareLoad;
+    return isSpare && peakFill > needyPeakFill ? EngineStage.Decode : undefined;
 }
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -26,7 +26,7 @@
 
 /** What this process knows of its peers. */
 export interface PeerView {
-    /** Pause between two datagrams to each peer, in milliseconds. */
+    /** Longest pause between two datagrams to any peer, in milliseconds. */
     pause(): number;
     /** Whether no peer that was heard lately has a name that sorts before this process's. */
     isFirst(): boolean;
@@ -35,10 +35,12 @@
 /** Pause between two datagrams to each peer while there are few of them: about the time that a call runs. */
 const shortestPauseMilliseconds = 100;
 /**
- * Datagrams that a process sends in a second, whatever the number of peers: bounds what the exchange costs each
- * machine. With more peers each hears less often, and their many small parts even out.
+ * Datagrams that a process sends in a second to the peers of its availability zone, whatever their number: bounds what
+ * the exchange costs each machine. Processes of a zone use the same engines first, so they hear each other most often.
  */
-const mostDatagramsPerSecond = 80;
+const mostNearDatagramsPerSecond = 160;
+/** The same for the peers of other zones: bytes between zones are paid for. */
+const mostFarDatagramsPerSecond = 60;
 /** Pause between two looks at the registry, which are priced, for each peer: the more there are, the less one counts. */
 const registryPausePerPeer = 400;
 const shortestRegistryPause = 5_000;
@@ -72,8 +74,9 @@
 export function shareLoads(options: ShareLoadsOptions, signal: AbortSignal): PeerView {
     const { self, channel, loads, caches, demand, closed, clock, eventLog } = options;
     const heardAt = new Map<string, number>();
-    let peers: readonly RegisteredPeer[] = [];
-    let wasBusy = false;
+    const near = createPeerGroup(mostNearDatagramsPerSecond);
+    const far = createPeerGroup(mostFarDatagramsPerSecond);
+    const groups = [near, far];
 
     channel.onDatagram(datagram => {
         const message = parseMessage(datagram);
@@ -86,13 +89,15 @@
         }
     });
 
-    const tell = () => {
+    const tell = (group: PeerGroup) => {
+        const placements = caches.takeNew(mostPlacements);
+        groups.forEach(({ untold }) => untold.push(...placements));
         const work = loads.listOwn();
-        const kept = caches.takeNew(mostPlacements);
+        const kept = group.untold.splice(0).slice(-mostPlacements);
         const closings = closed.listOwn();
         const isBusy = work.length > 0 || kept.length > 0 || closings.length > 0;
         // One more message after the last call tells that nothing is left.
-        if (isBusy || wasBusy) {
+        if (isBusy || group.wasBusy) {
             const datagram = encodeMessage({
                 from: self.peerId,
                 work: work.map(encodeWork),
@@ -100,48 +105,71 @@
                 demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)]),
                 closed: closings,
             });
-            peers.forEach(peer => channel.send(peer, datagram));
+            group.peers.forEach(peer => channel.send(peer, datagram));
         }
-        wasBusy = isBusy;
+        group.wasBusy = isBusy;
     };
 
-    const pause = () =>
-        Math.max(shortestPauseMilliseconds, peers.length * millisecondsPerSecond / mostDatagramsPerSecond);
+    const longestPause = () => Math.max(...groups.map(pauseOf));
+
+    const takePeers = (found: readonly RegisteredPeer[]) => {
+        const others = found.filter(peer => peer.peerId !== self.peerId);
+        near.peers = others.filter(peer => peer.availabilityZone === self.availabilityZone);
+        far.peers = others.filter(peer => peer.availabilityZone !== self.availabilityZone);
+    };
 
     const findPeers = async () => {
         while (!signal.aborted) {
             const found = await options.registry.refresh(self, clock.monotonicNow() + registryTimeoutMilliseconds);
             if (found.isOk) {
-                peers = found.value.filter(peer => peer.peerId !== self.peerId);
+                takePeers(found.value);
             }
             else {
                 eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${found.error.message}` });
             }
-            const longPause = Math.min(longestRegistryPause, peers.length * registryPausePerPeer);
-            const hasFound = found.isOk && peers.length > 0;
+            const peerCount = near.peers.length + far.peers.length;
+            const longPause = Math.min(longestRegistryPause, peerCount * registryPausePerPeer);
+            const hasFound = found.isOk && peerCount > 0;
             const pause = hasFound ? Math.max(shortestRegistryPause, longPause) : registryRetryMilliseconds;
             await clock.sleepUntil(clock.monotonicNow() + pause, signal);
         }
     };
 
-    const tellAll = async () => {
+    const tellAll = async (group: PeerGroup) => {
         while (!signal.aborted) {
-            await clock.sleepUntil(clock.monotonicNow() + pause(), signal);
-            tell();
+            await clock.sleepUntil(clock.monotonicNow() + pauseOf(group), signal);
+            tell(group);
         }
     };
 
     void findPeers();
-    void tellAll();
+    groups.forEach(group => void tellAll(group));
     return {
-        pause,
+        pause: longestPause,
         isFirst: () => {
-            const oldest = clock.monotonicNow() - heardMilliseconds - pause();
+            const oldest = clock.monotonicNow() - heardMilliseconds - longestPause();
             return [...heardAt].every(([peerId, at]) => at < oldest || peerId > self.peerId);
         },
     };
 }
 
+/** Peers that are told at one pace. */
+interface PeerGroup {
+    peers: readonly RegisteredPeer[];
+    readonly datagramsPerSecond: number;
+    /** Placements that these peers have not been told. */
+    readonly untold: PartPlacement[];
+    wasBusy: boolean;
+}
+
+function createPeerGroup(datagramsPerSecond: number): PeerGroup {
+    return { peers: [], datagramsPerSecond, untold: [], wasBusy: false };
+}
+
+function pauseOf({ peers, datagramsPerSecond }: PeerGroup): number {
+    return Math.max(shortestPauseMilliseconds, peers.length * millisecondsPerSecond / datagramsPerSecond);
+}
+
 function encodeMessage(params: LoadMessage): Buffer {
     return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
