--- a/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
+++ b/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
@@ -7,20 +7,27 @@
 export interface ReadingDemand {
     note(service: string, milliseconds: number): void;
     listOwn(): readonly ServiceDemand[];
-    notePeer(peerId: string, demand: readonly ServiceDemand[]): void;
+    /** @param pause milliseconds until the peer tells it anew */
+    notePeer(peerId: string, demand: readonly ServiceDemand[], pause: number): void;
     /** Engines that would read without a pause. */
     engines(service: string): number;
 }
 
 /** Prompts of the last seconds count: long enough to even out single long ones. */
 const memoryMilliseconds = 2_500;
+/** What a peer told counts for so long, or for so many of its pauses. */
 const peerMemoryMilliseconds = 3_000;
+const peerMemoryPauses = 2.2;
 const millisecondsPerSecond = 1_000;
 
 /** Creates the view of one process. */
 export function createReadingDemand(clock: Clock): ReadingDemand {
     const own = new Map<string, DecayingRate>();
-    const peers = new Map<string, { readonly heardAt: number; readonly demand: ReadonlyMap<string, number>; }>();
+    const peers = new Map<string, {
+        /** Monotonic time. */
+        readonly forgottenAt: number;
+        readonly demand: ReadonlyMap<string, number>;
+    }>();
     const ownRate = (service: string) => own.get(service)?.perSecond(clock.monotonicNow()) ?? 0;
 
     return {
@@ -33,14 +40,15 @@
             rate.add(milliseconds, clock.monotonicNow());
         },
         listOwn: () => [...own.keys()].map(service => [service, ownRate(service)] as const),
-        notePeer: (peerId, demand) => {
-            peers.set(peerId, { heardAt: clock.monotonicNow(), demand: new Map(demand) });
+        notePeer: (peerId, demand, pause) => {
+            const memory = Math.max(peerMemoryMilliseconds, pause * peerMemoryPauses);
+            peers.set(peerId, { forgottenAt: clock.monotonicNow() + memory, demand: new Map(demand) });
         },
         engines: service => {
-            const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
+            const now = clock.monotonicNow();
             let sum = ownRate(service);
             for (const peer of peers.values()) {
-                sum += peer.heardAt >= oldest ? peer.demand.get(service) ?? 0 : 0;
+                sum += peer.forgottenAt >= now ? peer.demand.get(service) ?? 0 : 0;
             }
             return sum / millisecondsPerSecond;
         },
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -34,8 +34,11 @@
 export interface TargetLoads {
     begin(targetId: string, cost: CallCost): PlacedWork;
     noteReport(targetId: string, load: ReportedLoad): void;
-    /** Takes in all that a peer has under way. */
-    notePeer(peerId: string, work: readonly WorkUnderWay[]): void;
+    /**
+     * Takes in all that a peer has under way.
+     * @param pause milliseconds until the peer tells it anew
+     */
+    notePeer(peerId: string, work: readonly WorkUnderWay[], pause: number): void;
     /** What this process has under way, for its peers. */
     listOwn(): readonly WorkUnderWay[];
     /** Calls that run or wait at the target, of all processes. */
@@ -58,14 +61,16 @@
 }
 
 interface PeerLoad {
-    readonly heardAt: number;
+    /** Monotonic time after which what was told is forgotten. */
+    readonly forgottenAt: number;
     readonly work: ReadonlyMap<string, WorkUnderWay>;
 }
 
 /** After this many milliseconds, a report counts 1/e: calls last a few tens to a few hundred milliseconds. */
 const reportMemoryMilliseconds = 800;
-/** What a peer told is forgotten after this time: it has ended, or its datagrams are lost. */
+/** What a peer told is forgotten after this time, or after so many of its pauses: it has ended, or is cut off. */
 const peerMemoryMilliseconds = 1_500;
+const peerMemoryPauses = 2.2;
 /** Expensive work of a call of which only the target's report is known: the middle of short and long prompts. */
 const unknownWorkMilliseconds = 8;
 
@@ -95,11 +100,11 @@
 
     /** Sums what the peers told, as far as it is fresh; undefined where no peer is heard. */
     const sumPeers = (targetId: string): Omit<WorkUnderWay, "targetId"> | undefined => {
-        const oldest = clock.monotonicNow() - peerMemoryMilliseconds;
+        const now = clock.monotonicNow();
         const sum = { calls: 0, work: 0, deferredWork: 0, tokens: 0 };
         let isHeard = false;
         for (const peer of peers.values()) {
-            if (peer.heardAt >= oldest) {
+            if (peer.forgottenAt >= now) {
                 isHeard = true;
                 const told = peer.work.get(targetId);
                 sum.calls += told?.calls ?? 0;
@@ -155,9 +160,10 @@
             load.reportedOthers = Math.max(0, running + waiting - load.calls);
             load.reportedAt = clock.monotonicNow();
         },
-        notePeer: (peerId, work) => {
+        notePeer: (peerId, work, pause) => {
+            const memory = Math.max(peerMemoryMilliseconds, pause * peerMemoryPauses);
             const byTarget = new Map(work.map(entry => [entry.targetId, entry]));
-            peers.set(peerId, { heardAt: clock.monotonicNow(), work: byTarget });
+            peers.set(peerId, { forgottenAt: clock.monotonicNow() + memory, work: byTarget });
         },
         calls: targetId => {
             const load = own.get(targetId);
--- a/packages/daisyturn/src/process/forwarding/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/planStage.ts
@@ -27,9 +27,9 @@
  * come in bursts of three times the mean, and whoever meets a queue waits or reads again what another engine keeps.
  */
 const plannedLoadWhileIdle = 0.3;
-const idlePeakFill = 0.4;
+const idlePeakFill = 0.55;
 /** Engines go back to decoding only if those that decode have ever been this full of late. */
-const needyPeakFill = 0.6;
+const needyPeakFill = 0.8;
 /**
  * Part of the engines that decodes in any case. A batch makes hundreds of tokens a second, so few are needed, but the
  * loss of one must be borne.
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -26,7 +26,7 @@
 
 /** What this process knows of its peers. */
 export interface PeerView {
-    /** Longest pause between two datagrams to any peer, in milliseconds. */
+    /** Longest pause between two datagrams to any peer while an engine is kept closed, in milliseconds. */
     pause(): number;
     /** Whether no peer that was heard lately has a name that sorts before this process's. */
     isFirst(): boolean;
@@ -39,8 +39,15 @@
  * the exchange costs each machine. Processes of a zone use the same engines first, so they hear each other most often.
  */
 const mostNearDatagramsPerSecond = 160;
-/** The same for the peers of other zones: bytes between zones are paid for. */
+/**
+ * The same for the peers of other zones, while they are few and all zones share the engines; and while they are many:
+ * then what they tell serves only where a zone's own engines are full, and at 60 a second it was half of all bytes that
+ * 64 processes sent between zones, which are paid for.
+ */
 const mostFarDatagramsPerSecond = 60;
+const leastFarDatagramsPerSecond = 20;
+/** Up to this many peers of other zones hear each datagram at the higher rate; beyond, the rate falls as they grow. */
+const fewFarPeers = 15;
 /** Pause between two looks at the registry, which are priced, for each peer: the more there are, the less one counts. */
 const registryPausePerPeer = 400;
 const shortestRegistryPause = 5_000;
@@ -59,6 +66,8 @@
 /** What a process tells its peers: the parameters of a JSON-RPC notification. */
 interface LoadMessage {
     readonly from: string;
+    /** Milliseconds until the next message to the same peer. */
+    readonly pause: number;
     /** Target, calls, milliseconds of work, milliseconds of deferred work, tokens held. */
     readonly work: readonly (readonly [string, number, number, number, number])[];
     readonly kept: readonly PartPlacement[];
@@ -82,8 +91,8 @@
         const message = parseMessage(datagram);
         if (message && message.from !== self.peerId) {
             heardAt.set(message.from, clock.monotonicNow());
-            loads.notePeer(message.from, message.work.map(toWork));
-            demand.notePeer(message.from, message.demand);
+            loads.notePeer(message.from, message.work.map(toWork), message.pause);
+            demand.notePeer(message.from, message.demand, message.pause);
             closed.notePeer(message.from, message.closed);
             message.kept.forEach(([targetId, partId, tokens]) => caches.noteTold(targetId, partId, tokens));
         }
@@ -100,6 +109,7 @@
         if (isBusy || group.wasBusy) {
             const datagram = encodeMessage({
                 from: self.peerId,
+                pause: Math.round(pauseOf(group)),
                 work: work.map(encodeWork),
                 kept,
                 demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)]),
@@ -110,12 +120,17 @@
         group.wasBusy = isBusy;
     };
 
-    const longestPause = () => Math.max(...groups.map(pauseOf));
+    const urgentPause = (group: PeerGroup) => pauseOf({ ...group, datagramsPerSecond: mostNearDatagramsPerSecond });
+
+    /** Engines that are about to change are told at once, since none may be sent work once its order is given. */
+    const isDue = (group: PeerGroup) =>
+        closed.listOwn().length > 0 || clock.monotonicNow() - group.toldAt >= pauseOf(group);
 
     const takePeers = (found: readonly RegisteredPeer[]) => {
         const others = found.filter(peer => peer.peerId !== self.peerId);
         near.peers = others.filter(peer => peer.availabilityZone === self.availabilityZone);
         far.peers = others.filter(peer => peer.availabilityZone !== self.availabilityZone);
+        far.datagramsPerSecond = findFarRate(far.peers.length);
     };
 
     const findPeers = async () => {
@@ -137,17 +152,20 @@
 
     const tellAll = async (group: PeerGroup) => {
         while (!signal.aborted) {
-            await clock.sleepUntil(clock.monotonicNow() + pauseOf(group), signal);
-            tell(group);
+            await clock.sleepUntil(clock.monotonicNow() + urgentPause(group), signal);
+            if (isDue(group)) {
+                tell(group);
+                group.toldAt = clock.monotonicNow();
+            }
         }
     };
 
     void findPeers();
     groups.forEach(group => void tellAll(group));
     return {
-        pause: longestPause,
+        pause: () => Math.max(...groups.map(urgentPause)),
         isFirst: () => {
-            const oldest = clock.monotonicNow() - heardMilliseconds - longestPause();
+            const oldest = clock.monotonicNow() - heardMilliseconds - Math.max(...groups.map(pauseOf));
             return [...heardAt].every(([peerId, at]) => at < oldest || peerId > self.peerId);
         },
     };
@@ -156,17 +174,24 @@
 /** Peers that are told at one pace. */
 interface PeerGroup {
     peers: readonly RegisteredPeer[];
-    readonly datagramsPerSecond: number;
+    datagramsPerSecond: number;
     /** Placements that these peers have not been told. */
     readonly untold: PartPlacement[];
     wasBusy: boolean;
+    /** Monotonic time. */
+    toldAt: number;
+}
+
+function findFarRate(peerCount: number): number {
+    const rate = mostFarDatagramsPerSecond * fewFarPeers / Math.max(1, peerCount);
+    return Math.min(mostFarDatagramsPerSecond, Math.max(leastFarDatagramsPerSecond, rate));
 }
 
 function createPeerGroup(datagramsPerSecond: number): PeerGroup {
-    return { peers: [], datagramsPerSecond, untold: [], wasBusy: false };
+    return { peers: [], datagramsPerSecond, untold: [], wasBusy: false, toldAt: -Infinity };
 }
 
-function pauseOf({ peers, datagramsPerSecond }: PeerGroup): number {
+function pauseOf({ peers, datagramsPerSecond }: Pick<PeerGroup, "peers" | "datagramsPerSecond">): number {
     return Math.max(shortestPauseMilliseconds, peers.length * millisecondsPerSecond / datagramsPerSecond);
 }
 
@@ -186,12 +211,12 @@
 function parseMessage(datagram: Buffer): LoadMessage | undefined {
     try {
         const message = JSON.parse(datagram.toString("utf8")) as { method?: unknown; params?: Partial<LoadMessage>; };
-        const { from, work, kept, demand, closed } = message.params ?? {};
-        const isSound = message.method === method && typeof from === "string"
+        const { from, pause, work, kept, demand, closed } = message.params ?? {};
+        const isSound = message.method === method && typeof from === "string" && typeof pause === "number"
             && isList(work, ["string", "number", "number", "number", "number"])
             && isList(kept, ["string", "string", "number"])
             && isList(demand, ["string", "number"]) && isList(closed, ["string", "number"]);
-        return isSound ? { from, work, kept, demand, closed } as LoadMessage : undefined;
+        return isSound ? { from, pause, work, kept, demand, closed } as LoadMessage : undefined;
     }
     catch {
         return undefined;
