Take the cost of late ways back: it starved the largest prompts

Prompts that the cost kept on time went ahead of the deferred ones, which are the largest.

Change: ways that would be late count no more than others again.

--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -65,11 +65,6 @@
 const tokensFreedPerMillisecond = 150;
 /** What is beyond this part of the memory is kept free: a call that outgrows it is put back and read again. */
 const usableMemoryFraction = 0.85;
-/**
- * A way that would be late counts as so much longer: it is taken instead of one that is on time only where it costs
- * others more than a prompt that is read again.
- */
-const lateMilliseconds = 400;
 /** One hop to an engine and back, with the engine's step, in milliseconds. */
 const hopMilliseconds = 8;
 
@@ -133,10 +128,6 @@
         return hasPauses ? Math.min(mostPauseMilliseconds, reading) : 0;
     };
 
-    /** What is deferred is late anyway. */
-    const lateCost = (firstEvent: number, { aim }: PromptDemand, isDeferred: boolean) =>
-        !isDeferred && firstEvent > aim ? lateMilliseconds : 0;
-
     const placeSplit = (
         demand: PromptDemand,
         traits: EngineTraits,
@@ -146,9 +137,7 @@
         const { prompt, bodyBytes } = demand;
         const steps = engines.readers.map(engine => estimateStep(engine, demand, isDeferred));
         const stray = estimatePrefill(sumShared(prompt), 0, false) * strayReadingFraction;
-        const readCost = (step: PlacedStep) =>
-            costOf(step, bodyBytes) + strayCost(step, engines.readerHome, stray)
-            + lateCost(step.wait + step.work + hopMilliseconds, demand, isDeferred);
+        const readCost = (step: PlacedStep) => costOf(step, bodyBytes) + strayCost(step, engines.readerHome, stray);
         const prefill = findLeast(steps, readCost);
         if (!prefill) {
             return undefined;
@@ -168,8 +157,7 @@
         const decodeCost = (step: PlacedStep) => {
             const pause = pauseCost(demand, step.target);
             return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause
-                + strayCost(step, engines.decoderHome, strayDecodingMilliseconds)
-                + lateCost(prefill.wait + prefill.work + step.wait + hopMilliseconds, demand, isDeferred);
+                + strayCost(step, engines.decoderHome, strayDecodingMilliseconds);
         };
         const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
         if (!decode) {
@@ -185,7 +173,6 @@
         const steps = engines.decoders.map(engine => estimateStep(engine, demand, isDeferred));
         const cost = (step: PlacedStep) =>
             costOf(step, bodyBytes) + pauseCost(demand, step.target)
-            + lateCost(step.wait + step.work + hopMilliseconds, demand, isDeferred)
             + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
         const decode = findLeast(steps, cost);
         return decode && {
