--- a/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
@@ -6,10 +6,7 @@
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { Lease, LeaseKeeper } from "../../lease/index.js";
 import { changeStages } from "../changeStages.js";
-import { createClosedTargets } from "../createClosedTargets.js";
-import { createReadingDemand } from "../createReadingDemand.js";
-import { createTargetList } from "../createTargetList.js";
-import { createTargetLoads } from "../createTargetLoads.js";
+import { createTargetViews } from "../createTargetViews.js";
 
 interface SceneOptions {
     readonly readers: number;
@@ -22,9 +19,8 @@
 function createScene(options: SceneOptions) {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
-    const targets = createTargetList({ decode: (targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog });
-    const loads = createTargetLoads(clock);
-    const closed = createClosedTargets(clock);
+    const views = createTargetViews((targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog);
+    const { targets, closed } = views;
     const sent: (StageOrder & { readonly wasClosed: boolean; readonly at: number; })[] = [];
     const list = (targetId: string, stage: EngineStage) =>
         targets.change([{
@@ -84,10 +80,7 @@
         holder: "entry-1",
         listServices: () => ["engines"],
         kvTokens: () => 1_000,
-        targets,
-        loads,
-        demand: createReadingDemand(clock),
-        closed,
+        ...views,
         orders: new RecordedOrders(),
         leaseKeeper,
         isPlanner: () => options.isPlanner ?? true,
--- a/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
+++ b/packages/daisyturn/src/process/forwarding/createReadingDemand.ts
@@ -1,4 +1,5 @@
 import { type Clock, createDecayingRate, type DecayingRate } from "daisyturn-utils";
+import { findForgetTime } from "./findForgetTime.js";
 
 /** Milliseconds of reading a second, as an engine that only reads would need them. */
 export type ServiceDemand = readonly [service: string, millisecondsPerSecond: number];
@@ -15,9 +16,8 @@
 
 /** Prompts of the last seconds count: long enough to even out single long ones. */
 const memoryMilliseconds = 2_500;
-/** What a peer told counts for so long, or for so many of its pauses. */
+/** What a peer told counts for so long at least. */
 const peerMemoryMilliseconds = 3_000;
-const peerMemoryPauses = 2.2;
 const millisecondsPerSecond = 1_000;
 
 /** Creates the view of one process. */
@@ -41,8 +41,8 @@
         },
         listOwn: () => [...own.keys()].map(service => [service, ownRate(service)] as const),
         notePeer: (peerId, demand, pause) => {
-            const memory = Math.max(peerMemoryMilliseconds, pause * peerMemoryPauses);
-            peers.set(peerId, { forgottenAt: clock.monotonicNow() + memory, demand: new Map(demand) });
+            const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
+            peers.set(peerId, { forgottenAt, demand: new Map(demand) });
         },
         engines: service => {
             const now = clock.monotonicNow();
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import type { ReportedLoad } from "../../ports/forwardedCall.js";
+import { findForgetTime } from "./findForgetTime.js";
 
 /** Work that this process has placed at a target. */
 export interface PlacedWork {
@@ -68,9 +69,8 @@
 
 /** After this many milliseconds, a report counts 1/e: calls last a few tens to a few hundred milliseconds. */
 const reportMemoryMilliseconds = 800;
-/** What a peer told is forgotten after this time, or after so many of its pauses: it has ended, or is cut off. */
+/** What a peer told counts for so long at least. */
 const peerMemoryMilliseconds = 1_500;
-const peerMemoryPauses = 2.2;
 /** Expensive work of a call of which only the target's report is known: the middle of short and long prompts. */
 const unknownWorkMilliseconds = 8;
 
@@ -161,9 +161,9 @@
             load.reportedAt = clock.monotonicNow();
         },
         notePeer: (peerId, work, pause) => {
-            const memory = Math.max(peerMemoryMilliseconds, pause * peerMemoryPauses);
+            const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
             const byTarget = new Map(work.map(entry => [entry.targetId, entry]));
-            peers.set(peerId, { forgottenAt: clock.monotonicNow() + memory, work: byTarget });
+            peers.set(peerId, { forgottenAt, work: byTarget });
         },
         calls: targetId => {
             const load = own.get(targetId);
