A target is its name and its birth; foreign entries name none; pauses are seen

Cause: a worker may start again under its old identifier, and entries of other writers may stand in the tables. The pause that a route allows between two events was read nowhere, so logs and counters took a paused stream for on time.

Change: the identifier of a target is its name with its birth, so that loads, health, caches, pace, closings, and what peers tell of them end with one start; the name goes to the wire. An order is sent only to the start that was listed. An entry that can't be read takes its target out of use at once, told of once and for 64 keys at most.

Ruled out: keeping the name as the identifier and clearing each view on a restart: messages of peers that speak of the start before would fill them again.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -6,6 +6,7 @@
     createTargetConnections,
     createTargetViews,
     createWindowedRetryBudget,
+    defaultSampledCalls,
     type ForwardingKeeper,
     type ForwardingMetrics,
     type ForwardingParts,
@@ -41,7 +42,7 @@
     });
     const views = createTargetViews(adapters.decodeTarget, clock, eventLog);
     const connections = createTargetConnections(clock);
-    const { availabilityZone, placement: policy } = settings();
+    const { availabilityZone, placement: policy, sampledCalls = defaultSampledCalls } = settings();
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement({ ...views, availabilityZone })
         : createCallPlacement({ ...views, random, availabilityZone });
@@ -54,6 +55,7 @@
         connections,
         protocol: adapters.targetProtocol,
         metrics,
+        sampledCalls,
         clock,
         eventLog,
     };
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -38,6 +38,13 @@
         buckets: latencyBuckets,
         registers,
     });
+    const pauses = new Histogram({
+        name: "daisyturn_longest_pause_seconds",
+        help: "The longest time between two events of an answer",
+        labelNames: ["kind"],
+        buckets: latencyBuckets,
+        registers,
+    });
     const sends = new Counter({
         name: "daisyturn_sends_total",
         help: "Sends to targets by result",
@@ -46,9 +53,12 @@
     });
 
     class RegistryMetrics extends ForwardingMetrics {
-        override noteCall(kind: string, outcome: CallOutcome, milliseconds: number): void {
+        override noteCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
             firstByte.observe({ kind }, milliseconds / millisecondsPerSecond);
+            if (longestPause > 0) {
+                pauses.observe({ kind }, longestPause / millisecondsPerSecond);
+            }
         }
 
         override noteSend(result: string): void {
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -21,6 +21,8 @@
     readonly metrics?: ListenAddress;
     /** How targets are chosen; estimated if absent. */
     readonly placement?: PlacementPolicy;
+    /** Every so many-th call that was answered on time is logged; 64 if absent. 1 logs every call, for measurements. */
+    readonly sampledCalls?: number;
     /** Where log lines go; standard output if absent. */
     readonly logFile?: string;
     /** How long after a disturbance of its links a process must be up to date again. */
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -10,6 +10,8 @@
     isHeadSent(): boolean;
     /** Monotonic time at which the first byte of the answer was sent; undefined before. */
     firstByteAt(): number | undefined;
+    /** Longest time between two pieces of an answer that was begun, in milliseconds. */
+    longestPause(): number;
     /** Sends a whole answer. */
     answer(status: number, fields: HeaderFields, body: Buffer): void;
     /** Begins an answer whose length is not known yet. */
@@ -35,6 +37,8 @@
 ): ForwardExchange {
     const gone = new AbortController();
     let firstByteAt: number | undefined;
+    let lastPieceAt: number | undefined;
+    let longestPause = 0;
     const closed = new Promise<void>(resolve => {
         const finish = () => {
             connection.closeListeners.delete(leave);
@@ -64,6 +68,7 @@
         signal: gone.signal,
         closed,
         firstByteAt: () => firstByteAt,
+        longestPause: () => longestPause,
         isHeadSent: () => outgoing.headersSent,
         answer: (status, fields, body) => {
             if (outgoing.headersSent || gone.signal.aborted) {
@@ -74,6 +79,9 @@
         },
         begin: writeHead,
         write: chunk => {
+            const at = now();
+            longestPause = Math.max(longestPause, at - (lastPieceAt ?? at));
+            lastPieceAt = at;
             outgoing.write(chunk);
             if (outgoing.writableLength > maxBufferedBytes) {
                 outgoing.destroy();
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -16,6 +16,7 @@
 export type { ProcessIdentity } from "./process/peers/index.js";
 export * from "./process/store/index.js";
 export * from "./request/forwarding/forwardingParts.js";
+export { defaultSampledCalls } from "./request/forwarding/requestTrace.js";
 export * from "./request/forwarding/serveForwardedCall.js";
 export * from "./version/forwarding/createRouteTable.js";
 export * from "./version/forwarding/forwardingConfiguration.js";
--- a/packages/daisyturn/src/ports/engineOrders.ts
+++ b/packages/daisyturn/src/ports/engineOrders.ts
@@ -4,6 +4,8 @@
 
 /** What an engine says of itself when asked. */
 export interface EngineStatus {
+    /** Which start of the engine has answered; see `ListedTarget.targetId`. */
+    readonly targetId: string;
     readonly stage?: EngineStage;
     /** An order is being carried out. */
     readonly isBusy: boolean;
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -55,7 +55,8 @@
 
 /** What one send of a call asks of the target. */
 export interface SendTerms {
-    readonly targetId: string;
+    /** The name under which the target takes the call; any other refuses it. */
+    readonly targetName: string;
     readonly remainingMilliseconds: number;
     /** Compute the KV cache only and keep it for another target. */
     readonly prefillOnly?: boolean;
--- a/packages/daisyturn/src/ports/listedTarget.ts
+++ b/packages/daisyturn/src/ports/listedTarget.ts
@@ -6,8 +6,15 @@
 
 /** A target as the platform's list has it. */
 export interface ListedTarget {
-    /** Unique to one start of the target. */
+    /**
+     * Unique to one start of the target. Whatever is believed of a target is kept under it, so that a target which
+     * starts again under its old name is met as a new one.
+     */
     readonly targetId: string;
+    /** The target's own name, which calls and orders carry and which it may keep over a restart. */
+    readonly name: string;
+    /** Wall time of its start, in milliseconds; absent where the target does not say. */
+    readonly bornAt?: number;
     readonly service: string;
     /** IP number and port. */
     readonly address: string;
--- a/packages/daisyturn/src/ports/peerRegistry.ts
+++ b/packages/daisyturn/src/ports/peerRegistry.ts
@@ -10,10 +10,17 @@
     readonly availabilityZone: string;
 }
 
+/** The processes that are entered. */
+export interface PeerListing {
+    readonly peers: readonly RegisteredPeer[];
+    /** Entries that name no process: of another writer, or damaged. */
+    readonly unreadable: number;
+}
+
 /** Where the processes of the fleet find each other. Only an adapter knows the wire. */
 export abstract class PeerRegistry {
     /** Enters this process, or says that it still runs, and reads who else is entered. */
-    abstract refresh(self: RegisteredPeer, deadline: number): Promise<Result<readonly RegisteredPeer[], Failure>>;
+    abstract refresh(self: RegisteredPeer, deadline: number): Promise<Result<PeerListing, Failure>>;
     /** Takes this process's entry away. */
     abstract leave(self: RegisteredPeer, deadline: number): Promise<void>;
 }
--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -58,6 +58,7 @@
     const views = createTargetViews((targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog);
     const listed = stages.map((stage, index): ListedTarget => ({
         targetId: `i-${index}`,
+        name: `i-${index}`,
         service: engineService.name,
         address: `10.0.0.${index}:80`,
         availabilityZone: `zone-${index % 3}`,
--- a/packages/daisyturn/src/process/forwarding/__tests__/groupEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/groupEngines.test.ts
@@ -8,6 +8,7 @@
 function createEngines(readersPerZone: number, decodersPerZone: number): ListedTarget[] {
     const create = (stage: EngineStage, index: number): ListedTarget => ({
         targetId: `${stage}-${index}`,
+        name: `${stage}-${index}`,
         service: "engines",
         address: "10.0.0.1:80",
         availabilityZone: `zone-${index % 3}`,
--- a/packages/daisyturn/src/process/forwarding/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/changeStages.ts
@@ -162,7 +162,9 @@
     /** The lease is looked at last, right before the order is sent. */
     const order = async (target: ListedTarget, stage: EngineStage, lease: Lease): Promise<OrderAnswer> => {
         const status = await orders.readStatus(target, clock.monotonicNow() + callTimeoutMilliseconds);
-        const isOrderable = status.isOk && !status.value.isBusy && status.value.stage !== stage;
+        // An engine that has started anew counts its orders anew, and the list tells its new start soon.
+        const isOrderable = status.isOk && status.value.targetId === target.targetId && !status.value.isBusy
+            && status.value.stage !== stage;
         if (!isOrderable || !targets.isOpen(target.targetId) || signal.aborted || !lease.isHeld()) {
             return OrderAnswer.Rejected;
         }
--- a/packages/daisyturn/src/process/forwarding/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetList.ts
@@ -15,14 +15,14 @@
     isKnown(): boolean;
     /** Tells of each call to the store, so that lapses during an outage are known as such. */
     noteStoreCall(isAnswered: boolean): void;
-    /** Called once a target is gone for good. */
+    /** Called once a target is gone for good, or has started anew: what was believed of it ends. */
     onGone(listener: (targetId: string) => void): void;
 }
 
 /** What {@link createTargetList} needs. */
 export interface TargetListOptions {
     /** Throws where the text is no target. */
-    readonly decode: (targetId: string, text: string) => ListedTarget;
+    readonly decode: (name: string, text: string) => ListedTarget;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -32,13 +32,21 @@
  * then a missing entry says nothing.
  */
 const returnMilliseconds = 2_200;
+/** Unreadable entries that are told apart in the log; whoever fills the table with others must not fill the log too. */
+const mostUnreadable = 64;
+const longestLoggedKey = 80;
 
 /** Creates the list. */
 export function createTargetList(options: TargetListOptions): TargetList {
     const { clock, eventLog } = options;
+    /** By the key of the entry, which is the target's name. */
+    const entries = new Map<string, ListedTarget>();
+    /** The same targets by the identifier of one start. */
     const targets = new Map<string, ListedTarget>();
-    /** Targets whose entry has lapsed, and the monotonic time at which they count as gone. */
+    /** Keys whose entry has lapsed, and the monotonic time at which their targets count as gone. */
     const lapsed = new Map<string, number>();
+    /** Keys whose entry can't be read: told of once, not at each heartbeat. */
+    const unreadable = new Set<string>();
     const goneListeners: ((targetId: string) => void)[] = [];
     let openByService = new Map<string, ListedTarget[]>();
     let isKnown = false;
@@ -55,20 +63,24 @@
         }
     };
 
-    const remove = (targetId: string) => {
+    const remove = (key: string) => {
+        unreadable.delete(key);
         const graceEnd = lastFailureAt + returnMilliseconds;
         if (graceEnd > clock.monotonicNow()) {
-            lapsed.set(targetId, graceEnd);
+            lapsed.set(key, graceEnd);
             return;
         }
-        forget(targetId, "entry removed");
+        forget(key, "entry removed");
     };
 
-    const forget = (targetId: string, reason: string) => {
-        lapsed.delete(targetId);
-        if (targets.delete(targetId)) {
-            eventLog.record(EventKind.TargetGone, { target: targetId, reason });
-            goneListeners.forEach(listener => listener(targetId));
+    const forget = (key: string, reason: string) => {
+        lapsed.delete(key);
+        const target = entries.get(key);
+        if (target) {
+            entries.delete(key);
+            targets.delete(target.targetId);
+            eventLog.record(EventKind.TargetGone, { target: target.targetId, reason });
+            goneListeners.forEach(listener => listener(target.targetId));
         }
     };
 
@@ -78,19 +90,42 @@
             return;
         }
         try {
-            const target = options.decode(row.key, row.text);
-            const known = targets.get(row.key);
-            targets.set(row.key, target);
-            lapsed.delete(row.key);
-            recordChange(known, target);
+            take(row.key, options.decode(row.key, row.text));
         }
         catch (error) {
-            eventLog.record(EventKind.Fault, { target: row.key, reason: `unreadable entry: ${String(error)}` });
+            refuse(row.key, String(error));
         }
     };
 
+    const take = (key: string, target: ListedTarget) => {
+        unreadable.delete(key);
+        const known = entries.get(key);
+        if (known && (known.bornAt ?? 0) > (target.bornAt ?? 0)) {
+            // A late entry of the start before: it must not bring back what has ended.
+            return;
+        }
+        if (known && known.targetId !== target.targetId) {
+            forget(key, "started anew");
+        }
+        lapsed.delete(key);
+        entries.set(key, target);
+        targets.set(target.targetId, target);
+        recordChange(known, target);
+    };
+
+    /** An entry that is no target's names none to use, whatever it said before. */
+    const refuse = (key: string, reason: string) => {
+        if (!unreadable.has(key) && unreadable.size < mostUnreadable) {
+            unreadable.add(key);
+            const target = key.slice(0, longestLoggedKey);
+            eventLog.record(EventKind.Fault, { target, reason: `unreadable entry: ${reason}` });
+        }
+        forget(key, "entry can't be read");
+    };
+
     const recordChange = (known: ListedTarget | undefined, target: ListedTarget) => {
-        if (known?.isLeaving !== target.isLeaving || known.stage !== target.stage) {
+        const isNew = known?.targetId !== target.targetId;
+        if (isNew || known.isLeaving !== target.isLeaving || known.stage !== target.stage) {
             eventLog.record(EventKind.TargetListed, {
                 target: target.targetId,
                 service: target.service,
@@ -108,7 +143,7 @@
         }
         const now = clock.monotonicNow();
         const due = [...lapsed].filter(([, goneAt]) => goneAt <= now);
-        due.forEach(([targetId]) => forget(targetId, "entry did not come back after the outage"));
+        due.forEach(([key]) => forget(key, "entry did not come back after the outage"));
         if (due.length > 0) {
             index();
         }
@@ -134,7 +169,7 @@
         replace: rows => {
             isKnown = true;
             const present = new Set(rows.map(row => row.key));
-            [...targets.keys()].filter(targetId => !present.has(targetId)).forEach(remove);
+            [...entries.keys()].filter(key => !present.has(key)).forEach(remove);
             rows.forEach(put);
             index();
         },
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -1,7 +1,10 @@
 /** How a call ended, for counters; few values, so that labels stay few. */
 export enum CallOutcome {
     OnTime = "on_time",
+    /** The answer began too late. */
     Late = "late",
+    /** The answer began on time, but paused for longer than its route allows. */
+    Paused = "paused",
     /** The target's own error was passed on. */
     TargetError = "target_error",
     Refused = "refused",
@@ -14,8 +17,11 @@
 
 /** Counts calls. Where the counts go is for whoever embeds the library to say. */
 export abstract class ForwardingMetrics {
-    /** @param milliseconds from the call's arrival to the first byte of its answer */
-    abstract noteCall(kind: string, outcome: CallOutcome, milliseconds: number): void;
+    /**
+     * @param milliseconds from the call's arrival to the first byte of its answer
+     * @param longestPause milliseconds between two events of its answer; 0 where it had fewer
+     */
+    abstract noteCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void;
     /** Notes one send to a target by its result: `answered`, or the reason of its failure. */
     abstract noteSend(result: string): void;
 }
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -86,6 +86,7 @@
     const near = createPeerGroup(mostNearDatagramsPerSecond);
     const far = createPeerGroup(mostFarDatagramsPerSecond);
     const groups = [near, far];
+    let unreadable = 0;
 
     channel.onDatagram(datagram => {
         const message = parseMessage(datagram);
@@ -133,11 +134,19 @@
         far.datagramsPerSecond = findFarRate(far.peers.length);
     };
 
+    const noteUnreadable = (count: number) => {
+        if (count !== unreadable) {
+            unreadable = count;
+            eventLog.record(EventKind.Fault, { reason: "entries of peers can't be read", count });
+        }
+    };
+
     const findPeers = async () => {
         while (!signal.aborted) {
             const found = await options.registry.refresh(self, clock.monotonicNow() + registryTimeoutMilliseconds);
             if (found.isOk) {
-                takePeers(found.value);
+                takePeers(found.value.peers);
+                noteUnreadable(found.value.unreadable);
             }
             else {
                 eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${found.error.message}` });
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -12,6 +12,7 @@
         signal: new AbortController().signal,
         closed: Promise.resolve(),
         firstByteAt: () => undefined,
+        longestPause: () => 0,
         isHeadSent: () => begun > 0,
         answer: () => undefined,
         begin: () => {
--- a/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
@@ -12,6 +12,7 @@
         signal: new AbortController().signal,
         isHeadSent: () => isHeadSent,
         firstByteAt: () => undefined,
+        longestPause: () => 0,
         answer: (status, fields) => Object.assign(seen, { status, fields }),
         begin: () => undefined,
         write: () => undefined,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -30,6 +30,8 @@
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
+    /** Every so many-th call that was answered on time is logged; all others are in any case. */
+    readonly sampledCalls: number;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
--- a/packages/daisyturn/src/request/forwarding/requestTrace.ts
+++ b/packages/daisyturn/src/request/forwarding/requestTrace.ts
@@ -11,8 +11,8 @@
     end(isOrdinary: boolean): void;
 }
 
-/** Every so many-th ordinary call is logged; chosen by its identifier, so that all processes choose the same. */
-const sampledCalls = 64;
+/** Every so many-th ordinary call is logged, where nothing else is set: a hundredth of the lines of logging all. */
+export const defaultSampledCalls = 64;
 /** Decisions kept of one call; a call is tried a few times at most. */
 const mostNotes = 24;
 
@@ -21,13 +21,20 @@
     readonly fields: EventFields;
 }
 
-/** Creates the trace of one call. `now` is the monotonic clock. */
-export function createRequestTrace(
-    eventLog: EventLog,
-    callId: string,
-    arrivedAt: number,
-    now: () => number,
-): RequestTrace {
+/** What {@link createRequestTrace} needs. */
+export interface RequestTraceOptions {
+    readonly eventLog: EventLog;
+    /** Every so many-th ordinary call is logged; chosen by its identifier, so that all processes choose the same. */
+    readonly sampledCalls: number;
+    readonly callId: string;
+    /** Monotonic time, as told by `now`. */
+    readonly arrivedAt: number;
+    readonly now: () => number;
+}
+
+/** Creates the trace of one call. */
+export function createRequestTrace(options: RequestTraceOptions): RequestTrace {
+    const { eventLog, sampledCalls, callId, arrivedAt, now } = options;
     const notes: Note[] = [];
     const isSampled = hashTextTo32Bits(callId) % sampledCalls === 0;
     return {
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -18,7 +18,7 @@
 /** One send of a call to one target. */
 export interface CallSend {
     readonly target: ListedTarget;
-    readonly terms: Omit<SendTerms, "targetId" | "remainingMilliseconds">;
+    readonly terms: Omit<SendTerms, "targetName" | "remainingMilliseconds">;
     /** Whether the send may be given up when the target falls silent, since it can be repeated elsewhere. */
     readonly isRepeatable: boolean;
     readonly cost: CallCost;
@@ -81,7 +81,7 @@
         {
             head: protocol.encodeCall(run.call, {
                 ...send.terms,
-                targetId: target.targetId,
+                targetName: target.name,
                 remainingMilliseconds: run.deadline - clock.monotonicNow(),
             }),
             body: run.call.body.length > 0 ? run.call.body : undefined,
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -26,7 +26,10 @@
     call: ForwardedCall,
     exchange: ForwardExchange,
 ): Promise<void> {
-    const trace = createRequestTrace(parts.eventLog, call.callId, call.arrivedAt, () => parts.clock.monotonicNow());
+    const { eventLog, sampledCalls, clock } = parts;
+    const { callId, arrivedAt } = call;
+    const now = () => clock.monotonicNow();
+    const trace = createRequestTrace({ eventLog, sampledCalls, callId, arrivedAt, now });
     const started = startRun(parts, call, exchange, trace);
     if (started.isErr) {
         recordEnd(parts, trace, undefined, "unrouted", started.error);
@@ -105,12 +108,15 @@
 ): void {
     const arrivedAt = run?.call.arrivedAt ?? parts.clock.monotonicNow();
     const milliseconds = (run?.exchange.firstByteAt() ?? parts.clock.monotonicNow()) - arrivedAt;
+    const longestPause = run?.exchange.longestPause() ?? 0;
     const outcome = judgeOutcome(run, milliseconds, failure, reply);
-    parts.metrics.noteCall(kind, outcome, milliseconds);
+    parts.metrics.noteCall(kind, outcome, milliseconds, longestPause);
     trace.note(failure ? kindOfFailure(failure) : EventKind.RequestAnswered, {
         outcome,
         firstByte: Math.round(milliseconds),
         aim: run?.route.latencyAimMilliseconds,
+        longestPause: Math.round(longestPause),
+        pauseAim: run?.route.pauseAimMilliseconds,
         status: reply?.head.status,
         reason: failure?.reason,
         verdict: failure?.verdict,
@@ -141,5 +147,9 @@
     if (reply && reply.head.status >= firstErrorStatus) {
         return CallOutcome.TargetError;
     }
-    return milliseconds <= (run?.route.latencyAimMilliseconds ?? Infinity) ? CallOutcome.OnTime : CallOutcome.Late;
+    if (milliseconds > (run?.route.latencyAimMilliseconds ?? Infinity)) {
+        return CallOutcome.Late;
+    }
+    const isPaused = (run?.exchange.longestPause() ?? 0) > (run?.route.pauseAimMilliseconds ?? Infinity);
+    return isPaused ? CallOutcome.Paused : CallOutcome.OnTime;
 }
--- a/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
+++ b/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
@@ -25,6 +25,8 @@
     readonly timeoutMilliseconds: number;
     /** Time within which an answer (of a stream: its first event) is on time. */
     readonly latencyAimMilliseconds: number;
+    /** Longest pause between two events with which a stream is on time; absent where any pause is. */
+    readonly pauseAimMilliseconds?: number;
     /** Rank among routes; 0 comes first. */
     readonly priority: number;
     /** At least one. */
