Prompts are read at a decoding engine only where its answers keep their pauses

Cause: on the untouched code most late answers began in time and paused for longer than their route allows, since prompts were read between the steps of the batch that made them.

Change: the pause is forecast from the learned time between two events and the reading under way there, against the shortest pause that the routes to the service allow; beyond it, prompts are read at engines that only read.

--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -12,6 +12,8 @@
     firstByteAt(): number | undefined;
     /** Longest time between two pieces of an answer that was begun, in milliseconds. */
     longestPause(): number;
+    /** Mean time between two pieces, in milliseconds; undefined where there were fewer. */
+    meanPause(): number | undefined;
     /** Sends a whole answer. */
     answer(status: number, fields: HeaderFields, body: Buffer): void;
     /** Begins an answer whose length is not known yet. */
@@ -39,6 +41,8 @@
     let firstByteAt: number | undefined;
     let lastPieceAt: number | undefined;
     let longestPause = 0;
+    let firstPieceAt: number | undefined;
+    let pieces = 0;
     const closed = new Promise<void>(resolve => {
         const finish = () => {
             connection.closeListeners.delete(leave);
@@ -69,6 +73,7 @@
         closed,
         firstByteAt: () => firstByteAt,
         longestPause: () => longestPause,
+        meanPause: () => pieces < 2 ? undefined : ((lastPieceAt ?? 0) - (firstPieceAt ?? 0)) / (pieces - 1),
         isHeadSent: () => outgoing.headersSent,
         answer: (status, fields, body) => {
             if (outgoing.headersSent || gone.signal.aborted) {
@@ -82,6 +87,8 @@
             const at = now();
             longestPause = Math.max(longestPause, at - (lastPieceAt ?? at));
             lastPieceAt = at;
+            firstPieceAt ??= at;
+            pieces += 1;
             outgoing.write(chunk);
             if (outgoing.writableLength > maxBufferedBytes) {
                 outgoing.destroy();
--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -47,6 +47,7 @@
         avoid: new Set(),
         isWholeOnly: false,
         aim: 500,
+        pauseAim: 150,
         ...changes,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/callPlacement.ts
@@ -33,6 +33,8 @@
     readonly isWholeOnly: boolean;
     /** Milliseconds within which the first event is on time. */
     readonly aim: number;
+    /** Shortest pause that the service's answers may make, in milliseconds. */
+    readonly pauseAim: number;
 }
 
 /** Chooses targets for calls. */
--- a/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/createCallPlacement.ts
@@ -4,6 +4,7 @@
 import { CallPlacement, countTokens, type PlacedStep, type PromptDemand, type PromptWay } from "./callPlacement.js";
 import type { CacheBeliefs } from "./createCacheBeliefs.js";
 import type { ClosedTargets } from "./createClosedTargets.js";
+import type { EventPace } from "./createEventPace.js";
 import type { PaceView } from "./createPaceView.js";
 import type { TargetHealth } from "./createTargetHealth.js";
 import type { TargetList } from "./createTargetList.js";
@@ -19,6 +20,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly eventPace: EventPace;
     readonly closed: ClosedTargets;
     readonly random: Random;
     readonly availabilityZone: string;
@@ -57,6 +59,11 @@
  * before: the reading gathers at a few of them, and the others keep short steps for answers of several events.
  */
 const readingOrderMilliseconds = 12;
+/**
+ * A pause is forecast as if so many times as much were read: other processes place prompts at the same engine before
+ * they hear of this one.
+ */
+const pauseReserve = 1.5;
 /** A chunk of a prompt, read between two steps of a batch. */
 const chunkMilliseconds = 20;
 /** A place in a full batch comes free about this often. */
@@ -74,7 +81,7 @@
  * only those are that exceed what the engines can do.
  */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
-    const { targets, loads, health, caches, paces, closed, random, availabilityZone } = options;
+    const { targets, loads, health, caches, paces, eventPace, closed, random, availabilityZone } = options;
 
     const listUsable = (service: string, avoid: ReadonlySet<string>): readonly ListedTarget[] => {
         const trusted = health.selectTrusted(listOpen(service));
@@ -168,9 +175,19 @@
         return { prefill, decode, firstEvent, reading: prefill.work, isDeferred, cost };
     };
 
+    /**
+     * A prompt that is read between the steps of a batch holds up all its answers. Where other engines only read, it goes
+     * there unless every answer still keeps its pauses.
+     */
+    const bearsReading = ({ pauseAim, service }: PromptDemand, { target, work }: PlacedStep) => {
+        const reading = loads.wait(target.targetId, true) + work;
+        return eventPace.interval(service.name) + reading * pauseReserve <= pauseAim;
+    };
+
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
         const { bodyBytes } = demand;
-        const steps = engines.decoders.map(engine => estimateStep(engine, demand, isDeferred));
+        const all = engines.decoders.map(engine => estimateStep(engine, demand, isDeferred));
+        const steps = engines.readers.length === 0 ? all : all.filter(step => bearsReading(demand, step));
         const cost = (step: PlacedStep) =>
             costOf(step, bodyBytes) + pauseCost(demand, step.target)
             + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createEventPace.ts
@@ -0,0 +1,29 @@
+/** How far apart the events of answers come at the engines of a service, while nothing else holds them up. */
+export interface EventPace {
+    /** Usual milliseconds between two events. */
+    interval(service: string): number;
+    /** Takes in the mean of one answer that had several events. */
+    observe(service: string, meanInterval: number): void;
+}
+
+/** Before the first answer has ended: an event of nine tokens in a half-full batch of a large model. */
+const startingInterval = 45;
+/**
+ * Weights of a mean that is below what is known, and of one above it. A stream that was held up by reading says nothing
+ * of the usual pace, while none comes faster than the engine makes it.
+ */
+const weightBelow = 0.2;
+const weightAbove = 0.03;
+
+/** Creates the view of one process. */
+export function createEventPace(): EventPace {
+    const intervals = new Map<string, number>();
+    return {
+        interval: service => intervals.get(service) ?? startingInterval,
+        observe: (service, meanInterval) => {
+            const known = intervals.get(service) ?? startingInterval;
+            const weight = meanInterval < known ? weightBelow : weightAbove;
+            intervals.set(service, known + (meanInterval - known) * weight);
+        },
+    };
+}
--- a/packages/daisyturn/src/process/forwarding/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetViews.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import { type CacheBeliefs, createCacheBeliefs } from "./createCacheBeliefs.js";
 import { type ClosedTargets, createClosedTargets } from "./createClosedTargets.js";
+import { createEventPace, type EventPace } from "./createEventPace.js";
 import { createPaceView, type PaceView } from "./createPaceView.js";
 import { createReadingDemand, type ReadingDemand } from "./createReadingDemand.js";
 import { createTargetHealth, type TargetHealth } from "./createTargetHealth.js";
@@ -14,6 +15,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly eventPace: EventPace;
     readonly closed: ClosedTargets;
     readonly demand: ReadingDemand;
 }
@@ -36,6 +38,7 @@
         health,
         caches,
         paces,
+        eventPace: createEventPace(),
         closed: createClosedTargets(clock),
         demand: createReadingDemand(clock),
     };
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -9,6 +9,7 @@
 export * from "./createCacheBeliefs.js";
 export * from "./createCallPlacement.js";
 export * from "./createClosedTargets.js";
+export * from "./createEventPace.js";
 export * from "./createForwardingKeeper.js";
 export * from "./createLeastRunningPlacement.js";
 export * from "./createOverloadGuard.js";
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -13,6 +13,7 @@
         closed: Promise.resolve(),
         firstByteAt: () => undefined,
         longestPause: () => 0,
+        meanPause: () => undefined,
         isHeadSent: () => begun > 0,
         answer: () => undefined,
         begin: () => {
--- a/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
@@ -13,6 +13,7 @@
         isHeadSent: () => isHeadSent,
         firstByteAt: () => undefined,
         longestPause: () => 0,
+        meanPause: () => undefined,
         answer: (status, fields) => Object.assign(seen, { status, fields }),
         begin: () => undefined,
         write: () => undefined,
--- a/packages/daisyturn/src/request/forwarding/callRun.ts
+++ b/packages/daisyturn/src/request/forwarding/callRun.ts
@@ -11,6 +11,8 @@
     readonly call: ForwardedCall;
     readonly route: ForwardRoute;
     readonly service: ForwardService;
+    /** Shortest pause that answers of the service may make, in milliseconds. */
+    readonly pauseAim: number;
     readonly exchange: ForwardExchange;
     /** Aborted with a `Failure` once the caller is gone or its time is up. */
     readonly signal: AbortSignal;
@@ -36,6 +38,7 @@
     call: ForwardedCall,
     route: ForwardRoute,
     service: ForwardService,
+    pauseAim: number,
     exchange: ForwardExchange,
     signal: AbortSignal,
     deadline: number,
@@ -46,6 +49,7 @@
         call,
         route,
         service,
+        pauseAim,
         exchange,
         signal,
         deadline,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -5,6 +5,7 @@
     CacheBeliefs,
     CallPlacement,
     ClosedTargets,
+    EventPace,
     ForwardingKeeper,
     ForwardingMetrics,
     PaceView,
@@ -23,6 +24,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly eventPace: EventPace;
     readonly demand: ReadingDemand;
     readonly closed: ClosedTargets;
     readonly placement: CallPlacement;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -42,6 +42,7 @@
             bodyBytes: run.call.body.length,
             avoid: run.avoid,
             isWholeOnly: prefills >= mostPrefills,
+            pauseAim: run.pauseAim,
             aim: run.call.arrivedAt + run.route.latencyAimMilliseconds * aimFraction - parts.clock.monotonicNow(),
         });
         if (!way) {
@@ -159,6 +160,10 @@
     }
     run.sentTo.add(target.targetId);
     parts.caches.note(target.targetId, prompt.parts, run.service.engine?.kvTokens ?? 0);
+    const meanPause = run.exchange.meanPause();
+    if (meanPause !== undefined) {
+        parts.eventPace.observe(run.service.name, meanPause);
+    }
     return concludeStream(run, relay, reply.value);
 }
 
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -70,6 +70,7 @@
         return err(notRun(FailureReason.NotFound, "No route takes this host and path."));
     }
     const service = table.configuration.services.get(serviceName) ?? { name: serviceName };
+    const pauseAim = table.shortestPauseAim(serviceName);
     const deadline = Math.min(call.deadline, call.arrivedAt + route.timeoutMilliseconds);
     const wallDeadline = parts.clock.wallNow() + deadline - parts.clock.monotonicNow();
     const life = startRequestLife(parts.clock, exchange.signal, wallDeadline);
@@ -80,7 +81,7 @@
         remaining: Math.round(deadline - parts.clock.monotonicNow()),
         tokens: call.prompt?.promptTokens,
     });
-    return ok({ run: createCallRun(call, route, service, exchange, life.signal, deadline, trace), end: life.end });
+    return ok({ run: createCallRun(call, route, service, pauseAim, exchange, life.signal, deadline, trace), end: life.end });
 }
 
 async function runCall(parts: ForwardingParts, run: CallRun): Promise<Result<Answer, Failure>> {
--- a/packages/daisyturn/src/version/forwarding/createRouteTable.ts
+++ b/packages/daisyturn/src/version/forwarding/createRouteTable.ts
@@ -6,6 +6,8 @@
     readonly configuration: ForwardingConfiguration;
     /** The route of this host with the longest prefix that begins the path. */
     find(host: string, path: string): ForwardRoute | undefined;
+    /** Shortest of the pauses that the routes to a service allow between two events; Infinity where none sets one. */
+    shortestPauseAim(service: string): number;
 }
 
 /** Groups the routes by host, the longest prefix first, so that the first match is the right one. */
@@ -17,9 +19,16 @@
         routes.push(route);
         byHost.set(host, routes);
     }
+    const pauseAims = new Map<string, number>();
+    for (const { shares, pauseAimMilliseconds = Infinity } of configuration.routes) {
+        for (const { service } of shares) {
+            pauseAims.set(service, Math.min(pauseAims.get(service) ?? Infinity, pauseAimMilliseconds));
+        }
+    }
     byHost.forEach(routes => routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
     return {
         configuration,
+        shortestPauseAim: service => pauseAims.get(service) ?? Infinity,
         find: (host, path) => byHost.get(host.toLowerCase())?.find(route => path.startsWith(route.pathPrefix)),
     };
 }
