--- a/packages/daisyturn/src/process/forwarding/__tests__/createCallPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/createCallPlacement.test.ts
@@ -77,6 +77,24 @@
         assert.ok((way?.firstEvent ?? Infinity) < 100);
     });
 
+    it("reads at an engine that decodes only what its answers bear between two events", () => {
+        const { placement, loads } = createPlacementBench([Prefill, Decode, Decode]);
+        loads.begin("i-0", { work: 400, isDeferred: false, tokens: 0 });
+        const place = (pauseAim: number) => placement.placePrompt(createDemand(createShortPrompt("a"), { pauseAim }));
+        assert.equal(place(150)?.prefill, undefined);
+        assert.equal(place(60)?.prefill?.target.targetId, "i-0");
+        loads.begin("i-1", { work: 60, isDeferred: false, tokens: 0 });
+        loads.begin("i-2", { work: 60, isDeferred: false, tokens: 0 });
+        assert.equal(place(150)?.prefill?.target.targetId, "i-0");
+    });
+
+    it("reads anything at an engine that decodes where no engine only reads", () => {
+        const { placement, loads } = createPlacementBench([Decode]);
+        loads.begin("i-0", { work: 400, isDeferred: false, tokens: 0 });
+        const way = placement.placePrompt(createDemand(createLongPrompt("guide", "own")));
+        assert.equal(way?.decode.target.targetId, "i-0");
+    });
+
     it("decodes long answers where no prompts are read", () => {
         const { placement, loads } = createPlacementBench(stages);
         for (const targetId of ["i-3", "i-4", "i-5", "i-6"]) {
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import type { ReportedLoad } from "../../ports/forwardedCall.js";
+import { createPeerLoads } from "./createPeerLoads.js";
 import { findForgetTime } from "./findForgetTime.js";
 
 /** Work that this process has placed at a target. */
@@ -61,12 +62,6 @@
     reportedAt: number;
 }
 
-interface PeerLoad {
-    /** Monotonic time after which what was told is forgotten. */
-    readonly forgottenAt: number;
-    readonly work: ReadonlyMap<string, WorkUnderWay>;
-}
-
 /** After this many milliseconds, a report counts 1/e: calls last a few tens to a few hundred milliseconds. */
 const reportMemoryMilliseconds = 800;
 /** What a peer told counts for so long at least. */
@@ -77,7 +72,7 @@
 /** Creates the view of one process. */
 export function createTargetLoads(clock: Clock): TargetLoads {
     const own = new Map<string, TargetLoad>();
-    const peers = new Map<string, PeerLoad>();
+    const peers = createPeerLoads(clock);
 
     const find = (targetId: string): TargetLoad => {
         let load = own.get(targetId);
@@ -98,24 +93,6 @@
     const reportedOthers = (load: TargetLoad | undefined) =>
         load ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportMemoryMilliseconds) : 0;
 
-    /** Sums what the peers told, as far as it is fresh; undefined where no peer is heard. */
-    const sumPeers = (targetId: string): Omit<WorkUnderWay, "targetId"> | undefined => {
-        const now = clock.monotonicNow();
-        const sum = { calls: 0, work: 0, deferredWork: 0, tokens: 0 };
-        let isHeard = false;
-        for (const peer of peers.values()) {
-            if (peer.forgottenAt >= now) {
-                isHeard = true;
-                const told = peer.work.get(targetId);
-                sum.calls += told?.calls ?? 0;
-                sum.work += told?.work ?? 0;
-                sum.deferredWork += told?.deferredWork ?? 0;
-                sum.tokens += told?.tokens ?? 0;
-            }
-        }
-        return isHeard ? sum : undefined;
-    };
-
     const begin = (targetId: string, { work, isDeferred, tokens }: CallCost): PlacedWork => {
         const load = find(targetId);
         const kind = isDeferred ? "deferredWork" : "work";
@@ -162,18 +139,17 @@
         },
         notePeer: (peerId, work, pause) => {
             const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
-            const byTarget = new Map(work.map(entry => [entry.targetId, entry]));
-            peers.set(peerId, { forgottenAt, work: byTarget });
+            peers.note(peerId, work, forgottenAt);
         },
         calls: targetId => {
             const load = own.get(targetId);
-            const told = sumPeers(targetId)?.calls ?? 0;
+            const told = peers.sum(targetId)?.calls ?? 0;
             return (load?.calls ?? 0) + Math.max(told, reportedOthers(load));
         },
-        tokens: targetId => (own.get(targetId)?.tokens ?? 0) + (sumPeers(targetId)?.tokens ?? 0),
+        tokens: targetId => (own.get(targetId)?.tokens ?? 0) + (peers.sum(targetId)?.tokens ?? 0),
         wait: (targetId, isDeferred) => {
             const load = own.get(targetId);
-            const told = sumPeers(targetId);
+            const told = peers.sum(targetId);
             const behind = isDeferred ? (load?.deferredWork ?? 0) + (told?.deferredWork ?? 0) : 0;
             return behind + (load?.work ?? 0) + (told?.work ?? reportedOthers(load) * unknownWorkMilliseconds);
         },
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -81,7 +81,10 @@
         remaining: Math.round(deadline - parts.clock.monotonicNow()),
         tokens: call.prompt?.promptTokens,
     });
-    return ok({ run: createCallRun(call, route, service, pauseAim, exchange, life.signal, deadline, trace), end: life.end });
+    return ok({
+        run: createCallRun(call, route, service, pauseAim, exchange, life.signal, deadline, trace),
+        end: life.end,
+    });
 }
 
 async function runCall(parts: ForwardingParts, run: CallRun): Promise<Result<Answer, Failure>> {
