daisyturn ledger: how forwarded calls ended, by route, from the logs

Change: a command that puts the lines of each call together and prints, by route and outcome, the number of calls with the medians of tokens, first byte, longest pause, reading and its forecast; calls with lines missing are counted. The telling of unreadable lines is shared with the time line.

--- a/packages/daisyturn-cli/src/commands/timeLineCommand.ts
+++ b/packages/daisyturn-cli/src/commands/timeLineCommand.ts
@@ -1,8 +1,6 @@
 import { UserError } from "daisyturn-utils";
 import { writeFileSync } from "node:fs";
 import type { Argv } from "yargs";
-import { CommandError } from "../commandError.js";
-import { ExitCode } from "../exitCode.js";
 import type { Terminal } from "../terminal.js";
 import {
     createEventFilter,
@@ -14,10 +12,10 @@
     type TimedEvent,
 } from "../timeLine/index.js";
 import type { CommonFlags } from "./commandContext.js";
+import { createProblemTeller, describeUnreadable } from "./logProblems.js";
 
 /** A page with more events is slow to open and hard to read. */
 const defaultDrawnEvents = 20_000;
-const toldProblems = 20;
 
 interface TimeLineFlags extends CommonFlags, Omit<EventFilter, "from" | "until"> {
     readonly logs: readonly string[];
@@ -111,26 +109,6 @@
     terminal.writeError(`${drawn.length} events drawn in ${file}${more}\n`);
 }
 
-/** Tells the first problems one by one and counts the others: a log of another program has nothing else. */
-function createProblemTeller(terminal: Terminal) {
-    let count = 0;
-    return {
-        tell: (
-            { source, line, problem }: { readonly source: string; readonly line: number; readonly problem: string; },
-        ) => {
-            count += 1;
-            if (count <= toldProblems) {
-                terminal.writeError(`${source}:${line}: ${problem}\n`);
-            }
-        },
-        sum: () => {
-            if (count > toldProblems) {
-                terminal.writeError(`${count - toldProblems} more lines with problems\n`);
-            }
-        },
-    };
-}
-
 function readTime(option: string, text: string | undefined): number | undefined {
     const time = text === undefined ? undefined : Date.parse(text);
     if (time !== undefined && Number.isNaN(time)) {
@@ -143,10 +121,3 @@
     }
     return time;
 }
-
-function describeUnreadable(error: unknown): unknown {
-    const { code, path } = error as { code?: string; path?: string; };
-    return code === undefined || path === undefined
-        ? error
-        : new CommandError(ExitCode.Usage, `${path} can't be read: ${code}`);
-}
--- /dev/null
+++ b/packages/daisyturn-cli/src/ledger/collectCalls.ts
@@ -0,0 +1,88 @@
+import { EventKind } from "daisyturn-utils";
+import type { TimedEvent } from "../timeLine/index.js";
+
+/** One forwarded call as the log lines of its process tell it; times are in milliseconds. */
+export interface LoggedCall {
+    readonly route: string;
+    /** How it ended, with the reason where it was not answered. */
+    readonly outcome: string;
+    /** Of the prompt; undefined for plain calls. */
+    readonly tokens?: number;
+    /** From its arrival to the first byte of its answer. */
+    readonly firstByte?: number;
+    readonly longestPause?: number;
+    /** What its last prefill took, and what was forecast for it. */
+    readonly reading?: number;
+    readonly forecastReading?: number;
+}
+
+/** The lines of one call, as far as they have been read. */
+interface OpenCall {
+    readonly route: string;
+    readonly tokens?: number;
+    dispatched?: TimedEvent;
+    forecastReading?: number;
+    reading?: number;
+}
+
+const prefillPart = "prefill";
+
+/** Puts the lines of each call together; a call without its first or last line is left out, and counted. */
+export async function collectCalls(
+    events: AsyncIterable<TimedEvent>,
+): Promise<{ readonly calls: readonly LoggedCall[]; readonly incomplete: number; }> {
+    const open = new Map<string, OpenCall>();
+    const calls: LoggedCall[] = [];
+    let endedOnly = 0;
+    for await (const event of events) {
+        const { request } = event.fields;
+        if (request === undefined) {
+            continue;
+        }
+        if (event.kind === EventKind.RequestAccepted) {
+            open.set(request, { route: event.fields["route"] ?? "", tokens: readNumber(event, "tokens") });
+            continue;
+        }
+        const call = open.get(request);
+        if (event.fields["outcome"] !== undefined) {
+            open.delete(request);
+            endedOnly += call ? 0 : 1;
+            calls.push(...(call ? [endCall(call, event)] : []));
+        }
+        else if (call) {
+            noteStep(call, event);
+        }
+    }
+    return { calls, incomplete: open.size + endedOnly };
+}
+
+function noteStep(call: OpenCall, event: TimedEvent): void {
+    if (event.kind === EventKind.RequestPlaced && event.fields["reader"] !== undefined) {
+        call.forecastReading = (readNumber(event, "readerWait") ?? 0) + (readNumber(event, "readerWork") ?? 0);
+    }
+    else if (event.kind === EventKind.RequestDispatched) {
+        call.dispatched = event;
+    }
+    else if (event.kind === EventKind.TargetAnswered && call.dispatched?.fields["part"] === prefillPart) {
+        call.reading = (readNumber(event, "after") ?? 0) - (readNumber(call.dispatched, "after") ?? 0);
+        call.dispatched = undefined;
+    }
+}
+
+function endCall({ route, tokens, reading, forecastReading }: OpenCall, end: TimedEvent): LoggedCall {
+    const { outcome = "", reason } = end.fields;
+    return {
+        route,
+        tokens,
+        reading,
+        forecastReading,
+        outcome: reason === undefined ? outcome : `${outcome}: ${reason}`,
+        firstByte: readNumber(end, "firstByte"),
+        longestPause: readNumber(end, "longestPause"),
+    };
+}
+
+function readNumber({ fields }: TimedEvent, name: string): number | undefined {
+    const value = fields[name];
+    return value === undefined || value === "" || Number.isNaN(Number(value)) ? undefined : Number(value);
+}
--- /dev/null
+++ b/packages/daisyturn-cli/src/ledger/index.ts
@@ -0,0 +1,2 @@
+export { collectCalls, type LoggedCall } from "./collectCalls.js";
+export { type LedgerRow, summarizeCalls } from "./summarizeCalls.js";
--- /dev/null
+++ b/packages/daisyturn-cli/src/ledger/summarizeCalls.ts
@@ -0,0 +1,44 @@
+import type { LoggedCall } from "./collectCalls.js";
+
+/** The calls of one route that ended in one way; all but the first three are medians, in milliseconds or tokens. */
+export interface LedgerRow {
+    readonly route: string;
+    readonly outcome: string;
+    readonly calls: number;
+    readonly tokens?: number;
+    readonly firstByte?: number;
+    readonly longestPause?: number;
+    readonly reading?: number;
+    readonly forecastReading?: number;
+}
+
+/** Sums calls up by route and outcome, in the order of their names. */
+export function summarizeCalls(calls: readonly LoggedCall[]): readonly LedgerRow[] {
+    const groups = new Map<string, LoggedCall[]>();
+    for (const call of calls) {
+        const key = `${call.route} ${call.outcome}`;
+        groups.set(key, [...groups.get(key) ?? [], call]);
+    }
+    return [...groups].sort(([left], [right]) => left < right ? -1 : 1).map(([, group]) => summarizeGroup(group));
+}
+
+function summarizeGroup(group: readonly LoggedCall[]): LedgerRow {
+    const median = (amount: (call: LoggedCall) => number | undefined) =>
+        findMedian(group.map(amount).filter(value => value !== undefined));
+    return {
+        route: group[0]?.route ?? "",
+        outcome: group[0]?.outcome ?? "",
+        calls: group.length,
+        tokens: median(call => call.tokens),
+        firstByte: median(call => call.firstByte),
+        longestPause: median(call => call.longestPause),
+        reading: median(call => call.reading),
+        forecastReading: median(call => call.forecastReading),
+    };
+}
+
+/** The lower one of the two in the middle. */
+function findMedian(values: readonly number[]): number | undefined {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.floor((sorted.length - 1) / 2)];
+}
--- a/packages/daisyturn-cli/src/runCommandLine.ts
+++ b/packages/daisyturn-cli/src/runCommandLine.ts
@@ -5,6 +5,7 @@
 import { addCommonFlags, type CommonFlags } from "./commands/commandContext.js";
 import { addEngineCommands } from "./commands/engineCommands.js";
 import { addFleetCommands } from "./commands/fleetCommands.js";
+import { addLedgerCommand } from "./commands/ledgerCommand.js";
 import { addProfileCommands } from "./commands/profileCommands.js";
 import { addSettingsCommands } from "./commands/settingsCommands.js";
 import { addTimeLineCommand } from "./commands/timeLineCommand.js";
@@ -39,6 +40,7 @@
             addEngineCommands,
             addFleetCommands,
             addTimeLineCommand,
+            addLedgerCommand,
         ]
     ) {
         parser = addCommands(parser, terminal);
