Two comments say only what was measured

Cause: read again as a newcomer. The profile of 1,500 placements gave the sums over peers 760 of about 2,500 ms, a third and not half; the part of the lines that sampling saves was never counted.

Change: the comments of createPeerLoads and requestTrace; no code.

--- a/packages/daisyturn/src/process/forwarding/createPeerLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/createPeerLoads.ts
@@ -19,7 +19,7 @@
 
 /**
  * Creates the sums of one process. They are kept up to date with each message: every placement asks for each engine, and
- * adding up 67 peers for 98 engines each time took half of its time.
+ * adding up 67 peers for 98 engines each time took a third of its time.
  */
 export function createPeerLoads(clock: Clock): PeerLoads {
     const peers = new Map<string, { readonly forgottenAt: number; readonly underWay: readonly WorkUnderWay[]; }>();
--- a/packages/daisyturn/src/request/forwarding/requestTrace.ts
+++ b/packages/daisyturn/src/request/forwarding/requestTrace.ts
@@ -11,7 +11,7 @@
     end(isOrdinary: boolean): void;
 }
 
-/** Every so many-th ordinary call is logged, where nothing else is set: a hundredth of the lines of logging all. */
+/** Every so many-th ordinary call is logged, where nothing else is set. */
 export const defaultSampledCalls = 64;
 /** Decisions kept of one call; a call is tried a few times at most. */
 const mostNotes = 24;
