Tests that fail can no longer hold up the whole run

A file of tests whose program is left running never ends: startChildProgram let programs inherit standard error, which is a pipe that node's runner reads to its end, and launchFleet ended only those programs that had started by the time another one failed to. Entry processes of a fleet also looked for free ports at 127.0.0.1 beside all other tests, so that a start could fail at all. Which start failed in that run is not known: no output of it is on record. Shown here: with the old way to wait for starts, a fleet of which one entry ends at once leaves the other running, and its file holds up the run until the limit of 300 s; before, with the inherited pipe, for ever.

Ruled out: a file that hangs by itself (ended by the limit of 300 s, unless it handles SIGTERM; then never, shown with a file of three lines).

Change: startTogether waits for all starts before it reports a failed one; programs' errors are piped on; peers of a fleet listen at loopback hosts of their own (takeLoopbackHost moves to daisyturn-utils, its test with it); the tests run in a process group that is ended with all that is left of it, after 20 minutes at the latest, with a list of what still ran.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,7 +79,9 @@
     ...processParts.map(partRules),
     {
         // A test's describe block holds many short cases; the file limit still applies.
-        files: ["**/__tests__/**", "**/__fixtures__/**"],
+        files: ["packages/*/src/**", "platform/src/**"].flatMap(
+            sources => [`${sources}/__tests__/**`, `${sources}/__fixtures__/**`],
+        ),
         rules: {
             "max-lines-per-function": "off",
             "@typescript-eslint/no-floating-promises": ["error", {
--- a/packages/daisyturn-standins/src/fleet/childProgram.ts
+++ b/packages/daisyturn-standins/src/fleet/childProgram.ts
@@ -33,9 +33,11 @@
     environment: Readonly<Record<string, string>> = {},
 ): Promise<ChildProgram> {
     const child = spawn(process.execPath, [script, ...argumentList], {
-        stdio: ["ignore", "pipe", "inherit"],
+        stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, ...environment },
     });
+    // Not inherited: whoever waits for the end of this process's errors would wait for the program's end too.
+    child.stderr?.pipe(process.stderr, { end: false });
     const exit = once(child, "exit").then(() => child.exitCode ?? undefined);
     const words = await readListeningLine(name, child, exit);
     return createHandle(name, child, exit, words);
--- a/packages/daisyturn-standins/src/fleet/launchFleet.ts
+++ b/packages/daisyturn-standins/src/fleet/launchFleet.ts
@@ -1,4 +1,4 @@
-import { hashText } from "daisyturn-utils";
+import { hashText, takeLoopbackHost } from "daisyturn-utils";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
@@ -6,7 +6,8 @@
 import { fileURLToPath } from "node:url";
 import { stringify } from "yaml";
 import { type ChildProgram, startChildProgram } from "./childProgram.js";
-import { findFreePorts } from "./findFreePorts.js";
+import { findFreePort } from "./findFreePort.js";
+import { startTogether } from "./startTogether.js";
 
 /** An engine of the fleet. */
 export interface EnginePlan {
@@ -87,11 +88,11 @@
     const started: ChildProgram[] = [];
     try {
         const platform = await startTarget("platform", platformScript, ["--port", "0"], started);
-        const engines = await Promise.all(plan.engines.map(engine => startEngine(engine, plan, started)));
-        const services = await Promise.all(plan.services.map(service => startService(service, started)));
+        const engines = await startTogether(plan.engines.map(engine => startEngine(engine, plan, started)));
+        const services = await startTogether(plan.services.map(service => startService(service, started)));
         const settingsFiles = await writeEntrySettings(plan, folder, platform.url);
         const entryProgram = plan.entryProgram ?? [daemonScript];
-        const entries = await Promise.all(settingsFiles.map(file => startEntry(entryProgram, file, started)));
+        const entries = await startTogether(settingsFiles.map(file => startEntry(entryProgram, file, started)));
         return createFleet({ folder, platform, engines, services, entries, entryProgram, started });
     }
     catch (error) {
@@ -194,24 +195,35 @@
 }
 
 async function writeEntrySettings(plan: FleetPlan, folder: string, platformUrl: string): Promise<EntrySettingsFile[]> {
-    const peerPorts = await findFreePorts(plan.entryCount);
-    const seeds = peerPorts.map(port => `127.0.0.1:${port}`);
-    return peerPorts.map((peerPort, index) => {
+    const peerPlaces = await Promise.all(Array.from({ length: plan.entryCount }, findPeerPlace));
+    const seeds = peerPlaces.map(({ host, port }) => `${host}:${port}`);
+    return peerPlaces.map((peerPlace, index) => {
         const processId = `entry-${index + 1}`;
         const logFile = path.join(folder, `${processId}.log`);
         const settingsFile = path.join(folder, `${processId}.yaml`);
         const zone = plan.availabilityZones[index % plan.availabilityZones.length] ?? "zone-1";
-        const settings = createEntrySettings({ plan, processId, zone, peerPort, seeds, platformUrl, logFile });
+        const settings = createEntrySettings({ plan, processId, zone, peerPlace, seeds, platformUrl, logFile });
         writeFileSync(settingsFile, stringify(settings));
         return { settingsFile, processId, logFile };
     });
 }
 
+interface PeerPlace {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Peers must know each other's ports before any of them starts; at a host of its own, a port stays free until then. */
+async function findPeerPlace(): Promise<PeerPlace> {
+    const host = takeLoopbackHost();
+    return { host, port: await findFreePort(host) };
+}
+
 interface EntrySettingsInput {
     readonly plan: FleetPlan;
     readonly processId: string;
     readonly zone: string;
-    readonly peerPort: number;
+    readonly peerPlace: PeerPlace;
     readonly seeds: readonly string[];
     readonly platformUrl: string;
     readonly logFile: string;
@@ -228,7 +240,7 @@
             drainMilliseconds: 20_000,
         },
         peers: {
-            listen: { host: "127.0.0.1", port: input.peerPort },
+            listen: input.peerPlace,
             seeds: input.seeds,
             secret: { environment: "DAISYTURN_PEER_SECRET" },
         },
--- a/platform/src/__tests__/takeLoopbackHost.test.ts
+++ b/packages/daisyturn-utils/src/__tests__/takeLoopbackHost.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { takeLoopbackHost } from "../__fixtures__/takeLoopbackHost.js";
+import { takeLoopbackHost } from "../takeLoopbackHost.js";
 
-test("each host is a loopback address that no other fixture of the process has", () => {
+test("each host is a loopback address that no other taker of the process has", () => {
     const hosts = Array.from({ length: 200 }, takeLoopbackHost);
     assert.equal(new Set(hosts).size, hosts.length);
     assert.ok(hosts.every(host => /^127\.\d+\.\d+\.\d+$/.test(host) && host !== "127.0.0.1"));
--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -11,5 +11,6 @@
 export { createLogfmtEventLog, type EventLogOptions } from "./logfmtEventLog.js";
 export { createSeededRandom, Random } from "./random.js";
 export { hashTextTo32Bits, rendezvousWeight, weightedRendezvous } from "./rendezvous.js";
+export { takeLoopbackHost } from "./takeLoopbackHost.js";
 export { formatUserError, UserError, type UserErrorDetails } from "./userError.js";
 export { ExecutionVerdict } from "./verdict.js";
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -1,11 +1,13 @@
 // Runs every compiled test with node's test runner. Node 20's --test takes no glob, so the files are listed here.
 // Usage: node scripts/runTests.js [word ...]: only files whose path contains one of the words.
-import { spawnSync } from "node:child_process";
 import * as fs from "node:fs";
 import * as path from "node:path";
+import { runInGroup } from "./runInGroup.js";
 
 const concurrentFiles = 6;
 const testLimitMilliseconds = 300_000;
+/** All files of one kind take two to four minutes together; beyond this, one of them has not ended. */
+const runLimitMilliseconds = 1_200_000;
 const words = process.argv.slice(2);
 
 function listTestFiles(folder) {
@@ -26,24 +28,23 @@
         .filter(folder => fs.existsSync(folder))
         .flatMap(listTestFiles)
         .filter(hasSource)
+        .concat(listTestFiles("scripts"))
         .filter(file => words.length === 0 || words.some(word => file.includes(word)))
         .sort();
 }
 
-function runFiles(files, concurrency) {
+async function runFiles(files, concurrency) {
     if (files.length === 0) {
         return 0;
     }
     // A test that hangs fails, in place of holding up all others.
     const flags = ["--test", `--test-concurrency=${concurrency}`, `--test-timeout=${testLimitMilliseconds}`];
-    return spawnSync(process.execPath, [...flags, ...files], { stdio: "inherit" }).status ?? 1;
+    return await runInGroup([...flags, ...files], runLimitMilliseconds);
 }
 
 // Tests of whole fleets of processes measure no time but have deadlines of their own, so nothing else runs beside them.
 const isEndToEnd = file => file.includes(`${path.sep}endToEnd${path.sep}`);
 const files = findTestFiles();
-const statuses = [
-    runFiles(files.filter(file => !isEndToEnd(file)), concurrentFiles),
-    runFiles(files.filter(isEndToEnd), 1),
-];
-process.exit(Math.max(...statuses));
+const status = await runFiles(files.filter(file => !isEndToEnd(file)), concurrentFiles);
+const endToEndStatus = await runFiles(files.filter(isEndToEnd), 1);
+process.exit(Math.max(status, endToEndStatus));
