--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,13 +34,16 @@
 
 /** Rules of one part: no way past the index of another part, and nothing of a later part. */
 function partRules(part, index) {
-    const later = processParts.slice(index).join("|");
+    const later = processParts.slice(index).filter(name => name !== part).join("|") || "none";
     const earlier = processParts.slice(0, index).join("|") || "none";
-    const regex = `^\\.\\./(?:(?:${earlier})/(?!index\\.js$)|(?:${later})/)`;
-    return {
-        files: [`${processFolder}/${part}/*.ts`],
-        rules: forbidImports(regex, `${throughIndex} ${part} may use only: ${earlier}.`),
+    const createRules = (files, up) => {
+        const regex = `^${up}(?:(?:${earlier})/(?!index\\.js$)|(?:${later})/)`;
+        return { files: [files], rules: forbidImports(regex, `${throughIndex} ${part} may use only: ${earlier}.`) };
     };
+    return [
+        createRules(`${processFolder}/${part}/*.ts`, "\\.\\./"),
+        createRules(`${processFolder}/${part}/!(__*)/*.ts`, "\\.\\./\\.\\./"),
+    ];
 }
 
 export default tseslint.config(
@@ -76,7 +79,7 @@
         ignores: [`${processFolder}/**`, "**/__tests__/**", "**/__fixtures__/**"],
         rules: forbidImports(`^(?:\\.\\.?/)+process/(?:${processParts.join("|")})/(?!index\\.js$)`, throughIndex),
     },
-    ...processParts.map(partRules),
+    ...processParts.flatMap(partRules),
     {
         // A test's describe block holds many short cases; the file limit still applies.
         files: ["packages/*/src/**", "platform/src/**"].flatMap(
--- a/packages/daisyturn-daemon/src/settings/checkTogether.ts
+++ b/packages/daisyturn-daemon/src/settings/checkTogether.ts
@@ -1,5 +1,5 @@
 import type { z } from "zod";
-import type { DaemonSettings } from "./daemonSettings.js";
+import type { DaemonSettings } from "./settingsSections.js";
 
 const anyAddresses = new Set(["0.0.0.0", "::"]);
 const listenerSections = ["callers", "peers", "operators"] as const;
--- a/packages/daisyturn-standins/src/engine/__tests__/batchScheduler.test.ts
+++ b/packages/daisyturn-standins/src/engine/batch/__tests__/batchScheduler.test.ts
@@ -2,11 +2,11 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { buildPrompt } from "../__fixtures__/localRig.js";
+import { buildPrompt } from "../../__fixtures__/localRig.js";
+import { createPrefixCache } from "../../cache/prefixCache.js";
+import { engineOptionsSchema, type EngineSettings } from "../../engineOptions.js";
+import { createEngineStream, type EngineStream } from "../../engineStream.js";
 import { type BatchScheduler, createBatchScheduler } from "../batchScheduler.js";
-import { engineOptionsSchema, type EngineSettings } from "../engineOptions.js";
-import { createEngineStream, type EngineStream } from "../engineStream.js";
-import { createPrefixCache } from "../prefixCache.js";
 
 /** Part by which a measured rate may differ from the formula: the steps at both ends of the measured time. */
 const tolerance = 0.01;
--- a/packages/daisyturn-standins/src/engine/__tests__/engineRun.test.ts
+++ b/packages/daisyturn-standins/src/engine/batch/__tests__/engineRun.test.ts
@@ -15,10 +15,10 @@
 import assert from "node:assert/strict";
 import { describe, it, type TestContext } from "node:test";
 import type { Result } from "true-myth/result";
-import { joinText } from "../__fixtures__/engineRig.js";
-import { buildLocalRequest, buildPrompt, createLocalRig, follow, startStream } from "../__fixtures__/localRig.js";
-import type { LocalEngine } from "../createLocalEngine.js";
-import { expectedAnswer } from "../expectedAnswer.js";
+import { joinText } from "../../__fixtures__/engineRig.js";
+import { buildLocalRequest, buildPrompt, createLocalRig, follow, startStream } from "../../__fixtures__/localRig.js";
+import type { LocalEngine } from "../../createLocalEngine.js";
+import { expectedAnswer } from "../../expectedAnswer.js";
 
 function describeFailure(result: Result<unknown, Failure>): string {
     return result.isErr ? `${result.error.reason}/${result.error.verdict}` : "ok";
--- a/packages/daisyturn-standins/src/engine/batchScheduler.ts
+++ b/packages/daisyturn-standins/src/engine/batch/batchScheduler.ts
@@ -1,8 +1,8 @@
 import { charactersPerToken, FinishReason, GeneratePart, promptBlockCharacters, StreamEventKind } from "daisyturn";
-import type { EngineSettings } from "./engineOptions.js";
-import type { EngineStream } from "./engineStream.js";
+import type { PrefixCache } from "../cache/prefixCache.js";
+import type { EngineSettings } from "../engineOptions.js";
+import type { EngineStream } from "../engineStream.js";
 import { createJobLists, type Job, servingOrder, type WorkCounts } from "./jobLists.js";
-import type { PrefixCache } from "./prefixCache.js";
 import { stepMilliseconds } from "./speedModel.js";
 
 /** Tokens of one block of the prefix cache. */
--- a/packages/daisyturn-standins/src/engine/engineRun.ts
+++ b/packages/daisyturn-standins/src/engine/batch/engineRun.ts
@@ -11,18 +11,18 @@
 } from "daisyturn";
 import { type Clock, createSeededRandom, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import Result from "true-myth/result";
+import { createCacheEventLog } from "../cache/cacheEventLog.js";
+import { createKvExports, type KvExport } from "../cache/kvExports.js";
+import { importKv, type KvImporter } from "../cache/kvImport.js";
+import { createPrefixCache } from "../cache/prefixCache.js";
+import { findRefusal, findRequestFault } from "../checkRequest.js";
+import { describeEngineState, measureEngineLoad } from "../describeEngine.js";
+import type { EngineFaults } from "../engineFaults.js";
+import type { EngineSettings } from "../engineOptions.js";
+import { createEngineStream, type EngineStream, flushStream, type StreamReader } from "../engineStream.js";
+import { createOrderDesk, type OrderDesk } from "../orderDesk.js";
 import { createBatchScheduler } from "./batchScheduler.js";
-import { createCacheEventLog } from "./cacheEventLog.js";
-import { findRefusal, findRequestFault } from "./checkRequest.js";
-import { describeEngineState, measureEngineLoad } from "./describeEngine.js";
-import type { EngineFaults } from "./engineFaults.js";
-import type { EngineSettings } from "./engineOptions.js";
-import { createEngineStream, type EngineStream, flushStream, type StreamReader } from "./engineStream.js";
-import { createKvExports, type KvExport } from "./kvExports.js";
-import { importKv, type KvImporter } from "./kvImport.js";
 import { createLoadHistory } from "./loadHistory.js";
-import { createOrderDesk, type OrderDesk } from "./orderDesk.js";
-import { createPrefixCache } from "./prefixCache.js";
 import { createStreamTable } from "./streamTable.js";
 
 /** Longest real sleep of the task that steps, in milliseconds; timers can't be set for ever. */
--- a/packages/daisyturn-standins/src/engine/jobLists.ts
+++ b/packages/daisyturn-standins/src/engine/batch/jobLists.ts
@@ -1,5 +1,5 @@
 import { GeneratePart, Priority } from "daisyturn";
-import type { EngineStream } from "./engineStream.js";
+import type { EngineStream } from "../engineStream.js";
 
 /** The work of one stream. */
 export interface Job {
--- a/packages/daisyturn-standins/src/engine/speedModel.ts
+++ b/packages/daisyturn-standins/src/engine/batch/speedModel.ts
@@ -1,4 +1,4 @@
-import type { EngineSettings } from "./engineOptions.js";
+import type { EngineSettings } from "../engineOptions.js";
 
 /** The settings that the speed follows from. */
 export type SpeedSettings = Pick<
--- a/packages/daisyturn-standins/src/engine/streamTable.ts
+++ b/packages/daisyturn-standins/src/engine/batch/streamTable.ts
@@ -1,8 +1,8 @@
 import { waitingKind } from "daisyturn";
 import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { EngineSettings } from "./engineOptions.js";
-import { cutReaders, type EngineStream, type StreamReader } from "./engineStream.js";
+import type { EngineSettings } from "../engineOptions.js";
+import { cutReaders, type EngineStream, type StreamReader } from "../engineStream.js";
 
 /** Ids of streams cancelled before they were asked for that are remembered. */
 const rememberedCancellations = 4_096;
--- a/packages/daisyturn-standins/src/engine/kvExports.ts
+++ b/packages/daisyturn-standins/src/engine/cache/kvExports.ts
@@ -1,5 +1,5 @@
 import { hashText } from "daisyturn-utils";
-import type { EngineStream } from "./engineStream.js";
+import type { EngineStream } from "../engineStream.js";
 
 /** What an importing engine is told of an exported KV cache. */
 export interface KvExport {
--- a/packages/daisyturn-standins/src/engine/checkRequest.ts
+++ b/packages/daisyturn-standins/src/engine/checkRequest.ts
@@ -1,6 +1,6 @@
 import { EnginePhase, EngineRole, GeneratePart, type GenerateRequest } from "daisyturn";
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
-import { neededKvTokens } from "./batchScheduler.js";
+import { neededKvTokens } from "./batch/batchScheduler.js";
 import type { EngineSettings } from "./engineOptions.js";
 import type { EngineStream } from "./engineStream.js";
 import type { OrderDesk } from "./orderDesk.js";
--- a/packages/daisyturn-standins/src/engine/createEngineServer.ts
+++ b/packages/daisyturn-standins/src/engine/createEngineServer.ts
@@ -1,10 +1,10 @@
 import { type Clock, SystemClock } from "daisyturn-utils";
 import { listenHttp, type StandInServer } from "../httpListener.js";
+import { createEngineRun, type EngineRun } from "./batch/engineRun.js";
+import { createHttpKvImporter } from "./cache/kvImport.js";
 import type { EngineFaults } from "./engineFaults.js";
 import { type EngineOptions, engineOptionsSchema } from "./engineOptions.js";
 import { createEngineRoutes } from "./engineRoutes.js";
-import { createEngineRun, type EngineRun } from "./engineRun.js";
-import { createHttpKvImporter } from "./kvImport.js";
 import type { OrderRecord } from "./orderDesk.js";
 
 /** A running engine stand-in. */
--- a/packages/daisyturn-standins/src/engine/createLocalEngine.ts
+++ b/packages/daisyturn-standins/src/engine/createLocalEngine.ts
@@ -12,11 +12,11 @@
 } from "daisyturn";
 import { type Clock, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import Result from "true-myth/result";
+import { createEngineRun, type EngineRun } from "./batch/engineRun.js";
+import type { KvImporter } from "./cache/kvImport.js";
 import type { EngineFaults } from "./engineFaults.js";
 import { type EngineOptions, engineOptionsSchema } from "./engineOptions.js";
-import { createEngineRun, type EngineRun } from "./engineRun.js";
 import type { EngineStream, StreamReader } from "./engineStream.js";
-import type { KvImporter } from "./kvImport.js";
 
 /** Engines without sockets that can fetch KV caches from each other, by their ids. */
 export type LocalFleet = Map<string, EngineRun>;
--- a/packages/daisyturn-standins/src/engine/describeEngine.ts
+++ b/packages/daisyturn-standins/src/engine/describeEngine.ts
@@ -1,8 +1,8 @@
 import type { EngineState, LoadReport } from "daisyturn";
+import type { WorkCounts } from "./batch/jobLists.js";
+import { decodeRate, prefillRate } from "./batch/speedModel.js";
 import type { EngineSettings } from "./engineOptions.js";
-import type { WorkCounts } from "./jobLists.js";
 import type { OrderDesk } from "./orderDesk.js";
-import { decodeRate, prefillRate } from "./speedModel.js";
 
 /** Most stream ids in a load report; the newest are told. */
 const reportedStreamIds = 512;
--- a/packages/daisyturn-standins/src/engine/engineRoutes.ts
+++ b/packages/daisyturn-standins/src/engine/engineRoutes.ts
@@ -4,8 +4,8 @@
 import { z } from "zod";
 import { answerJson, answerNotFound, readBody } from "../httpAnswers.js";
 import type { RequestHandler } from "../httpListener.js";
+import type { EngineRun } from "./batch/engineRun.js";
 import { type EngineFaults, engineFaultsSchema } from "./engineFaults.js";
-import type { EngineRun } from "./engineRun.js";
 import type { EngineStream, StreamReader } from "./engineStream.js";
 import type { OrderRecord } from "./orderDesk.js";
 
--- a/packages/daisyturn-standins/src/index.ts
+++ b/packages/daisyturn-standins/src/index.ts
@@ -1,9 +1,9 @@
+export * from "./engine/batch/speedModel.js";
 export * from "./engine/createEngineServer.js";
 export * from "./engine/createLocalEngine.js";
 export * from "./engine/engineFaults.js";
 export * from "./engine/engineOptions.js";
 export * from "./engine/expectedAnswer.js";
-export * from "./engine/speedModel.js";
 export type { StandInServer } from "./httpListener.js";
 export { ControlPath } from "./platform/controlRoutes.js";
 export * from "./platform/createPlatformServer.js";
--- a/packages/daisyturn-standins/src/measure/__tests__/fairShares.test.ts
+++ b/packages/daisyturn-standins/src/measure/__tests__/fairShares.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { createCalmSource, createFlood, engineCount, goodPart, runShared } from "../fairShareCases.js";
+import { createCalmSource, createFlood, engineCount, goodPart, runShared } from "../policy/fairShareCases.js";
 
 /** What the users grant: one partner's flood may cost the other a twentieth of its goodput. */
 const allowedLoss = 0.05;
--- a/packages/daisyturn-standins/src/measure/measureEngine.ts
+++ b/packages/daisyturn-standins/src/measure/measureEngine.ts
@@ -12,8 +12,8 @@
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import { decodeRate, prefillRate } from "../engine/batch/speedModel.js";
 import { engineOptionsSchema } from "../engine/engineOptions.js";
-import { decodeRate, prefillRate } from "../engine/speedModel.js";
 import { type ChildProgram, startChildProgram } from "../fleet/childProgram.js";
 
 // Loads one engine stand-in over HTTP and prints the measured rates beside the formula's, and the processor time of
--- a/packages/daisyturn-standins/src/measure/measureFairShares.ts
+++ b/packages/daisyturn-standins/src/measure/measureFairShares.ts
@@ -1,5 +1,5 @@
-import { createCalmSource, createFlood, engineCount, goodPart, runShared } from "./fairShareCases.js";
-import { percentileOf, type SourceResult, type TrialSource } from "./policyTrial.js";
+import { createCalmSource, createFlood, engineCount, goodPart, runShared } from "./policy/fairShareCases.js";
+import { percentileOf, type SourceResult, type TrialSource } from "./policy/policyTrial.js";
 import { formatSummary, summarise } from "./summarise.js";
 
 /**
--- a/packages/daisyturn-standins/src/measure/measureHerding.ts
+++ b/packages/daisyturn-standins/src/measure/measureHerding.ts
@@ -1,9 +1,9 @@
 import { type EngineChoice, SampledChoice } from "daisyturn";
 import type { Random } from "daisyturn-utils";
-import { CheapestChoice, ProportionalChoice, RandomChoice, TwoChoices } from "./comparisonChoices.js";
-import { createCalmSource } from "./fairShareCases.js";
-import { percentileOf, runTrial } from "./policyTrial.js";
-import { defaultEngineSettings } from "./steppedEngine.js";
+import { CheapestChoice, ProportionalChoice, RandomChoice, TwoChoices } from "./policy/comparisonChoices.js";
+import { createCalmSource } from "./policy/fairShareCases.js";
+import { percentileOf, runTrial } from "./policy/policyTrial.js";
+import { defaultEngineSettings } from "./policy/steppedEngine.js";
 import { formatSummary, summarise } from "./summarise.js";
 
 /**
--- a/packages/daisyturn-standins/src/measure/measureRoutingSpeed.ts
+++ b/packages/daisyturn-standins/src/measure/measureRoutingSpeed.ts
@@ -1,10 +1,10 @@
 import { type Placement, PlacementOutcome } from "daisyturn";
 import { createSeededRandom } from "daisyturn-utils";
-import { createPolicyCell, type PolicyProcess } from "./policyCell.js";
+import { createPolicyCell, type PolicyProcess } from "./policy/policyCell.js";
+import { defaultEngineSettings, SteppedEngine } from "./policy/steppedEngine.js";
+import { VirtualClock } from "./policy/virtualClock.js";
 import { countUpTo, createMeasuredProfile, createRequest, drawPromptBlocks } from "./requestMix.js";
-import { defaultEngineSettings, SteppedEngine } from "./steppedEngine.js";
 import { formatSummary, summarise } from "./summarise.js";
-import { VirtualClock } from "./virtualClock.js";
 
 /**
  * Measures how many routing decisions a second one core makes: 65 engines, prompts of 100 blocks of which half are
--- a/packages/daisyturn-standins/src/measure/fairShareCases.ts
+++ b/packages/daisyturn-standins/src/measure/policy/fairShareCases.ts
@@ -1,5 +1,5 @@
+import { createMeasuredProfile } from "../requestMix.js";
 import { runTrial, type SourceResult, type TrialOptions, type TrialResult, type TrialSource } from "./policyTrial.js";
-import { createMeasuredProfile } from "./requestMix.js";
 import { defaultEngineSettings } from "./steppedEngine.js";
 
 const mix = { blocks: 30, sharedBlocks: 10, prefixes: 5 };
--- a/packages/daisyturn-standins/src/measure/policyCell.ts
+++ b/packages/daisyturn-standins/src/measure/policy/policyCell.ts
@@ -27,7 +27,7 @@
     notRun,
 } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
-import { countUpTo } from "./requestMix.js";
+import { countUpTo } from "../requestMix.js";
 import type { SteppedEngine } from "./steppedEngine.js";
 
 /** One entry process's decisions, without its connections. */
--- a/packages/daisyturn-standins/src/measure/policyTrial.ts
+++ b/packages/daisyturn-standins/src/measure/policy/policyTrial.ts
@@ -8,10 +8,10 @@
     type RoutingRequest,
 } from "daisyturn";
 import { createSeededRandom, type Random } from "daisyturn-utils";
+import { countUpTo, createRequest, drawPromptBlocks, type PromptMix } from "../requestMix.js";
+import { percentile } from "../summarise.js";
 import { createPolicyCell, type PolicyProcess } from "./policyCell.js";
-import { countUpTo, createRequest, drawPromptBlocks, type PromptMix } from "./requestMix.js";
 import { SteppedEngine, type SteppedEngineSettings } from "./steppedEngine.js";
-import { percentile } from "./summarise.js";
 import { VirtualClock } from "./virtualClock.js";
 
 /** One stream of arrivals. */
--- a/packages/daisyturn-utils/src/__tests__/boundedEventLog.test.ts
+++ b/packages/daisyturn-utils/src/events/__tests__/boundedEventLog.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { FakeClock } from "../../fakeClock.js";
 import { createBoundedEventLog } from "../boundedEventLog.js";
 import { EventKind, MemoryEventLog } from "../eventLog.js";
-import { FakeClock } from "../fakeClock.js";
 
 const bounds = { linesPerSecond: 10, burst: 20, reserved: 5 };
 
--- a/packages/daisyturn-utils/src/__tests__/logfmtEventLog.test.ts
+++ b/packages/daisyturn-utils/src/events/__tests__/logfmtEventLog.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createHybridLogicalClock, createLogfmtEventLog, EventKind, FakeClock } from "../index.js";
+import { createHybridLogicalClock, createLogfmtEventLog, EventKind, FakeClock } from "../../index.js";
 
 function createLog() {
     const lines: string[] = [];
--- a/packages/daisyturn-utils/src/logfmtEventLog.ts
+++ b/packages/daisyturn-utils/src/events/logfmtEventLog.ts
@@ -1,7 +1,7 @@
 import logfmt from "logfmt";
 import { type DestinationStream, pino } from "pino";
+import type { HybridLogicalClock } from "../hybridLogicalClock.js";
 import { type EventFields, type EventKind, EventLog } from "./eventLog.js";
-import type { HybridLogicalClock } from "./hybridLogicalClock.js";
 
 /** What stands on every line of one process's log. */
 export interface EventLogOptions {
--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -1,14 +1,14 @@
-export { createBoundedEventLog, defaultEventLogBounds, type EventLogBounds } from "./boundedEventLog.js";
 export { Clock, SystemClock } from "./clock.js";
 export { createDecayingRate, type DecayingRate } from "./decayingRate.js";
-export { type EventFields, EventKind, EventLog, MemoryEventLog, type RecordedEvent } from "./eventLog.js";
+export { createBoundedEventLog, defaultEventLogBounds, type EventLogBounds } from "./events/boundedEventLog.js";
+export { type EventFields, EventKind, EventLog, MemoryEventLog, type RecordedEvent } from "./events/eventLog.js";
+export { createLogfmtEventLog, type EventLogOptions } from "./events/logfmtEventLog.js";
 export { type Failure, FailureReason, mayHaveRun, notRun } from "./failure.js";
 export { FakeClock } from "./fakeClock.js";
 export { equalInConstantTime, hashText } from "./hashing.js";
 export { createHybridLogicalClock, type HybridLogicalClock } from "./hybridLogicalClock.js";
 export { createIdSource, type IdSource } from "./idSource.js";
 export { type JsonObject, type JsonValue, toJson } from "./jsonValue.js";
-export { createLogfmtEventLog, type EventLogOptions } from "./logfmtEventLog.js";
 export { createSeededRandom, Random } from "./random.js";
 export { hashTextTo32Bits, rendezvousWeight, weightedRendezvous } from "./rendezvous.js";
 export { takeLoopbackHost } from "./takeLoopbackHost.js";
--- a/packages/daisyturn/src/__fixtures__/fakeEngine.ts
+++ b/packages/daisyturn/src/__fixtures__/fakeEngine.ts
@@ -12,7 +12,7 @@
     type OrderAnswer,
     type StreamEvent,
 } from "../ports/engine.js";
-import { estimateTokenCount } from "../request/promptBlocks.js";
+import { estimateTokenCount } from "../request/completion/promptBlocks.js";
 import { createFakeOrderDesk, type FakeOrderDesk, type FakeOrderDeskOptions } from "./fakeOrderDesk.js";
 import { createFakeStream, type FakeStream, type StreamFault } from "./fakeStream.js";
 
--- a/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
+++ b/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
@@ -3,7 +3,7 @@
 import { Priority } from "../../../ports/engine.js";
 import type { PlainService } from "../../../ports/plainService.js";
 import type { Placement, PlacementOutcome, PlacementUsage, RoutingRequest } from "../../../process/routing/index.js";
-import type { ClaimKeeper } from "../../../request/claimKeeper.js";
+import type { ClaimKeeper } from "../../../request/claims/claimKeeper.js";
 import {
     type CallerAccount,
     ItemKind,
--- a/packages/daisyturn/src/connection/caller/answerProtocolError.ts
+++ b/packages/daisyturn/src/connection/caller/answerProtocolError.ts
@@ -1,6 +1,6 @@
 import { FailureReason, notRun } from "daisyturn-utils";
 import type { Duplex } from "node:stream";
-import { buildErrorBody } from "../../request/answer.js";
+import { buildErrorBody } from "../../request/answer/answer.js";
 
 /** What node tells about bytes that are no HTTP request. */
 export interface ProtocolError extends Error {
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { createRetryBudget, defaultRetryBudget } from "../../process/admission/index.js";
 import type { RequestParts } from "../../request/requestParts.js";
-import { createResumeTokens } from "../../request/resumeToken.js";
+import { createResumeTokens } from "../../request/resumption/resumeToken.js";
 import { listenAt } from "../listenAt.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
 import { checkHeader } from "./checkHeader.js";
--- a/packages/daisyturn/src/connection/caller/serveExchange.ts
+++ b/packages/daisyturn/src/connection/caller/serveExchange.ts
@@ -1,13 +1,13 @@
 import { EventKind, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { buildRefusal } from "../../request/answer.js";
+import { buildRefusal } from "../../request/answer/answer.js";
 import type { CallerExchange } from "../../request/callerExchange.js";
-import { claimPathPrefix, handleClaimQuestion } from "../../request/handleClaimQuestion.js";
-import { handleCompletion } from "../../request/handleCompletion.js";
+import { claimPathPrefix, handleClaimQuestion } from "../../request/claims/handleClaimQuestion.js";
+import { handleCompletion } from "../../request/completion/handleCompletion.js";
+import { CompletionForm } from "../../request/completion/parseCompletion.js";
 import { handlePlainCall } from "../../request/handlePlainCall.js";
-import { handleResume } from "../../request/handleResume.js";
-import { CompletionForm } from "../../request/parseCompletion.js";
 import type { RequestParts } from "../../request/requestParts.js";
+import { handleResume } from "../../request/resumption/handleResume.js";
 import { servicePathPrefix } from "../../request/servicePath.js";
 
 /** What the process says about itself. */
--- a/packages/daisyturn/src/connection/operator/createClaimRoutes.ts
+++ b/packages/daisyturn/src/connection/operator/createClaimRoutes.ts
@@ -1,6 +1,6 @@
 import { FailureReason, notRun, toJson } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ProcessClaimKeeper } from "../../request/createClaimKeeper.js";
+import type { ProcessClaimKeeper } from "../../request/claims/createClaimKeeper.js";
 import { OperatorMethod, type OperatorRequest, type OperatorRoutes } from "./operatorRoutes.js";
 
 /** Shows operators the claims of their own partner's callers, without the answers. */
--- a/packages/daisyturn/src/process/admission/admissionQueue.ts
+++ b/packages/daisyturn/src/process/admission/admissionQueue.ts
@@ -1,5 +1,5 @@
 import { Priority } from "../../ports/engine.js";
-import { charactersPerToken } from "../../request/promptBlocks.js";
+import { charactersPerToken } from "../../request/completion/promptBlocks.js";
 import type { RoutingRequest } from "../routing/index.js";
 
 /** A request that waits for admission. */
--- a/packages/daisyturn/src/process/claims/__tests__/claimPruner.test.ts
+++ b/packages/daisyturn/src/process/claims/__tests__/claimPruner.test.ts
@@ -3,9 +3,9 @@
 import { describe, it } from "node:test";
 import { createFakeIdentity } from "../../../__fixtures__/fakePeerNetwork.js";
 import { createClaimBench, createClaimRequest } from "../../../request/__fixtures__/createClaimBench.js";
-import { defaultClaimLimits } from "../../../request/claimLimits.js";
-import { ClaimRowState } from "../../../request/claimRow.js";
+import { defaultClaimLimits } from "../claimLimits.js";
 import type { ClaimPruner } from "../claimPruner.js";
+import { ClaimRowState } from "../claimRow.js";
 
 const passMilliseconds = 10 * 60_000;
 
--- a/packages/daisyturn/src/process/claims/claimExaminer.ts
+++ b/packages/daisyturn/src/process/claims/claimExaminer.ts
@@ -1,10 +1,10 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { ServiceAnswer } from "../../ports/plainService.js";
 import { absentVersion, type Row } from "../../ports/tableService.js";
-import type { ClaimLimits } from "../../request/claimLimits.js";
-import { type ClaimRow, ClaimRowState, createUnknownRow, parseClaimRow } from "../../request/claimRow.js";
 import type { Membership, PeerNetwork, ProcessIdentity } from "../peers/index.js";
 import { askOwner, type ClaimInquiry, InquiryReplyKind, replyToInquiry } from "./claimInquiry.js";
+import type { ClaimLimits } from "./claimLimits.js";
+import { type ClaimRow, ClaimRowState, createUnknownRow, parseClaimRow } from "./claimRow.js";
 import { createClaimSightings } from "./claimSightings.js";
 import { ClaimWriteOutcome, type ClaimWriter } from "./claimWriter.js";
 import type { OwnClaims } from "./ownClaims.js";
--- a/packages/daisyturn/src/process/claims/claimInquiry.ts
+++ b/packages/daisyturn/src/process/claims/claimInquiry.ts
@@ -1,7 +1,7 @@
 import { type Clock, type JsonObject, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import { answerSchema } from "../../request/claimRow.js";
 import { PeerMethod, type PeerNetwork, type ProcessIdentity } from "../peers/index.js";
+import { answerSchema } from "./claimRow.js";
 import { ClaimStage, type OwnClaims } from "./ownClaims.js";
 import { settlesBefore } from "./settlesBefore.js";
 
--- a/packages/daisyturn/src/process/claims/claimPruner.ts
+++ b/packages/daisyturn/src/process/claims/claimPruner.ts
@@ -10,10 +10,15 @@
 import Result from "true-myth/result";
 import { z } from "zod";
 import { absentVersion, type Row, TransactionOutcome } from "../../ports/tableService.js";
-import { claimRowPrefix, ClaimRowState, parseClaimRow } from "../../request/claimRow.js";
-import type { ProcessClaimKeeper } from "../../request/createClaimKeeper.js";
 import type { Membership } from "../peers/index.js";
 import { type PagedStoreClient, StorePriority } from "../store/index.js";
+import { claimRowPrefix, ClaimRowState, parseClaimRow } from "./claimRow.js";
+
+/** What ends the claims of processes that are gone. */
+export interface AbandonedClaims {
+    /** Settles a claim of an ended process, if this process has seen it unchanged for long enough (monotonic). */
+    settleAbandoned(present: Row, deadline: number): Promise<void>;
+}
 
 /** Row in which the pruning processes hand the work to each other. */
 export const pruningRowKey = "claim-pruning";
@@ -39,7 +44,7 @@
 /** What the pruner works with. */
 export interface ClaimPrunerOptions {
     readonly storeClient: PagedStoreClient;
-    readonly keeper: Pick<ProcessClaimKeeper, "settleAbandoned">;
+    readonly keeper: AbandonedClaims;
     readonly membership: Membership;
     readonly clock: Clock;
     readonly random: Random;
--- a/packages/daisyturn/src/process/claims/claimRecorder.ts
+++ b/packages/daisyturn/src/process/claims/claimRecorder.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import { type ClaimRow, ClaimRowState, parseClaimRow } from "../../request/claimRow.js";
+import { type ClaimRow, ClaimRowState, parseClaimRow } from "./claimRow.js";
 import { type ClaimWriteAnswer, ClaimWriteOutcome, type ClaimWriter } from "./claimWriter.js";
 import type { OwnClaim } from "./ownClaims.js";
 
--- a/packages/daisyturn/src/request/claimRow.ts
+++ b/packages/daisyturn/src/process/claims/claimRow.ts
@@ -1,9 +1,9 @@
 import { type Failure, FailureReason, hashText, type JsonValue, notRun, toJson } from "daisyturn-utils";
 import { z } from "zod";
-import type { ServiceAnswer, ServiceCall } from "../ports/plainService.js";
-import type { OwnClaim } from "../process/claims/index.js";
-import type { ProcessIdentity } from "../process/peers/index.js";
+import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
+import type { ProcessIdentity } from "../peers/index.js";
 import type { ClaimLimits } from "./claimLimits.js";
+import type { OwnClaim } from "./ownClaims.js";
 
 /** All claim rows of the table service start with this. */
 export const claimRowPrefix = "claims/";
--- a/packages/daisyturn/src/process/claims/claimWriter.ts
+++ b/packages/daisyturn/src/process/claims/claimWriter.ts
@@ -1,7 +1,7 @@
 import type { IdSource } from "daisyturn-utils";
 import { RejectionCause, type Row, type TransactionAnswer, TransactionOutcome } from "../../ports/tableService.js";
-import { type ClaimRow, formatClaimRow } from "../../request/claimRow.js";
 import { type StoreClient, StorePriority } from "../store/index.js";
+import { type ClaimRow, formatClaimRow } from "./claimRow.js";
 
 /** One conditional write of a claim's row. */
 export interface ClaimWrite {
--- a/packages/daisyturn/src/process/claims/index.ts
+++ b/packages/daisyturn/src/process/claims/index.ts
@@ -6,8 +6,10 @@
 
 export * from "./claimExaminer.js";
 export * from "./claimInquiry.js";
+export * from "./claimLimits.js";
 export * from "./claimPruner.js";
 export * from "./claimRecorder.js";
+export * from "./claimRow.js";
 export * from "./claimWriter.js";
 export * from "./ownClaims.js";
 export * from "./settlesBefore.js";
--- a/packages/daisyturn/src/process/configuration/__tests__/configurationFailures.test.ts
+++ b/packages/daisyturn/src/process/configuration/__tests__/configurationFailures.test.ts
@@ -11,9 +11,9 @@
     type ConfigurationCell,
     createConfigurationCell,
 } from "../__fixtures__/configurationCell.js";
-import { answerPull } from "../answerPull.js";
 import { changeKey, headKey } from "../configurationRows.js";
 import { createInForce } from "../createInForce.js";
+import { answerPull } from "../exchange/answerPull.js";
 
 function createRequest(name: string, expectedGeneration?: number) {
     return createChangeRequest("north", `write-${name}`, [put(createProfile("north", name))], expectedGeneration);
--- a/packages/daisyturn/src/process/configuration/adoptVersion.ts
+++ b/packages/daisyturn/src/process/configuration/adoptVersion.ts
@@ -2,7 +2,7 @@
 import type { Result } from "true-myth/result";
 import type { Membership } from "../peers/index.js";
 import type { ConfigurationTiming } from "./configurationTiming.js";
-import type { ConfigurationPeers } from "./createConfigurationPeers.js";
+import type { ConfigurationPeers } from "./exchange/createConfigurationPeers.js";
 
 /** What adoption needs. */
 export interface AdoptionOptions {
--- a/packages/daisyturn/src/process/configuration/createConfigurationKeeper.ts
+++ b/packages/daisyturn/src/process/configuration/createConfigurationKeeper.ts
@@ -19,9 +19,10 @@
 import { adoptVersion } from "./adoptVersion.js";
 import { type ConfigurationTiming, defaultConfigurationTiming } from "./configurationTiming.js";
 import { createChangeAcceptor } from "./createChangeAcceptor.js";
-import { createConfigurationPeers } from "./createConfigurationPeers.js";
 import { createConfigurationStore, listGenerations } from "./createConfigurationStore.js";
 import { createInForce } from "./createInForce.js";
+import { createConfigurationPeers } from "./exchange/createConfigurationPeers.js";
+import { spreadVersions } from "./exchange/spreadVersions.js";
 import type {
     ChangePreview,
     FleetConfigurationKeeper,
@@ -29,7 +30,6 @@
     RetirementReport,
 } from "./fleetConfigurationKeeper.js";
 import { createRetirementReport } from "./retirementReport.js";
-import { spreadVersions } from "./spreadVersions.js";
 
 /** What the keeper is made of. */
 export interface ConfigurationKeeperOptions {
--- a/packages/daisyturn/src/process/configuration/answerPull.ts
+++ b/packages/daisyturn/src/process/configuration/exchange/answerPull.ts
@@ -1,6 +1,6 @@
-import type { ConfigurationItem } from "../../version/configurationItems.js";
+import type { ConfigurationItem } from "../../../version/configurationItems.js";
+import type { InForce } from "../createInForce.js";
 import type { ItemPage, PullAnswer, PullMessage } from "./configurationMessages.js";
-import type { InForce } from "./createInForce.js";
 
 /**
  * A page of items is filled up to this size. All items of a large fleet in one message would exceed the longest line
--- a/packages/daisyturn/src/process/configuration/configurationMessages.ts
+++ b/packages/daisyturn/src/process/configuration/exchange/configurationMessages.ts
@@ -1,7 +1,7 @@
 import { type JsonObject, toJson } from "daisyturn-utils";
-import type { AcceptedChange } from "../../version/configurationChange.js";
-import type { ConfigurationItem, ItemIdentity } from "../../version/configurationItems.js";
-import type { GenerationUsage } from "../../version/createVersionUsage.js";
+import type { AcceptedChange } from "../../../version/configurationChange.js";
+import type { ConfigurationItem, ItemIdentity } from "../../../version/configurationItems.js";
+import type { GenerationUsage } from "../../../version/createVersionUsage.js";
 
 /** Tells a peer of an accepted change. */
 export interface PushMessage {
--- a/packages/daisyturn/src/process/configuration/createConfigurationPeers.ts
+++ b/packages/daisyturn/src/process/configuration/exchange/createConfigurationPeers.ts
@@ -1,8 +1,9 @@
 import type { Clock } from "daisyturn-utils";
-import type { AcceptedChange } from "../../version/configurationChange.js";
-import type { ItemIdentity } from "../../version/configurationItems.js";
-import type { VersionUsage } from "../../version/createVersionUsage.js";
-import { type Membership, MemberState, PeerMethod, type PeerNetwork, type ProcessIdentity } from "../peers/index.js";
+import type { AcceptedChange } from "../../../version/configurationChange.js";
+import type { ItemIdentity } from "../../../version/configurationItems.js";
+import type { VersionUsage } from "../../../version/createVersionUsage.js";
+import { type Membership, MemberState, PeerMethod, type PeerNetwork, type ProcessIdentity } from "../../peers/index.js";
+import type { InForce } from "../createInForce.js";
 import { answerPull } from "./answerPull.js";
 import {
     decodeMessage,
@@ -13,7 +14,6 @@
     type UsageAnswer,
     type UsageMessage,
 } from "./configurationMessages.js";
-import type { InForce } from "./createInForce.js";
 import { type PullReport, pullVersion } from "./pullVersion.js";
 
 /** What a push to the cell has reached. */
--- a/packages/daisyturn/src/process/configuration/pullVersion.ts
+++ b/packages/daisyturn/src/process/configuration/exchange/pullVersion.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "daisyturn-utils";
-import type { ConfigurationItem } from "../../version/configurationItems.js";
-import { createConfigurationVersion } from "../../version/createConfigurationVersion.js";
-import { PeerMethod, type PeerNetwork } from "../peers/index.js";
+import type { ConfigurationItem } from "../../../version/configurationItems.js";
+import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
+import { PeerMethod, type PeerNetwork } from "../../peers/index.js";
+import { applyChain } from "../createConfigurationStore.js";
+import type { InForce } from "../createInForce.js";
 import {
     decodeMessage,
     encodeMessage,
@@ -9,8 +11,6 @@
     type PullAnswer,
     type PullMessage,
 } from "./configurationMessages.js";
-import { applyChain } from "./createConfigurationStore.js";
-import type { InForce } from "./createInForce.js";
 
 /** Changes may come in faster than a large configuration is read; after so many rounds the next pull goes on. */
 const mostRounds = 3;
--- a/packages/daisyturn/src/process/configuration/spreadVersions.ts
+++ b/packages/daisyturn/src/process/configuration/exchange/spreadVersions.ts
@@ -1,9 +1,9 @@
 import type { Clock, Failure, Random } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { Membership } from "../peers/index.js";
-import type { ConfigurationTiming } from "./configurationTiming.js";
+import type { Membership } from "../../peers/index.js";
+import type { ConfigurationTiming } from "../configurationTiming.js";
+import type { InForce } from "../createInForce.js";
 import type { ConfigurationPeers } from "./createConfigurationPeers.js";
-import type { InForce } from "./createInForce.js";
 
 /** What the anti-entropy needs. */
 export interface SpreadOptions {
--- a/packages/daisyturn/src/process/configuration/retirementReport.ts
+++ b/packages/daisyturn/src/process/configuration/retirementReport.ts
@@ -1,5 +1,5 @@
 import type { ItemIdentity } from "../../version/configurationItems.js";
-import type { PeerUsage } from "./createConfigurationPeers.js";
+import type { PeerUsage } from "./exchange/createConfigurationPeers.js";
 import type { RetirementReport } from "./fleetConfigurationKeeper.js";
 
 /** Draws up from the processes' answers whether an item is retired completely. */
--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -2,9 +2,9 @@
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
-import type { PromptDemand } from "../callPlacement.js";
-import { createCallPlacement } from "../createCallPlacement.js";
-import { createTargetViews } from "../createTargetViews.js";
+import type { PromptDemand } from "../placement/callPlacement.js";
+import { createCallPlacement } from "../placement/createCallPlacement.js";
+import { createTargetViews } from "../views/createTargetViews.js";
 
 /** Long prompts share a beginning of this many tokens. */
 export const sharedTokens = 13_000;
--- a/packages/daisyturn/src/process/forwarding/__tests__/shareLoads.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/shareLoads.test.ts
@@ -3,11 +3,11 @@
 import { test } from "node:test";
 import { ok, type Result } from "true-myth/result";
 import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../ports/peerRegistry.js";
-import { createCacheBeliefs } from "../createCacheBeliefs.js";
-import { createClosedTargets } from "../createClosedTargets.js";
-import { createReadingDemand } from "../createReadingDemand.js";
-import { createTargetLoads } from "../createTargetLoads.js";
 import { DatagramChannel, shareLoads } from "../shareLoads.js";
+import { createClosedTargets } from "../targets/createClosedTargets.js";
+import { createCacheBeliefs } from "../views/createCacheBeliefs.js";
+import { createReadingDemand } from "../views/createReadingDemand.js";
+import { createTargetLoads } from "../views/createTargetLoads.js";
 
 /** Processes that hear each other at once, unless the test cuts them off. */
 function createProcesses(count: number, zones = 1) {
--- a/packages/daisyturn/src/process/forwarding/__tests__/createCallPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createCallPlacement.test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EngineStage } from "../../../ports/listedTarget.js";
+import { EngineStage } from "../../../../ports/listedTarget.js";
 import {
     createDemand,
     createLongPrompt,
     createPlacementBench,
     createShortPrompt,
     engineService,
-} from "../__fixtures__/placementBench.js";
+} from "../../__fixtures__/placementBench.js";
 
 const { Prefill, Decode } = EngineStage;
 const stages = [Prefill, Prefill, Prefill, Decode, Decode, Decode, Decode, Decode];
--- a/packages/daisyturn/src/process/forwarding/__tests__/createLeastRunningPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createLeastRunningPlacement.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { EngineStage } from "../../../ports/listedTarget.js";
+import { EngineStage } from "../../../../ports/listedTarget.js";
 import {
     createDemand,
     createLongPrompt,
     createPlacementBench,
     createShortPrompt,
-} from "../__fixtures__/placementBench.js";
+} from "../../__fixtures__/placementBench.js";
 import { createLeastRunningPlacement } from "../createLeastRunningPlacement.js";
 
 const { Prefill, Decode } = EngineStage;
--- a/packages/daisyturn/src/process/forwarding/__tests__/groupEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/groupEngines.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
-import { createLongPrompt, createShortPrompt } from "../__fixtures__/placementBench.js";
+import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
+import { createLongPrompt, createShortPrompt } from "../../__fixtures__/placementBench.js";
 import { groupEngines } from "../groupEngines.js";
 
 /** So many engines of each kind in each of three zones. */
--- a/packages/daisyturn/src/process/forwarding/__tests__/placementDifferential.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/placementDifferential.test.ts
@@ -1,15 +1,15 @@
 import { createSeededRandom, type Random } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { PromptDescription } from "../../../ports/forwardedCall.js";
-import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
+import type { PromptDescription } from "../../../../ports/forwardedCall.js";
+import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import {
     createDemand,
     createLongPrompt,
     createPlacementBench,
     createShortPrompt,
     engineService,
-} from "../__fixtures__/placementBench.js";
+} from "../../__fixtures__/placementBench.js";
 import { estimatePrefill, estimateTransfer } from "../estimatePrefill.js";
 
 const hopMilliseconds = 8;
--- a/packages/daisyturn/src/process/forwarding/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -1,6 +1,6 @@
-import type { PromptDescription } from "../../ports/forwardedCall.js";
-import type { ListedTarget } from "../../ports/listedTarget.js";
-import type { ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
+import type { PromptDescription } from "../../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../../ports/listedTarget.js";
+import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 
 /** Where one part of a call goes. */
 export interface PlacedStep {
--- a/packages/daisyturn/src/process/forwarding/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -1,9 +1,9 @@
-import type { PromptDescription } from "../../ports/forwardedCall.js";
-import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
+import type { PromptDescription } from "../../../ports/forwardedCall.js";
+import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
+import type { ClosedTargets } from "../targets/createClosedTargets.js";
+import type { TargetList } from "../targets/createTargetList.js";
+import type { TargetLoads } from "../views/createTargetLoads.js";
 import { CallPlacement, type PlacedStep, type PromptDemand, type PromptWay } from "./callPlacement.js";
-import type { ClosedTargets } from "./createClosedTargets.js";
-import type { TargetList } from "./createTargetList.js";
-import type { TargetLoads } from "./createTargetLoads.js";
 import { findLeast } from "./findLeast.js";
 import { groupEngines } from "./groupEngines.js";
 
--- a/packages/daisyturn/src/process/forwarding/groupEngines.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/groupEngines.ts
@@ -1,6 +1,6 @@
 import { hashTextTo32Bits, rendezvousWeight } from "daisyturn-utils";
-import type { PromptDescription } from "../../ports/forwardedCall.js";
-import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
+import type { PromptDescription } from "../../../ports/forwardedCall.js";
+import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import { findLeast } from "./findLeast.js";
 
 /** The engines of a service by what they do, and where each kind looks first for what a prompt begins with. */
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -1,9 +1,10 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { PeerRegistry, RegisteredPeer } from "../../ports/peerRegistry.js";
-import type { CacheBeliefs, PartPlacement } from "./createCacheBeliefs.js";
-import type { ClosedTargets, Closing } from "./createClosedTargets.js";
-import type { ReadingDemand, ServiceDemand } from "./createReadingDemand.js";
-import type { TargetLoads, WorkUnderWay } from "./createTargetLoads.js";
+import type { ClosedTargets, Closing } from "./targets/createClosedTargets.js";
+import type { CacheBeliefs, PartPlacement } from "./views/createCacheBeliefs.js";
+import type { ReadingDemand, ServiceDemand } from "./views/createReadingDemand.js";
+import type { TargetLoads } from "./views/createTargetLoads.js";
+import type { WorkUnderWay } from "./views/workUnderWay.js";
 
 /** Sends and takes datagrams; none is repeated, since the next one says all again. */
 export abstract class DatagramChannel {
--- a/packages/daisyturn/src/process/forwarding/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -2,11 +2,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ok } from "true-myth/result";
-import { EngineOrders, OrderAnswer, type StageOrder } from "../../../ports/engineOrders.js";
-import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
-import type { Lease, LeaseKeeper } from "../../lease/index.js";
+import { EngineOrders, OrderAnswer, type StageOrder } from "../../../../ports/engineOrders.js";
+import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
+import type { Lease, LeaseKeeper } from "../../../lease/index.js";
+import { createTargetViews } from "../../views/createTargetViews.js";
 import { changeStages } from "../changeStages.js";
-import { createTargetViews } from "../createTargetViews.js";
 
 interface SceneOptions {
     readonly readers: number;
--- a/packages/daisyturn/src/process/forwarding/__tests__/planStage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/planStage.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { EngineStage } from "../../../ports/listedTarget.js";
+import { EngineStage } from "../../../../ports/listedTarget.js";
 import { planStage } from "../planStage.js";
 
 /** Part of the decoding places that is taken now, and the most of it of late. */
--- a/packages/daisyturn/src/process/forwarding/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -1,12 +1,12 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import { type EngineOrders, OrderAnswer } from "../../ports/engineOrders.js";
-import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
-import type { Lease, LeaseKeeper } from "../lease/index.js";
-import type { ClosedTargets } from "./createClosedTargets.js";
-import type { ReadingDemand } from "./createReadingDemand.js";
+import { type EngineOrders, OrderAnswer } from "../../../ports/engineOrders.js";
+import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
+import type { Lease, LeaseKeeper } from "../../lease/index.js";
+import type { ClosedTargets } from "../targets/createClosedTargets.js";
+import type { TargetList } from "../targets/createTargetList.js";
+import type { ReadingDemand } from "../views/createReadingDemand.js";
+import type { TargetLoads } from "../views/createTargetLoads.js";
 import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
-import type { TargetList } from "./createTargetList.js";
-import type { TargetLoads } from "./createTargetLoads.js";
 import { leastDecoders, planStage } from "./planStage.js";
 
 /** What {@link changeStages} needs. */
--- a/packages/daisyturn/src/process/forwarding/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/planStage.ts
@@ -1,4 +1,4 @@
-import { EngineStage } from "../../ports/listedTarget.js";
+import { EngineStage } from "../../../ports/listedTarget.js";
 
 /** What a plan goes by. */
 export interface StageView {
--- a/packages/daisyturn/src/process/forwarding/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -1,8 +1,8 @@
 import { FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { FeedRow } from "../../../ports/changeFeed.js";
-import type { ListedTarget } from "../../../ports/listedTarget.js";
+import type { FeedRow } from "../../../../ports/changeFeed.js";
+import type { ListedTarget } from "../../../../ports/listedTarget.js";
 import { createTargetList } from "../createTargetList.js";
 
 function createBench() {
--- a/packages/daisyturn/src/process/forwarding/__tests__/followTable.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { err, ok, type Result } from "true-myth/result";
-import { ChangeFeed, type FeedPage, type FeedRow } from "../../../ports/changeFeed.js";
+import { ChangeFeed, type FeedPage, type FeedRow } from "../../../../ports/changeFeed.js";
 import { followTable } from "../followTable.js";
 
 const failure = mayHaveRun(FailureReason.StoreUnavailable, "away");
--- a/packages/daisyturn/src/process/forwarding/createForwardingKeeper.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createForwardingKeeper.ts
@@ -1,7 +1,7 @@
 import { EventKind, type EventLog } from "daisyturn-utils";
-import type { FeedRow } from "../../ports/changeFeed.js";
-import { createRouteTable, type RouteTable } from "../../version/forwarding/createRouteTable.js";
-import type { ForwardingConfiguration } from "../../version/forwarding/forwardingConfiguration.js";
+import type { FeedRow } from "../../../ports/changeFeed.js";
+import { createRouteTable, type RouteTable } from "../../../version/forwarding/createRouteTable.js";
+import type { ForwardingConfiguration } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { TableFollower } from "./followTable.js";
 
 /** Keeps the newest configuration that the operators have published. */
--- a/packages/daisyturn/src/process/forwarding/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import type { FeedRow } from "../../ports/changeFeed.js";
-import type { ListedTarget } from "../../ports/listedTarget.js";
+import type { FeedRow } from "../../../ports/changeFeed.js";
+import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { TableFollower } from "./followTable.js";
 
 /** The targets that the platform lists, as this process last saw them. */
--- a/packages/daisyturn/src/process/forwarding/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import type { ChangeFeed, FeedPage, FeedRow } from "../../ports/changeFeed.js";
+import type { ChangeFeed, FeedPage, FeedRow } from "../../../ports/changeFeed.js";
 
 /** Takes what a followed table says. */
 export interface TableFollower {
--- a/packages/daisyturn/src/process/forwarding/__tests__/targetViews.test.ts
+++ b/packages/daisyturn/src/process/forwarding/views/__tests__/targetViews.test.ts
@@ -1,10 +1,10 @@
 import { createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createWindowedRetryBudget } from "../../limits/createWindowedRetryBudget.js";
+import { createTargetHealth, TargetEvidence } from "../../targets/createTargetHealth.js";
 import { createCacheBeliefs } from "../createCacheBeliefs.js";
-import { createTargetHealth, TargetEvidence } from "../createTargetHealth.js";
 import { createTargetLoads } from "../createTargetLoads.js";
-import { createWindowedRetryBudget } from "../createWindowedRetryBudget.js";
 
 const targets = ["a", "b", "c", "d"].map(targetId => ({ targetId }));
 
--- a/packages/daisyturn/src/process/forwarding/createCacheBeliefs.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createCacheBeliefs.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import type { PromptPart } from "../../ports/forwardedCall.js";
+import type { PromptPart } from "../../../ports/forwardedCall.js";
 
 /** A part of a prompt that was placed at a target: target, part, tokens. */
 export type PartPlacement = readonly [targetId: string, partId: string, tokens: number];
--- a/packages/daisyturn/src/process/forwarding/createPeerLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "daisyturn-utils";
-import type { WorkUnderWay } from "./createTargetLoads.js";
+import type { WorkUnderWay } from "./workUnderWay.js";
 
 /** What all peers together have under way, by target. */
 export interface PeerLoads {
--- a/packages/daisyturn/src/process/forwarding/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetLoads.ts
@@ -1,7 +1,8 @@
 import type { Clock } from "daisyturn-utils";
-import type { ReportedLoad } from "../../ports/forwardedCall.js";
+import type { ReportedLoad } from "../../../ports/forwardedCall.js";
 import { createPeerLoads } from "./createPeerLoads.js";
 import { findForgetTime } from "./findForgetTime.js";
+import type { WorkUnderWay } from "./workUnderWay.js";
 
 /** Work that this process has placed at a target. */
 export interface PlacedWork {
@@ -10,18 +11,6 @@
     end(): void;
 }
 
-/** What one process has under way at one target. */
-export interface WorkUnderWay {
-    readonly targetId: string;
-    readonly calls: number;
-    /** Estimated milliseconds of expensive work not yet done. */
-    readonly work: number;
-    /** The same of calls that let all others go first. */
-    readonly deferredWork: number;
-    /** Tokens of KV cache that the calls hold or will hold. */
-    readonly tokens: number;
-}
-
 /** What a call costs its target. */
 export interface CallCost {
     /** Estimated milliseconds of the expensive part. */
--- a/packages/daisyturn/src/process/forwarding/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -1,11 +1,11 @@
 import type { Clock, EventLog } from "daisyturn-utils";
+import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
+import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
+import { createTargetList, type TargetList, type TargetListOptions } from "../targets/createTargetList.js";
 import { type CacheBeliefs, createCacheBeliefs } from "./createCacheBeliefs.js";
-import { type ClosedTargets, createClosedTargets } from "./createClosedTargets.js";
 import { createEventPace, type EventPace } from "./createEventPace.js";
 import { createPaceView, type PaceView } from "./createPaceView.js";
 import { createReadingDemand, type ReadingDemand } from "./createReadingDemand.js";
-import { createTargetHealth, type TargetHealth } from "./createTargetHealth.js";
-import { createTargetList, type TargetList, type TargetListOptions } from "./createTargetList.js";
 import { createTargetLoads, type TargetLoads } from "./createTargetLoads.js";
 
 /** All that one process believes of the targets. */
--- a/packages/daisyturn/src/process/orders/__fixtures__/exploreCalls.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/exploreCalls.ts
@@ -1,5 +1,5 @@
 import { EngineRole } from "../../../ports/engine.js";
-import { OrderRequestState } from "../orderRows.js";
+import { OrderRequestState } from "../rows/orderRows.js";
 import type { OrderWorld } from "./orderWorld.js";
 import { runRoleChange } from "./runRoleChange.js";
 import type { WorldProcess } from "./worldProcess.js";
--- a/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/orderWorld.ts
@@ -8,17 +8,23 @@
 import { createConfigurationVersion } from "../../../version/createConfigurationVersion.js";
 import { headKey } from "../../configuration/index.js";
 import type { ControllerSettings } from "../orderContext.js";
-import { type EngineOrders, engineOrdersKey, isOrderOpen, type OrderRequest, orderRequestKey } from "../orderRows.js";
-import { parseEngineOrders, parseOrderRequest } from "../parseOrderRows.js";
-import { createOrderedEngine, type OrderedEngine } from "./orderedEngine.js";
+import {
+    type EngineOrders,
+    engineOrdersKey,
+    isOrderOpen,
+    type OrderRequest,
+    orderRequestKey,
+} from "../rows/orderRows.js";
+import { parseEngineOrders, parseOrderRequest } from "../rows/parseOrderRows.js";
+import { createOrderedEngine } from "./orderedEngine.js";
 import { flightMilliseconds } from "./processHost.js";
-import { createWorldProcess, type WorldProcess } from "./worldProcess.js";
-
-export const testCell = "cell-1";
-export const testLeaseName = "controller-cell-1";
-
-/** Length of a pause: longer than the lease and than the proof and the wait that may follow it. */
-export const pauseMilliseconds = 14_000;
+import { testCell } from "./worldConstants.js";
+import {
+    createWorldProcess,
+    type OrderWorldOptions,
+    type WorldProcess,
+    type WorldSurroundings,
+} from "./worldProcess.js";
 
 /** After a process has died, how long until its end is proved: while its last call is still on the way. */
 const proofMilliseconds = flightMilliseconds - 1_000;
@@ -30,35 +36,14 @@
     bytesInFlightMilliseconds: 2_000,
 };
 
-/** How a test's cell is made. */
-export interface OrderWorldOptions {
-    readonly checksFencingNumbers: boolean;
-    readonly processCount?: number;
-    readonly seed?: number;
-    readonly settings?: Partial<ControllerSettings>;
-    /** Milliseconds on the way of a call or of its answer. */
-    readonly drawDelay?: () => number;
-    /** After a hold is accepted, how long until it is in force at a process. */
-    readonly configurationLag?: (processName: string) => number;
-}
-
 /** A cell with one engine: processes around one table service, one configuration and one clock. */
-export interface OrderWorld {
-    readonly clock: FakeClock;
-    readonly engine: OrderedEngine;
-    readonly processes: readonly WorldProcess[];
-    readonly table: TableService;
-    readonly ended: Set<string>;
-    readonly peers: ReturnType<typeof createFakePeerNetworks>;
-    readonly options: OrderWorldOptions;
-    readonly settings: Partial<ControllerSettings>;
+export interface OrderWorld extends WorldSurroundings {
     /** Has the platform's list prove the end of the processes that have been dead for long enough. */
     proveDeaths(): void;
     /** Adds a process and starts it. */
     addProcess(name: string, incarnation?: string): WorldProcess;
     /** Accepts a change of the holds. */
     setHold(hold: Hold, isStanding: boolean): Promise<void>;
-    configurationAt(processName: string): ConfigurationVersion;
     acceptedConfiguration(): ConfigurationVersion;
     orders(): EngineOrders;
     request(): OrderRequest | undefined;
--- a/packages/daisyturn/src/process/orders/__fixtures__/raceOverSeeds.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/raceOverSeeds.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { EngineRole } from "../../../ports/engine.js";
-import { isRequestOpen, OrderRequestState } from "../orderRows.js";
+import { isRequestOpen, OrderRequestState } from "../rows/orderRows.js";
 import { applyInOrder, type RaceOptions, runRacingOperators } from "./runRacingOperators.js";
 
 const start = { role: EngineRole.Mixed, models: ["large"], version: "1" };
--- a/packages/daisyturn/src/process/orders/__fixtures__/runRacingOperators.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/runRacingOperators.ts
@@ -11,8 +11,8 @@
     type OrderRequest,
     OrderRequestState,
     OrderState,
-} from "../orderRows.js";
-import { parseEngineOrders, parseOrderRequest } from "../parseOrderRows.js";
+} from "../rows/orderRows.js";
+import { parseEngineOrders, parseOrderRequest } from "../rows/parseOrderRows.js";
 import { createOrderWorld, type OrderWorld } from "./orderWorld.js";
 import { CallFault } from "./processHost.js";
 
--- a/packages/daisyturn/src/process/orders/__fixtures__/runRoleChange.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/runRoleChange.ts
@@ -1,6 +1,8 @@
 import { EnginePhase, EngineRole } from "../../../ports/engine.js";
-import { isOrderOpen, isRequestOpen, OrderRequestState } from "../orderRows.js";
-import { createOrderWorld, type OrderWorld, type OrderWorldOptions, pauseMilliseconds } from "./orderWorld.js";
+import { isOrderOpen, isRequestOpen, OrderRequestState } from "../rows/orderRows.js";
+import { createOrderWorld, type OrderWorld } from "./orderWorld.js";
+import { pauseMilliseconds } from "./worldConstants.js";
+import { type OrderWorldOptions } from "./worldProcess.js";
 import type { WorldProcess } from "./worldProcess.js";
 
 /** What a run of one role change under faults has shown. */
--- a/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
@@ -2,14 +2,18 @@
     createIdSource,
     type Failure,
     FailureReason,
+    type FakeClock,
     mayHaveRun,
     type MemoryEventLog,
     notRun,
     type Random,
 } from "daisyturn-utils";
 import { Result } from "true-myth/result";
+import type { createFakePeerNetworks } from "../../../__fixtures__/fakePeerNetwork.js";
 import { Engine, type EngineOrder, type EngineState, type OrderAnswer } from "../../../ports/engine.js";
+import type { TableService } from "../../../ports/tableService.js";
 import { WeightStore } from "../../../ports/weightStore.js";
+import type { ConfigurationVersion } from "../../../version/configurationVersion.js";
 import type { ConfigurationKeeper } from "../../configuration/index.js";
 import { createLeaseKeeper, type LeaseKeeper } from "../../lease/index.js";
 import { type Membership, MemberState, type ProcessIdentity } from "../../peers/index.js";
@@ -18,11 +22,37 @@
 import type { Controller } from "../controller.js";
 import { createController } from "../createController.js";
 import { createOrderCommands, type OrderCommands } from "../createOrderCommands.js";
-import { createOrderRecords } from "../createOrderRecords.js";
+import type { ControllerSettings } from "../orderContext.js";
+import { createOrderRecords } from "../rows/createOrderRecords.js";
 import { hostTable } from "./hostTable.js";
 import type { OrderedEngine } from "./orderedEngine.js";
-import { type OrderWorld, pauseMilliseconds, testCell, testLeaseName } from "./orderWorld.js";
 import { CallKind, createProcessHost, type ProcessHost } from "./processHost.js";
+import { pauseMilliseconds, testCell, testLeaseName } from "./worldConstants.js";
+
+/** How a test's cell is made. */
+export interface OrderWorldOptions {
+    readonly checksFencingNumbers: boolean;
+    readonly processCount?: number;
+    readonly seed?: number;
+    readonly settings?: Partial<ControllerSettings>;
+    /** Milliseconds on the way of a call or of its answer. */
+    readonly drawDelay?: () => number;
+    /** After a hold is accepted, how long until it is in force at a process. */
+    readonly configurationLag?: (processName: string) => number;
+}
+
+/** What the processes of a cell share. */
+export interface WorldSurroundings {
+    readonly clock: FakeClock;
+    readonly engine: OrderedEngine;
+    readonly processes: readonly WorldProcess[];
+    readonly table: TableService;
+    readonly ended: Set<string>;
+    readonly peers: ReturnType<typeof createFakePeerNetworks>;
+    readonly options: OrderWorldOptions;
+    readonly settings: Partial<ControllerSettings>;
+    configurationAt(processName: string): ConfigurationVersion;
+}
 
 /** One entry VM's process, running. */
 export interface WorldProcess {
@@ -42,7 +72,7 @@
 
 /** Creates a process in a cell and starts it. */
 export function createWorldProcess(
-    world: OrderWorld,
+    world: WorldSurroundings,
     identity: ProcessIdentity,
     random: Random,
     eventLog: MemoryEventLog,
@@ -117,7 +147,7 @@
     return { identity, host, eventLog, leaseKeeper, controller, commands, gate, stop };
 }
 
-function createWorldMembership(world: OrderWorld, self: ProcessIdentity): Membership {
+function createWorldMembership(world: WorldSurroundings, self: ProcessIdentity): Membership {
     const others = () => world.processes.filter(one => one.identity.incarnation !== self.incarnation);
     return {
         others: () => others().map(one => ({ identity: one.identity, state: MemberState.Alive })),
@@ -128,7 +158,7 @@
     };
 }
 
-function createWorldConfiguration(world: OrderWorld, processName: string): ConfigurationKeeper {
+function createWorldConfiguration(world: WorldSurroundings, processName: string): ConfigurationKeeper {
     return {
         current: () => world.configurationAt(processName),
         adopt: () => Promise.resolve(),
--- a/packages/daisyturn/src/process/orders/__tests__/controller.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/controller.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { EngineRole, OrderKind } from "../../../ports/engine.js";
 import { createOrderWorld } from "../__fixtures__/orderWorld.js";
-import { chooseRequests } from "../chooseRequests.js";
-import { type ChangeKind, type OrderRequest, OrderRequestState } from "../orderRows.js";
+import { type ChangeKind, type OrderRequest, OrderRequestState } from "../rows/orderRows.js";
+import { chooseRequests } from "../steps/chooseRequests.js";
 
 describe("createController", () => {
     it("drains, changes the role and returns the engine to service", async () => {
--- a/packages/daisyturn/src/process/orders/__tests__/createOrderCommands.test.ts
+++ b/packages/daisyturn/src/process/orders/__tests__/createOrderCommands.test.ts
@@ -7,7 +7,7 @@
 import { createOrderWorld } from "../__fixtures__/orderWorld.js";
 import { CallFault, CallKind } from "../__fixtures__/processHost.js";
 import type { OrderWish } from "../createOrderCommands.js";
-import { OrderRequestState, OrderState, WithheldReason } from "../orderRows.js";
+import { OrderRequestState, OrderState, WithheldReason } from "../rows/orderRows.js";
 
 const wish: OrderWish = {
     requestId: "req-1",
--- a/packages/daisyturn/src/process/orders/controller.ts
+++ b/packages/daisyturn/src/process/orders/controller.ts
@@ -1,7 +1,7 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
 import type { EngineRole } from "../../ports/engine.js";
-import type { ChangeKind, OrderRequest, Withheld } from "./orderRows.js";
+import type { ChangeKind, OrderRequest, Withheld } from "./rows/orderRows.js";
 
 /** A change that this process is carrying out. */
 export interface ChangeUnderWay {
--- a/packages/daisyturn/src/process/orders/createController.ts
+++ b/packages/daisyturn/src/process/orders/createController.ts
@@ -5,18 +5,18 @@
 import type { LeaseKeeper } from "../lease/index.js";
 import type { Membership, PeerNetwork, ProcessIdentity } from "../peers/index.js";
 import type { TargetDirectory, TargetGate } from "../targets/index.js";
-import { chooseRequests, isLoad } from "./chooseRequests.js";
 import type { ChangeUnderWay, Controller } from "./controller.js";
 import { type ControllerTenure, createControllerTenure } from "./controllerTenure.js";
-import { createChangeDriver } from "./createChangeDriver.js";
-import { createEngineQuiescer } from "./createEngineQuiescer.js";
 import type { OrderCommands } from "./createOrderCommands.js";
-import type { OrderOverview, OrderRecords } from "./createOrderRecords.js";
-import { createOrderSender } from "./createOrderSender.js";
 import { type ControllerSettings, defaultControllerSettings, type OrderContext } from "./orderContext.js";
-import { type EngineOrders, isOrderOpen } from "./orderRows.js";
+import type { OrderOverview, OrderRecords } from "./rows/createOrderRecords.js";
+import { type EngineOrders, isOrderOpen } from "./rows/orderRows.js";
+import { stateFates } from "./rows/stateFates.js";
+import { createOrderSender } from "./sending/createOrderSender.js";
 import { serveEngine } from "./serveEngine.js";
-import { stateFates } from "./stateFates.js";
+import { chooseRequests, isLoad } from "./steps/chooseRequests.js";
+import { createChangeDriver } from "./steps/createChangeDriver.js";
+import { createEngineQuiescer } from "./steps/createEngineQuiescer.js";
 
 /** What a controller is made of. */
 export interface ControllerOptions {
--- a/packages/daisyturn/src/process/orders/createOrderCommands.ts
+++ b/packages/daisyturn/src/process/orders/createOrderCommands.ts
@@ -5,8 +5,7 @@
 import { fencingRowKey, type FencingValue, parseFencingValue } from "../lease/index.js";
 import type { Membership } from "../peers/index.js";
 import { type StoreClient, StorePriority } from "../store/index.js";
-import type { OrderRecords } from "./createOrderRecords.js";
-import { judgeChangeGoal } from "./judgeChangeGoal.js";
+import type { OrderRecords } from "./rows/createOrderRecords.js";
 import {
     type ChangeGoal,
     type EngineOrders,
@@ -15,7 +14,8 @@
     type OrderRequest,
     OrderRequestState,
     type Vouch,
-} from "./orderRows.js";
+} from "./rows/orderRows.js";
+import { judgeChangeGoal } from "./steps/judgeChangeGoal.js";
 
 /** What is asked of an engine, and by whom. */
 export interface OrderWish extends ChangeGoal {
--- a/packages/daisyturn/src/process/orders/orderContext.ts
+++ b/packages/daisyturn/src/process/orders/orderContext.ts
@@ -4,9 +4,9 @@
 import type { Membership, ProcessIdentity } from "../peers/index.js";
 import type { TargetDirectory } from "../targets/index.js";
 import type { ControllerTenure } from "./controllerTenure.js";
-import type { EngineQuiescer } from "./createEngineQuiescer.js";
-import type { EngineRows, OrderRecords } from "./createOrderRecords.js";
-import type { OrderSender } from "./createOrderSender.js";
+import type { EngineRows, OrderRecords } from "./rows/createOrderRecords.js";
+import type { OrderSender } from "./sending/createOrderSender.js";
+import type { EngineQuiescer } from "./steps/createEngineQuiescer.js";
 
 /** Times and limits of the controller. */
 export interface ControllerSettings {
--- a/packages/daisyturn/src/process/orders/reportWithheld.ts
+++ b/packages/daisyturn/src/process/orders/reportWithheld.ts
@@ -1,8 +1,8 @@
 import { EventKind } from "daisyturn-utils";
 import type { ControllerTenure } from "./controllerTenure.js";
-import type { EngineRows } from "./createOrderRecords.js";
 import { type OrderContext, StepResult } from "./orderContext.js";
-import type { WithheldReason } from "./orderRows.js";
+import type { EngineRows } from "./rows/createOrderRecords.js";
+import type { WithheldReason } from "./rows/orderRows.js";
 
 /** Records, once, that no order is given to an engine for now, so that operators see it at every entry VM. */
 export async function reportWithheld(
--- a/packages/daisyturn/src/process/orders/__tests__/createOrderRecords.test.ts
+++ b/packages/daisyturn/src/process/orders/rows/__tests__/createOrderRecords.test.ts
@@ -1,10 +1,10 @@
 import { createIdSource, createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createMemoryTableService } from "../../../ports/memoryTableService.js";
-import { headKey } from "../../configuration/index.js";
-import { createStoreClient } from "../../store/index.js";
-import type { ControllerTenure } from "../controllerTenure.js";
+import { createMemoryTableService } from "../../../../ports/memoryTableService.js";
+import { headKey } from "../../../configuration/index.js";
+import { createStoreClient } from "../../../store/index.js";
+import type { ControllerTenure } from "../../controllerTenure.js";
 import { createOrderRecords } from "../createOrderRecords.js";
 import { engineOrdersKey } from "../orderRows.js";
 
--- a/packages/daisyturn/src/process/orders/createOrderRecords.ts
+++ b/packages/daisyturn/src/process/orders/rows/createOrderRecords.ts
@@ -8,11 +8,11 @@
     type Transaction,
     type TransactionAnswer,
     TransactionOutcome,
-} from "../../ports/tableService.js";
-import { headKey, type HeadValue } from "../configuration/index.js";
-import { fencingCondition } from "../lease/index.js";
-import { type StoreClient, StorePriority } from "../store/index.js";
-import type { ControllerTenure } from "./controllerTenure.js";
+} from "../../../ports/tableService.js";
+import { headKey, type HeadValue } from "../../configuration/index.js";
+import { fencingCondition } from "../../lease/index.js";
+import { type StoreClient, StorePriority } from "../../store/index.js";
+import type { ControllerTenure } from "../controllerTenure.js";
 import {
     type EngineOrders,
     engineOrdersKey,
--- a/packages/daisyturn/src/process/orders/orderEffect.ts
+++ b/packages/daisyturn/src/process/orders/rows/orderEffect.ts
@@ -1,4 +1,4 @@
-import { type EngineOrder, EnginePhase, type EngineState, OrderKind } from "../../ports/engine.js";
+import { type EngineOrder, EnginePhase, type EngineState, OrderKind } from "../../../ports/engine.js";
 import type { OrderRecord } from "./orderRows.js";
 
 /** What an engine's state says of an order that it has been given. */
--- a/packages/daisyturn/src/process/orders/orderRows.ts
+++ b/packages/daisyturn/src/process/orders/rows/orderRows.ts
@@ -1,5 +1,5 @@
-import type { EngineOrder, EngineRole, OrderKind } from "../../ports/engine.js";
-import type { ProcessIdentity } from "../peers/index.js";
+import type { EngineOrder, EngineRole, OrderKind } from "../../../ports/engine.js";
+import type { ProcessIdentity } from "../../peers/index.js";
 
 /** How far an order has come. An order is open while Planned or Sent, and the next one waits for its end. */
 export enum OrderState {
--- a/packages/daisyturn/src/process/orders/parseOrderRows.ts
+++ b/packages/daisyturn/src/process/orders/rows/parseOrderRows.ts
@@ -1,7 +1,7 @@
 import type { JsonValue } from "daisyturn-utils";
 import { z } from "zod";
-import { EngineRole, OrderKind } from "../../ports/engine.js";
-import { processIdentitySchema } from "../peers/index.js";
+import { EngineRole, OrderKind } from "../../../ports/engine.js";
+import { processIdentitySchema } from "../../peers/index.js";
 import {
     type ChangeKind,
     ChangeStage,
--- a/packages/daisyturn/src/process/orders/stateFates.ts
+++ b/packages/daisyturn/src/process/orders/rows/stateFates.ts
@@ -1,6 +1,6 @@
-import { TransactionOutcome } from "../../ports/tableService.js";
-import type { UnsettledOrder } from "./createOrderSender.js";
-import type { OrderContext } from "./orderContext.js";
+import { TransactionOutcome } from "../../../ports/tableService.js";
+import type { OrderContext } from "../orderContext.js";
+import type { UnsettledOrder } from "../sending/createOrderSender.js";
 import { type EngineOrders, isOrderOpen, OrderFate, type OrderRecord } from "./orderRows.js";
 
 const shortestRetryMilliseconds = 500;
--- a/packages/daisyturn/src/process/orders/createOrderDispatcher.ts
+++ b/packages/daisyturn/src/process/orders/sending/createOrderDispatcher.ts
@@ -1,11 +1,11 @@
 import { EventKind } from "daisyturn-utils";
-import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../ports/engine.js";
-import type { ControllerTenure } from "./controllerTenure.js";
-import type { EngineRows } from "./createOrderRecords.js";
-import { type OrderContext, StepResult } from "./orderContext.js";
-import { type EngineChange, type OrderRecord, OrderState, withoutWithheld } from "./orderRows.js";
-import { isDrained } from "./planNextStep.js";
-import { readEngineState } from "./readEngineState.js";
+import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../../ports/engine.js";
+import type { ControllerTenure } from "../controllerTenure.js";
+import { type OrderContext, StepResult } from "../orderContext.js";
+import type { EngineRows } from "../rows/createOrderRecords.js";
+import { type EngineChange, type OrderRecord, OrderState, withoutWithheld } from "../rows/orderRows.js";
+import { isDrained } from "../steps/planNextStep.js";
+import { readEngineState } from "../steps/readEngineState.js";
 
 /** An order with all that it is given for. */
 export interface Dispatch {
--- a/packages/daisyturn/src/process/orders/createOrderSender.ts
+++ b/packages/daisyturn/src/process/orders/sending/createOrderSender.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "daisyturn-utils";
 import { ExecutionVerdict } from "daisyturn-utils";
-import { type Engine, type EngineOrder, OrderAnswer } from "../../ports/engine.js";
-import type { Lease } from "../lease/index.js";
-import { OrderFate } from "./orderRows.js";
+import { type Engine, type EngineOrder, OrderAnswer } from "../../../ports/engine.js";
+import type { Lease } from "../../lease/index.js";
+import { OrderFate } from "../rows/orderRows.js";
 
 /** An order of this process whose row is not settled yet. */
 export interface UnsettledOrder {
--- a/packages/daisyturn/src/process/orders/createOrderSettler.ts
+++ b/packages/daisyturn/src/process/orders/sending/createOrderSettler.ts
@@ -1,9 +1,10 @@
 import { EventKind } from "daisyturn-utils";
-import { EnginePhase, type EngineState, OrderKind } from "../../ports/engine.js";
-import type { ControllerTenure } from "./controllerTenure.js";
-import type { EngineRows } from "./createOrderRecords.js";
-import { type OrderContext, StepResult } from "./orderContext.js";
-import { isInPlace, judgeProgress, OrderProgress } from "./orderEffect.js";
+import { EnginePhase, type EngineState, OrderKind } from "../../../ports/engine.js";
+import type { ControllerTenure } from "../controllerTenure.js";
+import { type OrderContext, StepResult } from "../orderContext.js";
+import { reportWithheld } from "../reportWithheld.js";
+import type { EngineRows } from "../rows/createOrderRecords.js";
+import { isInPlace, judgeProgress, OrderProgress } from "../rows/orderEffect.js";
 import {
     type EngineOrders,
     OrderFate,
@@ -11,8 +12,7 @@
     OrderState,
     WithheldReason,
     withoutWithheld,
-} from "./orderRows.js";
-import { reportWithheld } from "./reportWithheld.js";
+} from "../rows/orderRows.js";
 
 /** Brings open orders to an end: this process's own, and those that an earlier holder of the lease left behind. */
 export interface OrderSettler {
--- a/packages/daisyturn/src/process/orders/serveEngine.ts
+++ b/packages/daisyturn/src/process/orders/serveEngine.ts
@@ -1,6 +1,6 @@
 import type { ControllerTenure } from "./controllerTenure.js";
-import type { ChangeDriver } from "./createChangeDriver.js";
 import { type OrderContext, StepResult } from "./orderContext.js";
+import type { ChangeDriver } from "./steps/createChangeDriver.js";
 
 const shortestBackOffMilliseconds = 500;
 const longestBackOffMilliseconds = 2_000;
--- a/packages/daisyturn/src/process/orders/chooseRequests.ts
+++ b/packages/daisyturn/src/process/orders/steps/chooseRequests.ts
@@ -1,5 +1,5 @@
-import { OrderKind } from "../../ports/engine.js";
-import { type OrderRequest, OrderRequestState } from "./orderRows.js";
+import { OrderKind } from "../../../ports/engine.js";
+import { type OrderRequest, OrderRequestState } from "../rows/orderRows.js";
 
 /** What the controller is already at. */
 export interface ControllerLoad {
--- a/packages/daisyturn/src/process/orders/createChangeDriver.ts
+++ b/packages/daisyturn/src/process/orders/steps/createChangeDriver.ts
@@ -1,13 +1,8 @@
-import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../ports/engine.js";
-import type { ControllerTenure } from "./controllerTenure.js";
-import { createDoubtOvertaker } from "./createDoubtOvertaker.js";
-import { createOrderDispatcher } from "./createOrderDispatcher.js";
-import type { EngineRows, EngineWrite } from "./createOrderRecords.js";
-import { createOrderSettler } from "./createOrderSettler.js";
-import { createRequestStarter } from "./createRequestStarter.js";
-import { isConfigurationCurrent } from "./isConfigurationCurrent.js";
-import { judgeChangeGoal } from "./judgeChangeGoal.js";
-import { type OrderContext, StepResult } from "./orderContext.js";
+import { type Engine, type EngineOrder, type EngineState, OrderKind } from "../../../ports/engine.js";
+import type { ControllerTenure } from "../controllerTenure.js";
+import { type OrderContext, StepResult } from "../orderContext.js";
+import { reportWithheld } from "../reportWithheld.js";
+import type { EngineRows, EngineWrite } from "../rows/createOrderRecords.js";
 import {
     ChangeStage,
     type EngineChange,
@@ -16,10 +11,15 @@
     OrderRequestState,
     WithheldReason,
     withoutWithheld,
-} from "./orderRows.js";
+} from "../rows/orderRows.js";
+import { createOrderDispatcher } from "../sending/createOrderDispatcher.js";
+import { createOrderSettler } from "../sending/createOrderSettler.js";
+import { createDoubtOvertaker } from "./createDoubtOvertaker.js";
+import { createRequestStarter } from "./createRequestStarter.js";
+import { isConfigurationCurrent } from "./isConfigurationCurrent.js";
+import { judgeChangeGoal } from "./judgeChangeGoal.js";
 import { type FinishStep, type NextStep, planNextStep, StepKind } from "./planNextStep.js";
 import { readEngineState } from "./readEngineState.js";
-import { reportWithheld } from "./reportWithheld.js";
 
 /** Carries out what is asked of an engine, one step at a time. */
 export interface ChangeDriver {
--- a/packages/daisyturn/src/process/orders/createDoubtOvertaker.ts
+++ b/packages/daisyturn/src/process/orders/steps/createDoubtOvertaker.ts
@@ -1,12 +1,12 @@
-import { type EngineOrder, EnginePhase, OrderKind } from "../../ports/engine.js";
-import type { ControllerTenure } from "./controllerTenure.js";
-import type { OrderDispatcher } from "./createOrderDispatcher.js";
-import type { EngineRows } from "./createOrderRecords.js";
-import type { OrderSettler } from "./createOrderSettler.js";
-import { type OrderContext, StepResult } from "./orderContext.js";
-import { type OrderRecord, WithheldReason, withoutWithheld } from "./orderRows.js";
+import { type EngineOrder, EnginePhase, OrderKind } from "../../../ports/engine.js";
+import type { ControllerTenure } from "../controllerTenure.js";
+import { type OrderContext, StepResult } from "../orderContext.js";
+import { reportWithheld } from "../reportWithheld.js";
+import type { EngineRows } from "../rows/createOrderRecords.js";
+import { type OrderRecord, WithheldReason, withoutWithheld } from "../rows/orderRows.js";
+import type { OrderDispatcher } from "../sending/createOrderDispatcher.js";
+import type { OrderSettler } from "../sending/createOrderSettler.js";
 import { readEngineState } from "./readEngineState.js";
-import { reportWithheld } from "./reportWithheld.js";
 
 /** Ends the doubt about an earlier holder's order at an engine that checks fencing numbers. */
 export interface DoubtOvertaker {
--- a/packages/daisyturn/src/process/orders/createEngineQuiescer.ts
+++ b/packages/daisyturn/src/process/orders/steps/createEngineQuiescer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "daisyturn-utils";
-import { type Membership, PeerMethod, type PeerNetwork, type ProcessIdentity } from "../peers/index.js";
-import { parseQuiesceAnswer, type QuiesceDemand, type TargetGate } from "../targets/index.js";
+import { type Membership, PeerMethod, type PeerNetwork, type ProcessIdentity } from "../../peers/index.js";
+import { parseQuiesceAnswer, type QuiesceDemand, type TargetGate } from "../../targets/index.js";
 
 /** Keeps new work of all entry VMs away from an engine while it is changed. */
 export interface EngineQuiescer {
--- a/packages/daisyturn/src/process/orders/createRequestStarter.ts
+++ b/packages/daisyturn/src/process/orders/steps/createRequestStarter.ts
@@ -1,9 +1,15 @@
-import type { ControllerTenure } from "./controllerTenure.js";
-import type { EngineRows, EngineWrite } from "./createOrderRecords.js";
+import type { ControllerTenure } from "../controllerTenure.js";
+import { type OrderContext, StepResult } from "../orderContext.js";
+import type { EngineRows, EngineWrite } from "../rows/createOrderRecords.js";
+import {
+    ChangeStage,
+    type EngineChange,
+    type OrderRequest,
+    OrderRequestState,
+    withoutWithheld,
+} from "../rows/orderRows.js";
 import { isConfigurationCurrent } from "./isConfigurationCurrent.js";
 import { judgeChangeGoal } from "./judgeChangeGoal.js";
-import { type OrderContext, StepResult } from "./orderContext.js";
-import { ChangeStage, type EngineChange, type OrderRequest, OrderRequestState, withoutWithheld } from "./orderRows.js";
 
 /** Makes a change of a request, or tells why not. */
 export interface RequestStarter {
--- a/packages/daisyturn/src/process/orders/judgeChangeGoal.ts
+++ b/packages/daisyturn/src/process/orders/steps/judgeChangeGoal.ts
@@ -1,7 +1,7 @@
-import { EngineRole, OrderKind } from "../../ports/engine.js";
-import { type Hold, HoldKind, TargetKind } from "../../version/configurationItems.js";
-import type { ConfigurationVersion } from "../../version/configurationVersion.js";
-import type { ChangeGoal } from "./orderRows.js";
+import { EngineRole, OrderKind } from "../../../ports/engine.js";
+import { type Hold, HoldKind, TargetKind } from "../../../version/configurationItems.js";
+import type { ConfigurationVersion } from "../../../version/configurationVersion.js";
+import type { ChangeGoal } from "../rows/orderRows.js";
 
 /** Who wants what of which engine. */
 export interface ChangeWish extends ChangeGoal {
--- a/packages/daisyturn/src/process/orders/planNextStep.ts
+++ b/packages/daisyturn/src/process/orders/steps/planNextStep.ts
@@ -1,6 +1,6 @@
-import { EnginePhase, type EngineState, OrderKind } from "../../ports/engine.js";
-import { isInPlace } from "./orderEffect.js";
-import { ChangeStage, type EngineChange, OrderRequestState } from "./orderRows.js";
+import { EnginePhase, type EngineState, OrderKind } from "../../../ports/engine.js";
+import { isInPlace } from "../rows/orderEffect.js";
+import { ChangeStage, type EngineChange, OrderRequestState } from "../rows/orderRows.js";
 
 /** What to do next for a change. */
 export enum StepKind {
--- a/packages/daisyturn/src/process/routing/placementCost.ts
+++ b/packages/daisyturn/src/process/routing/placementCost.ts
@@ -1,4 +1,4 @@
-import { charactersPerToken, promptBlockCharacters } from "../../request/promptBlocks.js";
+import { charactersPerToken, promptBlockCharacters } from "../../request/completion/promptBlocks.js";
 import type { EngineLoad } from "../load/index.js";
 import type { RoutingRequest } from "./router.js";
 
--- a/packages/daisyturn/src/request/__fixtures__/claimWorld.ts
+++ b/packages/daisyturn/src/request/__fixtures__/claimWorld.ts
@@ -6,11 +6,11 @@
 import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
 import { absentVersion, RejectionCause, type Row, type Transaction } from "../../ports/tableService.js";
 import { type TransactionAnswer, TransactionOutcome } from "../../ports/tableService.js";
+import { ClaimRowState, parseClaimRow } from "../../process/claims/index.js";
 import { type PeerHandler, type PeerMethod, PeerNetwork, type ProcessIdentity } from "../../process/peers/index.js";
 import type { StoreClient } from "../../process/store/index.js";
-import type { SendCall } from "../claimKeeper.js";
-import { ClaimRowState, parseClaimRow } from "../claimRow.js";
-import { createClaimKeeper, type ProcessClaimKeeper } from "../createClaimKeeper.js";
+import type { SendCall } from "../claims/claimKeeper.js";
+import { createClaimKeeper, type ProcessClaimKeeper } from "../claims/createClaimKeeper.js";
 import type { Choice, ExploredWorld } from "./exploreSchedules.js";
 import { createScheduledProcesses, type ScheduledProcess } from "./scheduledProcesses.js";
 
--- a/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
+++ b/packages/daisyturn/src/request/__fixtures__/createClaimBench.ts
@@ -11,12 +11,11 @@
 import { createFaultyTableService } from "../../ports/faultyTableService.js";
 import { createMemoryTableService } from "../../ports/memoryTableService.js";
 import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
-import { createClaimPruner } from "../../process/claims/index.js";
+import { createClaimPruner, formatClaimRowKey, parseClaimRow } from "../../process/claims/index.js";
 import type { Membership, ProcessIdentity } from "../../process/peers/index.js";
 import { createStoreClient } from "../../process/store/index.js";
-import type { ClaimRequest, SendCall } from "../claimKeeper.js";
-import { formatClaimRowKey, parseClaimRow } from "../claimRow.js";
-import { createClaimKeeper, type ProcessClaimKeeper } from "../createClaimKeeper.js";
+import type { ClaimRequest, SendCall } from "../claims/claimKeeper.js";
+import { createClaimKeeper, type ProcessClaimKeeper } from "../claims/createClaimKeeper.js";
 
 /** What the fake service answers to the first call that it runs. */
 export const firstAnswer: ServiceAnswer = { status: 201, contentType: "text/plain", body: "run 1" };
--- a/packages/daisyturn/src/request/__fixtures__/createNaiveClaimKeeper.ts
+++ b/packages/daisyturn/src/request/__fixtures__/createNaiveClaimKeeper.ts
@@ -1,8 +1,8 @@
 import { ExecutionVerdict, type Failure } from "daisyturn-utils";
 import Result from "true-myth/result";
 import type { ServiceAnswer } from "../../ports/plainService.js";
-import type { ClaimRequest, SendCall } from "../claimKeeper.js";
-import { failWithKeyReused, failWithOutcomeUnknown } from "../claimVerdicts.js";
+import type { ClaimRequest, SendCall } from "../claims/claimKeeper.js";
+import { failWithKeyReused, failWithOutcomeUnknown } from "../claims/claimVerdicts.js";
 
 interface NaiveClaim {
     readonly body: string;
--- a/packages/daisyturn/src/request/__tests__/claimDifferential.test.ts
+++ b/packages/daisyturn/src/request/__tests__/claimDifferential.test.ts
@@ -6,7 +6,7 @@
 import { TableFaultKind } from "../../ports/faultyTableService.js";
 import { createClaimBench, createClaimRequest } from "../__fixtures__/createClaimBench.js";
 import { createNaiveClaimKeeper } from "../__fixtures__/createNaiveClaimKeeper.js";
-import type { SendCall } from "../claimKeeper.js";
+import type { SendCall } from "../claims/claimKeeper.js";
 
 enum SendOutcome {
     Answered = "answered",
--- a/packages/daisyturn/src/request/admit.ts
+++ b/packages/daisyturn/src/request/admit.ts
@@ -2,7 +2,7 @@
 import type { Result } from "true-myth/result";
 import type { AdmissionTicket } from "../process/admission/index.js";
 import type { RoutingRequest } from "../process/routing/index.js";
-import type { ModelRequest } from "./modelRequest.js";
+import type { ModelRequest } from "./completion/modelRequest.js";
 import type { RequestParts } from "./requestParts.js";
 
 /** Asks for leave to run; may wait for the partner's turn. */
--- a/packages/daisyturn/src/request/answer.ts
+++ b/packages/daisyturn/src/request/answer/answer.ts
@@ -1,5 +1,5 @@
 import { type Clock, type Failure, FailureReason } from "daisyturn-utils";
-import type { AnswerHeaders, CallerAnswer } from "./callerExchange.js";
+import type { AnswerHeaders, CallerAnswer } from "../callerExchange.js";
 
 const millisecondsPerSecond = 1000;
 
--- a/packages/daisyturn/src/request/answerChannel.ts
+++ b/packages/daisyturn/src/request/answer/answerChannel.ts
@@ -1,9 +1,9 @@
 import type { Failure } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { StreamEnd, StreamTokens } from "../ports/engine.js";
+import type { StreamEnd, StreamTokens } from "../../ports/engine.js";
+import type { CallerExchange, EventWriter } from "../callerExchange.js";
+import { type CompletionNames, createCompletionWriter } from "../completion/completionText.js";
 import { buildErrorBody } from "./answer.js";
-import type { CallerExchange, EventWriter } from "./callerExchange.js";
-import { type CompletionNames, createCompletionWriter } from "./completionText.js";
 
 /** Where an answer comes from at the moment. */
 export interface AnswerSource {
--- a/packages/daisyturn/src/request/answerProgress.ts
+++ b/packages/daisyturn/src/request/answer/answerProgress.ts
@@ -1,4 +1,4 @@
-import type { StreamTokens } from "../ports/engine.js";
+import type { StreamTokens } from "../../ports/engine.js";
 
 /** How far an answer has come, over all engines that worked on it. */
 export interface AnswerProgress {
--- a/packages/daisyturn/src/request/answerRun.ts
+++ b/packages/daisyturn/src/request/answer/answerRun.ts
@@ -1,6 +1,6 @@
+import type { ModelRequest } from "../completion/modelRequest.js";
 import type { AnswerChannel } from "./answerChannel.js";
 import type { AnswerProgress } from "./answerProgress.js";
-import type { ModelRequest } from "./modelRequest.js";
 
 /** A model request while its answer is being made. */
 export interface AnswerRun {
--- a/packages/daisyturn/src/request/followStream.ts
+++ b/packages/daisyturn/src/request/answer/followStream.ts
@@ -1,9 +1,9 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { Engine, StreamEnd, StreamEvent } from "../ports/engine.js";
+import type { Engine, StreamEnd, StreamEvent } from "../../ports/engine.js";
+import type { RequestParts } from "../requestParts.js";
 import type { AnswerProgress } from "./answerProgress.js";
 import { relay, type TokenSink } from "./relay.js";
-import type { RequestParts } from "./requestParts.js";
 
 /** A stream at an engine, and where its tokens go. */
 export interface FollowedStream {
--- a/packages/daisyturn/src/request/produceAnswer.ts
+++ b/packages/daisyturn/src/request/answer/produceAnswer.ts
@@ -1,13 +1,13 @@
 import { EventKind, ExecutionVerdict, type Failure } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
-import { GeneratePart, type StreamEnd, type StreamTokens } from "../ports/engine.js";
-import { type Placement, PlacementOutcome } from "../process/routing/index.js";
+import { GeneratePart, type StreamEnd, type StreamTokens } from "../../ports/engine.js";
+import { type Placement, PlacementOutcome } from "../../process/routing/index.js";
+import { dispatch, type DispatchedStream, dispatchWholeInstead } from "../dispatch.js";
+import { place } from "../place.js";
+import type { RequestParts } from "../requestParts.js";
+import { createFailureHistory, isWorthAnotherTarget, maxAttempts } from "../retryPolicy.js";
 import type { AnswerRun } from "./answerRun.js";
-import { dispatch, type DispatchedStream, dispatchWholeInstead } from "./dispatch.js";
 import { followStream } from "./followStream.js";
-import { place } from "./place.js";
-import type { RequestParts } from "./requestParts.js";
-import { createFailureHistory, isWorthAnotherTarget, maxAttempts } from "./retryPolicy.js";
 
 /**
  * Brings an answer to its end mark: one engine after the other, each going on where the last one broke off, within
--- a/packages/daisyturn/src/request/relay.ts
+++ b/packages/daisyturn/src/request/answer/relay.ts
@@ -1,6 +1,6 @@
 import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import { type StreamEnd, type StreamEvent, StreamEventKind, type StreamTokens } from "../ports/engine.js";
+import { type StreamEnd, type StreamEvent, StreamEventKind, type StreamTokens } from "../../ports/engine.js";
 import { addTokens, type AnswerProgress } from "./answerProgress.js";
 
 /** Takes tokens in order. A promise holds the stream back until it resolves. */
--- a/packages/daisyturn/src/request/__tests__/createClaimKeeper.test.ts
+++ b/packages/daisyturn/src/request/claims/__tests__/createClaimKeeper.test.ts
@@ -2,13 +2,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import Result from "true-myth/result";
-import { createFakeIdentity } from "../../__fixtures__/fakePeerNetwork.js";
-import { TableFaultKind } from "../../ports/faultyTableService.js";
-import type { ServiceAnswer } from "../../ports/plainService.js";
-import { createClaimBench, createClaimRequest, firstAnswer } from "../__fixtures__/createClaimBench.js";
+import { createFakeIdentity } from "../../../__fixtures__/fakePeerNetwork.js";
+import { TableFaultKind } from "../../../ports/faultyTableService.js";
+import type { ServiceAnswer } from "../../../ports/plainService.js";
+import { type ClaimRow, ClaimRowState, defaultClaimLimits } from "../../../process/claims/index.js";
+import { formatClaimRow, formatClaimRowKey, hashCall } from "../../../process/claims/index.js";
+import { createClaimBench, createClaimRequest, firstAnswer } from "../../__fixtures__/createClaimBench.js";
 import { ClaimState, type SendCall } from "../claimKeeper.js";
-import { defaultClaimLimits } from "../claimLimits.js";
-import { type ClaimRow, ClaimRowState, formatClaimRow, formatClaimRowKey, hashCall } from "../claimRow.js";
 
 const refusal = notRun(FailureReason.TargetRefused, "busy");
 const lost = mayHaveRun(FailureReason.TargetFailed, "reset");
--- a/packages/daisyturn/src/request/claimKeeper.ts
+++ b/packages/daisyturn/src/request/claims/claimKeeper.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
-import type { ServiceAnswer, ServiceCall } from "../ports/plainService.js";
+import type { ServiceAnswer, ServiceCall } from "../../ports/plainService.js";
 
 /** A non-idempotent call, named by the caller's key. */
 export interface ClaimRequest {
--- a/packages/daisyturn/src/request/createClaimKeeper.ts
+++ b/packages/daisyturn/src/request/claims/createClaimKeeper.ts
@@ -1,27 +1,36 @@
 import { type Clock, EventKind, type EventLog, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import { type IdSource, mayHaveRun } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../ports/plainService.js";
-import type { Row } from "../ports/tableService.js";
+import type { ServiceAnswer } from "../../ports/plainService.js";
+import type { Row } from "../../ports/tableService.js";
 import {
+    type AbandonedClaims,
     answerInquiries,
+    type ClaimLimits,
+    type ClaimRow,
+    type ClaimRowState,
+    type ClaimScope,
     ClaimStage,
+    createAnsweredRow,
     createClaimExaminer,
     createClaimRecorder,
     createClaimWriter,
+    createFreeRow,
     createOwnClaims,
+    createUnknownRow,
+    defaultClaimLimits,
     type ExaminedClaim,
     ExaminedKind,
+    formatClaimRowKey,
+    hashCall,
     type OwnClaim,
+    parseClaimRow,
+    refuseIdempotencyKey,
     settlesBefore,
-} from "../process/claims/index.js";
-import type { Membership, PeerNetwork, ProcessIdentity } from "../process/peers/index.js";
-import { type StoreClient, StorePriority } from "../process/store/index.js";
+} from "../../process/claims/index.js";
+import type { Membership, PeerNetwork, ProcessIdentity } from "../../process/peers/index.js";
+import { type StoreClient, StorePriority } from "../../process/store/index.js";
 import type { ClaimKeeper, ClaimRequest, SendCall } from "./claimKeeper.js";
-import { type ClaimLimits, defaultClaimLimits } from "./claimLimits.js";
-import { type ClaimRow, type ClaimRowState, type ClaimScope, parseClaimRow } from "./claimRow.js";
-import { createAnsweredRow, createFreeRow, createUnknownRow } from "./claimRow.js";
-import { formatClaimRowKey, hashCall, refuseIdempotencyKey } from "./claimRow.js";
 import { describeExamined, failWithDeadlinePassed, failWithKeyHeld, viewExamined } from "./claimVerdicts.js";
 import { type ClaimTaken, createClaimTaker, createSendPermit, retryAfterMilliseconds, TakeKind } from "./takeClaim.js";
 
@@ -57,15 +66,13 @@
 }
 
 /** The keeper of a process, with what the process needs at its end. */
-export interface ProcessClaimKeeper extends ClaimKeeper {
+export interface ProcessClaimKeeper extends ClaimKeeper, AbandonedClaims {
     /** Attempts whose rows do not say yet how they ended. */
     countUnsettled(): number;
     /** Waits until the rows of all attempts are settled; false if the deadline (monotonic) passed before. */
     drain(deadline: number): Promise<boolean>;
     /** What operators are shown of a key; undefined if it has no row. */
     inspect(scope: ClaimScope): Promise<Result<ClaimInspection | undefined, Failure>>;
-    /** Settles a claim of an ended process, if this process has seen it unchanged for long enough (monotonic). */
-    settleAbandoned(present: Row, deadline: number): Promise<void>;
 }
 
 /**
--- a/packages/daisyturn/src/request/handleClaimQuestion.ts
+++ b/packages/daisyturn/src/request/claims/handleClaimQuestion.ts
@@ -1,10 +1,10 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { CallerExchange } from "./callerExchange.js";
-import { readIdempotencyKey } from "./handlePlainCall.js";
-import { identifyPlainService } from "./identify.js";
-import { type RequestHead, serveUnderPin } from "./requestHead.js";
-import type { RequestParts } from "./requestParts.js";
+import type { CallerExchange } from "../callerExchange.js";
+import { readIdempotencyKey } from "../handlePlainCall.js";
+import { identifyPlainService } from "../identify.js";
+import { type RequestHead, serveUnderPin } from "../requestHead.js";
+import type { RequestParts } from "../requestParts.js";
 
 /** Path under which callers ask what became of a key: the service's name follows. */
 export const claimPathPrefix = "/v1/claims/";
--- a/packages/daisyturn/src/request/takeClaim.ts
+++ b/packages/daisyturn/src/request/claims/takeClaim.ts
@@ -1,22 +1,25 @@
 import { type Clock, EventKind, type EventLog, type Failure } from "daisyturn-utils";
 import Result from "true-myth/result";
-import type { ServiceAnswer } from "../ports/plainService.js";
-import { absentVersion, type Row } from "../ports/tableService.js";
+import type { ServiceAnswer } from "../../ports/plainService.js";
+import { absentVersion, type Row } from "../../ports/tableService.js";
 import {
     type ClaimExaminer,
+    type ClaimLimits,
     type ClaimRecorder,
+    type ClaimRow,
     ClaimStage,
     ClaimWriteOutcome,
     type ClaimWriter,
+    createClaimedRow,
+    createFreeRow,
     type ExaminedClaim,
     ExaminedKind,
     type OwnClaim,
-} from "../process/claims/index.js";
-import type { ProcessIdentity } from "../process/peers/index.js";
-import { type StoreClient, StorePriority } from "../process/store/index.js";
+    parseClaimRow,
+} from "../../process/claims/index.js";
+import type { ProcessIdentity } from "../../process/peers/index.js";
+import { type StoreClient, StorePriority } from "../../process/store/index.js";
 import type { SendPermit } from "./claimKeeper.js";
-import type { ClaimLimits } from "./claimLimits.js";
-import { type ClaimRow, createClaimedRow, createFreeRow, parseClaimRow } from "./claimRow.js";
 import { describeExamined, failWithDeadlinePassed, failWithKeyHeld, failWithStoreDown } from "./claimVerdicts.js";
 
 /** How long a caller is asked to wait before it asks again. */
--- a/packages/daisyturn/src/request/__tests__/parseCompletion.test.ts
+++ b/packages/daisyturn/src/request/completion/__tests__/parseCompletion.test.ts
@@ -2,8 +2,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { absurdDeadlineDistanceMilliseconds, parseDeadline } from "../../parseDeadline.js";
 import { CompletionForm, parseCompletion } from "../parseCompletion.js";
-import { absurdDeadlineDistanceMilliseconds, parseDeadline } from "../parseDeadline.js";
 
 const secret = "7c1e-very-private";
 const now = 1_700_000_000_000;
--- a/packages/daisyturn/src/request/completionText.ts
+++ b/packages/daisyturn/src/request/completion/completionText.ts
@@ -1,4 +1,4 @@
-import { FinishReason, type StreamEnd } from "../ports/engine.js";
+import { FinishReason, type StreamEnd } from "../../ports/engine.js";
 import { CompletionForm } from "./parseCompletion.js";
 
 /** Writes the JSON texts of one completion. The parts that don't change are built once, since one text goes out per event. */
--- a/packages/daisyturn/src/request/handleCompletion.ts
+++ b/packages/daisyturn/src/request/completion/handleCompletion.ts
@@ -1,11 +1,11 @@
 import type { Failure } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
-import type { CallerExchange } from "./callerExchange.js";
-import { continueAnswer } from "./continueAnswer.js";
+import type { CallerExchange } from "../callerExchange.js";
+import { identifyRequest, type RequestHead, serveUnderPin } from "../requestHead.js";
+import type { RequestParts } from "../requestParts.js";
+import { continueAnswer } from "../resumption/continueAnswer.js";
+import { readResumeHeaders } from "../resumption/resumeDemand.js";
 import { type CompletionForm, parseCompletion } from "./parseCompletion.js";
-import { identifyRequest, type RequestHead, serveUnderPin } from "./requestHead.js";
-import type { RequestParts } from "./requestParts.js";
-import { readResumeHeaders } from "./resumeDemand.js";
 import { serveModelRequest } from "./serveModelRequest.js";
 
 /** Serves one completion from its header to its answer. With a resume token, goes on with an answer begun before. */
--- a/packages/daisyturn/src/request/modelRequest.ts
+++ b/packages/daisyturn/src/request/completion/modelRequest.ts
@@ -1,6 +1,6 @@
 import { hashText } from "daisyturn-utils";
-import type { CallerAccount, Profile } from "../version/configurationItems.js";
-import type { ConfigurationVersion } from "../version/configurationVersion.js";
+import type { CallerAccount, Profile } from "../../version/configurationItems.js";
+import type { ConfigurationVersion } from "../../version/configurationVersion.js";
 import type { CompletionBody } from "./parseCompletion.js";
 import { estimateTokenCount, hashPromptBlocks, promptBlockCharacters } from "./promptBlocks.js";
 
--- a/packages/daisyturn/src/request/parseCompletion.ts
+++ b/packages/daisyturn/src/request/completion/parseCompletion.ts
@@ -1,7 +1,7 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
-import type { Sampling } from "../ports/engine.js";
+import type { Sampling } from "../../ports/engine.js";
 
 /** The two forms of the OpenAI HTTP API that are served. */
 export enum CompletionForm {
--- a/packages/daisyturn/src/request/serveModelRequest.ts
+++ b/packages/daisyturn/src/request/completion/serveModelRequest.ts
@@ -1,16 +1,21 @@
 import { EventKind, type Failure } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { StreamEnd } from "../ports/engine.js";
-import { admit } from "./admit.js";
-import { type AnswerChannel, type AnswerSource, createStreamedChannel, createWholeChannel } from "./answerChannel.js";
-import { createProgress } from "./answerProgress.js";
-import type { AnswerRun } from "./answerRun.js";
-import type { CallerExchange } from "./callerExchange.js";
+import type { StreamEnd } from "../../ports/engine.js";
+import { admit } from "../admit.js";
+import {
+    type AnswerChannel,
+    type AnswerSource,
+    createStreamedChannel,
+    createWholeChannel,
+} from "../answer/answerChannel.js";
+import { createProgress } from "../answer/answerProgress.js";
+import type { AnswerRun } from "../answer/answerRun.js";
+import { produceAnswer } from "../answer/produceAnswer.js";
+import type { CallerExchange } from "../callerExchange.js";
+import { startRequestLife } from "../requestLife.js";
+import type { RequestParts } from "../requestParts.js";
+import { adviseRetry } from "../retryPolicy.js";
 import { hashModelRequest, type ModelRequest } from "./modelRequest.js";
-import { produceAnswer } from "./produceAnswer.js";
-import { startRequestLife } from "./requestLife.js";
-import type { RequestParts } from "./requestParts.js";
-import { adviseRetry } from "./retryPolicy.js";
 
 /** Time, in milliseconds, for which an answer may be resumed after its deadline: late is better than lost. */
 export const resumeGraceMilliseconds = 60_000;
--- a/packages/daisyturn/src/request/dispatch.ts
+++ b/packages/daisyturn/src/request/dispatch.ts
@@ -9,8 +9,8 @@
     StreamEventKind,
 } from "../ports/engine.js";
 import type { Placement } from "../process/routing/index.js";
-import type { AnswerRun } from "./answerRun.js";
-import { cancelStream } from "./followStream.js";
+import type { AnswerRun } from "./answer/answerRun.js";
+import { cancelStream } from "./answer/followStream.js";
 import type { RequestParts } from "./requestParts.js";
 
 /** A stream that an engine has accepted. */
--- a/packages/daisyturn/src/request/forwarding/refuseCall.ts
+++ b/packages/daisyturn/src/request/forwarding/refuseCall.ts
@@ -1,6 +1,6 @@
 import { type Clock, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
-import { buildErrorBody, statusOfFailure } from "../answer.js";
+import { buildErrorBody, statusOfFailure } from "../answer/answer.js";
 
 /** These statuses promise that the request has not run and never will. */
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/daisyturn/src/request/place.ts
+++ b/packages/daisyturn/src/request/place.ts
@@ -2,7 +2,7 @@
 import type { Result } from "true-myth/result";
 import type { Placement } from "../process/routing/index.js";
 import { describeForRouting } from "./admit.js";
-import type { ModelRequest } from "./modelRequest.js";
+import type { ModelRequest } from "./completion/modelRequest.js";
 import type { RequestParts } from "./requestParts.js";
 
 /** Chooses the engines, passing over those that failed this request before. */
--- a/packages/daisyturn/src/request/requestHead.ts
+++ b/packages/daisyturn/src/request/requestHead.ts
@@ -3,9 +3,9 @@
 import type { CallerAccount } from "../version/configurationItems.js";
 import type { VersionPin } from "../version/createVersionUsage.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { buildModelRequest, type ModelRequest } from "./completion/modelRequest.js";
+import type { CompletionBody } from "./completion/parseCompletion.js";
 import { identifyAccount, identifyModelService } from "./identify.js";
-import { buildModelRequest, type ModelRequest } from "./modelRequest.js";
-import type { CompletionBody } from "./parseCompletion.js";
 import { parseDeadline } from "./parseDeadline.js";
 import type { RequestParts } from "./requestParts.js";
 
--- a/packages/daisyturn/src/request/requestParts.ts
+++ b/packages/daisyturn/src/request/requestParts.ts
@@ -3,8 +3,8 @@
 import type { FleetConfigurationKeeper } from "../process/configuration/index.js";
 import type { Router } from "../process/routing/index.js";
 import type { TargetDirectory, TargetGate } from "../process/targets/index.js";
-import type { ClaimKeeper } from "./claimKeeper.js";
-import type { ResumeTokens } from "./resumeToken.js";
+import type { ClaimKeeper } from "./claims/claimKeeper.js";
+import type { ResumeTokens } from "./resumption/resumeToken.js";
 
 /** The parts of the process that a caller's request passes through. */
 export interface ProcessParts {
--- a/packages/daisyturn/src/request/__tests__/resumeToken.test.ts
+++ b/packages/daisyturn/src/request/resumption/__tests__/resumeToken.test.ts
@@ -1,8 +1,8 @@
 import { FailureReason, FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type CallerAccount, ItemKind } from "../../version/configurationItems.js";
-import { CompletionForm } from "../parseCompletion.js";
+import { type CallerAccount, ItemKind } from "../../../version/configurationItems.js";
+import { CompletionForm } from "../../completion/parseCompletion.js";
 import { createResumeTokens } from "../resumeToken.js";
 
 const account: CallerAccount = {
--- a/packages/daisyturn/src/request/continueAnswer.ts
+++ b/packages/daisyturn/src/request/resumption/continueAnswer.ts
@@ -1,15 +1,15 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, type Result } from "true-myth/result";
-import type { Sampling, StreamEnd } from "../ports/engine.js";
-import { type AnswerChannel, createStreamedChannel } from "./answerChannel.js";
-import type { AnswerProgress } from "./answerProgress.js";
-import type { CallerExchange } from "./callerExchange.js";
-import { attachStream, followStream } from "./followStream.js";
-import { hashModelRequest } from "./modelRequest.js";
-import { startRequestLife } from "./requestLife.js";
-import type { RequestParts } from "./requestParts.js";
+import type { Sampling, StreamEnd } from "../../ports/engine.js";
+import { type AnswerChannel, createStreamedChannel } from "../answer/answerChannel.js";
+import type { AnswerProgress } from "../answer/answerProgress.js";
+import { attachStream, followStream } from "../answer/followStream.js";
+import type { CallerExchange } from "../callerExchange.js";
+import { hashModelRequest } from "../completion/modelRequest.js";
+import { admitAndProduce, concludeAnswer, createTokenSigner } from "../completion/serveModelRequest.js";
+import { startRequestLife } from "../requestLife.js";
+import type { RequestParts } from "../requestParts.js";
 import type { ResumeRequest } from "./resumeDemand.js";
-import { admitAndProduce, concludeAnswer, createTokenSigner } from "./serveModelRequest.js";
 
 /** Goes on with an answer: from the engine that has it, else by having it made again from the caller's offset on. */
 export async function continueAnswer(
--- a/packages/daisyturn/src/request/handleResume.ts
+++ b/packages/daisyturn/src/request/resumption/handleResume.ts
@@ -1,12 +1,12 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
-import type { CallerExchange } from "./callerExchange.js";
+import type { CallerExchange } from "../callerExchange.js";
+import type { ModelRequest } from "../completion/modelRequest.js";
+import { type CompletionForm, describeSchemaError, parseJson, readCompletion } from "../completion/parseCompletion.js";
+import { identifyRequest, type RequestHead, serveUnderPin } from "../requestHead.js";
+import type { RequestParts } from "../requestParts.js";
 import { continueAnswer } from "./continueAnswer.js";
-import type { ModelRequest } from "./modelRequest.js";
-import { type CompletionForm, describeSchemaError, parseJson, readCompletion } from "./parseCompletion.js";
-import { identifyRequest, type RequestHead, serveUnderPin } from "./requestHead.js";
-import type { RequestParts } from "./requestParts.js";
 import { readResumeHeaders } from "./resumeDemand.js";
 
 const bodySchema = z.object({
--- a/packages/daisyturn/src/request/resumeDemand.ts
+++ b/packages/daisyturn/src/request/resumption/resumeDemand.ts
@@ -1,9 +1,9 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { CallerAccount } from "../version/configurationItems.js";
-import type { CallerExchange } from "./callerExchange.js";
-import type { ModelRequest } from "./modelRequest.js";
-import type { RequestParts } from "./requestParts.js";
+import type { CallerAccount } from "../../version/configurationItems.js";
+import type { CallerExchange } from "../callerExchange.js";
+import type { ModelRequest } from "../completion/modelRequest.js";
+import type { RequestParts } from "../requestParts.js";
 import type { ResumeTicket } from "./resumeToken.js";
 
 /** What a caller shows who goes on with an answer. */
--- a/packages/daisyturn/src/request/resumeToken.ts
+++ b/packages/daisyturn/src/request/resumption/resumeToken.ts
@@ -2,8 +2,8 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
-import type { CallerAccount } from "../version/configurationItems.js";
-import { CompletionForm } from "./parseCompletion.js";
+import type { CallerAccount } from "../../version/configurationItems.js";
+import { CompletionForm } from "../completion/parseCompletion.js";
 
 const ticketSchema = z.object({
     partner: z.string(),
