Homes by what prompts share beyond a profile; refusals by the soonest time; a setting for ablation

Cause (1): prompts looked for their home by their first part, a profile that all prompts of a kind begin with, so all of them had one home, and the text that few of them share had none. Change: the last shared part is the key.

Cause (2): the longest prompts were refused as too late. Their reading was forecast by the pace of the engine, which also holds what others had placed there and not yet told: 2,061 ms were forecast for 22,700 tokens that take 416 ms. Change: placement and deferral go by the pace as before, a refusal by the time that an engine can do it in; starting rates nearer to what engines showed (65 tokens a millisecond, 0.25 ms for a million pairs).

No mechanism is out in service.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -10,6 +10,7 @@
     type ForwardingKeeper,
     type ForwardingMetrics,
     type ForwardingParts,
+    switchOffViews,
     type TargetList,
 } from "daisyturn/forwarding";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
@@ -40,12 +41,13 @@
         decode: adapters.decodeConfiguration,
         eventLog,
     });
-    const views = createTargetViews(adapters.decodeTarget, clock, eventLog);
-    const connections = createTargetConnections(clock);
     const { availabilityZone, placement: policy, sampledCalls = defaultSampledCalls } = settings();
+    const switchedOff = settings().switchedOff ?? new Set();
+    const views = switchOffViews(createTargetViews(adapters.decodeTarget, clock, eventLog), switchedOff);
+    const connections = createTargetConnections(clock);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement({ ...views, availabilityZone })
-        : createCallPlacement({ ...views, random, availabilityZone });
+        : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
         ...views,
@@ -55,6 +57,7 @@
         connections,
         protocol: adapters.targetProtocol,
         metrics,
+        switchedOff,
         sampledCalls,
         clock,
         eventLog,
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -1,4 +1,4 @@
-import type { ListenAddress, RetryAllowance } from "daisyturn/forwarding";
+import type { ListenAddress, Mechanism, RetryAllowance } from "daisyturn/forwarding";
 
 /** How a process chooses targets. */
 export enum PlacementPolicy {
@@ -21,6 +21,8 @@
     readonly metrics?: ListenAddress;
     /** How targets are chosen; estimated if absent. */
     readonly placement?: PlacementPolicy;
+    /** Mechanisms of the decisions that an experiment takes out; none if absent. */
+    readonly switchedOff?: ReadonlySet<Mechanism>;
     /** Every so many-th call that was answered on time is logged; 64 if absent. 1 logs every call, for measurements. */
     readonly sampledCalls?: number;
     /** Where log lines go; standard output if absent. */
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export * from "./experiments/mechanism.js";
+export * from "./experiments/switchOffViews.js";
 export * from "./forwardingMetrics.js";
 export * from "./limits/createOverloadGuard.js";
 export * from "./limits/createWindowedRetryBudget.js";
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/createCallPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createCallPlacement.test.ts
@@ -67,6 +67,16 @@
         assert.equal(placement.placePrompt(createDemand(createShortPrompt("b")))?.isDeferred, true);
     });
 
+    it("forecasts by how slow an engine seems, and refuses by how fast it can be", () => {
+        const { placement, paces } = createPlacementBench(stages);
+        const demand = createDemand(createLongPrompt("guide", "own"));
+        const before = placement.placePrompt(demand);
+        stages.forEach((...[, index]) => paces.observe(`i-${index}`, 0, 100, 800));
+        const after = placement.placePrompt(demand);
+        assert.ok(before && after && after.firstEvent > before.firstEvent * 1.5, JSON.stringify(after));
+        assert.ok(Math.abs(after.soonestEvent - before.soonestEvent) < 1, JSON.stringify(after));
+    });
+
     it("lets calls that can be on time pass those that are deferred", () => {
         const { placement, loads } = createPlacementBench(stages);
         for (const target of stages.keys()) {
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/groupEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/groupEngines.test.ts
@@ -56,6 +56,20 @@
     }
 });
 
+test("prompts that share only a profile have homes by what they share beyond it", () => {
+    const engines = createEngines(4, 9);
+    const homes = Array.from({ length: 40 }, (...[, index]) => {
+        const parts = [
+            { partId: "profile", tokens: 600 },
+            { partId: `dossier-${index}`, tokens: 5_000 },
+            { partId: "own", tokens: 900 },
+        ];
+        const prompt = { ...createLongPrompt("profile", "own"), promptTokens: 6_500, parts };
+        return groupEngines(engines, prompt, "zone-0").readerHome;
+    });
+    assert.equal(new Set(homes).size, 4);
+});
+
 test("a prompt that shares little has no home", () => {
     const groups = groupEngines(createEngines(4, 9), createShortPrompt("own"), "zone-0");
     assert.deepEqual([groups.readerHome, groups.decoderHome], [undefined, undefined]);
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -8,6 +8,8 @@
     /** Estimated milliseconds of expensive work there, and before the target turns to it. */
     readonly work: number;
     readonly wait: number;
+    /** The same work at an engine that nothing slows. */
+    readonly leastWork: number;
 }
 
 /** How a prompt is served: read at one engine and decoded at another, or both at one. */
@@ -16,6 +18,11 @@
     readonly decode: PlacedStep;
     /** Estimated milliseconds to the first event. */
     readonly firstEvent: number;
+    /**
+     * The same, with the prompt read as fast as an engine can. Refusals go by it: how slow engines seem to be also holds
+     * work that nobody has told of, and would have long prompts refused that are served in time.
+     */
+    readonly soonestEvent: number;
     /** Milliseconds that an engine which only reads would need for the prompt. */
     readonly reading: number;
     /** Whether the answer will be late anyway and lets those go first that can still be on time. */
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -1,6 +1,7 @@
 import type { Random } from "daisyturn-utils";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { EngineTraits } from "../../../version/forwarding/forwardingConfiguration.js";
+import { Mechanism } from "../experiments/mechanism.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { TargetHealth } from "../targets/createTargetHealth.js";
 import type { TargetList } from "../targets/createTargetList.js";
@@ -24,6 +25,8 @@
     readonly closed: ClosedTargets;
     readonly random: Random;
     readonly availabilityZone: string;
+    /** What an experiment takes out. */
+    readonly switchedOff: ReadonlySet<Mechanism>;
 }
 
 /** Work counts beyond the time it takes itself: it delays whatever comes after it at the same engine. */
@@ -81,7 +84,10 @@
  * only those are that exceed what the engines can do.
  */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
-    const { targets, loads, health, caches, paces, eventPace, closed, random, availabilityZone } = options;
+    const { targets, loads, health, caches, paces, eventPace, closed, random, switchedOff } = options;
+    const isOn = (mechanism: Mechanism) => !switchedOff.has(mechanism);
+    const isNear = (target: ListedTarget) =>
+        target.availabilityZone === options.availabilityZone || !isOn(Mechanism.ZonePreference);
 
     const listUsable = (service: string, avoid: ReadonlySet<string>): readonly ListedTarget[] => {
         const trusted = health.selectTrusted(listOpen(service));
@@ -96,13 +102,11 @@
     const placePlain = (service: string, avoid: ReadonlySet<string>) =>
         findLeast(listUsable(service, avoid), target => {
             const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
-            return fill * scatter() + (target.availabilityZone === availabilityZone ? 0 : otherZonePenalty);
+            return fill * scatter() + (isNear(target) ? 0 : otherZonePenalty);
         });
 
     const zoneCost = (engine: ListedTarget, bodyBytes: number) =>
-        engine.availabilityZone === availabilityZone
-            ? 0
-            : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
+        isNear(engine) ? 0 : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
 
     const costOf = (step: PlacedStep, bodyBytes: number) =>
         (step.wait + step.work * (1 + externalityOf(step.target))) * scatter() + zoneCost(step.target, bodyBytes);
@@ -122,8 +126,10 @@
         const { prompt } = demand;
         const kept = caches.keptTokens(engine.targetId, prompt.parts);
         const isShared = engine.stage === EngineStage.Decode;
-        const work = estimatePrefill(prompt.promptTokens, kept, isShared) * paces.factor(engine.targetId);
-        return { target: engine, work, wait: loads.wait(engine.targetId, isDeferred) + placeWait(engine, demand) };
+        const leastWork = estimatePrefill(prompt.promptTokens, kept, isShared);
+        const work = leastWork * paces.factor(engine.targetId);
+        const wait = loads.wait(engine.targetId, isDeferred) + placeWait(engine, demand);
+        return { target: engine, work, wait, leastWork };
     };
 
     const strayCost = (step: PlacedStep, home: string | undefined, milliseconds: number) =>
@@ -132,7 +138,7 @@
     const pauseCost = ({ prompt, service }: PromptDemand, engine: ListedTarget) => {
         const hasPauses = prompt.expectedOutputTokens > (service.engine?.tokensPerEvent ?? 1);
         const reading = loads.wait(engine.targetId, true) * pauseFactor;
-        return hasPauses ? Math.min(mostPauseMilliseconds, reading) : 0;
+        return hasPauses && isOn(Mechanism.PauseForecast) ? Math.min(mostPauseMilliseconds, reading) : 0;
     };
 
     const placeSplit = (
@@ -159,7 +165,7 @@
             );
             // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
             const chunk = Math.min(loads.wait(engine.targetId, isDeferred), chunkMilliseconds);
-            return { target: engine, work: 0, wait: placeWait(engine, demand) + chunk + transfer };
+            return { target: engine, work: 0, leastWork: 0, wait: placeWait(engine, demand) + chunk + transfer };
         };
         const decodeCost = (step: PlacedStep) => {
             const pause = pauseCost(demand, step.target);
@@ -170,9 +176,8 @@
         if (!decode) {
             return undefined;
         }
-        const firstEvent = prefill.wait + prefill.work + decode.wait + hopMilliseconds;
         const cost = readCost(prefill) + decodeCost(decode) + hopMilliseconds;
-        return { prefill, decode, firstEvent, reading: prefill.work, isDeferred, cost };
+        return { prefill, decode, ...forecastEvent([prefill, decode]), reading: prefill.work, isDeferred, cost };
     };
 
     /**
@@ -181,20 +186,22 @@
      */
     const bearsReading = ({ pauseAim, service }: PromptDemand, { target, work }: PlacedStep) => {
         const reading = loads.wait(target.targetId, true) + work;
-        return eventPace.interval(service.name) + reading * pauseReserve <= pauseAim;
+        return eventPace.interval(service.name) + reading * pauseReserve <= pauseAim || !isOn(Mechanism.PauseForecast);
     };
 
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
         const { bodyBytes } = demand;
-        const all = engines.decoders.map(engine => estimateStep(engine, demand, isDeferred));
-        const steps = engines.readers.length === 0 ? all : all.filter(step => bearsReading(demand, step));
+        const hasReaders = engines.readers.length > 0;
+        const decoders = hasReaders && !isOn(Mechanism.ReadingAtDecoders) ? [] : engines.decoders;
+        const all = decoders.map(engine => estimateStep(engine, demand, isDeferred));
+        const steps = hasReaders ? all.filter(step => bearsReading(demand, step)) : all;
         const cost = (step: PlacedStep) =>
             costOf(step, bodyBytes) + pauseCost(demand, step.target)
             + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
         const decode = findLeast(steps, cost);
         return decode && {
             decode,
-            firstEvent: decode.wait + decode.work + hopMilliseconds,
+            ...forecastEvent([decode]),
             reading: decode.target.stage === EngineStage.Decode ? decode.work / sharedEngineFactor : decode.work,
             isDeferred,
             cost: cost(decode),
@@ -210,9 +217,11 @@
 
     const placePrompt = (demand: PromptDemand): PromptWay | undefined => {
         const usable = listUsable(demand.service.name, demand.avoid);
-        const engines = groupEngines(usable, demand.prompt, availabilityZone);
+        const groups = groupEngines(usable, demand.prompt, options.availabilityZone);
+        const engines = isOn(Mechanism.Homes) ? groups : { ...groups, readerHome: undefined, decoderHome: undefined };
         const way = findCheapest(demand, engines, false);
-        return way && way.firstEvent > demand.aim ? findCheapest(demand, engines, true) : way;
+        const isLate = way !== undefined && way.firstEvent > demand.aim;
+        return isLate && isOn(Mechanism.Deferral) ? findCheapest(demand, engines, true) : way;
     };
 
     class EstimatedPlacement extends CallPlacement {
@@ -223,3 +232,12 @@
 }
 
 type CostedWay = PromptWay & { readonly cost: number; };
+
+/** When the first event comes if these steps follow each other. */
+function forecastEvent(steps: readonly PlacedStep[]): Pick<PromptWay, "firstEvent" | "soonestEvent"> {
+    const wait = steps.reduce((sum, step) => sum + step.wait, hopMilliseconds);
+    return {
+        firstEvent: steps.reduce((sum, step) => sum + step.work, wait),
+        soonestEvent: steps.reduce((sum, step) => sum + step.leastWork, wait),
+    };
+}
--- a/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -52,6 +52,7 @@
                 decode: createStep(decode),
                 prefill: reader && createStep(reader),
                 firstEvent: 0,
+                soonestEvent: 0,
                 reading: 0,
                 isDeferred: false,
             };
@@ -61,5 +62,5 @@
 }
 
 function createStep(target: ListedTarget): PlacedStep {
-    return { target, work: 0, wait: 0 };
+    return { target, work: 0, leastWork: 0, wait: 0 };
 }
--- a/packages/daisyturn/src/process/forwarding/placement/estimatePrefill.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/estimatePrefill.ts
@@ -5,9 +5,9 @@
  */
 
 /** Prompt tokens read in a millisecond, without attention to what stands before them. */
-const tokensPerMillisecond = 60;
+const tokensPerMillisecond = 65;
 /** Milliseconds for a million pairs of a token and one before it. */
-const attentionMilliseconds = 0.65;
+const attentionMilliseconds = 0.25;
 /** Fixed part of each prefill: its share of a step, which it often has in common with others. */
 const stepMilliseconds = 2;
 /** An engine that also decodes reads prompts at half the speed, between the tokens of other requests. */
--- a/packages/daisyturn/src/process/forwarding/placement/groupEngines.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/groupEngines.ts
@@ -64,8 +64,11 @@
     return findLeast(candidates, engine => -rendezvousWeight(key, hashTextTo32Bits(engine.targetId)))?.targetId;
 }
 
-/** Prompts that begin with the same long text get the same key. */
+/**
+ * Prompts that are alike up to their own part get the same key. The first part alone would not do: where it is a profile
+ * that all prompts of a kind begin with, they would all have one home, and what they share beyond it none.
+ */
 function findAffinityKey(prompt: PromptDescription): number | undefined {
-    const first = prompt.parts[0];
-    return first && sumShared(prompt) >= affinityTokens ? hashTextTo32Bits(first.partId) : undefined;
+    const lastShared = prompt.parts.at(-2);
+    return lastShared && sumShared(prompt) >= affinityTokens ? hashTextTo32Bits(lastShared.partId) : undefined;
 }
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/findLateness.ts
@@ -0,0 +1,21 @@
+import type { CallRun } from "./callRun.js";
+
+/** Callers wait for the first event of a stream for so long, or so many times the aim. */
+const leastPatienceMilliseconds = 2_000;
+const patienceAims = 4;
+
+/** What a call is judged by. Times are monotonic. */
+export interface JudgedCall {
+    readonly call: Pick<CallRun["call"], "arrivedAt">;
+    readonly route: Pick<CallRun["route"], "latencyAimMilliseconds">;
+    readonly deadline: number;
+}
+
+/**
+ * Milliseconds by which an answer that begins at this time begins after its caller has left; 0 or less if it is still
+ * there. What would begin later is refused at once: the caller knows, and no engine reads for nobody.
+ */
+export function findLateness(beginsAt: number, { call, route, deadline }: JudgedCall): number {
+    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
+    return beginsAt - Math.min(call.arrivedAt + patience, deadline);
+}
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -8,6 +8,7 @@
     EventPace,
     ForwardingKeeper,
     ForwardingMetrics,
+    Mechanism,
     PaceView,
     ReadingDemand,
     TargetHealth,
@@ -32,6 +33,8 @@
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
+    /** What an experiment takes out. */
+    readonly switchedOff: ReadonlySet<Mechanism>;
     /** Every so many-th call that was answered on time is logged; all others are in any case. */
     readonly sampledCalls: number;
     readonly clock: Clock;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -2,10 +2,11 @@
 import { err, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
-import { countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
+import { countTokens, Mechanism, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
+import { findLateness } from "./findLateness.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { sendToTarget } from "./sendToTarget.js";
 
@@ -17,11 +18,9 @@
 const mostPriorities = 4;
 /** An answer is planned to be on time by this part of its aim: the rest covers what estimates are off. */
 const aimFraction = 0.85;
-/** Callers wait for the first event of a stream for so long, or so many times the aim. */
-const leastPatienceMilliseconds = 2_000;
-const patienceAims = 4;
 /** A release that takes longer is left to the cache's own end. */
 const releaseMilliseconds = 500;
+const tooLateMessage = "The answer would begin too late.";
 const lateRelease = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
 
 /**
@@ -49,9 +48,11 @@
             return err(concludeRun(run, describeNoTarget(run, parts.clock)));
         }
         recordPlacement(run, way);
-        const tooLate = findLateness(parts, run, way, relay);
-        if (tooLate) {
-            return err(concludeRun(run, tooLate));
+        const lateness = findLateness(parts.clock.monotonicNow() + way.soonestEvent, run);
+        const isGivenUp = lateness > 0 && !relay.hasBegun() && !parts.switchedOff.has(Mechanism.RefusalByForecast);
+        if (isGivenUp) {
+            const retryAt = parts.clock.wallNow() + lateness;
+            return err(concludeRun(run, notRun(FailureReason.DeadlineUnreachable, tooLateMessage, retryAt)));
         }
         parts.demand.note(run.service.name, way.reading);
         let kvSource: KvSource | undefined;
@@ -84,7 +85,7 @@
 
 function recordPlacement(
     { trace }: CallRun,
-    { prefill: reader, decode: decoder, firstEvent, isDeferred }: PromptWay,
+    { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred }: PromptWay,
 ): void {
     trace.note(EventKind.RequestPlaced, {
         reader: reader?.target.targetId,
@@ -94,6 +95,7 @@
         wait: Math.round(decoder.wait),
         work: Math.round(decoder.work),
         firstEvent: Math.round(firstEvent),
+        soonest: Math.round(soonestEvent),
         deferred: isDeferred,
     });
 }
@@ -200,21 +202,3 @@
     const urgency = firstUrgency + Math.min(run.route.priority, mostPriorities - 1);
     return way.isDeferred ? urgency + mostPriorities : urgency;
 }
-
-/** Callers give a stream up that has not begun by then; what would begin later is refused at once. */
-function findLateness(
-    parts: ForwardingParts,
-    run: CallRun,
-    way: PromptWay,
-    relay: EventRelay,
-): Failure | undefined {
-    const { route, call } = run;
-    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
-    const latest = Math.min(call.arrivedAt + patience, run.deadline);
-    const expected = parts.clock.monotonicNow() + way.firstEvent;
-    if (relay.hasBegun() || expected <= latest) {
-        return undefined;
-    }
-    const retryAt = parts.clock.wallNow() + (expected - latest);
-    return notRun(FailureReason.DeadlineUnreachable, "The answer would begin too late.", retryAt);
-}
