One way each for a process alone, a measured peer and a plain service

Cause: the fixture of the commands and measureClaims wrote the same membership and network of a process without peers (24 lines); runPeer and runConfigurationNode the same start of a measured process (two runs of lines); partnerConfiguration two plain services in full. Change: membershipAlone and NetworkAlone in process/peers, createMeasuredPeer, createPlainService. No behaviour changed.

--- a/packages/daisyturn-cli/src/__fixtures__/createCommandBench.ts
+++ b/packages/daisyturn-cli/src/__fixtures__/createCommandBench.ts
@@ -7,26 +7,24 @@
     createMemoryTableService,
     createOperatorServer,
     createStoreClient,
-    type Membership,
+    membershipAlone,
+    NetworkAlone,
     OperatorMethod,
     type OperatorRoutes,
-    PeerNetwork,
     type ProcessIdentity,
 } from "daisyturn";
 import {
     createIdSource,
     createSeededRandom,
     type Failure,
-    FailureReason,
     hashText,
     type JsonObject,
     MemoryEventLog,
-    notRun,
     SystemClock,
 } from "daisyturn-utils";
 import { createServer, request as forward } from "node:http";
 import type { AddressInfo } from "node:net";
-import { err, ok, type Result } from "true-myth/result";
+import { ok } from "true-myth/result";
 import { runCommandLine } from "../runCommandLine.js";
 
 const self: ProcessIdentity = {
@@ -37,26 +35,6 @@
     peerAddress: "127.0.0.1:1",
 };
 
-const membership: Membership = {
-    others: () => [],
-    livePeers: () => [],
-    hasEnded: () => false,
-    hearsMajority: () => true,
-    onChange: () => undefined,
-};
-
-class EmptyNetwork extends PeerNetwork {
-    override readonly self = self;
-
-    override request(): Promise<Result<never, Failure>> {
-        return Promise.resolve(err(notRun(FailureReason.PeerUnavailable, "there are no peers")));
-    }
-
-    override notify(): void {}
-
-    override handle(): void {}
-}
-
 /** What a command printed, and its exit code. */
 export interface CommandRun {
     readonly code: number;
@@ -82,15 +60,24 @@
         writesPerSecond: 1_000,
         readsPerSecond: 1_000,
     });
-    const network = new EmptyNetwork();
-    const keeper = createConfigurationKeeper({ self, storeClient, network, membership, clock, random, eventLog, ids });
+    const network = new NetworkAlone(self);
+    const keeper = createConfigurationKeeper({
+        self,
+        storeClient,
+        network,
+        membership: membershipAlone,
+        clock,
+        random,
+        eventLog,
+        ids,
+    });
     const stop = new AbortController();
     await keeper.adopt(stop.signal);
     const server = await createOperatorServer({
         listen: { host: "127.0.0.1", port: 0 },
         operators: [{ partner: "nyamata", name: "alice", keyHash: hashText("operator-key") }],
         routes: [
-            ...createConfigurationRoutes({ keeper, membership, self, ids, clock }),
+            ...createConfigurationRoutes({ keeper, membership: membershipAlone, self, ids, clock }),
             ...createIdentityRoutes(),
             ...routes,
         ],
--- a/packages/daisyturn-standins/src/configuration/runConfigurationNode.ts
+++ b/packages/daisyturn-standins/src/configuration/runConfigurationNode.ts
@@ -5,25 +5,14 @@
     createHttpVmList,
     createMembership,
     createOperatorServer,
-    createPeerNetwork,
     createStoreClient,
     OperatorMethod,
-    type ProcessIdentity,
 } from "daisyturn";
-import {
-    createHybridLogicalClock,
-    createIdSource,
-    createSeededRandom,
-    type EventFields,
-    EventKind,
-    EventLog,
-    hashText,
-    SystemClock,
-    toJson,
-} from "daisyturn-utils";
+import { createIdSource, type EventFields, EventKind, EventLog, hashText, toJson } from "daisyturn-utils";
 import { once, setMaxListeners } from "node:events";
 import { parseArgs } from "node:util";
 import { ok } from "true-myth/result";
+import { createMeasuredPeer } from "../peers/createMeasuredPeer.js";
 import { measuredPartners, type NodeReport, operatorKeyOf } from "./nodeReport.js";
 
 // Runs a process that has only peers, membership and configuration, for measurements:
@@ -58,27 +47,10 @@
     return Number(process.hrtime.bigint()) / 1_000_000;
 }
 
-const clock = new SystemClock();
 const startedAt = readMachineClock();
 const eventLog = new TimedEventLog();
-const self: ProcessIdentity = {
-    processId: values.id,
-    incarnation: `${values.id}-${String(Date.now()).padStart(15, "0")}`,
-    vmId: `vm-${values.id}`,
-    availabilityZone: "zone-1",
-    peerAddress: "127.0.0.1:0",
-};
-const random = createSeededRandom(Number.parseInt(hashText(values.id).slice(0, 7), 16));
+const { clock, random, self, network, seeds } = createMeasuredPeer({ ...values, eventLog });
 const ids = createIdSource(self.incarnation);
-const network = createPeerNetwork({
-    self,
-    listen: { host: "127.0.0.1", port: 0 },
-    secret: "secret of the measured processes",
-    clock,
-    hybridClock: createHybridLogicalClock(clock),
-    eventLog,
-    random,
-});
 const tables = createHttpTableService({ url: values.platform, clock });
 const vms = createHttpVmList({ url: values.platform, clock });
 const storeClient = createStoreClient({
@@ -89,7 +61,6 @@
     writesPerSecond: 30,
     readsPerSecond: 150,
 });
-const seeds = values.seeds.split(",").filter(seed => seed !== "");
 const membership = createMembership({ network, vmList: vms.vmList, seeds, clock, random, eventLog });
 const keeper = createConfigurationKeeper({
     self,
--- a/packages/daisyturn-standins/src/fleet/partnerConfiguration.ts
+++ b/packages/daisyturn-standins/src/fleet/partnerConfiguration.ts
@@ -6,6 +6,7 @@
     Priority,
     type Profile,
     type PutItem,
+    type Service,
     ServiceKind,
     TargetKind,
 } from "daisyturn";
@@ -110,18 +111,10 @@
         createProfile(partner, "counter", ModelName.Small, { firstTokenLimitMilliseconds: 1_500, ...limits }),
         createModelService(partner, ServiceName.Valuation, "dossier"),
         createModelService(partner, ServiceName.QuickQuestion, "counter"),
-        {
-            kind: ItemKind.Service,
-            partner,
-            name: ServiceName.Quotes,
-            serviceKind: ServiceKind.Plain,
-            targets: ["service-1", "service-2"],
-            routes: [
-                { method: "POST", pathPrefix: "/confirm", idempotent: false },
-                { method: "GET", pathPrefix: "/lookup", idempotent: true },
-            ],
-            callLimitMilliseconds: 5_000,
-        },
+        createPlainService(partner, ServiceName.Quotes, [
+            { method: "POST", pathPrefix: "/confirm", idempotent: false },
+            { method: "GET", pathPrefix: "/lookup", idempotent: true },
+        ]),
     ];
 }
 
@@ -136,21 +129,25 @@
         }),
         createModelService(partner, ServiceName.SeatPlan, "timetable"),
         createModelService(partner, ServiceName.QuickReply, "reply"),
-        {
-            kind: ItemKind.Service,
-            partner,
-            name: ServiceName.Tickets,
-            serviceKind: ServiceKind.Plain,
-            targets: ["service-1", "service-2"],
-            routes: [
-                { method: "POST", pathPrefix: "/issue", idempotent: false },
-                { method: "GET", pathPrefix: "/reprint", idempotent: true },
-            ],
-            callLimitMilliseconds: 5_000,
-        },
+        createPlainService(partner, ServiceName.Tickets, [
+            { method: "POST", pathPrefix: "/issue", idempotent: false },
+            { method: "GET", pathPrefix: "/reprint", idempotent: true },
+        ]),
     ];
 }
 
+function createPlainService(partner: PartnerName, name: ServiceName, routes: Service["routes"]): Service {
+    return {
+        kind: ItemKind.Service,
+        partner,
+        name,
+        serviceKind: ServiceKind.Plain,
+        targets: ["service-1", "service-2"],
+        routes,
+        callLimitMilliseconds: 5_000,
+    };
+}
+
 function createModelService(partner: PartnerName, name: ServiceName, profile: string): ConfigurationItem {
     return { kind: ItemKind.Service, partner, name, serviceKind: ServiceKind.Model, profile };
 }
--- a/packages/daisyturn-standins/src/measure/claims/measureClaims.ts
+++ b/packages/daisyturn-standins/src/measure/claims/measureClaims.ts
@@ -1,9 +1,9 @@
 import {
     type ClaimRequest,
     createClaimKeeper,
-    type Membership,
+    membershipAlone,
+    NetworkAlone,
     type PagedStoreClient,
-    PeerNetwork,
     type ProcessClaimKeeper,
     type ProcessIdentity,
     type SendCall,
@@ -11,8 +11,8 @@
     StorePriority,
     type TableService,
 } from "daisyturn";
-import { createIdSource, type Failure, FailureReason, MemoryEventLog, notRun } from "daisyturn-utils";
-import { err, ok, type Result } from "true-myth/result";
+import { createIdSource, MemoryEventLog } from "daisyturn-utils";
+import { ok } from "true-myth/result";
 import { createPlatformServer } from "../../platform/createPlatformServer.js";
 import { formatSummary, quantile } from "../store/runsSummary.js";
 import {
@@ -44,27 +44,6 @@
     peerAddress: "127.0.0.1:1",
 };
 
-const membership: Membership = {
-    others: () => [],
-    livePeers: () => [],
-    hasEnded: () => false,
-    hearsMajority: () => true,
-    onChange: () => undefined,
-};
-
-/** A network without peers. */
-class EmptyNetwork extends PeerNetwork {
-    override readonly self = self;
-
-    override request(): Promise<Result<never, Failure>> {
-        return Promise.resolve(err(notRun(FailureReason.PeerUnavailable, "there are no peers")));
-    }
-
-    override notify(): void {}
-
-    override handle(): void {}
-}
-
 /** A way to run a call, to be compared. */
 type RunCall = (call: ServiceCall) => Promise<unknown>;
 
@@ -155,8 +134,8 @@
     const keeper = createClaimKeeper({
         self,
         storeClient,
-        network: new EmptyNetwork(),
-        membership,
+        network: new NetworkAlone(self),
+        membership: membershipAlone,
         clock,
         ids: createIdSource(self.incarnation),
         eventLog: new MemoryEventLog(),
--- a/packages/daisyturn-standins/src/peers/runPeer.ts
+++ b/packages/daisyturn-standins/src/peers/runPeer.ts
@@ -1,14 +1,5 @@
-import { createMembership, createPeerNetwork, createServiceGuard, VmList } from "daisyturn";
-import {
-    createHybridLogicalClock,
-    createSeededRandom,
-    type Failure,
-    FailureReason,
-    hashText,
-    MemoryEventLog,
-    notRun,
-    SystemClock,
-} from "daisyturn-utils";
+import { createMembership, createServiceGuard, VmList } from "daisyturn";
+import { type Failure, FailureReason, MemoryEventLog, notRun } from "daisyturn-utils";
 import { once } from "node:events";
 import { parseArgs } from "node:util";
 import { setFlagsFromString } from "node:v8";
@@ -16,6 +7,7 @@
 import { err, type Result } from "true-myth/result";
 import { answerJson } from "../httpAnswers.js";
 import { listenHttp } from "../httpListener.js";
+import { createMeasuredPeer } from "./createMeasuredPeer.js";
 import type { PeerReport } from "./peerReport.js";
 
 // Runs a process that has only peers, membership and the service guard, with store and VM list down:
@@ -37,29 +29,12 @@
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
-const clock = new SystemClock();
 const eventLog = new MemoryEventLog();
-const random = createSeededRandom(Number.parseInt(hashText(values.id).slice(0, 7), 16));
-const network = createPeerNetwork({
-    self: {
-        processId: values.id,
-        incarnation: `${values.id}-${String(Date.now()).padStart(15, "0")}`,
-        vmId: `vm-${values.id}`,
-        availabilityZone: "zone-1",
-        peerAddress: "127.0.0.1:0",
-    },
-    listen: { host: "127.0.0.1", port: 0 },
-    secret: "secret of the measured processes",
-    cell: values.cell,
-    clock,
-    hybridClock: createHybridLogicalClock(clock),
-    eventLog,
-    random,
-});
+const { clock, random, network, seeds } = createMeasuredPeer({ ...values, eventLog });
 const membership = createMembership({
     network,
     vmList: new UnavailableVmList(),
-    seeds: values.seeds.split(",").filter(seed => seed !== ""),
+    seeds,
     clock,
     random,
     eventLog,
--- a/packages/daisyturn/src/process/peers/index.ts
+++ b/packages/daisyturn/src/process/peers/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./alone.js";
 export * from "./createDigestExchange.js";
 export * from "./dialingPeerNetwork.js";
 export * from "./loadExchange.js";
