--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -18,6 +18,7 @@
     readonly startOf?: (targetId: string) => string;
 }
 
+const askMilliseconds = 50;
 function createScene(options: SceneOptions) {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
@@ -98,7 +99,20 @@
         await clock.advance(20_000);
         await done;
     };
-    return { clock, sent, list, closed, end, isLeaseKept: () => isRunning };
+    /** Has the first decoding engines answer so many calls each. */
+    const answerCalls = (engines: number, calls: number) => {
+        for (let index = 0; index < engines * calls; index++) {
+            views.loads.begin(`d${index % engines}`, { work: 0, isDeferred: false, tokens: 0 });
+        }
+    };
+    /** Has prompts ask for the reading of so many engines for a while. */
+    const askForReading = async (engines: number, milliseconds: number) => {
+        for (let passed = 0; passed < milliseconds; passed += askMilliseconds) {
+            views.demand.note("engines", engines * askMilliseconds);
+            await clock.advance(askMilliseconds);
+        }
+    };
+    return { clock, sent, list, closed, end, answerCalls, askForReading, isLeaseKept: () => isRunning };
 }
 
 test("an engine takes over a stage that has none, closed before it is ordered and open once it has changed", async () => {
@@ -147,6 +161,21 @@
     assert.equal(closed.isClosed("p0"), false);
 });
 
+test("an engine is ordered to read once the readers have been overloaded for two seconds, not in a shorter burst", async () => {
+    const short = createScene({ readers: 3, decoders: 5 });
+    short.answerCalls(3, 6);
+    await short.askForReading(12, 1_000);
+    await short.clock.advance(6_000);
+    assert.deepEqual(short.sent, []);
+    await short.end();
+
+    const long = createScene({ readers: 3, decoders: 5 });
+    long.answerCalls(3, 6);
+    await long.askForReading(12, 4_000);
+    assert.deepEqual(long.sent.map(order => order.stage), [EngineStage.Prefill]);
+    await long.end();
+});
+
 test("the lease is kept for its length after the last need, and then given back", async () => {
     const { clock, sent, list, end, isLeaseKept } = createScene({ readers: 3, decoders: 0 });
     await clock.advance(3_000);
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/planStage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/planStage.test.ts
@@ -4,7 +4,7 @@
 import { planStage } from "../planStage.js";
 
 /** Part of the decoding places that is taken now, and the most of it of late. */
-const fills = [[0, 0], [0, 0.3], [0.2, 0.3], [0.2, 0.7], [0.5, 0.7], [0.9, 0.9]] as const;
+const fills = [[0, 0], [0, 0.3], [0.2, 0.3], [0.2, 0.7], [0.4, 0.85], [0.5, 0.7], [0.9, 0.9]] as const;
 const calm = { readers: 3, decoders: 5, demand: 2, decodingFill: 0.2, peakFill: 0.7 };
 
 test("a mix that the engines bear changes nothing", () => {
@@ -13,6 +13,7 @@
 
 test("a lasting overload of reading takes an engine that decodes little", () => {
     assert.equal(planStage({ ...calm, demand: 4 }), EngineStage.Prefill);
+    assert.equal(planStage({ ...calm, demand: 4, decodingFill: 0.45 }), EngineStage.Prefill);
     assert.equal(planStage({ ...calm, demand: 4, decodingFill: 0.5 }), undefined);
 });
 
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -35,7 +35,7 @@
 /** Peaks of what decodes count for so long: some of the swings between long prompts and long answers. */
 const peakMilliseconds = 15_000;
 /** A need that lasts this many looks is acted upon: longer than the bursts that a change would come too late for. */
-const looksForReading = 8;
+const looksForReading = 4;
 /** Without an engine of a stage, or with the last one decoding, each second costs answers. */
 const looksWhenMissing = 2;
 /** Going back gains little and costs seconds of an engine, so only after a demand that stays low. */
--- a/packages/daisyturn/src/process/forwarding/stages/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/planStage.ts
@@ -18,8 +18,12 @@
  * changes at a load of 0.75 lowered what was answered on time.
  */
 const plannedLoad = 1.2;
-/** What decodes is not taken beyond this part of its places: a burst of short prompts fills them within a second. */
-const plannedFill = 0.3;
+/**
+ * What decodes is not taken beyond this part of its places and memory: at 0.3 the engines that read stayed overloaded
+ * while two thirds of the places of the others were free. At 0.6, 0.05 more of the credit was earned in a long burst of
+ * long prompts, and of the longest of them twice as many were served.
+ */
+const plannedFill = 0.6;
 /** Below this load, one reading engine fewer would do. */
 const spareLoad = 0.35;
 /**
