--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -18,11 +18,6 @@
 const mostPriorities = 4;
 /** An answer is planned to be on time by this part of its aim: the rest covers what estimates are off. */
 const aimFraction = 0.85;
-/**
- * How far a refusal counts on an engine to stay as slow as it seems. At 1 the longest prompts are refused four times as
- * often as all of their kind; at 0 they take the time of several others, and 0.03 of all credit is lost.
- */
-const paceTrust = 0.5;
 /** A release that takes longer is left to the cache's own end. */
 const releaseMilliseconds = 500;
 const tooLateMessage = "The answer would begin too late.";
@@ -53,8 +48,7 @@
             return err(concludeRun(run, describeNoTarget(run, parts.clock)));
         }
         recordPlacement(run, way);
-        const expected = way.soonestEvent + (way.firstEvent - way.soonestEvent) * paceTrust;
-        const lateness = findLateness(parts.clock.monotonicNow() + expected, run);
+        const lateness = findLateness(parts.clock.monotonicNow() + way.soonestEvent, run);
         const isGivenUp = lateness > 0 && !relay.hasBegun() && !parts.switchedOff.has(Mechanism.RefusalByForecast);
         if (isGivenUp) {
             const retryAt = parts.clock.wallNow() + lateness;
