Peers' datagrams are read entry by entry, with bounds on every amount

Cause: a datagram was checked by types alone. A work of -5,000 ms or 1e300, a pause of 1e300 (never forgotten) or a closing of 1e15 ms (the target lost to the service) was taken in; one part with a strange size, which callers choose, would have spoilt a whole message had it been refused whole. Change: loadMessage.ts encodes and reads the message; amounts lie between 0 and a bound, names are not empty nor longer than 200, an entry that is wrong is left out and the others hold. Result: loadMessage.test.ts, with 1,500 seeded cases; three of its four tests fail without the lower bound (seen). Not bounded: how many senders a process remembers.

--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/__tests__/loadMessage.test.ts
@@ -0,0 +1,82 @@
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { encodeLoadMessage, type LoadMessage, parseLoadMessage } from "../loadMessage.js";
+
+const message: LoadMessage = {
+    from: "entry-1",
+    pause: 120,
+    work: [{ targetId: "i-1", calls: 3, work: 40, deferredWork: 0, tokens: 900 }],
+    kept: [["i-1", "part", 600]],
+    demand: [["engines", 1_800]],
+    closed: [["i-2", 5_000]],
+};
+
+/** The parameters as they are sent, to be changed in one place. */
+function createParams(): Record<string, unknown> {
+    const sent = JSON.parse(encodeLoadMessage(message).toString()) as { params: Record<string, unknown>; };
+    return sent.params;
+}
+
+function parse(params: unknown): LoadMessage | undefined {
+    return parseLoadMessage(Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "load", params })));
+}
+
+test("a message is read as it was written", () => {
+    assert.deepEqual(parseLoadMessage(encodeLoadMessage(message)), message);
+});
+
+test("a message without a sender, a pause or a list is not taken in", () => {
+    const wrong = [{ from: 5 }, { from: "x".repeat(1_000) }, { pause: -1 }, { pause: 1e300 }, { work: {} }, {
+        closed: 1,
+    }];
+    for (const change of wrong) {
+        assert.equal(parse({ ...createParams(), ...change }), undefined, JSON.stringify(change).slice(0, 80));
+    }
+    // Beyond what a number can hold: JSON has no word for it, and reads it as infinite.
+    const text = JSON.stringify({ method: "load", params: createParams() }).replace("120", "1e999");
+    assert.equal(parseLoadMessage(Buffer.from(text)), undefined);
+});
+
+test("an entry that no process can have is left out, and the others hold", () => {
+    const wrong: readonly (readonly [keyof LoadMessage, unknown])[] = [
+        ["work", ["i-1", 1, -5_000, 0, 0]],
+        ["work", ["i-1", 1, 1e300, 0, 0]],
+        ["work", ["", 1, 0, 0, 0]],
+        ["work", "i-1"],
+        ["kept", ["i-1", "x".repeat(1_000), 600]],
+        ["kept", ["i-1", "part", -1]],
+        ["demand", ["engines", 1e12]],
+        ["closed", ["i-2", 1e15]],
+        ["closed", ["i-2", -1]],
+    ];
+    for (const [name, entry] of wrong) {
+        const params = createParams();
+        const read = parse({ ...params, [name]: [entry, ...params[name] as unknown[]] });
+        assert.deepEqual(read, message, JSON.stringify(entry).slice(0, 80));
+    }
+});
+
+test("whatever a datagram holds, it is no message or one with amounts that a process can have", () => {
+    const field = fastCheck.constantFrom("from", "pause", "work", "kept", "demand", "closed");
+    const checkAmounts = (value: unknown): void => {
+        if (typeof value === "number") {
+            assert.ok(value >= 0 && value <= 1e9, String(value));
+        }
+        else if (typeof value === "object" && value) {
+            Object.values(value).forEach(checkAmounts);
+        }
+    };
+    fastCheck.assert(
+        fastCheck.property(field, fastCheck.jsonValue(), (name, value) => {
+            checkAmounts(parse({ ...createParams(), [name]: value }));
+        }),
+        { seed: 7, numRuns: 1_000 },
+    );
+    fastCheck.assert(
+        fastCheck.property(fastCheck.uint8Array({ maxLength: 200 }), bytes => {
+            assert.equal(parseLoadMessage(Buffer.from(bytes)), undefined);
+        }),
+        { seed: 7, numRuns: 500 },
+    );
+});
--- a/packages/daisyturn/src/process/forwarding/shareLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/shareLoads.ts
@@ -1,10 +1,10 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { PeerRegistry, RegisteredPeer } from "../../ports/peerRegistry.js";
-import type { ClosedTargets, Closing } from "./targets/createClosedTargets.js";
+import { encodeLoadMessage, parseLoadMessage } from "./loadMessage.js";
+import type { ClosedTargets } from "./targets/createClosedTargets.js";
 import type { CacheBeliefs, PartPlacement } from "./views/createCacheBeliefs.js";
-import type { ReadingDemand, ServiceDemand } from "./views/createReadingDemand.js";
+import type { ReadingDemand } from "./views/createReadingDemand.js";
 import type { TargetLoads } from "./views/createTargetLoads.js";
-import type { WorkUnderWay } from "./views/workUnderWay.js";
 
 /** Sends and takes datagrams; none is repeated, since the next one says all again. */
 export abstract class DatagramChannel {
@@ -62,20 +62,6 @@
 /** Longest list of placements told at once; what is beyond it is learned from the next ones. */
 const mostPlacements = 20;
 
-const method = "load";
-
-/** What a process tells its peers: the parameters of a JSON-RPC notification. */
-interface LoadMessage {
-    readonly from: string;
-    /** Milliseconds until the next message to the same peer. */
-    readonly pause: number;
-    /** Target, calls, milliseconds of work, milliseconds of deferred work, tokens held. */
-    readonly work: readonly (readonly [string, number, number, number, number])[];
-    readonly kept: readonly PartPlacement[];
-    readonly demand: readonly ServiceDemand[];
-    readonly closed: readonly Closing[];
-}
-
 /**
  * Tells the other processes what this one has under way at which target and where it has placed which part of prompts,
  * and takes in what they tell, until the signal is aborted. Engines report their load late and some answers don't
@@ -90,10 +76,10 @@
     let unreadable = 0;
 
     channel.onDatagram(datagram => {
-        const message = parseMessage(datagram);
+        const message = parseLoadMessage(datagram);
         if (message && message.from !== self.peerId) {
             heardAt.set(message.from, clock.monotonicNow());
-            loads.notePeer(message.from, message.work.map(toWork), message.pause);
+            loads.notePeer(message.from, message.work, message.pause);
             demand.notePeer(message.from, message.demand, message.pause);
             closed.notePeer(message.from, message.closed);
             message.kept.forEach(([targetId, partId, tokens]) => caches.noteTold(targetId, partId, tokens));
@@ -109,10 +95,10 @@
         const isBusy = work.length > 0 || kept.length > 0 || closings.length > 0;
         // One more message after the last call tells that nothing is left.
         if (isBusy || group.wasBusy) {
-            const datagram = encodeMessage({
+            const datagram = encodeLoadMessage({
                 from: self.peerId,
                 pause: Math.round(pauseOf(group)),
-                work: work.map(encodeWork),
+                work,
                 kept,
                 demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)]),
                 closed: closings,
@@ -204,36 +190,3 @@
 function pauseOf({ peers, datagramsPerSecond }: Pick<PeerGroup, "peers" | "datagramsPerSecond">): number {
     return Math.max(shortestPauseMilliseconds, peers.length * millisecondsPerSecond / datagramsPerSecond);
 }
-
-function encodeMessage(params: LoadMessage): Buffer {
-    return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
-}
-
-function encodeWork({ targetId, calls, work, deferredWork, tokens }: WorkUnderWay): LoadMessage["work"][number] {
-    return [targetId, calls, Math.round(work), Math.round(deferredWork), tokens];
-}
-
-function toWork([targetId, calls, work, deferredWork, tokens]: LoadMessage["work"][number]): WorkUnderWay {
-    return { targetId, calls, work, deferredWork, tokens };
-}
-
-/** Undefined for anything that is no message of a peer: anybody may send datagrams. */
-function parseMessage(datagram: Buffer): LoadMessage | undefined {
-    try {
-        const message = JSON.parse(datagram.toString("utf8")) as { method?: unknown; params?: Partial<LoadMessage>; };
-        const { from, pause, work, kept, demand, closed } = message.params ?? {};
-        const isSound = message.method === method && typeof from === "string" && typeof pause === "number"
-            && isList(work, ["string", "number", "number", "number", "number"])
-            && isList(kept, ["string", "string", "number"])
-            && isList(demand, ["string", "number"]) && isList(closed, ["string", "number"]);
-        return isSound ? { from, pause, work, kept, demand, closed } as LoadMessage : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
-
-function isList(value: unknown, types: readonly string[]): boolean {
-    return Array.isArray(value)
-        && value.every(entry => Array.isArray(entry) && types.every((type, index) => typeof entry[index] === type));
-}
