--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -9,10 +9,12 @@
 import type { EventPace } from "../views/createEventPace.js";
 import type { PaceView } from "../views/createPaceView.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
-import { CallPlacement, countTokens, type PlacedStep, type PromptDemand, type PromptWay } from "./callPlacement.js";
-import { estimatePrefill, estimateTransfer, sharedEngineFactor } from "./estimatePrefill.js";
+import { CallPlacement, type PlacedStep, type PromptDemand, type PromptWay } from "./callPlacement.js";
+import { createStepCosts } from "./createStepCosts.js";
+import { createStepEstimates } from "./createStepEstimates.js";
+import { sharedEngineFactor } from "./estimatePrefill.js";
 import { findLeast } from "./findLeast.js";
-import { type EngineGroups, groupEngines, sumShared } from "./groupEngines.js";
+import { type EngineGroups, groupEngines } from "./groupEngines.js";
 
 /** What {@link createCallPlacement} needs. */
 export interface CallPlacementOptions {
@@ -29,52 +31,6 @@
     readonly switchedOff: ReadonlySet<Mechanism>;
 }
 
-/** Work counts beyond the time it takes itself: it delays whatever comes after it at the same engine. */
-const externality = 0.8;
-/** Reading at an engine that decodes stretches the steps of all answers it has under way. */
-const decodingExternality = 2.5;
-/** Estimates differ at random by this fraction, so that processes which know the same don't all choose the same. */
-const spread = 0.15;
-/**
- * Bytes between availability zones are paid for: a target in another one is taken where that saves so many
- * milliseconds, and so many more for each kilobyte sent.
- */
-const otherZoneMilliseconds = 8;
-const otherZoneMillisecondsPerKilobyte = 1.2;
-const bytesPerKilobyte = 1_024;
-/** A plain target in another availability zone is taken only if it has this many calls fewer, in parts of its slots. */
-const otherZonePenalty = 0.35;
-/**
- * Reading elsewhere than at the home of a prompt's beginning counts as so much later, in parts of the time to read the
- * beginning: what the home keeps serves all that begin alike, and a second copy pushes out what others begin with.
- */
-const strayReadingFraction = 0.5;
-/** The same for decoding: the home keeps what it fetches, and can read such prompts when the others are full. */
-const strayDecodingMilliseconds = 70;
-/**
- * Prompts that are read between the steps of a batch stretch each step, and with it the pause between two events of an
- * answer. A millisecond of such reading counts so many for an answer of several events, up to a limit.
- */
-const pauseFactor = 2;
-const mostPauseMilliseconds = 300;
-/**
- * Decoding engines are asked to read prompts in an order that all processes share, each so much later than the one
- * before: the reading gathers at a few of them, and the others keep short steps for answers of several events.
- */
-const readingOrderMilliseconds = 12;
-/**
- * A pause is forecast as if so many times as much were read: other processes place prompts at the same engine before
- * they hear of this one.
- */
-const pauseReserve = 1.5;
-/** A chunk of a prompt, read between two steps of a batch. */
-const chunkMilliseconds = 20;
-/** A place in a full batch comes free about this often. */
-const turnMilliseconds = 8;
-/** Tokens of KV cache that the ends of calls free in a millisecond, once memory is full. */
-const tokensFreedPerMillisecond = 150;
-/** What is beyond this part of the memory is kept free: a call that outgrows it is put back and read again. */
-const usableMemoryFraction = 0.85;
 /** One hop to an engine and back, with the engine's step, in milliseconds. */
 const hopMilliseconds = 8;
 
@@ -84,10 +40,12 @@
  * only those are that exceed what the engines can do.
  */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
-    const { targets, loads, health, caches, paces, eventPace, closed, random, switchedOff } = options;
+    const { targets, health, closed, switchedOff } = options;
     const isOn = (mechanism: Mechanism) => !switchedOff.has(mechanism);
-    const isNear = (target: ListedTarget) =>
-        target.availabilityZone === options.availabilityZone || !isOn(Mechanism.ZonePreference);
+    const estimates = createStepEstimates(options);
+    const costs = createStepCosts(options);
+
+    const listOpen = (service: string) => targets.open(service).filter(target => !closed.isClosed(target.targetId));
 
     const listUsable = (service: string, avoid: ReadonlySet<string>): readonly ListedTarget[] => {
         const trusted = health.selectTrusted(listOpen(service));
@@ -95,84 +53,23 @@
         return untried.length > 0 ? untried : listOpen(service).filter(target => !avoid.has(target.targetId));
     };
 
-    const listOpen = (service: string) => targets.open(service).filter(target => !closed.isClosed(target.targetId));
-
-    const scatter = () => 1 + spread * (random.fraction() - 0.5);
-
-    const placePlain = (service: string, avoid: ReadonlySet<string>) =>
-        findLeast(listUsable(service, avoid), target => {
-            const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
-            return fill * scatter() + (isNear(target) ? 0 : otherZonePenalty);
-        });
-
-    const zoneCost = (engine: ListedTarget, bodyBytes: number) =>
-        isNear(engine) ? 0 : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
-
-    const costOf = (step: PlacedStep, bodyBytes: number) =>
-        (step.wait + step.work * (1 + externalityOf(step.target))) * scatter() + zoneCost(step.target, bodyBytes);
-
-    const externalityOf = (engine: ListedTarget) =>
-        engine.stage === EngineStage.Decode ? decodingExternality : externality;
-
-    /** With all places of the batch taken, or all memory, a call waits until others end. */
-    const placeWait = (engine: ListedTarget, { prompt, service }: PromptDemand) => {
-        const excess = Math.max(0, loads.calls(engine.targetId) + 1 - engine.slots);
-        const room = (service.engine?.kvTokens ?? Infinity) * usableMemoryFraction;
-        const missing = Math.max(0, loads.tokens(engine.targetId) + countTokens(prompt) - room);
-        return excess * turnMilliseconds + missing / tokensFreedPerMillisecond;
-    };
-
-    const estimateStep = (engine: ListedTarget, demand: PromptDemand, isDeferred: boolean): PlacedStep => {
-        const { prompt } = demand;
-        const kept = caches.keptTokens(engine.targetId, prompt.parts);
-        const isShared = engine.stage === EngineStage.Decode;
-        const leastWork = estimatePrefill(prompt.promptTokens, kept, isShared);
-        const work = leastWork * paces.factor(engine.targetId);
-        const wait = loads.wait(engine.targetId, isDeferred) + placeWait(engine, demand);
-        return { target: engine, work, wait, leastWork };
-    };
-
-    const strayCost = (step: PlacedStep, home: string | undefined, milliseconds: number) =>
-        home !== undefined && step.target.targetId !== home ? milliseconds : 0;
-
-    const pauseCost = ({ prompt, service }: PromptDemand, engine: ListedTarget) => {
-        const hasPauses = prompt.expectedOutputTokens > (service.engine?.tokensPerEvent ?? 1);
-        const reading = loads.wait(engine.targetId, true) * pauseFactor;
-        return hasPauses && isOn(Mechanism.PauseForecast) ? Math.min(mostPauseMilliseconds, reading) : 0;
-    };
-
     const placeSplit = (
         demand: PromptDemand,
         traits: EngineTraits,
         engines: EngineGroups,
         isDeferred: boolean,
     ): CostedWay | undefined => {
-        const { prompt, bodyBytes } = demand;
-        const steps = engines.readers.map(engine => estimateStep(engine, demand, isDeferred));
-        const stray = estimatePrefill(sumShared(prompt), 0, false) * strayReadingFraction;
-        const readCost = (step: PlacedStep) => costOf(step, bodyBytes) + strayCost(step, engines.readerHome, stray);
-        const prefill = findLeast(steps, readCost);
+        const readCost = (step: PlacedStep) => costs.read(step, demand, engines);
+        const decodeCost = (step: PlacedStep) => costs.decode(step, demand, engines);
+        const reads = engines.readers.map(engine => estimates.read(engine, demand, isDeferred));
+        const prefill = findLeast(reads, readCost);
         if (!prefill) {
             return undefined;
         }
-        const estimateDecode = (engine: ListedTarget): PlacedStep => {
-            const keptTokens = caches.keptTokens(engine.targetId, prompt.parts);
-            const transfer = estimateTransfer(
-                prompt.promptTokens - keptTokens,
-                traits.bytesPerToken,
-                traits.linkMegabits,
-                engine.availabilityZone !== prefill.target.availabilityZone,
-            );
-            // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
-            const chunk = Math.min(loads.wait(engine.targetId, isDeferred), chunkMilliseconds);
-            return { target: engine, work: 0, leastWork: 0, wait: placeWait(engine, demand) + chunk + transfer };
-        };
-        const decodeCost = (step: PlacedStep) => {
-            const pause = pauseCost(demand, step.target);
-            return step.wait * scatter() + zoneCost(step.target, bodyBytes) + pause
-                + strayCost(step, engines.decoderHome, strayDecodingMilliseconds);
-        };
-        const decode = findLeast(engines.decoders.map(estimateDecode), decodeCost);
+        const decodes = engines.decoders.map(engine =>
+            estimates.decode(engine, prefill.target, demand, traits, isDeferred)
+        );
+        const decode = findLeast(decodes, decodeCost);
         if (!decode) {
             return undefined;
         }
@@ -184,21 +81,17 @@
      * A prompt that is read between the steps of a batch holds up all its answers. Where other engines only read, it goes
      * there unless every answer still keeps its pauses.
      */
-    const bearsReading = ({ pauseAim, service }: PromptDemand, { target, work }: PlacedStep) => {
-        const reading = loads.wait(target.targetId, true) + work;
-        return eventPace.interval(service.name) + reading * pauseReserve <= pauseAim || !isOn(Mechanism.PauseForecast);
+    const listBearing = (demand: PromptDemand, { readers, decoders }: EngineGroups, isDeferred: boolean) => {
+        const steps = decoders.map(engine => estimates.read(engine, demand, isDeferred));
+        if (readers.length === 0) {
+            return steps;
+        }
+        return isOn(Mechanism.ReadingAtDecoders) ? steps.filter(step => costs.bearsReading(step, demand)) : [];
     };
 
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
-        const { bodyBytes } = demand;
-        const hasReaders = engines.readers.length > 0;
-        const decoders = hasReaders && !isOn(Mechanism.ReadingAtDecoders) ? [] : engines.decoders;
-        const all = decoders.map(engine => estimateStep(engine, demand, isDeferred));
-        const steps = hasReaders ? all.filter(step => bearsReading(demand, step)) : all;
-        const cost = (step: PlacedStep) =>
-            costOf(step, bodyBytes) + pauseCost(demand, step.target)
-            + engines.decoders.indexOf(step.target) * readingOrderMilliseconds;
-        const decode = findLeast(steps, cost);
+        const cost = (step: PlacedStep) => costs.whole(step, demand, engines);
+        const decode = findLeast(listBearing(demand, engines, isDeferred), cost);
         return decode && {
             decode,
             ...forecastEvent([decode]),
@@ -225,7 +118,10 @@
     };
 
     class EstimatedPlacement extends CallPlacement {
-        override placePlain = placePlain;
+        override placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined {
+            return findLeast(listUsable(service, avoid), costs.plain);
+        }
+
         override placePrompt = placePrompt;
     }
     return new EstimatedPlacement();
