--- a/packages/daisyturn/src/process/admission/__tests__/accountLimits.test.ts
+++ b/packages/daisyturn/src/process/admission/__tests__/accountLimits.test.ts
@@ -52,6 +52,13 @@
         bench.stop();
     });
 
+    test("an account far below its rate is not refused by a process that it has hardly asked so far", async () => {
+        const bench = createLimitsBench(all.length, 2_000);
+        await bench.flood([0, 1, 2], 60, 5);
+        assert.deepEqual([1, 2, 3, 4, 5].map(() => bench.ask(3) !== undefined), [true, true, true, true, true]);
+        bench.stop();
+    });
+
     test("the part of a killed process goes to the others", async () => {
         const bench = createLimitsBench(all.length, 20);
         await bench.flood(all, 50, 5);
--- a/packages/daisyturn/src/process/admission/accountLimits.ts
+++ b/packages/daisyturn/src/process/admission/accountLimits.ts
@@ -118,15 +118,23 @@
             return use?.incarnation === peer.incarnation ? [{ processId: peer.processId, ...use }] : [];
         });
 
-    /** The part of an account's rate that this process may use. */
-    const partOf = (record: AccountRecord, now: number) => {
+    /**
+     * The part of an account's rate that this process may use: its part of the demand, or an even part of what nobody
+     * asks for if that is more. By demand alone, a process that has hardly been asked would refuse the second of two
+     * calls while most of the rate is unused.
+     */
+    const partOf = (record: AccountRecord, { requestsPerSecond }: CallerAccount, now: number) => {
         if (!membership.hearsMajority()) {
             return 1 / (1 + countOthers(membership));
         }
         const own = record.demand.perSecond(now);
         const others = listLiveUses(record)
             .reduce((sum, use) => sum + use.demand.perSecond(exchange.heardAt(use.processId, now)), 0);
-        return own + others > 0 ? own / (own + others) : 1;
+        if (own + others === 0) {
+            return 1;
+        }
+        const unused = Math.max(0, 1 - (own + others) / requestsPerSecond);
+        return Math.max(own / (own + others), unused / (1 + countOthers(membership)));
     };
 
     const refill = (record: AccountRecord, account: CallerAccount, part: number, now: number) => {
@@ -161,7 +169,7 @@
         record.asked += 1;
         record.usedAt = now;
         news.add(record);
-        const part = partOf(record, now);
+        const part = partOf(record, account, now);
         refill(record, account, part, now);
         const wait = waitForRate(record, account, part);
         if (wait > 0) {
@@ -207,7 +215,7 @@
         const demand = known?.demand ?? createDecayingRate(demandMemoryMilliseconds, now);
         const account = keeper.current().findItem({ kind: ItemKind.CallerAccount, ...told });
         if (account?.kind === ItemKind.CallerAccount) {
-            refill(record, account, partOf(record, now), now);
+            refill(record, account, partOf(record, account, now), now);
         }
         demand.add(told.asked - (last?.asked ?? 0), now);
         record.cellBucket -= told.admitted - (last?.admitted ?? 0);
