Reading the change once more: one free port, costs worked out once a prompt, no copied lists

Cause: found on reading the whole diff. The cost of a stray reading, the same at all engines, was worked out anew for each engine since placement was put into modules (twice 98 times a prompt on the largest fleet); a free port was found by two functions, one in the platform's fixture; the ledger copied a route's calls for each call more. Change: StepCosts gives a cost for one prompt (ofReading, ofDecoding, ofBoth); findFreePort stands in daisyturn-utils beside takeLoopbackHost, and both use it; summarizeCalls appends. Ruled out: a change of behaviour: the same terms are summed, and the draws of random numbers keep their order.

--- a/packages/daisyturn-cli/src/ledger/summarizeCalls.ts
+++ b/packages/daisyturn-cli/src/ledger/summarizeCalls.ts
@@ -17,7 +17,13 @@
     const groups = new Map<string, LoggedCall[]>();
     for (const call of calls) {
         const key = `${call.route} ${call.outcome}`;
-        groups.set(key, [...groups.get(key) ?? [], call]);
+        const group = groups.get(key);
+        if (group) {
+            group.push(call);
+        }
+        else {
+            groups.set(key, [call]);
+        }
     }
     return [...groups].sort(([left], [right]) => left < right ? -1 : 1).map(([, group]) => summarizeGroup(group));
 }
--- a/packages/daisyturn-standins/src/fleet/launchFleet.ts
+++ b/packages/daisyturn-standins/src/fleet/launchFleet.ts
@@ -1,4 +1,4 @@
-import { hashText, takeLoopbackHost } from "daisyturn-utils";
+import { findFreePort, hashText, takeLoopbackHost } from "daisyturn-utils";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
@@ -6,7 +6,6 @@
 import { fileURLToPath } from "node:url";
 import { stringify } from "yaml";
 import { type ChildProgram, startChildProgram } from "./childProgram.js";
-import { findFreePort } from "./findFreePort.js";
 import { startTogether } from "./startTogether.js";
 
 /** An engine of the fleet. */
--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -5,6 +5,7 @@
 export { createLogfmtEventLog, type EventLogOptions } from "./events/logfmtEventLog.js";
 export { type Failure, FailureReason, mayHaveRun, notRun } from "./failure.js";
 export { FakeClock } from "./fakeClock.js";
+export { findFreePort } from "./findFreePort.js";
 export { equalInConstantTime, hashText } from "./hashing.js";
 export { createHybridLogicalClock, type HybridLogicalClock } from "./hybridLogicalClock.js";
 export { createIdSource, type IdSource } from "./idSource.js";
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -46,8 +46,8 @@
         engines: EngineGroups,
         isDeferred: boolean,
     ): CostedWay | undefined => {
-        const readCost = (step: PlacedStep) => costs.read(step, demand, engines);
-        const decodeCost = (step: PlacedStep) => costs.decode(step, demand, engines);
+        const readCost = costs.ofReading(demand, engines);
+        const decodeCost = costs.ofDecoding(demand, engines);
         const reads = engines.readers.map(engine => estimates.read(engine, demand, isDeferred));
         const prefill = findLeast(reads, readCost);
         if (!prefill) {
@@ -77,7 +77,7 @@
     };
 
     const placeWhole = (demand: PromptDemand, engines: EngineGroups, isDeferred: boolean): CostedWay | undefined => {
-        const cost = (step: PlacedStep) => costs.whole(step, demand, engines);
+        const cost = costs.ofBoth(demand, engines);
         const decode = findLeast(listBearing(demand, engines, isDeferred), cost);
         return decode && {
             decode,
--- a/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
@@ -7,16 +7,19 @@
 import { estimatePrefill } from "./estimatePrefill.js";
 import { type EngineGroups, sumShared } from "./groupEngines.js";
 
+/** Tells one step of a prompt from another; what is the same at all engines is worked out once. */
+export type StepCost = (step: PlacedStep) => number;
+
 /** What taking a target costs the call and all others, in milliseconds but for plain targets. */
 export interface StepCosts {
     /** How full a plain target is, in parts of its slots. */
     plain(target: ListedTarget): number;
-    /** Reading at an engine that only reads. */
-    read(step: PlacedStep, demand: PromptDemand, engines: EngineGroups): number;
-    /** Decoding what another engine has read. */
-    decode(step: PlacedStep, demand: PromptDemand, engines: EngineGroups): number;
-    /** Reading and decoding at one engine. */
-    whole(step: PlacedStep, demand: PromptDemand, engines: EngineGroups): number;
+    /** Of reading a prompt at an engine that only reads. */
+    ofReading(demand: PromptDemand, engines: EngineGroups): StepCost;
+    /** Of decoding what another engine has read. */
+    ofDecoding(demand: PromptDemand, engines: EngineGroups): StepCost;
+    /** Of reading and decoding at one engine. */
+    ofBoth(demand: PromptDemand, engines: EngineGroups): StepCost;
     /** Whether all answers of a decoding engine keep their pauses while it reads the prompt. */
     bearsReading(step: PlacedStep, demand: PromptDemand): boolean;
 }
@@ -103,14 +106,14 @@
             const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
             return fill * scatter() + (isNear(target) ? 0 : otherZonePenalty);
         },
-        read: (step, { prompt, bodyBytes }, { readerHome }) => {
+        ofReading: ({ prompt, bodyBytes }, { readerHome }) => {
             const stray = estimatePrefill(sumShared(prompt), 0, false) * strayReadingFraction;
-            return workCost(step, bodyBytes) + strayCost(step, readerHome, stray);
+            return step => workCost(step, bodyBytes) + strayCost(step, readerHome, stray);
         },
-        decode: (step, demand, { decoderHome }) =>
+        ofDecoding: (demand, { decoderHome }) => step =>
             step.wait * scatter() + zoneCost(step.target, demand.bodyBytes) + pauseCost(demand, step.target)
             + strayCost(step, decoderHome, strayDecodingMilliseconds),
-        whole: (step, demand, { decoders }) =>
+        ofBoth: (demand, { decoders }) => step =>
             workCost(step, demand.bodyBytes) + pauseCost(demand, step.target)
             + decoders.indexOf(step.target) * readingOrderMilliseconds,
         bearsReading: ({ target, work }, { pauseAim, service }) => {
