Sight: prompts served by size, and a refusal's last line tells what it was judged by

A request_refused line held neither the prompt's tokens nor the forecast and bound it was judged by; on-time calls are sampled and lines are bounded, so no count by size could be had; and the ledger didn't split by size. Change: a call's last line repeats route, tokens, best forecast (begins), the caller's patience and whether it was deferred; a process logs prompts_by_size for each route every two seconds, counting every prompt; ledger --by-size sums that.

--- a/packages/daisyturn-cli/src/commands/ledgerCommand.ts
+++ b/packages/daisyturn-cli/src/commands/ledgerCommand.ts
@@ -1,15 +1,18 @@
 import type { Argv } from "yargs";
-import { collectCalls, type LedgerRow, summarizeCalls } from "../ledger/index.js";
+import { collectCalls, type LedgerRow, type SizeRow, summarizeCalls, sumSizes } from "../ledger/index.js";
 import { formatTable } from "../output/formatTable.js";
 import type { Terminal } from "../terminal.js";
-import { mergeEvents, openLogs } from "../timeLine/index.js";
+import { mergeEvents, openLogs, type TimedEvent } from "../timeLine/index.js";
 import type { CommonFlags } from "./commandContext.js";
 import { createProblemTeller, describeUnreadable } from "./logProblems.js";
 
 interface LedgerFlags extends CommonFlags {
     readonly logs: readonly string[];
+    readonly bySize: boolean;
 }
 
+const sizeHead = ["route", "part", "ended", "served", "against all"];
+const ratioDecimals = 2;
 const head = ["route", "outcome", "calls", "tokens", "first byte", "longest pause", "reading", "forecast"];
 
 /** `ledger` */
@@ -18,30 +21,56 @@
         "ledger <logs..>",
         "How forwarded calls ended, by route, with medians of their times; - is standard input",
         command =>
-            command.positional("logs", { type: "string", array: true, demandOption: true, describe: "Log files" }),
-        flags => showLedger(terminal, flags),
+            command
+                .positional("logs", { type: "string", array: true, demandOption: true, describe: "Log files" })
+                .option("by-size", {
+                    type: "boolean",
+                    default: false,
+                    describe: "How many prompts of each size were served, of all that ended",
+                }),
+        flags => flags.bySize ? showSizes(terminal, flags) : showLedger(terminal, flags),
     );
 }
 
 async function showLedger(terminal: Terminal, flags: LedgerFlags): Promise<void> {
+    const { calls, incomplete } = await readLogs(terminal, flags, collectCalls);
+    const rows = summarizeCalls(calls);
+    terminal.write(
+        flags.json ? `${JSON.stringify({ rows, incomplete })}\n` : formatTable(head, rows.map(listCells)),
+    );
+    if (incomplete > 0) {
+        terminal.writeError(`${incomplete} calls without their first or last line are left out\n`);
+    }
+}
+
+async function showSizes(terminal: Terminal, flags: LedgerFlags): Promise<void> {
+    const rows = await readLogs(terminal, flags, sumSizes);
+    terminal.write(flags.json ? `${JSON.stringify({ rows })}\n` : formatTable(sizeHead, rows.map(listSizeCells)));
+}
+
+/** Reads the logs in the order of their stamps, and tells of the lines that can't be read. */
+async function readLogs<Found>(
+    terminal: Terminal,
+    { logs }: LedgerFlags,
+    read: (events: AsyncIterable<TimedEvent>) => Promise<Found>,
+): Promise<Found> {
     const problems = createProblemTeller(terminal);
     try {
-        const { calls, incomplete } = await collectCalls(mergeEvents(openLogs(flags.logs, problems.tell)));
-        const rows = summarizeCalls(calls);
-        terminal.write(
-            flags.json ? `${JSON.stringify({ rows, incomplete })}\n` : formatTable(head, rows.map(listCells)),
-        );
-        if (incomplete > 0) {
-            terminal.writeError(`${incomplete} calls without their first or last line are left out\n`);
-        }
+        return await read(mergeEvents(openLogs(logs, problems.tell)));
     }
     catch (error) {
         throw describeUnreadable(error);
     }
-    problems.sum();
+    finally {
+        problems.sum();
+    }
 }
 
 function listCells(row: LedgerRow): readonly string[] {
     const amounts = [row.tokens, row.firstByte, row.longestPause, row.reading, row.forecastReading];
     return [row.route, row.outcome, String(row.calls), ...amounts.map(amount => String(amount ?? ""))];
 }
+
+function listSizeCells({ route, part, ended, served, ratio }: SizeRow): readonly string[] {
+    return [route, part, String(ended), String(served), ratio?.toFixed(ratioDecimals) ?? ""];
+}
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -16,6 +16,7 @@
     NoForwardingMetrics,
     openDatagramChannel,
     type RegisteredPeer,
+    reportSizeCounts,
     serveForwardedCall,
     shareLoads,
 } from "daisyturn/forwarding";
@@ -141,6 +142,7 @@
     const start = async () => {
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
+        void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
         follow();
         actWithPeers();
         await readiness.start();
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -25,6 +25,8 @@
     ClaimRecorded = "claim_recorded",
     ClaimReplayed = "claim_replayed",
     ClaimSettled = "claim_settled",
+    /** How many prompts of each size were served since the last such line. */
+    PromptsBySize = "prompts_by_size",
     ConfigurationAccepted = "configuration_accepted",
     ConfigurationRejected = "configuration_rejected",
     ConfigurationInForce = "configuration_in_force",
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/createSizeCounts.ts
@@ -0,0 +1,53 @@
+/** How many prompts of one route and of about one size ended, and how many of them were answered with success. */
+export interface SizeCount {
+    readonly route: string;
+    /** The class's least prompt, in tokens. */
+    readonly leastTokens: number;
+    readonly ended: number;
+    readonly served: number;
+}
+
+/**
+ * Counts prompts by size, whole and without sampling. Whether the largest are refused more often than the others shows in
+ * no mean, and single lines are sampled and bounded.
+ */
+export interface SizeCounts {
+    note(route: string, tokens: number, isServed: boolean): void;
+    /** What was counted since the last call, by route and size. */
+    take(): readonly SizeCount[];
+}
+
+/** Classes of size a doubling: fine enough to tell the largest tenth from the fifth below it. */
+const classesPerDoubling = 4;
+
+interface Count {
+    ended: number;
+    served: number;
+}
+
+/** Creates the counts of one process. */
+export function createSizeCounts(): SizeCounts {
+    let routes = new Map<string, Map<number, Count>>();
+    return {
+        note: (route, tokens, isServed) => {
+            const classes = routes.get(route) ?? new Map<number, Count>();
+            routes.set(route, classes);
+            const sizeClass = Math.floor(Math.log2(Math.max(1, tokens)) * classesPerDoubling);
+            const { ended, served } = classes.get(sizeClass) ?? { ended: 0, served: 0 };
+            classes.set(sizeClass, { ended: ended + 1, served: served + (isServed ? 1 : 0) });
+        },
+        take: () => {
+            const taken = routes;
+            routes = new Map();
+            return [...taken].flatMap(([route, classes]) =>
+                [...classes]
+                    .sort(([left], [right]) => left - right)
+                    .map(([sizeClass, count]) => ({ route, leastTokens: leastTokensOf(sizeClass), ...count }))
+            );
+        },
+    };
+}
+
+function leastTokensOf(sizeClass: number): number {
+    return Math.ceil(2 ** (sizeClass / classesPerDoubling));
+}
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./createSizeCounts.js";
 export * from "./experiments/mechanism.js";
 export * from "./experiments/switchOffViews.js";
 export * from "./forwardingMetrics.js";
@@ -12,6 +13,7 @@
 export * from "./placement/callPlacement.js";
 export * from "./placement/createCallPlacement.js";
 export * from "./placement/createLeastRunningPlacement.js";
+export * from "./reportSizeCounts.js";
 export * from "./shareLoads.js";
 export * from "./stages/changeStages.js";
 export * from "./stages/planStage.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/reportSizeCounts.ts
@@ -0,0 +1,38 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import type { SizeCount, SizeCounts } from "./createSizeCounts.js";
+
+/** What {@link reportSizeCounts} needs. */
+export interface ReportSizeCountsOptions {
+    readonly sizeCounts: SizeCounts;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Pause between two reports; a process that is killed loses what it has counted since the last one. */
+const reportMilliseconds = 2_000;
+
+/** Logs a line for each route whose prompts have ended since the last report, until the signal is aborted. */
+export async function reportSizeCounts(options: ReportSizeCountsOptions, signal: AbortSignal): Promise<void> {
+    const { sizeCounts, clock, eventLog } = options;
+    while (!signal.aborted) {
+        await clock.sleepUntil(clock.monotonicNow() + reportMilliseconds, signal);
+        groupByRoute(sizeCounts.take()).forEach((counts, route) => {
+            eventLog.record(EventKind.PromptsBySize, { route, sizes: counts.map(formatCount).join(",") });
+        });
+    }
+}
+
+/** Least tokens of the class, prompts served and prompts ended. */
+function formatCount({ leastTokens, served, ended }: SizeCount): string {
+    return `${leastTokens}:${served}/${ended}`;
+}
+
+function groupByRoute(counts: readonly SizeCount[]): ReadonlyMap<string, readonly SizeCount[]> {
+    const groups = new Map<string, SizeCount[]>();
+    for (const count of counts) {
+        const group = groups.get(count.route) ?? [];
+        group.push(count);
+        groups.set(count.route, group);
+    }
+    return groups;
+}
--- a/packages/daisyturn/src/request/forwarding/findLateness.ts
+++ b/packages/daisyturn/src/request/forwarding/findLateness.ts
@@ -11,11 +11,16 @@
     readonly deadline: number;
 }
 
+/** Monotonic time at which a caller leaves that has not had a first event. */
+export function findLeaveTime({ call, route, deadline }: JudgedCall): number {
+    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
+    return Math.min(call.arrivedAt + patience, deadline);
+}
+
 /**
  * Milliseconds by which an answer that begins at this time begins after its caller has left; 0 or less if it is still
  * there. What would begin later is refused at once: the caller knows, and no engine reads for nobody.
  */
-export function findLateness(beginsAt: number, { call, route, deadline }: JudgedCall): number {
-    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
-    return beginsAt - Math.min(call.arrivedAt + patience, deadline);
+export function findLateness(beginsAt: number, judged: JudgedCall): number {
+    return beginsAt - findLeaveTime(judged);
 }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -11,6 +11,7 @@
     Mechanism,
     PaceView,
     ReadingDemand,
+    SizeCounts,
     TargetHealth,
     TargetList,
     TargetLoads,
@@ -33,6 +34,7 @@
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
+    readonly sizeCounts: SizeCounts;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
     /** Every so many-th call that was answered on time is logged; all others are in any case. */
--- a/packages/daisyturn/src/request/forwarding/requestTrace.ts
+++ b/packages/daisyturn/src/request/forwarding/requestTrace.ts
@@ -7,6 +7,10 @@
  */
 export interface RequestTrace {
     note(kind: EventKind, fields: EventFields): void;
+    /** Fields that the last line repeats, so that it tells why the call ended even where the lines before it were dropped. */
+    repeatAtEnd(fields: EventFields): void;
+    /** Notes how the call ended. */
+    noteEnd(kind: EventKind, fields: EventFields): void;
     /** Logs what was noted, or forgets it. */
     end(isOrdinary: boolean): void;
 }
@@ -37,12 +41,18 @@
     const { eventLog, sampledCalls, callId, arrivedAt, now } = options;
     const notes: Note[] = [];
     const isSampled = hashTextTo32Bits(callId) % sampledCalls === 0;
+    let repeated: EventFields = {};
+    const note = (kind: EventKind, fields: EventFields) => {
+        if (notes.length < mostNotes) {
+            notes.push({ kind, fields: { request: callId, after: Math.round(now() - arrivedAt), ...fields } });
+        }
+    };
     return {
-        note: (kind, fields) => {
-            if (notes.length < mostNotes) {
-                notes.push({ kind, fields: { request: callId, after: Math.round(now() - arrivedAt), ...fields } });
-            }
+        note,
+        repeatAtEnd: fields => {
+            repeated = { ...repeated, ...fields };
         },
+        noteEnd: (kind, fields) => note(kind, { ...fields, ...repeated }),
         end: isOrdinary => {
             if (!isOrdinary || isSampled) {
                 notes.forEach(({ kind, fields }) => eventLog.record(kind, fields));
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -6,7 +6,7 @@
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
-import { findLateness } from "./findLateness.js";
+import { findLateness, findLeaveTime } from "./findLateness.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { sendToTarget } from "./sendToTarget.js";
 
@@ -47,7 +47,7 @@
         if (!way) {
             return err(concludeRun(run, describeNoTarget(run, parts.clock)));
         }
-        recordPlacement(run, way);
+        recordPlacement(parts, run, way);
         const lateness = findLateness(parts.clock.monotonicNow() + way.soonestEvent, run);
         const isGivenUp = lateness > 0 && !relay.hasBegun() && !parts.switchedOff.has(Mechanism.RefusalByForecast);
         if (isGivenUp) {
@@ -83,11 +83,15 @@
     }
 }
 
-function recordPlacement(
-    { trace }: CallRun,
-    { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred }: PromptWay,
-): void {
-    trace.note(EventKind.RequestPlaced, {
+function recordPlacement(parts: ForwardingParts, run: CallRun, way: PromptWay): void {
+    const { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred } = way;
+    const { arrivedAt } = run.call;
+    run.trace.repeatAtEnd({
+        begins: Math.round(parts.clock.monotonicNow() + soonestEvent - arrivedAt),
+        patience: Math.round(findLeaveTime(run) - arrivedAt),
+        deferred: isDeferred,
+    });
+    run.trace.note(EventKind.RequestPlaced, {
         reader: reader?.target.targetId,
         readerWait: reader && Math.round(reader.wait),
         readerWork: reader && Math.round(reader.work),
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -81,6 +81,7 @@
         remaining: Math.round(deadline - parts.clock.monotonicNow()),
         tokens: call.prompt?.promptTokens,
     });
+    trace.repeatAtEnd({ route: route.name, tokens: call.prompt?.promptTokens });
     return ok({
         run: createCallRun(call, route, service, pauseAim, exchange, life.signal, deadline, trace),
         end: life.end,
@@ -115,7 +116,10 @@
     const longestPause = run?.exchange.longestPause() ?? 0;
     const outcome = judgeOutcome(run, milliseconds, failure, reply);
     parts.metrics.noteCall(kind, outcome, milliseconds, longestPause);
-    trace.note(failure ? kindOfFailure(failure) : EventKind.RequestAnswered, {
+    if (run?.call.prompt) {
+        parts.sizeCounts.note(run.route.name, run.call.prompt.promptTokens, isServed(outcome));
+    }
+    trace.noteEnd(failure ? kindOfFailure(failure) : EventKind.RequestAnswered, {
         outcome,
         firstByte: Math.round(milliseconds),
         aim: run?.route.latencyAimMilliseconds,
@@ -129,6 +133,10 @@
     trace.end(outcome === CallOutcome.OnTime);
 }
 
+function isServed(outcome: CallOutcome): boolean {
+    return outcome === CallOutcome.OnTime || outcome === CallOutcome.Late || outcome === CallOutcome.Paused;
+}
+
 function kindOfFailure(failure: Failure): EventKind {
     return failure.reason === FailureReason.Cancelled ? EventKind.RequestCancelled : EventKind.RequestRefused;
 }
