A test that fails: under a lasting overload the longest prompts are hardly served

What callers saw: of the largest tenth of the seat plans less than half as many were served as of all. Cause: see the head of the test; a prompt is refused by its own forecast alone, so the queue settles where short ones just fit. Ruled out as the cause: a forecast that is too long. Change: the test, with a play of an overload that needs no network; KNOWN-RED.txt, whose files the run of all tests passes over and prints.

--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/__tests__/overload.test.ts
@@ -0,0 +1,26 @@
+/**
+ * Seen: on days of more long prompts than the engines can read, of the largest tenth less than half as many were served as
+ * of all; on other days of the same kind a little more than half, so it came and went.
+ * How it came about: with the engines overloaded, the queue grows until what comes is refused, and stays there. Short
+ * prompts just fit before their callers leave; the longest, which take a second to read, hardly ever do.
+ * Cause: a prompt was refused by its own forecast alone, in which its own reading counts, and nothing saw who had been
+ * refused before. Class: starvation by a bound that depends on the size of the job.
+ * Proof: served shares fall from tenth to tenth of the order of size, in the counts by size of each day played and here,
+ * where forecasts are exact, and nothing fails or is lost.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { playOverload, shareByTenth, shareServed } from "../__fixtures__/playOverload.js";
+
+/** The operators' bound: any part of the order of size is served at least so often, against all prompts of the kind. */
+const leastRatio = 0.5;
+
+for (const seed of [1, 2, 3, 4]) {
+    test(`under a lasting overload, the longest prompts are served at least half as often as all, seed ${seed}`, async () => {
+        const played = await playOverload({ seed, longPerSecond: 120, shortPerSecond: 60, seconds: 30 });
+        const all = shareServed(played);
+        const tenths = shareByTenth(played);
+        const ratio = Math.min(...tenths) / all;
+        assert.ok(ratio >= leastRatio, `served by tenth: ${tenths.map(share => share.toFixed(2)).join(" ")}`);
+    });
+}
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -2,6 +2,7 @@
 // Usage: node scripts/runTests.js [word ...]: only files whose path contains one of the words.
 import * as fs from "node:fs";
 import * as path from "node:path";
+import { readKnownRed } from "./knownRed.js";
 import { runInGroup } from "./runInGroup.js";
 
 const concurrentFiles = 6;
@@ -15,11 +16,15 @@
     return entries.filter(entry => entry.endsWith(".test.js")).map(entry => path.join(folder, entry));
 }
 
+function findSource(file) {
+    return file.includes(`${path.sep}dist${path.sep}`)
+        ? file.replace(`${path.sep}dist${path.sep}`, `${path.sep}src${path.sep}`).replace(/\.js$/, ".ts")
+        : file;
+}
+
 /** A compiled test whose source is gone is left over from an earlier build and must not run. */
 function hasSource(file) {
-    return fs.existsSync(
-        file.replace(`${path.sep}dist${path.sep}`, `${path.sep}src${path.sep}`).replace(/\.js$/, ".ts"),
-    );
+    return fs.existsSync(findSource(file));
 }
 
 function findTestFiles() {
@@ -44,7 +49,10 @@
 
 // Tests of whole fleets of processes measure no time but have deadlines of their own, so nothing else runs beside them.
 const isEndToEnd = file => file.includes(`${path.sep}endToEnd${path.sep}`);
-const files = findTestFiles();
+const red = readKnownRed(".");
+red.forEach(({ text }) => console.log(`Passed over, known to fail:\n${text}\n`));
+const redFiles = new Set(red.map(({ file }) => file));
+const files = findTestFiles().filter(file => words.length > 0 || !redFiles.has(findSource(file)));
 const status = await runFiles(files.filter(file => !isEndToEnd(file)), concurrentFiles);
 const endToEndStatus = await runFiles(files.filter(isEndToEnd), 1);
 process.exit(Math.max(status, endToEndStatus));
