The longest prompts are owed service: an account by size corrects what refusals by forecast do to them

Cause: a prompt is refused where waiting and its own reading end after its caller has left. Under a lasting overload the queue grows until what comes is refused and settles where short prompts just fit; besides, a prompt that is late by its own length goes behind all that can be on time. Nothing saw who had been refused. Change: each route's last 64 prompts are kept with whether they were served. One that would be refused while those as long as it (the longest tenth at least) got under 0.6 of the service of all keeps its place among those that can be on time. Half is promised; the rest covers what is lost after it was admitted. Its price is paid only where the longest are short.

--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -50,6 +50,7 @@
         isWholeOnly: false,
         aim: 500,
         pauseAim: 150,
+        mayDefer: true,
         ...changes,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
+++ b/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
@@ -19,6 +19,8 @@
     Deferral = "deferral",
     /** A call whose answer would begin after its caller has left is refused at once. */
     RefusalByForecast = "refusal-by-forecast",
+    /** Long prompts that were refused too often keep their place before those that will be late. */
+    SizeFairness = "size-fairness",
     /** Processes tell each other what they have under way. */
     PeerMessages = "peer-messages",
     /** Targets that fail are left alone and tried again by few calls. */
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -9,6 +9,7 @@
 export * from "./experiments/switchOffViews.js";
 export * from "./forwardingMetrics.js";
 export * from "./limits/createOverloadGuard.js";
+export * from "./limits/createSizeFairness.js";
 export * from "./limits/createWindowedRetryBudget.js";
 export * from "./placement/callPlacement.js";
 export * from "./placement/createCallPlacement.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createSizeFairness.test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSizeFairness, type SizeFairness } from "../createSizeFairness.js";
+
+/** Takes prompts of these lengths in, of which those of a length in the second list are not served. */
+function account(fairness: SizeFairness, lengths: readonly number[], unserved: readonly number[], route = "route") {
+    for (const tokens of lengths) {
+        const prompt = fairness.begin(route, tokens);
+        if (unserved.includes(tokens)) {
+            prompt.noteUnserved();
+        }
+    }
+}
+
+const tenLengths = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10].map(step => step * 1_000);
+const forty = [...tenLengths, ...tenLengths, ...tenLengths, ...tenLengths];
+
+describe("fairness by size", () => {
+    it("owes the longest prompts service where they alone are refused", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, [10_000]);
+        assert.equal(fairness.begin("route", 10_000).isOwed(), true);
+        assert.equal(fairness.begin("route", 50_000).isOwed(), true);
+        assert.equal(fairness.begin("route", 1_000).isOwed(), false);
+        assert.equal(fairness.begin("route", 6_000).isOwed(), false);
+    });
+
+    it("owes nobody anything where all lengths are refused alike, or none", () => {
+        for (const unserved of [[], tenLengths]) {
+            tenLengths.forEach(tokens => {
+                const fairness = createSizeFairness();
+                account(fairness, forty, unserved);
+                assert.equal(fairness.begin("route", tokens).isOwed(), false);
+            });
+        }
+    });
+
+    it("does not go by a single one, the longest of all, which no other is like", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, []);
+        account(fairness, [60_000], [60_000]);
+        assert.equal(fairness.begin("route", 60_000).isOwed(), false);
+    });
+
+    it("is even once the longest are served again, and forgets what lies far back", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, [10_000]);
+        account(fairness, forty, []);
+        account(fairness, forty, []);
+        assert.equal(fairness.begin("route", 10_000).isOwed(), false);
+    });
+
+    it("keeps the account of each route by itself, and says nothing of a route that is hardly known", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, [10_000], "other");
+        assert.equal(fairness.begin("route", 10_000).isOwed(), false);
+        account(fairness, [1_000, 1_000, 10_000], [10_000]);
+        assert.equal(fairness.begin("route", 10_000).isOwed(), false);
+    });
+});
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -40,6 +40,8 @@
     readonly isWholeOnly: boolean;
     /** Milliseconds within which the first event is on time. */
     readonly aim: number;
+    /** Whether the prompt may be made to wait for others once it can't be on time. */
+    readonly mayDefer: boolean;
     /** Shortest pause that the service's answers may make, in milliseconds. */
     readonly pauseAim: number;
 }
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -101,7 +101,7 @@
         const engines = isOn(Mechanism.Homes) ? groups : { ...groups, readerHome: undefined, decoderHome: undefined };
         const way = findCheapest(demand, engines, false);
         const isLate = way !== undefined && way.firstEvent > demand.aim;
-        return isLate && isOn(Mechanism.Deferral) ? findCheapest(demand, engines, true) : way;
+        return isLate && demand.mayDefer && isOn(Mechanism.Deferral) ? findCheapest(demand, engines, true) : way;
     };
 
     class EstimatedPlacement extends CallPlacement {
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -1,13 +1,11 @@
-import { createSeededRandom, type Random } from "daisyturn-utils";
+import { createSeededRandom, MemoryEventLog, type Random } from "daisyturn-utils";
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage } from "../../../ports/listedTarget.js";
-import {
-    createDemand,
-    createPlacementBench,
-    engineService,
-} from "../../../process/forwarding/__fixtures__/placementBench.js";
-import type { PromptWay } from "../../../process/forwarding/index.js";
-import { findLateness, findLeaveTime, type JudgedCall } from "../findLateness.js";
+import { createPlacementBench, engineService } from "../../../process/forwarding/__fixtures__/placementBench.js";
+import { createSizeFairness, type Mechanism, type PromptWay } from "../../../process/forwarding/index.js";
+import { type AdmissionParts, admitPrompt, type AdmittedRun } from "../admitPrompt.js";
+import { findLeaveTime } from "../findLateness.js";
+import { createRequestTrace } from "../requestTrace.js";
 
 /** A stretch of time in which more prompts come than the engines can read, and how it is played. */
 export interface Overload {
@@ -17,6 +15,8 @@
     /** Short prompts a second, each a few milliseconds of reading. */
     readonly shortPerSecond: number;
     readonly seconds: number;
+    /** What an experiment takes out. */
+    readonly switchedOff?: ReadonlySet<Mechanism>;
 }
 
 /** A long prompt, and whether its answer began before its caller left. */
@@ -44,6 +44,7 @@
 const meanOwnTokens = 2_000;
 const ownSpread = 1.1;
 const shortTokens = 380;
+const bytesPerToken = 2;
 const stages = [...Array<EngineStage>(3).fill(EngineStage.Prefill), ...Array<EngineStage>(5).fill(EngineStage.Decode)];
 
 /**
@@ -51,37 +52,44 @@
  * the speed that is forecast, more urgent prompts first, in order of arrival among equals. Callers who have had no event
  * when their patience ends leave.
  */
-export async function playOverload({ seed, longPerSecond, shortPerSecond, seconds }: Overload) {
+export async function playOverload(
+    { seed, longPerSecond, shortPerSecond, seconds, switchedOff = new Set() }: Overload,
+) {
     const random = createSeededRandom(seed);
     const { placement, loads, caches, clock } = createPlacementBench(stages, seed);
+    const parts: AdmissionParts = { placement, clock, switchedOff };
+    const sizeFairness = createSizeFairness();
     const queues = new Map<string, QueuedPrompt[]>();
     const played: PlayedPrompt[] = [];
     const texts = Array.from({ length: sharedTexts }, () => drawTokens(random, meanSharedTokens, sharedSpread));
     let count = 0;
 
-    const arrive = (prompt: PromptDescription, onEnd: (isServed: boolean) => void) => {
-        const arrivedAt = clock.monotonicNow();
-        const judged: JudgedCall = {
-            call: { arrivedAt },
-            route: { latencyAimMilliseconds },
-            deadline: arrivedAt + patienceMilliseconds,
+    const arrive = (kind: string, prompt: PromptDescription, onEnd: (isServed: boolean) => void) => {
+        const run = createRun(clock.monotonicNow(), prompt);
+        const account = sizeFairness.begin(kind, prompt.promptTokens);
+        const end = (isServed: boolean) => {
+            if (!isServed) {
+                account.noteUnserved();
+            }
+            onEnd(isServed);
         };
-        const way = placement.placePrompt(createDemand(prompt, { aim: latencyAimMilliseconds * 0.85 }));
-        if (!way || findLateness(arrivedAt + way.soonestEvent, judged) > 0) {
-            onEnd(false);
+        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
+        if (admitted.isErr) {
+            end(false);
             return;
         }
+        const way = admitted.value;
         const step = way.prefill ?? way.decode;
         const { targetId } = step.target;
         const placed = loads.begin(targetId, { work: step.work, isDeferred: way.isDeferred, tokens: 0 });
         caches.note(targetId, prompt.parts, engineService.engine?.kvTokens ?? 0);
         const finish = (isServed: boolean) => {
             placed.end();
-            onEnd(isServed);
+            end(isServed);
         };
         const queue = queues.get(targetId) ?? [];
         queues.set(targetId, queue);
-        queue.push({ way, left: step.leastWork, leavesAt: findLeaveTime(judged), finish });
+        queue.push({ way, left: step.leastWork, leavesAt: findLeaveTime(run), finish });
     };
 
     const createLong = (): PromptDescription => {
@@ -102,10 +110,10 @@
         count += 1;
         if (random.fraction() < longPerSecond * sliceMilliseconds / millisecondsPerSecond) {
             const prompt = createLong();
-            arrive(prompt, isServed => played.push({ tokens: prompt.promptTokens, isServed }));
+            arrive("long", prompt, isServed => played.push({ tokens: prompt.promptTokens, isServed }));
         }
         if (random.fraction() < shortPerSecond * sliceMilliseconds / millisecondsPerSecond) {
-            arrive(createShort(), () => undefined);
+            arrive("short", createShort(), () => undefined);
         }
         await clock.advance(sliceMilliseconds);
         queues.forEach((queue, targetId) => queues.set(targetId, work(queue, clock.monotonicNow())));
@@ -126,6 +134,24 @@
     return played.filter(({ isServed }) => isServed).length / played.length;
 }
 
+function createRun(arrivedAt: number, { promptTokens }: PromptDescription): AdmittedRun {
+    return {
+        call: { arrivedAt, body: Buffer.alloc(promptTokens * bytesPerToken) },
+        service: engineService,
+        route: { latencyAimMilliseconds },
+        deadline: arrivedAt + patienceMilliseconds,
+        pauseAim: 150,
+        avoid: new Set(),
+        trace: createRequestTrace({
+            eventLog: new MemoryEventLog(),
+            sampledCalls: 1,
+            callId: "a",
+            arrivedAt,
+            now: () => arrivedAt,
+        }),
+    };
+}
+
 const answerLimits = { model: "m", maxOutputTokens: 200, expectedOutputTokens: 100 };
 
 /** One slice of an engine's time; gives back what is still waiting. */
--- a/packages/daisyturn/src/request/forwarding/__tests__/overload.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/overload.test.ts
@@ -10,17 +10,25 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Mechanism } from "../../../process/forwarding/index.js";
 import { playOverload, shareByTenth, shareServed } from "../__fixtures__/playOverload.js";
 
 /** The operators' bound: any part of the order of size is served at least so often, against all prompts of the kind. */
 const leastRatio = 0.5;
 
+const overload = { longPerSecond: 120, shortPerSecond: 60, seconds: 30 };
+
 for (const seed of [1, 2, 3, 4]) {
     test(`under a lasting overload, the longest prompts are served at least half as often as all, seed ${seed}`, async () => {
-        const played = await playOverload({ seed, longPerSecond: 120, shortPerSecond: 60, seconds: 30 });
+        const played = await playOverload({ seed, ...overload });
         const all = shareServed(played);
         const tenths = shareByTenth(played);
         const ratio = Math.min(...tenths) / all;
         assert.ok(ratio >= leastRatio, `served by tenth: ${tenths.map(share => share.toFixed(2)).join(" ")}`);
     });
+
+    test(`without the account by size, the same overload starves them, seed ${seed}`, async () => {
+        const played = await playOverload({ seed, ...overload, switchedOff: new Set([Mechanism.SizeFairness]) });
+        assert.ok((shareByTenth(played).at(-1) ?? 0) < leastRatio * shareServed(played));
+    });
 }
--- a/packages/daisyturn/src/request/forwarding/callRun.ts
+++ b/packages/daisyturn/src/request/forwarding/callRun.ts
@@ -96,7 +96,7 @@
 }
 
 /** Nobody can take the call now. */
-export function describeNoTarget(run: CallRun, clock: Clock): Failure {
+export function describeNoTarget(run: Pick<CallRun, "service">, clock: Clock): Failure {
     const message = `No target of service ${run.service.name} is open.`;
     return notRun(FailureReason.NoTarget, message, clock.wallNow() + noTargetRetryMilliseconds);
 }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -12,6 +12,7 @@
     PaceView,
     ReadingDemand,
     SizeCounts,
+    SizeFairness,
     TargetHealth,
     TargetList,
     TargetLoads,
@@ -35,6 +36,7 @@
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
     readonly sizeCounts: SizeCounts;
+    readonly sizeFairness: SizeFairness;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
     /** Every so many-th call that was answered on time is logged; all others are in any case. */
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -2,11 +2,11 @@
 import { err, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
-import { countTokens, Mechanism, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
+import { type AccountedPrompt, countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
+import { admitPrompt } from "./admitPrompt.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
-import { type CallRun, concludeRun, describeNoTarget, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
+import { type CallRun, concludeRun, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
-import { findLateness, findLeaveTime } from "./findLateness.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { sendToTarget } from "./sendToTarget.js";
 
@@ -16,11 +16,8 @@
 /** Priorities of routes start here, and as many follow for calls that are late. The target's range is 0 to 9. */
 const firstUrgency = 2;
 const mostPriorities = 4;
-/** An answer is planned to be on time by this part of its aim: the rest covers what estimates are off. */
-const aimFraction = 0.85;
 /** A release that takes longer is left to the cache's own end. */
 const releaseMilliseconds = 500;
-const tooLateMessage = "The answer would begin too late.";
 const lateRelease = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
 
 /**
@@ -31,29 +28,30 @@
     parts: ForwardingParts,
     run: CallRun,
     prompt: PromptDescription,
+): Promise<Result<CallAnswer, Failure>> {
+    const account = parts.sizeFairness.begin(run.route.name, prompt.promptTokens);
+    const answer = await answerPrompt(parts, run, prompt, account);
+    if (answer.isErr) {
+        account.noteUnserved();
+    }
+    return answer;
+}
+
+async function answerPrompt(
+    parts: ForwardingParts,
+    run: CallRun,
+    prompt: PromptDescription,
+    account: AccountedPrompt,
 ): Promise<Result<CallAnswer, Failure>> {
     const relay = createEventRelay(run.exchange);
     let prefills = 0;
     for (;;) {
-        const way = parts.placement.placePrompt({
-            service: run.service,
-            prompt,
-            bodyBytes: run.call.body.length,
-            avoid: run.avoid,
-            isWholeOnly: prefills >= mostPrefills,
-            pauseAim: run.pauseAim,
-            aim: run.call.arrivedAt + run.route.latencyAimMilliseconds * aimFraction - parts.clock.monotonicNow(),
-        });
-        if (!way) {
-            return err(concludeRun(run, describeNoTarget(run, parts.clock)));
-        }
-        recordPlacement(parts, run, way);
-        const lateness = findLateness(parts.clock.monotonicNow() + way.soonestEvent, run);
-        const isGivenUp = lateness > 0 && !relay.hasBegun() && !parts.switchedOff.has(Mechanism.RefusalByForecast);
-        if (isGivenUp) {
-            const retryAt = parts.clock.wallNow() + lateness;
-            return err(concludeRun(run, notRun(FailureReason.DeadlineUnreachable, tooLateMessage, retryAt)));
+        const isWholeOnly = prefills >= mostPrefills;
+        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly, hasBegun: relay.hasBegun() });
+        if (admitted.isErr) {
+            return err(concludeRun(run, admitted.error));
         }
+        const way = admitted.value;
         parts.demand.note(run.service.name, way.reading);
         let kvSource: KvSource | undefined;
         if (way.prefill) {
@@ -83,27 +81,6 @@
     }
 }
 
-function recordPlacement(parts: ForwardingParts, run: CallRun, way: PromptWay): void {
-    const { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred } = way;
-    const { arrivedAt } = run.call;
-    run.trace.repeatAtEnd({
-        begins: Math.round(parts.clock.monotonicNow() + soonestEvent - arrivedAt),
-        patience: Math.round(findLeaveTime(run) - arrivedAt),
-        deferred: isDeferred,
-    });
-    run.trace.note(EventKind.RequestPlaced, {
-        reader: reader?.target.targetId,
-        readerWait: reader && Math.round(reader.wait),
-        readerWork: reader && Math.round(reader.work),
-        target: decoder.target.targetId,
-        wait: Math.round(decoder.wait),
-        work: Math.round(decoder.work),
-        firstEvent: Math.round(firstEvent),
-        soonest: Math.round(soonestEvent),
-        deferred: isDeferred,
-    });
-}
-
 /** Reading a prompt makes no answer, so it may be repeated whatever the route says. */
 function toRepeatable(failure: Failure): Failure {
     return { ...failure, verdict: ExecutionVerdict.NotRun };
