Callers who bear long pauses are not refused while they still wait

What callers saw: on a route that allows pauses of over a quarter of a second, a prompt was refused as too late while its caller would still have waited. Cause: callers wait for the longest of two seconds, four aims and eight allowed pauses; the bound by which a prompt is refused knew the first two. Change: findLeaveTime takes the third; the test failed before (first half of it: 5,800 of 9,000 ms counted as 2,400 late). Result: findLateness.test.ts, 1 of 2 before, 2 of 2 after.

--- a/packages/daisyturn/src/request/forwarding/__tests__/findLateness.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/findLateness.test.ts
@@ -13,3 +13,17 @@
     assert.equal(findLateness(3_500, createCall(600, 9_000)), 100);
     assert.equal(findLateness(2_500, createCall(600, 2_200)), 300);
 });
+
+/**
+ * Seen: on a route that allows long pauses, callers who would have waited on were refused as if they had left.
+ * Cause: the bound knew two of the three times of which the longest counts; eight allowed pauses was missing.
+ * Proof: a caller of a route with pauses of 600 ms waits for 4.8 s.
+ */
+test("callers who bear long pauses wait for eight of them", () => {
+    const { call, deadline } = createCall(600, 9_000);
+    const route = { latencyAimMilliseconds: 600, pauseAimMilliseconds: 600 };
+    assert.equal(findLateness(5_800, { call, route, deadline }), 0);
+    assert.equal(findLateness(5_900, { call, route, deadline }), 100);
+    const shortPauses = { ...route, pauseAimMilliseconds: 150 };
+    assert.equal(findLateness(3_500, { call, route: shortPauses, deadline }), 100);
+});
--- a/packages/daisyturn/src/request/forwarding/findLateness.ts
+++ b/packages/daisyturn/src/request/forwarding/findLateness.ts
@@ -1,19 +1,25 @@
 import type { CallRun } from "./callRun.js";
 
-/** Callers wait for the first event of a stream for so long, or so many times the aim. */
+/** Callers wait for the first event of a stream for so long, or so many aims or allowed pauses, whichever is longest. */
 const leastPatienceMilliseconds = 2_000;
 const patienceAims = 4;
+const patiencePauses = 8;
 
 /** What a call is judged by. Times are monotonic. */
 export interface JudgedCall {
     readonly call: Pick<CallRun["call"], "arrivedAt">;
-    readonly route: Pick<CallRun["route"], "latencyAimMilliseconds">;
+    readonly route: Pick<CallRun["route"], "latencyAimMilliseconds" | "pauseAimMilliseconds">;
     readonly deadline: number;
 }
 
 /** Monotonic time at which a caller leaves that has not had a first event. */
 export function findLeaveTime({ call, route, deadline }: JudgedCall): number {
-    const patience = Math.max(leastPatienceMilliseconds, patienceAims * route.latencyAimMilliseconds);
+    const { latencyAimMilliseconds, pauseAimMilliseconds = 0 } = route;
+    const patience = Math.max(
+        leastPatienceMilliseconds,
+        patienceAims * latencyAimMilliseconds,
+        patiencePauses * pauseAimMilliseconds,
+    );
     return Math.min(call.arrivedAt + patience, deadline);
 }
 
