A prompt's way is taken in a function of its own; a run starts from named values

Cause: the loop over engines held the reading, the decoding and what follows from each failure in fifty lines, and createCallRun took eight values by their place. Change: takeWay tries one way and says which step failed and how that counts for another attempt; answerPrompt goes from one way to the next. No behaviour changes.

--- a/packages/daisyturn/src/request/forwarding/callRun.ts
+++ b/packages/daisyturn/src/request/forwarding/callRun.ts
@@ -33,31 +33,9 @@
 /** With less time left, another attempt would only add load. */
 const leastRetryMilliseconds = 30;
 
-/** Starts the run of a call. */
-export function createCallRun(
-    call: ForwardedCall,
-    route: ForwardRoute,
-    service: ForwardService,
-    pauseAim: number,
-    exchange: ForwardExchange,
-    signal: AbortSignal,
-    deadline: number,
-    trace: RequestTrace,
-): CallRun {
-    const history = createFailureHistory();
-    return {
-        call,
-        route,
-        service,
-        pauseAim,
-        exchange,
-        signal,
-        deadline,
-        history,
-        trace,
-        avoid: new Set(),
-        sentTo: new Set(),
-    };
+/** Starts the run of a call, of which nothing has been tried yet. */
+export function createCallRun(start: Omit<CallRun, "history" | "avoid" | "sentTo">): CallRun {
+    return { ...start, history: createFailureHistory(), avoid: new Set(), sentTo: new Set() };
 }
 
 /** Whether a call that may have run may be sent again, from the last event on where it is a stream. */
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -1,7 +1,8 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
-import { err, type Result } from "true-myth/result";
+import { err, ok, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../ports/listedTarget.js";
 import { type AccountedPrompt, countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
@@ -37,6 +38,7 @@
     return answer;
 }
 
+/** Tries one way after the other, until one answers or no other may be tried. */
 async function answerPrompt(
     parts: ForwardingParts,
     run: CallRun,
@@ -52,33 +54,55 @@
             return err(concludeRun(run, admitted.error));
         }
         const way = admitted.value;
+        prefills += way.prefill ? 1 : 0;
         parts.demand.note(run.service.name, way.reading);
-        let kvSource: KvSource | undefined;
-        if (way.prefill) {
-            prefills += 1;
-            const prefilled = await prefill(parts, run, prompt, way, way.prefill);
-            if (prefilled.isErr) {
-                run.avoid.add(way.prefill.target.targetId);
-                if (!mayTryAgain(parts, run, toRepeatable(prefilled.error), hasReached(prefilled.error))) {
-                    return err(concludeRun(run, prefilled.error));
-                }
-                continue;
-            }
-            kvSource = prefilled.value;
-        }
-        const decoded = await decode(parts, run, prompt, way, kvSource, relay);
-        if (decoded.isOk) {
-            return decoded;
+        const answer = await takeWay(parts, run, prompt, way, relay);
+        if (answer.isOk) {
+            return ok(answer.value);
         }
-        if (kvSource && !hasBeenFetched(decoded.error)) {
-            releaseKv(parts, run, kvSource);
+        const { target, failure, judged } = answer.error;
+        run.avoid.add(target.targetId);
+        if (!mayTryAgain(parts, run, judged, hasReached(failure))) {
+            return err(concludeRun(run, failure));
         }
-        run.avoid.add(way.decode.target.targetId);
-        relay.dropPartialEvent();
-        if (!mayTryAgain(parts, run, decoded.error, hasReached(decoded.error))) {
-            return err(concludeRun(run, decoded.error));
+    }
+}
+
+/** A step of a way that failed. */
+interface FailedStep {
+    readonly target: ListedTarget;
+    readonly failure: Failure;
+    /** The failure as it counts for another attempt. */
+    readonly judged: Failure;
+}
+
+/** Has the prompt read, where that is done apart, and answered. */
+async function takeWay(
+    parts: ForwardingParts,
+    run: CallRun,
+    prompt: PromptDescription,
+    way: PromptWay,
+    relay: EventRelay,
+): Promise<Result<CallAnswer, FailedStep>> {
+    let kvSource: KvSource | undefined;
+    if (way.prefill) {
+        const prefilled = await prefill(parts, run, prompt, way, way.prefill);
+        if (prefilled.isErr) {
+            const failure = prefilled.error;
+            return err({ target: way.prefill.target, failure, judged: toRepeatable(failure) });
         }
+        kvSource = prefilled.value;
+    }
+    const decoded = await decode(parts, run, prompt, way, kvSource, relay);
+    if (decoded.isOk) {
+        return ok(decoded.value);
+    }
+    const failure = decoded.error;
+    if (kvSource && !hasBeenFetched(failure)) {
+        releaseKv(parts, run, kvSource);
     }
+    relay.dropPartialEvent();
+    return err({ target: way.decode.target, failure, judged: failure });
 }
 
 /** Reading a prompt makes no answer, so it may be repeated whatever the route says. */
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -83,7 +83,7 @@
     });
     trace.repeatAtEnd({ route: route.name, tokens: call.prompt?.promptTokens });
     return ok({
-        run: createCallRun(call, route, service, pauseAim, exchange, life.signal, deadline, trace),
+        run: createCallRun({ call, route, service, pauseAim, exchange, signal: life.signal, deadline, trace }),
         end: life.end,
     });
 }
