The played overload in three parts: its prompts, its engines, its process

Cause: one function of sixty lines held arrivals, admission and engines. Change: createOverloadPrompts, createPlayedEngines, playOverload; names and comments of the account by size say what is owed.

--- a/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
+++ b/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
@@ -19,7 +19,7 @@
     Deferral = "deferral",
     /** A call whose answer would begin after its caller has left is refused at once. */
     RefusalByForecast = "refusal-by-forecast",
-    /** Long prompts that were refused too often keep their place before those that will be late. */
+    /** Long prompts whose like were served too seldom keep their place before those that will be late. */
     SizeFairness = "size-fairness",
     /** Processes tell each other what they have under way. */
     PeerMessages = "peer-messages",
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -1,6 +1,6 @@
 /** A prompt that is under way, in the account of its route. */
 export interface AccountedPrompt {
-    /** Whether prompts of about this length or longer were served too seldom of late to have this one refused as well. */
+    /** Whether prompts as long as this one were served so seldom of late that it should not be refused as well. */
     isOwed(): boolean;
     /** The prompt was refused, or failed, or its caller left. */
     noteUnserved(): void;
@@ -15,7 +15,7 @@
     begin(route: string, tokens: number): AccountedPrompt;
 }
 
-/** The last prompts of a route that count: those of some ten seconds at one process. */
+/** The last prompts of a route that count: enough that several are among the longest tenth. */
 const rememberedPrompts = 64;
 /** Fewer prompts than this do not tell how often any length is served. */
 const fewestPrompts = 8;
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -1,11 +1,13 @@
-import { createSeededRandom, MemoryEventLog, type Random } from "daisyturn-utils";
+import { createSeededRandom, MemoryEventLog } from "daisyturn-utils";
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage } from "../../../ports/listedTarget.js";
 import { createPlacementBench, engineService } from "../../../process/forwarding/__fixtures__/placementBench.js";
-import { createSizeFairness, type Mechanism, type PromptWay } from "../../../process/forwarding/index.js";
-import { type AdmissionParts, admitPrompt, type AdmittedRun } from "../admitPrompt.js";
+import { createSizeFairness, type Mechanism } from "../../../process/forwarding/index.js";
+import { type AdmissionParts, admitPrompt } from "../admitPrompt.js";
 import { findLeaveTime } from "../findLateness.js";
 import { createRequestTrace } from "../requestTrace.js";
+import { createOverloadPrompts } from "./createOverloadPrompts.js";
+import { createPlayedEngines } from "./createPlayedEngines.js";
 
 /** A stretch of time in which more prompts come than the engines can read, and how it is played. */
 export interface Overload {
@@ -25,98 +27,40 @@
     readonly isServed: boolean;
 }
 
-interface QueuedPrompt {
-    readonly way: PromptWay;
-    readonly leavesAt: number;
-    readonly finish: (isServed: boolean) => void;
-    left: number;
-}
+type PlayedRun = ReturnType<typeof createRun>;
+type EndListener = (isServed: boolean) => void;
 
 const sliceMilliseconds = 5;
 const millisecondsPerSecond = 1_000;
 const latencyAimMilliseconds = 600;
-const patienceMilliseconds = 6_000;
-/** Texts that long prompts begin with: their mean length, its spread in powers of e, and how many there are. */
-const sharedTexts = 47;
-const meanSharedTokens = 10_500;
-const sharedSpread = 0.7;
-/** What a long prompt adds to its text. */
-const meanOwnTokens = 2_000;
-const ownSpread = 1.1;
-const shortTokens = 380;
+const deadlineMilliseconds = 6_000;
+const pauseAimMilliseconds = 150;
 const bytesPerToken = 2;
-const stages = [...Array<EngineStage>(3).fill(EngineStage.Prefill), ...Array<EngineStage>(5).fill(EngineStage.Decode)];
+const { Prefill, Decode } = EngineStage;
+const stages = [Prefill, Prefill, Prefill, Decode, Decode, Decode, Decode, Decode];
 
 /**
  * Plays an overload without a network: one process places and refuses the prompts, and each engine reads what it was sent at
- * the speed that is forecast, more urgent prompts first, in order of arrival among equals. Callers who have had no event
- * when their patience ends leave.
+ * the speed that is forecast. Callers who have had no event when their patience ends leave.
+ * @returns the long prompts
  */
-export async function playOverload(
-    { seed, longPerSecond, shortPerSecond, seconds, switchedOff = new Set() }: Overload,
-) {
+export async function playOverload(overload: Overload): Promise<readonly PlayedPrompt[]> {
+    const { seed, longPerSecond, shortPerSecond, seconds } = overload;
     const random = createSeededRandom(seed);
-    const { placement, loads, caches, clock } = createPlacementBench(stages, seed);
-    const parts: AdmissionParts = { placement, clock, switchedOff };
-    const sizeFairness = createSizeFairness();
-    const queues = new Map<string, QueuedPrompt[]>();
+    const prompts = createOverloadPrompts(random);
+    const { arrive, work } = createPlayedProcess(overload);
+    const isDue = (perSecond: number) => random.fraction() < perSecond * sliceMilliseconds / millisecondsPerSecond;
     const played: PlayedPrompt[] = [];
-    const texts = Array.from({ length: sharedTexts }, () => drawTokens(random, meanSharedTokens, sharedSpread));
-    let count = 0;
 
-    const arrive = (kind: string, prompt: PromptDescription, onEnd: (isServed: boolean) => void) => {
-        const run = createRun(clock.monotonicNow(), prompt);
-        const account = sizeFairness.begin(kind, prompt.promptTokens);
-        const end = (isServed: boolean) => {
-            if (!isServed) {
-                account.noteUnserved();
-            }
-            onEnd(isServed);
-        };
-        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
-        if (admitted.isErr) {
-            end(false);
-            return;
-        }
-        const way = admitted.value;
-        const step = way.prefill ?? way.decode;
-        const { targetId } = step.target;
-        const placed = loads.begin(targetId, { work: step.work, isDeferred: way.isDeferred, tokens: 0 });
-        caches.note(targetId, prompt.parts, engineService.engine?.kvTokens ?? 0);
-        const finish = (isServed: boolean) => {
-            placed.end();
-            end(isServed);
-        };
-        const queue = queues.get(targetId) ?? [];
-        queues.set(targetId, queue);
-        queue.push({ way, left: step.leastWork, leavesAt: findLeaveTime(run), finish });
-    };
-
-    const createLong = (): PromptDescription => {
-        const text = Math.floor(random.fraction() * sharedTexts);
-        const shared = texts[text] ?? meanSharedTokens;
-        const own = drawTokens(random, meanOwnTokens, ownSpread);
-        const parts = [{ partId: `text-${text}`, tokens: shared }, { partId: `own-${count}`, tokens: own }];
-        return { ...answerLimits, promptTokens: shared + own, parts };
-    };
-
-    const createShort = (): PromptDescription => ({
-        ...answerLimits,
-        promptTokens: shortTokens,
-        parts: [{ partId: `short-${count}`, tokens: shortTokens }],
-    });
-
-    for (let slice = 0; slice < seconds * millisecondsPerSecond / sliceMilliseconds; slice++) {
-        count += 1;
-        if (random.fraction() < longPerSecond * sliceMilliseconds / millisecondsPerSecond) {
-            const prompt = createLong();
+    for (let slice = 1; slice <= seconds * millisecondsPerSecond / sliceMilliseconds; slice++) {
+        if (isDue(longPerSecond)) {
+            const prompt = prompts.createLong(`own-${slice}`);
             arrive("long", prompt, isServed => played.push({ tokens: prompt.promptTokens, isServed }));
         }
-        if (random.fraction() < shortPerSecond * sliceMilliseconds / millisecondsPerSecond) {
-            arrive("short", createShort(), () => undefined);
+        if (isDue(shortPerSecond)) {
+            arrive("short", prompts.createShort(`short-${slice}`), () => undefined);
         }
-        await clock.advance(sliceMilliseconds);
-        queues.forEach((queue, targetId) => queues.set(targetId, work(queue, clock.monotonicNow())));
+        await work();
     }
     return played;
 }
@@ -134,14 +78,53 @@
     return played.filter(({ isServed }) => isServed).length / played.length;
 }
 
-function createRun(arrivedAt: number, { promptTokens }: PromptDescription): AdmittedRun {
+/** One process before its engines. */
+function createPlayedProcess({ seed, switchedOff = new Set() }: Overload) {
+    const { placement, loads, caches, clock } = createPlacementBench(stages, seed);
+    const parts: AdmissionParts = { placement, clock, switchedOff };
+    const sizeFairness = createSizeFairness();
+    const engines = createPlayedEngines();
+
+    const send = (run: PlayedRun, prompt: PromptDescription, onEnd: EndListener) => {
+        const account = sizeFairness.begin(run.route.name, prompt.promptTokens);
+        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
+        if (admitted.isErr) {
+            account.noteUnserved();
+            onEnd(false);
+            return;
+        }
+        const { prefill, decode, isDeferred } = admitted.value;
+        const { target: { targetId }, work, leastWork } = prefill ?? decode;
+        const placed = loads.begin(targetId, { work, isDeferred, tokens: 0 });
+        caches.note(targetId, prompt.parts, engineService.engine?.kvTokens ?? 0);
+        const end = (isServed: boolean) => {
+            placed.end();
+            if (!isServed) {
+                account.noteUnserved();
+            }
+            onEnd(isServed);
+        };
+        engines.add(targetId, { isDeferred, leavesAt: findLeaveTime(run), end, left: leastWork });
+    };
+
+    return {
+        arrive: (route: string, prompt: PromptDescription, onEnd: EndListener) =>
+            send(createRun(clock.monotonicNow(), route, prompt), prompt, onEnd),
+        work: async () => {
+            await clock.advance(sliceMilliseconds);
+            engines.work(sliceMilliseconds, clock.monotonicNow());
+        },
+    };
+}
+
+function createRun(arrivedAt: number, route: string, { promptTokens }: PromptDescription) {
     return {
         call: { arrivedAt, body: Buffer.alloc(promptTokens * bytesPerToken) },
         service: engineService,
-        route: { latencyAimMilliseconds },
-        deadline: arrivedAt + patienceMilliseconds,
-        pauseAim: 150,
-        avoid: new Set(),
+        route: { name: route, latencyAimMilliseconds },
+        deadline: arrivedAt + deadlineMilliseconds,
+        pauseAim: pauseAimMilliseconds,
+        avoid: new Set<string>(),
         trace: createRequestTrace({
             eventLog: new MemoryEventLog(),
             sampledCalls: 1,
@@ -151,30 +134,3 @@
         }),
     };
 }
-
-const answerLimits = { model: "m", maxOutputTokens: 200, expectedOutputTokens: 100 };
-
-/** One slice of an engine's time; gives back what is still waiting. */
-function work(queue: readonly QueuedPrompt[], now: number): QueuedPrompt[] {
-    queue.filter(({ leavesAt }) => leavesAt <= now).forEach(({ finish }) => finish(false));
-    const waiting = queue.filter(({ leavesAt }) => leavesAt > now).sort(compareUrgency);
-    let time = sliceMilliseconds;
-    for (const prompt of waiting) {
-        const done = Math.min(time, prompt.left);
-        prompt.left -= done;
-        time -= done;
-        if (prompt.left <= 0) {
-            prompt.finish(true);
-        }
-    }
-    return waiting.filter(({ left }) => left > 0);
-}
-
-function compareUrgency(left: QueuedPrompt, right: QueuedPrompt): number {
-    return Number(left.way.isDeferred) - Number(right.way.isDeferred);
-}
-
-/** A length whose logarithm is spread evenly around that of the mean. */
-function drawTokens(random: Random, mean: number, spread: number): number {
-    return Math.round(mean * Math.exp((random.fraction() + random.fraction() + random.fraction() - 1.5) * 2 * spread));
-}
