Admission: a long request is not refused for what will stand behind it

What callers saw: on the product's own interface, with short requests waiting, a long one was refused as too late that would have been let in before them. Cause: the queue goes by the latest start, which is the earlier the longer a request's own work is, but all that waited counted as standing before a newcomer. Ruled out: the other lanes of a partner; their order among equals is not fixed, so all of them still count. Change: in its own lane, only what starts before the newcomer counts. Forwarded calls don't pass here.

--- a/packages/daisyturn/src/process/admission/__tests__/createAdmission.test.ts
+++ b/packages/daisyturn/src/process/admission/__tests__/createAdmission.test.ts
@@ -25,11 +25,12 @@
     let count = 0;
 
     /** Asks for admission; `order` gets the name when it is let in. */
-    const ask = (name: string, limit = 5_000, priority = Priority.Interactive, of = account) => {
+    const ask = (name: string, limit = 5_000, priority = Priority.Interactive, of = account, promptTokens?: number) => {
         const profile = createProfile(of.partner, "p", { firstTokenLimitMilliseconds: limit, priority });
         count += 1;
         const caller = new AbortController();
-        const request = createRoutingRequest(bench.clock.wallNow(), { requestId: `r${count}`, profile });
+        const length = promptTokens === undefined ? {} : { promptTokens };
+        const request = createRoutingRequest(bench.clock.wallNow(), { requestId: `r${count}`, profile, ...length });
         const answer = admission.admitModelRequest(of, request, caller.signal);
         let settled: Result<AdmissionTicket, Failure> | undefined;
         void answer.then(result => {
@@ -77,6 +78,25 @@
         stop();
     });
 
+    /**
+     * Seen: with short requests waiting, a long one was refused as too late that would have been let in before them.
+     * Cause: all that waited counted as standing before it, while the order goes by the latest start, which is the earlier the
+     * longer a request's own work is. The same class as prompts starved by a bound that grows with their length.
+     * Proof: the long one alone is in time, and it is let in first.
+     */
+    test("a long request is not refused for what will stand behind it", async () => {
+        const { ask, clock, order, stop } = await createFixture(20_000);
+        const shorts = ["a", "b", "c", "d", "e"].map(name => ask(name, 6_000));
+        await clock.advance(0);
+        assert.ok(shorts.every(short => short.failure() === undefined));
+        const long = ask("long", 6_000, Priority.Interactive, account, 8_000);
+        await clock.advance(0);
+        assert.equal(long.failure(), undefined);
+        await clock.advance(3_000);
+        assert.equal(order[0], "long");
+        stop();
+    });
+
     test("refused requests are not all told the same time", async () => {
         const { ask, clock, stop } = await createFixture(30_000);
         const asked = [1, 2, 3, 4, 5].map(() => ask("late", 1_600));
--- a/packages/daisyturn/src/process/admission/admissionQueue.ts
+++ b/packages/daisyturn/src/process/admission/admissionQueue.ts
@@ -32,8 +32,12 @@
     lanesOf(partner: string): readonly Lane[];
     partners(): readonly string[];
     all(): readonly WaitingRequest[];
-    /** Engine time that waits before a newcomer of the partner. */
-    engineTimeBefore(request: RoutingRequest): number;
+    /**
+     * Engine time that waits before a newcomer of the partner. In its own lane that is only what starts before it: counting all
+     * would refuse long requests, which stand further ahead, for what stands behind them.
+     * @param latestStart wall-clock time after which the newcomer's first token would come too late
+     */
+    engineTimeBefore(request: RoutingRequest, latestStart: number): number;
     engineTimeOf(partner: string): number;
     size(): number;
 }
@@ -104,10 +108,10 @@
             .filter(lane => lane.partner === partner)
             .sort((one, other) => rank(one.priority) - rank(other.priority));
 
-    const engineTimeBefore = (request: RoutingRequest) =>
+    const engineTimeBefore = (request: RoutingRequest, latestStart: number) =>
         lanesOf(request.partner)
             .filter(lane => rank(lane.priority) <= rank(request.profile.priority))
-            .flatMap(lane => lane.waiting)
+            .flatMap(lane => lane === lanes.get(keyOf(request)) ? listUntil(lane, latestStart) : lane.waiting)
             .reduce((sum, other) => sum + other.engineTime, 0);
 
     return {
@@ -126,6 +130,10 @@
     };
 }
 
+function listUntil({ waiting }: Lane, latestStart: number): readonly WaitingRequest[] {
+    return waiting.filter(other => other.latestStart <= latestStart);
+}
+
 function keyOf({ partner, profile }: RoutingRequest): string {
     return [partner, profile.priority, profile.model, profile.adapter ?? ""].join("/");
 }
--- a/packages/daisyturn/src/process/admission/createAdmission.ts
+++ b/packages/daisyturn/src/process/admission/createAdmission.ts
@@ -94,7 +94,8 @@
             const retryAt = clock.wallNow() + noTargetRetryMilliseconds;
             return err(notRun(FailureReason.NoTarget, "No engine is open for this model.", retryAt));
         }
-        const before = queue.engineTimeBefore(request);
+        const latestStart = deadlineOf(request) - cautious(assessment.ownPrefill);
+        const before = queue.engineTimeBefore(request, latestStart);
         const delay = before / room.drainRate(request.partner) * millisecondsPerSecond;
         if (!isInTime(request, assessment, delay)) {
             return err(refuseAsLate(request, assessment, delay));
@@ -106,7 +107,7 @@
             const retryAt = retryTimes.after(request.partner, delay, assessment.engineTime);
             return err(notRun(FailureReason.Overloaded, "Too much of this partner's work waits already.", retryAt));
         }
-        return waitInQueue(request, assessment, signal);
+        return waitInQueue(request, assessment.engineTime, latestStart, signal);
     };
 
     const noteLimit = ({ partner, profile }: RoutingRequest) => {
@@ -117,11 +118,11 @@
 
     const isInTime = (request: RoutingRequest, assessment: RoomAssessment, delay: number) =>
         clock.wallNow() + delay + cautious(assessment.firstToken)
-            <= Math.min(request.firstTokenDeadline, request.totalDeadline);
+            <= deadlineOf(request);
 
     /** Where not even idle engines could make it, no retry makes sense and none is named. */
     const refuseAsLate = (request: RoutingRequest, assessment: RoomAssessment, delay: number): Failure => {
-        const allowed = Math.min(request.firstTokenDeadline, request.totalDeadline) - clock.wallNow();
+        const allowed = deadlineOf(request) - clock.wallNow();
         const late = delay + cautious(assessment.firstToken) - Math.max(0, allowed);
         const isHopeless = assessment.ownPrefill > request.profile.firstTokenLimitMilliseconds;
         const retryAt = isHopeless ? undefined : retryTimes.after(request.partner, late, assessment.engineTime);
@@ -137,7 +138,12 @@
         return reserved !== undefined;
     };
 
-    const waitInQueue = (request: RoutingRequest, assessment: RoomAssessment, signal: AbortSignal): Promise<Answer> =>
+    const waitInQueue = (
+        request: RoutingRequest,
+        engineTime: number,
+        latestStart: number,
+        signal: AbortSignal,
+    ): Promise<Answer> =>
         new Promise(resolve => {
             const settle = (answer: Answer) => {
                 queue.remove(waiting);
@@ -147,11 +153,10 @@
                 resolve(answer);
             };
             const giveUp = () => settle(err(notRun(FailureReason.Cancelled, "The caller has gone.")));
-            const deadline = Math.min(request.firstTokenDeadline, request.totalDeadline);
             const waiting: WaitingRequest = {
                 request,
-                engineTime: assessment.engineTime,
-                latestStart: deadline - cautious(assessment.ownPrefill),
+                engineTime,
+                latestStart,
                 waitingSince: clock.monotonicNow(),
                 admit: () => settle(ok(emptyTicket)),
             };
@@ -224,6 +229,11 @@
     return { admitModelRequest, admitPlainCall: limits.admit, run, waitingRequests: queue.size };
 }
 
+/** Wall-clock time by which the first token must have come. */
+function deadlineOf({ firstTokenDeadline, totalDeadline }: RoutingRequest): number {
+    return Math.min(firstTokenDeadline, totalDeadline);
+}
+
 function cautious(estimate: number): number {
     return estimate * cautionFactor + cautionMilliseconds;
 }
