--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -34,11 +34,12 @@
     run: AdmittedRun,
     terms: AdmissionTerms,
 ): Result<PromptWay, Failure> {
-    const way = choosePromptWay(parts, run, terms);
-    if (!way) {
+    const chosen = chooseWay(parts, run, terms);
+    if (!chosen) {
         return err(describeNoTarget(run, parts.clock));
     }
-    recordPlacement(parts, run, way);
+    const { way } = chosen;
+    recordPlacement(parts, run, chosen);
     const lateness = findWayLateness(parts, run, way);
     if (lateness > 0 && !terms.hasBegun && !parts.switchedOff.has(Mechanism.RefusalByForecast)) {
         const retryAt = parts.clock.wallNow() + lateness;
@@ -47,17 +48,26 @@
     return ok(way);
 }
 
+interface ChosenWay {
+    readonly way: PromptWay;
+    /** Whether it goes among those that can be on time though it can't, since it is owed service. */
+    readonly isOwed: boolean;
+}
+
 /**
  * The way that placement prefers. Where it is too late for a prompt that is owed service, the prompt goes among those that
  * can be on time instead: there the wait is short enough for any length.
  */
-function choosePromptWay(parts: AdmissionParts, run: AdmittedRun, terms: AdmissionTerms): PromptWay | undefined {
+function chooseWay(parts: AdmissionParts, run: AdmittedRun, terms: AdmissionTerms): ChosenWay | undefined {
     const demand = describeDemand(parts, run, terms);
     const way = parts.placement.placePrompt(demand);
-    const isTooLate = way !== undefined && findWayLateness(parts, run, way) > 0;
-    const isOwed = isTooLate && !parts.switchedOff.has(Mechanism.SizeFairness) && terms.account.isOwed();
+    if (!way) {
+        return undefined;
+    }
+    const isInTime = (other: PromptWay) => findWayLateness(parts, run, other) <= 0;
+    const isOwed = !isInTime(way) && !parts.switchedOff.has(Mechanism.SizeFairness) && terms.account.isOwed();
     const undeferred = isOwed ? parts.placement.placePrompt({ ...demand, mayDefer: false }) : undefined;
-    return undeferred && findWayLateness(parts, run, undeferred) <= 0 ? undeferred : way;
+    return undeferred && isInTime(undeferred) ? { way: undeferred, isOwed } : { way, isOwed: false };
 }
 
 function describeDemand(
@@ -81,7 +91,7 @@
     return findLateness(clock.monotonicNow() + soonestEvent, run);
 }
 
-function recordPlacement({ clock }: AdmissionParts, run: AdmittedRun, way: PromptWay): void {
+function recordPlacement({ clock }: AdmissionParts, run: AdmittedRun, { way, isOwed }: ChosenWay): void {
     const { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred } = way;
     const { arrivedAt } = run.call;
     run.trace.repeatAtEnd({
@@ -99,5 +109,6 @@
         firstEvent: Math.round(firstEvent),
         soonest: Math.round(soonestEvent),
         deferred: isDeferred,
+        owed: isOwed,
     });
 }
