Prompts ask for a decision, and what prompts do not share counts in caches

Cause: what an engine keeps was believed from shared parts alone, though the requests' own parts push them out as well; and where a prompt goes could only be decided in the process that serves it.

Change: admitPrompt asks `PromptDecisions`, of which the one in service decides by what the process knows; the zone of the process that sends the prompt is part of what is asked. Beliefs of caches hold the own parts too, up to 0.9 of the memory. findLateness, which nothing but its test used any more, became findLeaveTime with the same cases.

Ruled out: no change of behaviour but for the beliefs.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -12,6 +12,7 @@
     type ForwardingKeeper,
     type ForwardingMetrics,
     type ForwardingParts,
+    LocalDecisions,
     switchOffViews,
     type TargetList,
 } from "daisyturn/forwarding";
@@ -48,13 +49,16 @@
     const views = switchOffViews(createTargetViews(adapters.decodeTarget, clock, eventLog), switchedOff);
     const connections = createTargetConnections(clock);
     const placement = policy === PlacementPolicy.LeastRunning
-        ? createLeastRunningPlacement({ ...views, availabilityZone })
+        ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
+    const decisions = new LocalDecisions(placement, switchedOff);
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
         ...views,
         keeper,
         placement,
+        decisions,
+        availabilityZone,
         budget,
         connections,
         protocol: adapters.targetProtocol,
--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -51,6 +51,7 @@
         aim: 500,
         pauseAim: 150,
         mayDefer: true,
+        availabilityZone: "zone-0",
         ...changes,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -14,6 +14,7 @@
 export * from "./placement/callPlacement.js";
 export * from "./placement/createCallPlacement.js";
 export * from "./placement/createLeastRunningPlacement.js";
+export * from "./placement/decidePrompt.js";
 export * from "./reportSizeCounts.js";
 export * from "./shareLoads.js";
 export * from "./stages/changeStages.js";
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/createLeastRunningPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createLeastRunningPlacement.test.ts
@@ -13,7 +13,7 @@
 
 function createBench() {
     const bench = createPlacementBench([Prefill, Prefill, Decode, Decode, Decode]);
-    const placement = createLeastRunningPlacement({ ...bench, availabilityZone: "zone-0" });
+    const placement = createLeastRunningPlacement(bench);
     const occupy = (targetId: string, calls: number) => {
         for (let call = 0; call < calls; call++) {
             bench.loads.begin(targetId, { work: 0, isDeferred: false, tokens: 0 });
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -48,6 +48,8 @@
     readonly mayDefer: boolean;
     /** Shortest pause that the service's answers may make, in milliseconds. */
     readonly pauseAim: number;
+    /** Where the process stands that sends the prompt. */
+    readonly availabilityZone: string;
 }
 
 /** Chooses targets for calls. */
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -13,6 +13,7 @@
 /** What {@link createCallPlacement} needs. */
 export interface CallPlacementOptions extends TargetViews {
     readonly random: Random;
+    /** Where the process stands; plain calls go out from there. */
     readonly availabilityZone: string;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
@@ -93,7 +94,7 @@
 
     const placePrompt = (demand: PromptDemand): PromptWay | undefined => {
         const usable = listUsable(demand.service.name, demand.avoid);
-        const groups = groupEngines(usable, demand.prompt, options.availabilityZone);
+        const groups = groupEngines(usable, demand.prompt, demand.availabilityZone);
         const engines = isOn(Mechanism.Homes) ? groups : { ...groups, readerHome: undefined, decoderHome: undefined };
         const promptCase = { demand, engines, estimates: createStepEstimates(options, demand, usable) };
         const way = findCheapest(promptCase, false);
--- a/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -12,7 +12,6 @@
     readonly targets: TargetList;
     readonly loads: TargetLoads;
     readonly closed: ClosedTargets;
-    readonly availabilityZone: string;
 }
 
 /** Shorter prompts are read where they are decoded: moving their cache takes as long as reading them. */
@@ -25,13 +24,13 @@
  * prompts read apart at the home of their beginning. It estimates nothing, knows no caches and defers no call.
  */
 export function createLeastRunningPlacement(options: LeastRunningPlacementOptions): CallPlacement {
-    const { targets, loads, closed, availabilityZone } = options;
+    const { targets, loads, closed } = options;
     const callsAt = (target: ListedTarget) => loads.calls(target.targetId);
 
     const listUsable = (service: string, avoid: ReadonlySet<string>) =>
         targets.open(service).filter(target => !closed.isClosed(target.targetId) && !avoid.has(target.targetId));
 
-    const findReader = (engines: readonly ListedTarget[], prompt: PromptDescription) => {
+    const findReader = (engines: readonly ListedTarget[], prompt: PromptDescription, availabilityZone: string) => {
         const { readers, readerHome } = groupEngines(engines, prompt, availabilityZone);
         const least = findLeast(readers, callsAt);
         const home = readers.find(reader => reader.targetId === readerHome);
@@ -43,11 +42,12 @@
             return findLeast(listUsable(service, avoid), callsAt);
         }
 
-        override placePrompt({ service, prompt, avoid, isWholeOnly }: PromptDemand): PromptWay | undefined {
+        override placePrompt(demand: PromptDemand): PromptWay | undefined {
+            const { service, prompt, avoid, isWholeOnly, availabilityZone } = demand;
             const engines = listUsable(service.name, avoid);
             const decode = findLeast(engines.filter(engine => engine.stage !== EngineStage.Prefill), callsAt);
             const isSplit = !isWholeOnly && prompt.promptTokens > leastSplitTokens;
-            const reader = isSplit ? findReader(engines, prompt) : undefined;
+            const reader = isSplit ? findReader(engines, prompt, availabilityZone) : undefined;
             return decode && {
                 decode: createStep(decode),
                 prefill: reader && createStep(reader),
--- a/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
@@ -78,18 +78,20 @@
     const hasZones = !switchedOff.has(Mechanism.ZonePreference);
     const hasPauseForecast = !switchedOff.has(Mechanism.PauseForecast);
 
-    const isNear = (target: ListedTarget) => target.availabilityZone === availabilityZone || !hasZones;
+    const isNear = (target: ListedTarget, zone: string) => target.availabilityZone === zone || !hasZones;
 
     const scatter = () => 1 + spread * (random.fraction() - 0.5);
 
-    const zoneCost = (engine: ListedTarget, bodyBytes: number) =>
-        isNear(engine) ? 0 : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
+    const zoneCost = (engine: ListedTarget, { bodyBytes, availabilityZone: zone }: PromptDemand) =>
+        isNear(engine, zone)
+            ? 0
+            : otherZoneMilliseconds + bodyBytes / bytesPerKilobyte * otherZoneMillisecondsPerKilobyte;
 
     const externalityOf = (engine: ListedTarget) =>
         engine.stage === EngineStage.Decode ? decodingExternality : externality;
 
-    const workCost = (step: PlacedStep, bodyBytes: number) =>
-        (step.wait + step.work * (1 + externalityOf(step.target))) * scatter() + zoneCost(step.target, bodyBytes);
+    const workCost = (step: PlacedStep, demand: PromptDemand) =>
+        (step.wait + step.work * (1 + externalityOf(step.target))) * scatter() + zoneCost(step.target, demand);
 
     const isStray = (step: PlacedStep, home: string | undefined) => home !== undefined && step.target.targetId !== home;
 
@@ -102,15 +104,15 @@
     return {
         plain: target => {
             const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
-            return fill * scatter() + (isNear(target) ? 0 : otherZonePenalty);
+            return fill * scatter() + (isNear(target, availabilityZone) ? 0 : otherZonePenalty);
         },
-        ofReading: ({ bodyBytes }, { readerHome }) => step =>
-            workCost(step, bodyBytes) + (isStray(step, readerHome) ? step.sharedWork * strayReadingFraction : 0),
+        ofReading: (demand, { readerHome }) => step =>
+            workCost(step, demand) + (isStray(step, readerHome) ? step.sharedWork * strayReadingFraction : 0),
         ofDecoding: (demand, { decoderHome }) => step =>
-            step.wait * scatter() + zoneCost(step.target, demand.bodyBytes) + pauseCost(demand, step.target)
+            step.wait * scatter() + zoneCost(step.target, demand) + pauseCost(demand, step.target)
             + (isStray(step, decoderHome) ? strayDecodingMilliseconds : 0),
         ofBoth: (demand, { decoders }) => step =>
-            workCost(step, demand.bodyBytes) + pauseCost(demand, step.target)
+            workCost(step, demand) + pauseCost(demand, step.target)
             + decoders.indexOf(step.target) * readingOrderMilliseconds,
         bearsReading: ({ target, work }, { pauseAim, service }) => {
             const reading = loads.wait(target.targetId, true) + work;
--- a/packages/daisyturn/src/process/forwarding/views/createCacheBeliefs.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createCacheBeliefs.ts
@@ -19,8 +19,8 @@
 
 /** What was not used for this long is taken to be gone. */
 const beliefMilliseconds = 40_000;
-/** Part of an engine's memory that is counted on for parts; running requests take the rest. */
-const countedFraction = 0.75;
+/** Part of an engine's memory that keeps parts; running requests take the rest. */
+const keepingFraction = 0.9;
 /** Smaller parts are read in a step anyway, and would crowd out what the peers need to know. */
 const leastToldTokens = 512;
 
@@ -70,14 +70,14 @@
     return {
         note: (targetId, parts, capacityTokens) => {
             const cache = find(targetId);
-            cache.capacity = capacityTokens * countedFraction;
-            // The last part is the request's own and is not asked for again.
-            for (const { partId, tokens } of parts.slice(0, -1)) {
+            cache.capacity = capacityTokens * keepingFraction;
+            // The last part is the request's own: nobody asks for it again, but it pushes out others.
+            parts.forEach(({ partId, tokens }, index) => {
                 put(cache, partId, tokens);
-                if (tokens >= leastToldTokens) {
+                if (tokens >= leastToldTokens && index < parts.length - 1) {
                     untold.push([targetId, partId, tokens]);
                 }
-            }
+            });
         },
         noteTold: (targetId, partId, tokens) => put(find(targetId), partId, tokens),
         takeNew: most => {
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -2,9 +2,9 @@
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage } from "../../../ports/listedTarget.js";
 import { createPlacementBench, engineService } from "../../../process/forwarding/__fixtures__/placementBench.js";
-import { createSizeFairness, type Mechanism } from "../../../process/forwarding/index.js";
+import { createSizeFairness, LocalDecisions, type Mechanism } from "../../../process/forwarding/index.js";
 import { type AdmissionParts, admitPrompt } from "../admitPrompt.js";
-import { findLeaveTime } from "../findLateness.js";
+import { findLeaveTime } from "../findLeaveTime.js";
 import { createRequestTrace } from "../requestTrace.js";
 import { createOverloadPrompts } from "./createOverloadPrompts.js";
 import { createPlayedEngines } from "./createPlayedEngines.js";
@@ -55,10 +55,10 @@
     for (let slice = 1; slice <= seconds * millisecondsPerSecond / sliceMilliseconds; slice++) {
         if (isDue(longPerSecond)) {
             const prompt = prompts.createLong(`own-${slice}`);
-            arrive("long", prompt, isServed => played.push({ tokens: prompt.promptTokens, isServed }));
+            await arrive("long", prompt, isServed => played.push({ tokens: prompt.promptTokens, isServed }));
         }
         if (isDue(shortPerSecond)) {
-            arrive("short", prompts.createShort(`short-${slice}`), () => undefined);
+            await arrive("short", prompts.createShort(`short-${slice}`), () => undefined);
         }
         await work();
     }
@@ -81,13 +81,14 @@
 /** One process before its engines. */
 function createPlayedProcess({ seed, switchedOff = new Set() }: Overload) {
     const { placement, loads, caches, clock } = createPlacementBench(stages, seed, switchedOff);
-    const parts: AdmissionParts = { placement, clock, switchedOff };
+    const decisions = new LocalDecisions(placement, switchedOff);
+    const parts: AdmissionParts = { decisions, clock, switchedOff, availabilityZone: "zone-0" };
     const sizeFairness = createSizeFairness();
     const engines = createPlayedEngines();
 
-    const send = (run: PlayedRun, prompt: PromptDescription, onEnd: EndListener) => {
+    const send = async (run: PlayedRun, prompt: PromptDescription, onEnd: EndListener) => {
         const account = sizeFairness.begin(run.route.name, prompt.promptTokens);
-        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
+        const admitted = await admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
         if (admitted.isErr) {
             account.noteUnserved();
             onEnd(false);
--- a/packages/daisyturn/src/request/forwarding/__tests__/findLateness.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/findLeaveTime.test.ts
@@ -1,17 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { findLateness, type JudgedCall } from "../findLateness.js";
+import { findLeaveTime, type JudgedCall } from "../findLeaveTime.js";
 
 function createCall(latencyAimMilliseconds: number, deadline: number): JudgedCall {
     return { call: { arrivedAt: 1_000 }, route: { latencyAimMilliseconds }, deadline };
 }
 
 test("callers wait two seconds, or four times the aim if that is longer, and never beyond the deadline", () => {
-    assert.equal(findLateness(3_000, createCall(250, 9_000)), 0);
-    assert.equal(findLateness(3_001, createCall(250, 9_000)), 1);
-    assert.equal(findLateness(3_400, createCall(600, 9_000)), 0);
-    assert.equal(findLateness(3_500, createCall(600, 9_000)), 100);
-    assert.equal(findLateness(2_500, createCall(600, 2_200)), 300);
+    assert.equal(findLeaveTime(createCall(250, 9_000)), 3_000);
+    assert.equal(findLeaveTime(createCall(600, 9_000)), 3_400);
+    assert.equal(findLeaveTime(createCall(600, 2_200)), 2_200);
 });
 
 /**
@@ -22,8 +20,7 @@
 test("callers who bear long pauses wait for eight of them", () => {
     const { call, deadline } = createCall(600, 9_000);
     const route = { latencyAimMilliseconds: 600, pauseAimMilliseconds: 600 };
-    assert.equal(findLateness(5_800, { call, route, deadline }), 0);
-    assert.equal(findLateness(5_900, { call, route, deadline }), 100);
+    assert.equal(findLeaveTime({ call, route, deadline }), 5_800);
     const shortPauses = { ...route, pauseAimMilliseconds: 150 };
-    assert.equal(findLateness(3_500, { call, route: shortPauses, deadline }), 100);
+    assert.equal(findLeaveTime({ call, route: shortPauses, deadline }), 3_400);
 });
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -1,17 +1,24 @@
 import { EventKind, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { ForwardedCall, PromptDescription } from "../../ports/forwardedCall.js";
-import { type AccountedPrompt, Mechanism, type PromptDemand, type PromptWay } from "../../process/forwarding/index.js";
+import {
+    type AccountedPrompt,
+    type DecisionRequest,
+    Mechanism,
+    type PromptDecision,
+    type PromptWay,
+} from "../../process/forwarding/index.js";
 import { type CallRun, describeNoTarget } from "./callRun.js";
-import { findLateness, findLeaveTime, type JudgedCall } from "./findLateness.js";
+import { findLeaveTime, type JudgedCall } from "./findLeaveTime.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
 /** The parts of the process that admission asks. */
-export type AdmissionParts = Pick<ForwardingParts, "placement" | "clock" | "switchedOff">;
+export type AdmissionParts = Pick<ForwardingParts, "decisions" | "clock" | "switchedOff" | "availabilityZone">;
 
 /** A call that is to be admitted. */
 export interface AdmittedRun extends JudgedCall, Pick<CallRun, "service" | "avoid" | "pauseAim" | "trace"> {
     readonly call: Pick<ForwardedCall, "arrivedAt" | "body">;
+    readonly route: JudgedCall["route"] & Pick<CallRun["route"], "name">;
 }
 
 /** What one placement of a prompt goes by, beside the call itself. */
@@ -29,18 +36,17 @@
 const tooLateMessage = "The answer would begin too late.";
 
 /** Chooses the way of a prompt; refuses it at once where no engine is open or its answer would begin after its caller has left. */
-export function admitPrompt(
+export async function admitPrompt(
     parts: AdmissionParts,
     run: AdmittedRun,
     terms: AdmissionTerms,
-): Result<PromptWay, Failure> {
-    const chosen = chooseWay(parts, run, terms);
-    if (!chosen) {
+): Promise<Result<PromptWay, Failure>> {
+    const decision = await parts.decisions.decide(describeRequest(parts, run, terms));
+    if (!decision) {
         return err(describeNoTarget(run, parts.clock));
     }
-    const { way } = chosen;
-    recordPlacement(parts, run, chosen);
-    const lateness = findWayLateness(parts, run, way);
+    recordPlacement(parts, run, decision);
+    const { way, lateness } = decision;
     if (lateness > 0 && !terms.hasBegun && !parts.switchedOff.has(Mechanism.RefusalByForecast)) {
         const retryAt = parts.clock.wallNow() + lateness;
         return err(notRun(FailureReason.DeadlineUnreachable, tooLateMessage, retryAt));
@@ -48,50 +54,31 @@
     return ok(way);
 }
 
-interface ChosenWay {
-    readonly way: PromptWay;
-    /** Whether it goes among those that can be on time though it can't, since it is owed service. */
-    readonly isOwed: boolean;
-}
-
-/**
- * The way that placement prefers. Where it is too late for a prompt that is owed service, the prompt goes among those that
- * can be on time instead: there the wait is short enough for any length.
- */
-function chooseWay(parts: AdmissionParts, run: AdmittedRun, terms: AdmissionTerms): ChosenWay | undefined {
-    const demand = describeDemand(parts, run, terms);
-    const way = parts.placement.placePrompt(demand);
-    if (!way) {
-        return undefined;
-    }
-    const isInTime = (other: PromptWay) => findWayLateness(parts, run, other) <= 0;
-    const isOwed = !isInTime(way) && !parts.switchedOff.has(Mechanism.SizeFairness) && terms.account.isOwed();
-    const undeferred = isOwed ? parts.placement.placePrompt({ ...demand, mayDefer: false }) : undefined;
-    return undeferred && isInTime(undeferred) ? { way: undeferred, isOwed } : { way, isOwed: false };
-}
-
-function describeDemand(
+function describeRequest(
     parts: AdmissionParts,
     run: AdmittedRun,
-    { prompt, isWholeOnly }: AdmissionTerms,
-): PromptDemand {
+    { prompt, isWholeOnly, account }: AdmissionTerms,
+): DecisionRequest {
+    const now = parts.clock.monotonicNow();
     return {
-        service: run.service,
-        prompt,
-        bodyBytes: run.call.body.length,
-        avoid: run.avoid,
-        isWholeOnly,
-        pauseAim: run.pauseAim,
-        aim: run.call.arrivedAt + run.route.latencyAimMilliseconds * aimFraction - parts.clock.monotonicNow(),
-        mayDefer: true,
+        route: run.route.name,
+        demand: {
+            service: run.service,
+            prompt,
+            bodyBytes: run.call.body.length,
+            avoid: run.avoid,
+            isWholeOnly,
+            pauseAim: run.pauseAim,
+            aim: run.call.arrivedAt + run.route.latencyAimMilliseconds * aimFraction - now,
+            mayDefer: true,
+            availabilityZone: parts.availabilityZone,
+        },
+        patience: findLeaveTime(run) - now,
+        isOwed: account.isOwed,
     };
 }
 
-function findWayLateness({ clock }: AdmissionParts, run: AdmittedRun, { soonestEvent }: PromptWay): number {
-    return findLateness(clock.monotonicNow() + soonestEvent, run);
-}
-
-function recordPlacement({ clock }: AdmissionParts, run: AdmittedRun, { way, isOwed }: ChosenWay): void {
+function recordPlacement({ clock }: AdmissionParts, run: AdmittedRun, { way, isOwed }: PromptDecision): void {
     const { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred } = way;
     const { arrivedAt } = run.call;
     run.trace.repeatAtEnd({
--- a/packages/daisyturn/src/request/forwarding/findLateness.ts
+++ b/packages/daisyturn/src/request/forwarding/findLeaveTime.ts
@@ -12,7 +12,10 @@
     readonly deadline: number;
 }
 
-/** Monotonic time at which a caller leaves that has not had a first event. */
+/**
+ * Monotonic time at which a caller leaves that has not had a first event. What would begin later is refused at once: the
+ * caller knows, and no engine reads for nobody.
+ */
 export function findLeaveTime({ call, route, deadline }: JudgedCall): number {
     const { latencyAimMilliseconds, pauseAimMilliseconds = 0 } = route;
     const patience = Math.max(
@@ -22,11 +25,3 @@
     );
     return Math.min(call.arrivedAt + patience, deadline);
 }
-
-/**
- * Milliseconds by which an answer that begins at this time begins after its caller has left; 0 or less if it is still
- * there. What would begin later is refused at once: the caller knows, and no engine reads for nobody.
- */
-export function findLateness(beginsAt: number, judged: JudgedCall): number {
-    return beginsAt - findLeaveTime(judged);
-}
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -10,6 +10,7 @@
     ForwardingMetrics,
     Mechanism,
     PaceView,
+    PromptDecisions,
     ReadingDemand,
     SizeCounts,
     SizeFairness,
@@ -31,12 +32,14 @@
     readonly demand: ReadingDemand;
     readonly closed: ClosedTargets;
     readonly placement: CallPlacement;
+    readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
     readonly sizeCounts: SizeCounts;
     readonly sizeFairness: SizeFairness;
+    readonly availabilityZone: string;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
     /** Every so many-th call that was answered on time is logged; all others are in any case. */
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -49,7 +49,7 @@
     let prefills = 0;
     for (;;) {
         const isWholeOnly = prefills >= mostPrefills;
-        const admitted = admitPrompt(parts, run, { prompt, account, isWholeOnly, hasBegun: relay.hasBegun() });
+        const admitted = await admitPrompt(parts, run, { prompt, account, isWholeOnly, hasBegun: relay.hasBegun() });
         if (admitted.isErr) {
             return err(concludeRun(run, admitted.error));
         }
