--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -12,7 +12,6 @@
     type ForwardingKeeper,
     type ForwardingMetrics,
     type ForwardingParts,
-    LocalDecisions,
     switchOffViews,
     type TargetList,
 } from "daisyturn/forwarding";
@@ -30,8 +29,8 @@
     readonly metrics: ForwardingMetrics;
 }
 
-/** The parts of one process, with the followers of the tables that feed them. */
-export interface ForwardingProcessParts extends ForwardingParts {
+/** The parts of one process but for the decisions, which its group takes part in; with the followers of the tables. */
+export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions"> {
     readonly keeper: ForwardingKeeper;
     readonly targets: TargetList;
 }
@@ -51,20 +50,19 @@
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
-    const decisions = new LocalDecisions(placement, switchedOff);
+    const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
         ...views,
         keeper,
         placement,
-        decisions,
         availabilityZone,
         budget,
         connections,
         protocol: adapters.targetProtocol,
         metrics,
         sizeCounts: createSizeCounts(),
-        sizeFairness: createSizeFairness(),
+        sizeFairness,
         switchedOff,
         sampledCalls,
         clock,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -8,17 +8,21 @@
     UserError,
 } from "daisyturn-utils";
 import {
+    type ChangeFeed,
+    coordinate,
     createForwardServer,
     createOverloadGuard,
+    decidePrompt,
     followTable,
     type FollowTiming,
+    LocalDecisions,
     Mechanism,
     NoForwardingMetrics,
     openDatagramChannel,
     type RegisteredPeer,
     reportSizeCounts,
     serveForwardedCall,
-    shareLoads,
+    type TableFollower,
 } from "daisyturn/forwarding";
 import { randomBytes, randomInt } from "node:crypto";
 import { performance } from "node:perf_hooks";
@@ -47,6 +51,10 @@
 /** A feed's call ends early enough for another to bring what a silent connection has hidden, within the bound. */
 const feedMarginMilliseconds = 1_200;
 const shortestFeedWait = 500;
+/** A coordinator's word on the store holds for this part of the time in which what is there must be heeded. */
+const freshFraction = 0.75;
+/** A coordinator asks the store so often that its word, told on, is never older than that. */
+const readerWaitFraction = 0.5;
 /** Changes of several targets come in one priced answer, within this part of the time in which they must be heeded. */
 const mergeFraction = 0.25;
 const seedLimit = 0x7fffffff;
@@ -79,13 +87,39 @@
         metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
     });
     metricsServer?.observe(parts);
+    const describeSelf = (): RegisteredPeer => ({
+        peerId: settings.processId,
+        host: settings.peers.address,
+        port: settings.peers.port,
+        availabilityZone: settings.availabilityZone,
+        strength: settings.strength,
+    });
+    /** Within this time of its acknowledgement, whatever is in the store must be heeded. */
+    const heedMilliseconds = () => Math.min(settings.drainMilliseconds, settings.configurationMilliseconds);
+    const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
+    const coordination = coordinate({
+        self: describeSelf(),
+        registry: adapters.peerRegistry,
+        channel: peerChannel.channel,
+        views: parts,
+        sizeFairness: parts.sizeFairness,
+        decideHere: request => decidePrompt(parts.placement, parts.switchedOff, request),
+        findService: name => parts.keeper.current()?.configuration.services.get(name),
+        freshMilliseconds: () => heedMilliseconds() * freshFraction,
+        clock,
+        eventLog,
+    });
     const isOn = (mechanism: Mechanism) => !parts.switchedOff.has(mechanism);
+    const decisions = isOn(Mechanism.PeerMessages)
+        ? coordination.decisions
+        : new LocalDecisions(parts.placement, parts.switchedOff);
+    const servingParts = { ...parts, decisions };
     const takeUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, takeUtilization });
     const server = createForwardServer({
         listen: settings.callers,
         protocol: adapters.callerProtocol,
-        serve: (call, exchange) => serveForwardedCall(parts, call, exchange),
+        serve: (call, exchange) => serveForwardedCall(servingParts, call, exchange),
         shouldRefuse: () => isOn(Mechanism.OverloadGuard) && overloadGuard.shouldRefuse(),
         clock,
         eventLog,
@@ -99,39 +133,39 @@
     parts.keeper.onChanged(table => server.setLimits(table.configuration.limits));
 
     const follow = () => {
-        const waitMilliseconds = Math.max(shortestFeedWait, settings.contactMilliseconds - feedMarginMilliseconds);
-        const mergeMilliseconds = settings.drainMilliseconds * mergeFraction;
-        const timing: FollowTiming = { waitMilliseconds, mergeMilliseconds };
-        const common = { timing, clock, eventLog, onCall: parts.targets.noteStoreCall };
-        const { configurationFeed, targetFeed } = adapters;
-        const { signal } = background;
-        void followTable({ ...common, name: "configuration", feed: configurationFeed, follower: parts.keeper }, signal);
-        void followTable({ ...common, name: "targets", feed: targetFeed, follower: parts.targets }, signal);
+        const ownWait = () => Math.max(shortestFeedWait, settings.contactMilliseconds - feedMarginMilliseconds);
+        const readerWait = () => Math.max(shortestFeedWait, heedMilliseconds() * readerWaitFraction);
+        const timing: FollowTiming = {
+            waitMilliseconds: () => Math.min(ownWait(), coordination.isReader() ? readerWait() : Infinity),
+            mergeMilliseconds: settings.drainMilliseconds * mergeFraction,
+        };
+        const follow = (name: string, feed: ChangeFeed, follower: TableFollower) =>
+            followTable({
+                name,
+                feed,
+                follower,
+                timing,
+                clock,
+                eventLog,
+                onCall: parts.targets.noteStoreCall,
+                relay: coordination.relayedTable(name),
+                reader: coordination.tableReader,
+            }, background.signal);
+        void follow("configuration", adapters.configurationFeed, parts.keeper);
+        void follow("targets", adapters.targetFeed, parts.targets);
     };
 
-    const describeSelf = (): RegisteredPeer => ({
-        peerId: settings.processId,
-        host: settings.peers.address,
-        port: settings.peers.port,
-        availabilityZone: settings.availabilityZone,
-    });
-
     const actWithPeers = () => {
-        const { address, port } = settings.peers;
-        const { channel, close } = openDatagramChannel(address, port, eventLog);
-        const self = describeSelf();
-        const { loads, caches, demand, closed } = parts;
         const { signal } = background;
-        const registry = adapters.peerRegistry;
-        const peers = shareLoads({ self, registry, channel, loads, caches, demand, closed, clock, eventLog }, signal);
-        signal.addEventListener("abort", close);
+        signal.addEventListener("abort", peerChannel.close);
+        coordination.run(signal);
         startStageChanges({
             settings,
             adapters,
             parts,
             incarnation,
-            isPlanner: () => !isStopping && peers.isFirst() && isOn(Mechanism.StageChanges),
-            peerPause: peers.pause,
+            isPlanner: () => !isStopping && coordination.isFirst() && isOn(Mechanism.StageChanges),
+            peerPause: coordination.closingPause,
             clock,
             random,
             eventLog,
@@ -172,6 +206,7 @@
     const stopOnce = async () => {
         isStopping = true;
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
+        coordination.stopAnswering();
         await server.drain(clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -29,6 +29,10 @@
     readonly logFile?: string;
     /** How long after a disturbance of its links a process must be up to date again. */
     readonly contactMilliseconds: number;
+    /** From the store's acknowledgement of a configuration until it must be in force. */
+    readonly configurationMilliseconds: number;
+    /** Share of processor time that this process has, in cores: processes with more of it answer for the others. */
+    readonly strength: number;
     /** From the entry of a target that it is leaving until no new work may reach it. */
     readonly drainMilliseconds: number;
     /** From the request to stop until the process is killed. */
--- a/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -11,7 +11,7 @@
     readonly parts: ForwardingProcessParts;
     readonly incarnation: string;
     readonly isPlanner: () => boolean;
-    /** Pause between two datagrams to each peer. */
+    /** Longest pause between two datagrams to any coordinator while an engine is kept closed. */
     readonly peerPause: () => number;
     readonly clock: Clock;
     readonly random: Random;
--- a/packages/daisyturn-utils/src/events/__tests__/boundedEventLog.test.ts
+++ b/packages/daisyturn-utils/src/events/__tests__/boundedEventLog.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { FakeClock } from "../../fakeClock.js";
+import { FakeClock } from "../../time/fakeClock.js";
 import { createBoundedEventLog } from "../boundedEventLog.js";
 import { EventKind, MemoryEventLog } from "../eventLog.js";
 
--- a/packages/daisyturn-utils/src/events/boundedEventLog.ts
+++ b/packages/daisyturn-utils/src/events/boundedEventLog.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../clock.js";
+import type { Clock } from "../time/clock.js";
 import { type EventFields, EventKind, EventLog } from "./eventLog.js";
 
 /** How much a bounded log may write. */
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -38,6 +38,8 @@
     OrderConfirmed = "order_confirmed",
     OrderAbandoned = "order_abandoned",
     OrderWithheld = "order_withheld",
+    /** Another process coordinates this one's group. */
+    CoordinatorChosen = "coordinator_chosen",
     PeerAlive = "peer_alive",
     PeerSuspect = "peer_suspect",
     PeerDead = "peer_dead",
--- a/packages/daisyturn-utils/src/events/logfmtEventLog.ts
+++ b/packages/daisyturn-utils/src/events/logfmtEventLog.ts
@@ -1,6 +1,6 @@
 import logfmt from "logfmt";
 import { type DestinationStream, pino } from "pino";
-import type { HybridLogicalClock } from "../hybridLogicalClock.js";
+import type { HybridLogicalClock } from "../time/hybridLogicalClock.js";
 import { type EventFields, type EventKind, EventLog } from "./eventLog.js";
 
 /** What stands on every line of one process's log. */
--- a/packages/daisyturn-utils/src/__tests__/hybridLogicalClock.test.ts
+++ b/packages/daisyturn-utils/src/time/__tests__/hybridLogicalClock.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createHybridLogicalClock, FakeClock } from "../index.js";
+import { createHybridLogicalClock, FakeClock } from "../../index.js";
 
 describe("createHybridLogicalClock", () => {
     it("stamps after everything it has observed, also when the wall clock jumps back", () => {
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -1,7 +1,6 @@
 import { EventKind, type EventLog } from "daisyturn-utils";
 import { createSocket } from "node:dgram";
-import type { RegisteredPeer } from "../../ports/peerRegistry.js";
-import { DatagramChannel } from "../../process/forwarding/index.js";
+import { DatagramChannel, type PeerAddress } from "../../process/forwarding/index.js";
 
 /** A channel over UDP, and its end. */
 export interface OpenDatagramChannel {
@@ -22,13 +21,13 @@
     socket.bind(port, host);
 
     class UdpChannel extends DatagramChannel {
-        override send(peer: RegisteredPeer, datagram: Buffer): void {
-            // The callback takes the errors of a peer that can't be reached; the registry drops it in time.
-            socket.send(datagram, peer.port, peer.host, () => undefined);
+        override send(to: PeerAddress, datagram: Buffer): void {
+            // The callback takes the errors of a peer that can't be reached: it is missed by its silence.
+            socket.send(datagram, to.port, to.host, () => undefined);
         }
 
-        override onDatagram(listener: (datagram: Buffer) => void): void {
-            socket.on("message", listener);
+        override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
+            socket.on("message", (datagram, { address, port }) => listener(datagram, { host: address, port }));
         }
     }
     return { channel: new UdpChannel(), close: () => socket.close() };
--- a/packages/daisyturn/src/ports/peerRegistry.ts
+++ b/packages/daisyturn/src/ports/peerRegistry.ts
@@ -8,6 +8,8 @@
     readonly host: string;
     readonly port: number;
     readonly availabilityZone: string;
+    /** Its share of processor time, in cores. */
+    readonly strength: number;
 }
 
 /** The processes that are entered. */
@@ -19,7 +21,7 @@
 
 /** Where the processes of the fleet find each other. Only an adapter knows the wire. */
 export abstract class PeerRegistry {
-    /** Enters this process, or says that it still runs, and reads who else is entered. */
+    /** Enters this process, or says that it still runs, and reads who is entered, this process among them. */
     abstract refresh(self: RegisteredPeer, deadline: number): Promise<Result<PeerListing, Failure>>;
     /** Takes this process's entry away. */
     abstract leave(self: RegisteredPeer, deadline: number): Promise<void>;
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -0,0 +1,164 @@
+import { createSeededRandom, type Failure, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import { ok, type Result } from "true-myth/result";
+import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
+import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../../ports/peerRegistry.js";
+import { engineService } from "../../__fixtures__/placementBench.js";
+import { createSizeFairness } from "../../limits/createSizeFairness.js";
+import { createCallPlacement } from "../../placement/createCallPlacement.js";
+import { decidePrompt } from "../../placement/decidePrompt.js";
+import { createTargetViews } from "../../views/createTargetViews.js";
+import { coordinate } from "../coordinate.js";
+import { DatagramChannel, type PeerAddress } from "../peerChannel.js";
+
+/** What the processes of a fleet have sent, by whether it crossed availability zones. */
+export interface SentCounts {
+    near: number;
+    far: number;
+    farBytes: number;
+    /** Calls to the registry. */
+    registryCalls: number;
+    /** Datagrams by sender. */
+    readonly bySender: Map<string, number>;
+}
+
+type Link = (from: RegisteredPeer, to: RegisteredPeer) => boolean;
+
+/** What a coordinator's word on a table holds for, in milliseconds. */
+export const freshMilliseconds = 1_500;
+const portOffset = 7_000;
+
+/** Processes that hear each other after a millisecond, unless the test cuts them off, and engines in each zone. */
+export function createFleet(count: number, zones = 1, enginesPerZone = 4) {
+    const clock = new FakeClock();
+    const listeners = new Map<number, (datagram: Buffer, from: PeerAddress) => void>();
+    const entered = new Map<string, RegisteredPeer>();
+    const sent: SentCounts = { near: 0, far: 0, farBytes: 0, registryCalls: 0, bySender: new Map() };
+    let hears: Link = () => true;
+    const stop = new AbortController();
+    const peers = Array.from({ length: count }, (value, index) => createPeer(index, zones));
+
+    class SharedRegistry extends PeerRegistry {
+        override async refresh(self: RegisteredPeer): Promise<Result<PeerListing, Failure>> {
+            sent.registryCalls += 1;
+            entered.set(self.peerId, self);
+            return ok({ peers: [...entered.values()], unreadable: 0 });
+        }
+
+        override async leave(): Promise<void> {}
+    }
+
+    const deliver = async (self: RegisteredPeer, to: PeerAddress, datagram: Buffer) => {
+        const receiver = peers[to.port - portOffset];
+        if (receiver) {
+            countDatagram(sent, self, receiver, datagram);
+            await clock.sleepUntil(clock.monotonicNow() + 1);
+            if (hears(self, receiver)) {
+                listeners.get(to.port)?.(datagram, { host: self.host, port: self.port });
+            }
+        }
+    };
+
+    const start = (self: RegisteredPeer, index: number) => {
+        class LocalChannel extends DatagramChannel {
+            override send(to: PeerAddress, datagram: Buffer): void {
+                void deliver(self, to, datagram);
+            }
+
+            override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
+                listeners.set(self.port, listener);
+            }
+        }
+        const eventLog = new MemoryEventLog();
+        const views = createTargetViews((...[, text]) => JSON.parse(text) as ListedTarget, clock, eventLog);
+        views.targets.replace(createEngines(zones, enginesPerZone));
+        const sizeFairness = createSizeFairness();
+        const switchedOff = new Set<never>();
+        const placement = createCallPlacement({
+            ...views,
+            random: createSeededRandom(index),
+            availabilityZone: self.availabilityZone,
+            switchedOff,
+        });
+        const coordination = coordinate({
+            self,
+            registry: new SharedRegistry(),
+            channel: new LocalChannel(),
+            views,
+            sizeFairness,
+            decideHere: request => decidePrompt(placement, switchedOff, request),
+            findService: () => engineService,
+            freshMilliseconds: () => freshMilliseconds,
+            clock,
+            eventLog,
+        });
+        const ended = new AbortController();
+        stop.signal.addEventListener("abort", () => ended.abort());
+        coordination.run(ended.signal);
+        return { self, ...views, coordination, eventLog, sizeFairness, end: () => ended.abort() };
+    };
+
+    const processes = peers.map(start);
+    return {
+        clock,
+        processes,
+        listeners,
+        stop: async () => {
+            stop.abort();
+            await clock.advance(5_000);
+        },
+        /** Says who hears whom from now on. */
+        setLink: (link: Link) => {
+            hears = link;
+        },
+        counts: (): SentCounts => ({ ...sent, bySender: new Map(sent.bySender) }),
+        /** Those that coordinate a group by their own sight. */
+        listCoordinators: () => processes.filter(({ coordination }) => coordination.isCoordinator()),
+        /** Starts a process anew under the same name: it knows nothing. */
+        restart: (index: number) => {
+            processes[index]?.end();
+            const peer = peers[index];
+            if (peer) {
+                processes[index] = start(peer, index + count);
+            }
+        },
+    };
+}
+
+export type Fleet = ReturnType<typeof createFleet>;
+export type FleetProcess = Fleet["processes"][number];
+
+function createPeer(index: number, zones: number): RegisteredPeer {
+    return {
+        peerId: `entry-${String(index).padStart(3, "0")}`,
+        host: `10.0.${Math.floor(index / 250)}.${index % 250}`,
+        port: portOffset + index,
+        availabilityZone: `zone-${index % zones}`,
+        strength: index % 10 === 3 ? 1.35 : 0.324,
+    };
+}
+
+function countDatagram(sent: SentCounts, from: RegisteredPeer, to: RegisteredPeer, datagram: Buffer): void {
+    sent.bySender.set(from.peerId, (sent.bySender.get(from.peerId) ?? 0) + 1);
+    if (from.availabilityZone === to.availabilityZone) {
+        sent.near += 1;
+        return;
+    }
+    sent.far += 1;
+    sent.farBytes += datagram.length;
+}
+
+function createEngines(zones: number, perZone: number) {
+    return Array.from({ length: zones * perZone }, (value, index) => {
+        const target: ListedTarget = {
+            targetId: `i-${index}`,
+            name: `i-${index}`,
+            service: engineService.name,
+            address: `10.9.0.${index}:80`,
+            availabilityZone: `zone-${index % zones}`,
+            slots: 24,
+            isLeaving: false,
+            stage: Math.floor(index / zones) % 2 === 0 ? EngineStage.Prefill : EngineStage.Decode,
+        };
+        return { key: target.targetId, version: 1, text: JSON.stringify(target) };
+    });
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
@@ -0,0 +1,117 @@
+import { type Clock, createSignal } from "daisyturn-utils";
+import type { FeedPage } from "../../../ports/changeFeed.js";
+import type { CoordinatorState, RowsMessage, TableState } from "./messages/tableMessages.js";
+
+/** News of one table of the store, as coordinators pass it on. */
+export interface RelayedTable {
+    /**
+     * Waits for news after a version, for as long as a coordinator vouches that it knows the table as of a moment ago.
+     * Resolves with undefined once none does, or what it has is not at hand: then the store is to be asked.
+     */
+    next(version: number, signal: AbortSignal): Promise<RelayedPage | undefined>;
+}
+
+/** Rows that a coordinator has passed on. */
+export interface RelayedPage extends FeedPage {
+    /** Monotonic time at which the store last failed to answer the coordinator, where that was lately. */
+    readonly storeFailedAt?: number;
+}
+
+/** The tables that coordinators pass on to one process. */
+export interface RelayedTables {
+    find(table: string): RelayedTable;
+    noteState(state: CoordinatorState): void;
+    noteRows(message: RowsMessage): void;
+}
+
+/** What {@link createRelayedTables} needs. */
+export interface RelayedTablesOptions {
+    readonly clock: Clock;
+    /** Longest time since the store has answered a coordinator for which its word holds, in milliseconds. */
+    readonly freshMilliseconds: () => number;
+    /** Whether this process asks the store itself in any case, since others go by its word. */
+    readonly isReader: () => boolean;
+}
+
+/** Rows that are missing may be on their way; after this the store is asked for them. */
+const missingMilliseconds = 60;
+/** Messages kept that can't be taken yet. */
+const mostMessages = 16;
+
+interface Vouch extends TableState {
+    /** Monotonic time at which the store last answered the coordinator. */
+    readonly knownAt: number;
+}
+
+/** Creates the tables of one process. */
+export function createRelayedTables(options: RelayedTablesOptions): RelayedTables {
+    const { clock } = options;
+    const vouches = new Map<string, Map<string, Vouch>>();
+    const messages = new Map<string, (RowsMessage & { readonly at: number; })[]>();
+    const news = createSignal();
+
+    /** The freshest word on a table. */
+    const findVouch = (table: string): Vouch | undefined => {
+        const found = [...vouches.get(table)?.values() ?? []];
+        return found.sort((left, right) => right.knownAt - left.knownAt)[0];
+    };
+
+    const takeRows = (table: string, version: number): RelayedPage | undefined => {
+        const fitting = messages.get(table)?.find(message =>
+            message.afterVersion <= version && message.version > version
+        );
+        messages.set(
+            table,
+            (messages.get(table) ?? []).filter(message => message.version > version && message !== fitting),
+        );
+        return fitting && {
+            rows: fitting.rows,
+            version: fitting.version,
+            isHistoryLost: false,
+            ...(fitting.failedAge !== undefined && { storeFailedAt: fitting.at - fitting.failedAge }),
+        };
+    };
+
+    const next = async (table: string, version: number, signal: AbortSignal): Promise<RelayedPage | undefined> => {
+        let missingSince: number | undefined;
+        while (!signal.aborted && !options.isReader()) {
+            const rows = takeRows(table, version);
+            if (rows) {
+                return rows;
+            }
+            const vouch = findVouch(table);
+            const staleAt = (vouch?.knownAt ?? -Infinity) + options.freshMilliseconds();
+            const now = clock.monotonicNow();
+            if (!vouch || staleAt <= now) {
+                return undefined;
+            }
+            if (vouch.changedVersion <= version && vouch.version > version) {
+                return { rows: [], version: vouch.version, isHistoryLost: false };
+            }
+            const isMissing = vouch.changedVersion > version;
+            missingSince = isMissing ? missingSince ?? now : undefined;
+            if (missingSince !== undefined && now - missingSince >= missingMilliseconds) {
+                return undefined;
+            }
+            await news.wait(clock, missingSince === undefined ? staleAt : missingSince + missingMilliseconds, signal);
+        }
+        return undefined;
+    };
+
+    return {
+        find: table => ({ next: (version, signal) => next(table, version, signal) }),
+        noteState: ({ from, tables }) => {
+            for (const state of tables) {
+                const byCoordinator = vouches.get(state.table) ?? new Map<string, Vouch>();
+                vouches.set(state.table, byCoordinator);
+                byCoordinator.set(from, { ...state, knownAt: clock.monotonicNow() - state.age });
+            }
+            news.raise();
+        },
+        noteRows: message => {
+            const kept = [...messages.get(message.table) ?? [], { ...message, at: clock.monotonicNow() }];
+            messages.set(message.table, kept.slice(-mostMessages));
+            news.raise();
+        },
+    };
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -0,0 +1,83 @@
+import type { Clock } from "daisyturn-utils";
+import type { FeedPage } from "../../../ports/changeFeed.js";
+import type { RowsMessage, TableState } from "./messages/tableMessages.js";
+
+/** What this process knows of the tables that it reads from the store itself, to be passed on. */
+export interface TableReader {
+    /** Notes an answer of the store; `afterVersion` is undefined where the table was read whole. */
+    noteAnswer(table: string, page: FeedPage, afterVersion: number | undefined): void;
+    noteFailure(table: string): void;
+    listStates(): readonly TableState[];
+    /** Called with rows that have changed. */
+    onRows(listener: (message: Omit<RowsMessage, "from">) => void): void;
+}
+
+/** An outage that ended longer ago no longer tells what the removal of a row means. */
+const rememberedFailureMilliseconds = 5_000;
+
+interface ReadTable {
+    changedVersion: number;
+    version: number;
+    /** Monotonic time of the store's last answer. */
+    answeredAt: number;
+    failedAt: number;
+}
+
+/** Creates the reader of one process. */
+export function createTableReader(clock: Clock): TableReader {
+    const tables = new Map<string, ReadTable>();
+    const listeners: ((message: Omit<RowsMessage, "from">) => void)[] = [];
+
+    const find = (table: string): ReadTable => {
+        let known = tables.get(table);
+        if (!known) {
+            known = { changedVersion: 0, version: 0, answeredAt: -Infinity, failedAt: -Infinity };
+            tables.set(table, known);
+        }
+        return known;
+    };
+
+    const tell = (table: string, page: FeedPage, afterVersion: number) => {
+        const failedAge = clock.monotonicNow() - find(table).failedAt;
+        const message = {
+            table,
+            afterVersion,
+            version: page.version,
+            rows: page.rows,
+            ...(failedAge < rememberedFailureMilliseconds && { failedAge: Math.round(failedAge) }),
+        };
+        listeners.forEach(listener => listener(message));
+    };
+
+    return {
+        noteAnswer: (table, page, afterVersion) => {
+            const known = find(table);
+            known.answeredAt = clock.monotonicNow();
+            if (page.isHistoryLost) {
+                return;
+            }
+            known.version = page.version;
+            if (afterVersion === undefined || page.rows.length > 0) {
+                known.changedVersion = page.version;
+            }
+            if (afterVersion !== undefined && page.rows.length > 0) {
+                tell(table, page, afterVersion);
+            }
+        },
+        noteFailure: table => {
+            find(table).failedAt = clock.monotonicNow();
+        },
+        listStates: () => {
+            const now = clock.monotonicNow();
+            return [...tables]
+                .filter(([, { answeredAt }]) => answeredAt > -Infinity)
+                .map(([table, { changedVersion, version, answeredAt }]) => ({
+                    table,
+                    changedVersion,
+                    version,
+                    age: Math.round(now - answeredAt),
+                }));
+        },
+        onRows: listener => void listeners.push(listener),
+    };
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/followPeers.ts
@@ -0,0 +1,59 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
+import type { CoordinatorLink } from "./createCoordinatorLink.js";
+
+/** What {@link followPeers} needs. */
+export interface FollowPeersOptions {
+    readonly self: RegisteredPeer;
+    readonly registry: PeerRegistry;
+    readonly link: CoordinatorLink;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Until other processes are found, while no coordinator is heard, and after a failure. */
+const searchMilliseconds = 1_000;
+/** Coordinators meet each other here; each look is a call to the store, which is priced. */
+const coordinatorMilliseconds = 10_000;
+/** Between two looks whether a process that follows a coordinator still hears one. */
+const checkMilliseconds = 2_000;
+const timeoutMilliseconds = 1_000;
+
+/**
+ * Enters this process among those of the fleet and finds the others, until the signal is aborted. A process that hears a
+ * coordinator learns from it who comes next, and asks the store no more.
+ */
+export async function followPeers(options: FollowPeersOptions, signal: AbortSignal): Promise<void> {
+    const { self, registry, link, clock, eventLog } = options;
+    let unreadable = 0;
+    let found: readonly RegisteredPeer[] = [];
+
+    const noteUnreadable = (count: number) => {
+        if (count !== unreadable) {
+            unreadable = count;
+            eventLog.record(EventKind.Fault, { reason: "entries of peers can't be read", count });
+        }
+    };
+
+    /** @returns the pause until the next look */
+    const look = async (): Promise<number> => {
+        const listing = await registry.refresh(self, clock.monotonicNow() + timeoutMilliseconds);
+        if (listing.isErr) {
+            eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${listing.error.message}` });
+            return searchMilliseconds;
+        }
+        const { peers, unreadable: unreadableNow } = listing.value;
+        // Processes start together: the first ones to look find a part of the others.
+        const isSettled = peers.length > 1 && peers.length === found.length;
+        found = peers;
+        link.setPeers(peers);
+        noteUnreadable(unreadableNow);
+        return isSettled && link.isCandidate() ? coordinatorMilliseconds : searchMilliseconds;
+    };
+
+    while (!signal.aborted) {
+        const needsLook = found.length === 0 || link.isCandidate() || !link.isHeard();
+        const pause = needsLook ? await look() : checkMilliseconds;
+        await clock.sleepUntil(clock.monotonicNow() + pause, signal);
+    }
+}
--- a/packages/daisyturn/src/process/forwarding/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -1,17 +1,28 @@
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { encodeLoadMessage, type LoadMessage, parseLoadMessage } from "../loadMessage.js";
+import { encodeLoadMessage, type LoadMessage, readLoadMessage } from "../loadMessage.js";
+import { parseNotification } from "../notification.js";
 
 const message: LoadMessage = {
     from: "entry-1",
     pause: 120,
+    isGroup: false,
+    placed: 7,
     work: [{ targetId: "i-1", calls: 3, work: 40, deferredWork: 0, tokens: 900 }],
     kept: [["i-1", "part", 600]],
     demand: [["engines", 1_800]],
     closed: [["i-2", 5_000]],
+    paces: [["i-1", 10, 200, 260]],
+    pauses: [["engines", 48]],
+    ended: [["ask", 17_000, true]],
 };
 
+function parseLoadMessage(datagram: Buffer): LoadMessage | undefined {
+    const notification = parseNotification(datagram);
+    return notification && readLoadMessage(notification);
+}
+
 /** The parameters as they are sent, to be changed in one place. */
 function createParams(): Record<string, unknown> {
     const sent = JSON.parse(encodeLoadMessage(message).toString()) as { params: Record<string, unknown>; };
@@ -49,6 +60,9 @@
         ["demand", ["engines", 1e12]],
         ["closed", ["i-2", 1e15]],
         ["closed", ["i-2", -1]],
+        ["paces", ["i-1", 0, 0, -1]],
+        ["pauses", ["", 5]],
+        ["ended", ["ask", 17_000, "yes"]],
     ];
     for (const [name, entry] of wrong) {
         const params = createParams();
@@ -58,7 +72,18 @@
 });
 
 test("whatever a datagram holds, it is no message or one with amounts that a process can have", () => {
-    const field = fastCheck.constantFrom("from", "pause", "work", "kept", "demand", "closed");
+    const field = fastCheck.constantFrom(
+        "from",
+        "pause",
+        "placed",
+        "work",
+        "kept",
+        "demand",
+        "closed",
+        "paces",
+        "pauses",
+        "ended",
+    );
     const checkAmounts = (value: unknown): void => {
         if (typeof value === "number") {
             assert.ok(value >= 0 && value <= 1e9, String(value));
@@ -69,7 +94,9 @@
     };
     fastCheck.assert(
         fastCheck.property(field, fastCheck.jsonValue(), (name, value) => {
-            checkAmounts(parse({ ...createParams(), [name]: value }));
+            const read = parse({ ...createParams(), [name]: value });
+            assert.ok((read?.placed ?? 0) >= 0 && (read?.placed ?? 0) <= 1e15);
+            checkAmounts({ ...read, placed: 0 });
         }),
         { seed: 7, numRuns: 1_000 },
     );
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -0,0 +1,126 @@
+import type { FeedRow } from "../../../../ports/changeFeed.js";
+import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
+import type { Closing } from "../../targets/createClosedTargets.js";
+import {
+    encodeNotification,
+    isAmount,
+    isName,
+    type Notification,
+    readAmount,
+    readList,
+    readName,
+    readOptionalAmount,
+    tryRead,
+} from "./notification.js";
+
+/** What a coordinator knows of one table that it follows in the store. */
+export interface TableState {
+    readonly table: string;
+    /** Version of the store at the last change of the table, as far as it is known. */
+    readonly changedVersion: number;
+    /** Version of the store up to which the table is known. */
+    readonly version: number;
+    /** Milliseconds since the store has last answered. */
+    readonly age: number;
+}
+
+/** A coordinator's regular word to the processes of its group. */
+export interface CoordinatorState {
+    readonly from: string;
+    /** Whether it knows by now what its group has under way, and may be asked for placements. */
+    readonly isAnswering: boolean;
+    readonly tables: readonly TableState[];
+    readonly closed: readonly Closing[];
+    /** The processes that come first as coordinators of the group. */
+    readonly candidates: readonly RegisteredPeer[];
+}
+
+/** Rows of a table that changed after one version of the store and up to another. */
+export interface RowsMessage {
+    readonly from: string;
+    readonly table: string;
+    readonly afterVersion: number;
+    readonly version: number;
+    readonly rows: readonly FeedRow[];
+    /** Milliseconds since the store has last failed to answer the coordinator, where that was lately. */
+    readonly failedAge?: number;
+}
+
+export const stateMethod = "state";
+export const rowsMethod = "rows";
+const longestClosingMilliseconds = 60_000;
+
+/** Writes a coordinator's state. */
+export function encodeCoordinatorState({ tables, candidates, ...state }: CoordinatorState): Buffer {
+    return encodeNotification(stateMethod, {
+        ...state,
+        tables: tables.map(({ table, changedVersion, version, age }) => [table, changedVersion, version, age]),
+        candidates: candidates.map(peer => [
+            peer.peerId,
+            peer.host,
+            peer.port,
+            peer.availabilityZone,
+            peer.strength,
+        ]),
+    });
+}
+
+/** Reads a coordinator's state; undefined where a field is missing or can't be. */
+export function readCoordinatorState({ method, params }: Notification): CoordinatorState | undefined {
+    return method === stateMethod ? tryRead(() => readStateParams(params)) : undefined;
+}
+
+/** Writes changed rows; a row without a text was removed. */
+export function encodeRowsMessage({ rows, ...message }: RowsMessage): Buffer {
+    const entries = rows.map(({ key, version, text }) => text === undefined ? [key, version] : [key, version, text]);
+    return encodeNotification(rowsMethod, { ...message, rows: entries });
+}
+
+/** Reads changed rows; undefined where a field is missing or can't be, since no row may be left out. */
+export function readRowsMessage({ method, params }: Notification): RowsMessage | undefined {
+    return method === rowsMethod ? tryRead(() => readRowsParams(params)) : undefined;
+}
+
+type StateEntry = readonly [string, number, number, number];
+type CandidateEntry = readonly [string, string, number, string, number];
+type RowEntry = readonly [string, number, string?];
+
+function readStateParams(params: Notification["params"]): CoordinatorState {
+    const isCount = (value: unknown) => isAmount(value);
+    const tables = readList<StateEntry>(params["tables"], [isName, isCount, isCount, isCount]);
+    const candidates = readList<CandidateEntry>(params["candidates"], [isName, isName, isCount, isText, isCount]);
+    return {
+        from: readName(params["from"]),
+        isAnswering: params["isAnswering"] === true,
+        tables: tables.map(([table, changedVersion, version, age]) => ({ table, changedVersion, version, age })),
+        closed: readList(params["closed"], [isName, value => isAmount(value, longestClosingMilliseconds)]),
+        candidates: candidates.map(([peerId, host, port, availabilityZone, strength]) => ({
+            peerId,
+            host,
+            port,
+            availabilityZone,
+            strength,
+        })),
+    };
+}
+
+function readRowsParams(params: Notification["params"]): RowsMessage {
+    const sent = params["rows"] as readonly unknown[];
+    const isRowText = (value: unknown) => value === undefined || isText(value);
+    const entries = readList<RowEntry>(sent, [isName, value => isAmount(value), isRowText]);
+    if (entries.length < sent.length) {
+        throw new Error("a row can't be read");
+    }
+    return {
+        from: readName(params["from"]),
+        table: readName(params["table"]),
+        afterVersion: readAmount(params["afterVersion"]),
+        version: readAmount(params["version"]),
+        rows: entries.map(([key, version, text]) => ({ key, version, text })),
+        failedAge: readOptionalAmount(params["failedAge"]),
+    };
+}
+
+function isText(value: unknown): value is string {
+    return typeof value === "string";
+}
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -4,6 +4,10 @@
  * @module
  */
 
+export * from "./coordination/coordinate.js";
+export * from "./coordination/createRelayedTables.js";
+export * from "./coordination/createTableReader.js";
+export * from "./coordination/peerChannel.js";
 export * from "./createSizeCounts.js";
 export * from "./experiments/mechanism.js";
 export * from "./experiments/switchOffViews.js";
@@ -16,7 +20,6 @@
 export * from "./placement/createLeastRunningPlacement.js";
 export * from "./placement/decidePrompt.js";
 export * from "./reportSizeCounts.js";
-export * from "./shareLoads.js";
 export * from "./stages/changeStages.js";
 export * from "./stages/planStage.js";
 export * from "./targets/createClosedTargets.js";
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -1,9 +1,14 @@
+/** A prompt that has ended: its route, its tokens, and whether it was served. */
+export type EndedPrompt = readonly [route: string, tokens: number, isServed: boolean];
+
 /** A prompt that is under way, in the account of its route. */
 export interface AccountedPrompt {
     /** Whether prompts as long as this one were served so seldom of late that it should not be refused as well. */
     isOwed(): boolean;
     /** The prompt was refused, or failed, or its caller left. */
     noteUnserved(): void;
+    /** The prompt has ended, for the peers. */
+    end(): void;
 }
 
 /**
@@ -13,6 +18,12 @@
 export interface SizeFairness {
     /** Takes a prompt in, as one that will be served until it is said to be not. */
     begin(route: string, tokens: number): AccountedPrompt;
+    /** The same for a prompt of another process, which is not in the account. */
+    isOwed(route: string, tokens: number): boolean;
+    /** Takes in prompts that ended at a peer. */
+    noteTold(ended: EndedPrompt): void;
+    /** Own prompts that ended since the last call, for the peers. */
+    takeNew(): readonly EndedPrompt[];
 }
 
 /** The last prompts of a route that count: enough that several are among the longest tenth. */
@@ -24,6 +35,11 @@
 /** The longest prompts are owed at least this part of the service of all: half is promised, and some is lost on the way. */
 const leastFraction = 0.6;
 
+/** Routes with an account; beyond, the one that was opened first is dropped. */
+const mostRoutes = 64;
+/** Ended prompts kept for the peers. */
+const mostUntold = 32;
+
 interface Entry {
     readonly tokens: number;
     isServed: boolean;
@@ -32,26 +48,54 @@
 /** Creates the account of one process. */
 export function createSizeFairness(): SizeFairness {
     const routes = new Map<string, Entry[]>();
+    let untold: EndedPrompt[] = [];
+
+    const find = (route: string): Entry[] => {
+        let entries = routes.get(route);
+        if (!entries) {
+            entries = [];
+            routes.set(route, entries);
+            const oldest = routes.keys().next().value;
+            if (routes.size > mostRoutes && oldest !== undefined) {
+                routes.delete(oldest);
+            }
+        }
+        return entries;
+    };
+
+    const add = (entries: Entry[], entry: Entry) => {
+        entries.push(entry);
+        if (entries.length > rememberedPrompts) {
+            entries.shift();
+        }
+    };
+
     return {
         begin: (route, tokens) => {
-            const entries = routes.get(route) ?? [];
-            routes.set(route, entries);
+            const entries = find(route);
             const own: Entry = { tokens, isServed: true };
-            entries.push(own);
-            if (entries.length > rememberedPrompts) {
-                entries.shift();
-            }
+            add(entries, own);
             return {
-                isOwed: () => isOwed(own, entries.filter(entry => entry !== own)),
+                isOwed: () => isOwed(tokens, entries.filter(entry => entry !== own)),
                 noteUnserved: () => {
                     own.isServed = false;
                 },
+                end: () => {
+                    untold = [...untold, [route, tokens, own.isServed] as const].slice(-mostUntold);
+                },
             };
         },
+        isOwed: (route, tokens) => isOwed(tokens, routes.get(route) ?? []),
+        noteTold: ([route, tokens, isServed]) => add(find(route), { tokens, isServed }),
+        takeNew: () => {
+            const told = untold;
+            untold = [];
+            return told;
+        },
     };
 }
 
-function isOwed({ tokens }: Entry, others: readonly Entry[]): boolean {
+function isOwed(tokens: number, others: readonly Entry[]): boolean {
     if (others.length < fewestPrompts) {
         return false;
     }
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
@@ -49,7 +49,7 @@
             replace: rows => void taken.push(`all ${describe(rows)}`),
             change: rows => void taken.push(`change ${describe(rows)}`),
         },
-        timing: { waitMilliseconds: 1_000, mergeMilliseconds: 100 },
+        timing: { waitMilliseconds: () => 1_000, mergeMilliseconds: 100 },
         clock,
         eventLog,
     }, stop.signal);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -63,9 +63,9 @@
         }
     };
 
-    const remove = (key: string) => {
+    const remove = (key: string, storeFailedAt = -Infinity) => {
         unreadable.delete(key);
-        const graceEnd = lastFailureAt + returnMilliseconds;
+        const graceEnd = Math.max(lastFailureAt, storeFailedAt) + returnMilliseconds;
         if (graceEnd > clock.monotonicNow()) {
             lapsed.set(key, graceEnd);
             return;
@@ -84,9 +84,9 @@
         }
     };
 
-    const put = (row: FeedRow) => {
+    const put = (row: FeedRow, storeFailedAt?: number) => {
         if (row.text === undefined) {
-            remove(row.key);
+            remove(row.key, storeFailedAt);
             return;
         }
         try {
@@ -169,12 +169,12 @@
         replace: rows => {
             isKnown = true;
             const present = new Set(rows.map(row => row.key));
-            [...entries.keys()].filter(key => !present.has(key)).forEach(remove);
-            rows.forEach(put);
+            [...entries.keys()].filter(key => !present.has(key)).forEach(key => remove(key));
+            rows.forEach(row => put(row));
             index();
         },
-        change: rows => {
-            rows.forEach(put);
+        change: (rows, storeFailedAt) => {
+            rows.forEach(row => put(row, storeFailedAt));
             index();
         },
     };
--- a/packages/daisyturn/src/process/forwarding/targets/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -1,12 +1,19 @@
-import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import { type Clock, EventKind, type EventLog, type Failure } from "daisyturn-utils";
+import type { Result } from "true-myth/result";
 import type { ChangeFeed, FeedPage, FeedRow } from "../../../ports/changeFeed.js";
+import type { RelayedPage, RelayedTable } from "../coordination/createRelayedTables.js";
+import type { TableReader } from "../coordination/createTableReader.js";
 
 /** Takes what a followed table says. */
 export interface TableFollower {
     /** All rows as of one moment: what is missing is gone. */
     replace(rows: readonly FeedRow[]): void;
-    /** Rows that changed. */
-    change(rows: readonly FeedRow[]): void;
+    /**
+     * Rows that changed.
+     * @param storeFailedAt monotonic time at which the store last failed to answer whoever has read them, where that was
+     * lately and is not known from this process's own calls
+     */
+    change(rows: readonly FeedRow[], storeFailedAt?: number): void;
 }
 
 /** How a table is followed. Times are in milliseconds. */
@@ -15,7 +22,7 @@
      * How long one call waits for a change. It bounds how long a connection that has fallen silent stays unnoticed,
      * and each call has a price.
      */
-    readonly waitMilliseconds: number;
+    readonly waitMilliseconds: () => number;
     /** Pause after a change, so that changes in quick succession come as one answer. */
     readonly mergeMilliseconds: number;
 }
@@ -30,6 +37,10 @@
     readonly eventLog: EventLog;
     /** Told of each answer and each failure of the store, with the time the call took beyond its wait. */
     readonly onCall?: (isAnswered: boolean) => void;
+    /** News that another process passes on: while it does, the store is not asked. */
+    readonly relay?: RelayedTable;
+    /** Takes what the store has answered, for other processes. */
+    readonly reader?: Pick<TableReader, "noteAnswer" | "noteFailure">;
 }
 
 /** Beyond its wait, a call gets this long before its connection counts as silent. */
@@ -46,7 +57,7 @@
     let retryMilliseconds = firstRetryMilliseconds;
     let isReachable = true;
 
-    const take = (page: FeedPage): number => {
+    const take = (page: RelayedPage): number => {
         if (page.isHistoryLost) {
             version = undefined;
             return 0;
@@ -57,7 +68,7 @@
             follower.replace(page.rows);
         }
         else if (page.rows.length > 0) {
-            follower.change(page.rows);
+            follower.change(page.rows, page.storeFailedAt);
         }
         return page.rows.length > 0 ? timing.mergeMilliseconds : 0;
     };
@@ -71,25 +82,35 @@
         }
     };
 
-    while (!signal.aborted) {
+    const askStore = () => {
         const now = clock.monotonicNow();
-        const page = version === undefined
-            ? await feed.readAll(now + readTimeoutMilliseconds)
-            : await feed.waitForChanges(
-                version,
-                timing.waitMilliseconds,
-                now + timing.waitMilliseconds + answerSlackMilliseconds,
-            );
-        noteReachable(page.isOk, page.isErr ? page.error.message : undefined);
-        let pause = retryMilliseconds;
-        if (page.isOk) {
-            pause = take(page.value);
-            retryMilliseconds = firstRetryMilliseconds;
-        }
-        else {
+        const wait = timing.waitMilliseconds();
+        return version === undefined
+            ? feed.readAll(now + readTimeoutMilliseconds)
+            : feed.waitForChanges(version, wait, now + wait + answerSlackMilliseconds);
+    };
+
+    /** @returns the pause before the next call */
+    const takeAnswer = (answer: Result<FeedPage, Failure>): number => {
+        noteReachable(answer.isOk, answer.isErr ? answer.error.message : undefined);
+        if (answer.isErr) {
+            options.reader?.noteFailure(options.name);
+            const pause = retryMilliseconds;
             retryMilliseconds = Math.min(longestRetryMilliseconds, retryMilliseconds * 2);
+            return pause;
+        }
+        options.reader?.noteAnswer(options.name, answer.value, version);
+        retryMilliseconds = firstRetryMilliseconds;
+        return take(answer.value);
+    };
+
+    while (!signal.aborted) {
+        const relayed = version === undefined ? undefined : await options.relay?.next(version, signal);
+        if (relayed) {
+            take(relayed);
         }
-        if (pause > 0) {
+        else if (!signal.aborted) {
+            const pause = takeAnswer(await askStore());
             await clock.sleepUntil(clock.monotonicNow() + pause, signal);
         }
     }
--- a/packages/daisyturn/src/process/forwarding/views/__tests__/targetViews.test.ts
+++ b/packages/daisyturn/src/process/forwarding/views/__tests__/targetViews.test.ts
@@ -138,9 +138,10 @@
 
     it("tells long parts to the peers once", () => {
         const caches = createCacheBeliefs(new FakeClock());
+        const told: unknown[] = [];
+        caches.onNoted(placement => told.push(placement));
         caches.note("a", [part("long", 3_000), part("short", 10), part("own", 1)], 10_000);
-        assert.deepEqual(caches.takeNew(10), [["a", "long", 3_000]]);
-        assert.deepEqual(caches.takeNew(10), []);
+        assert.deepEqual(told, [["a", "long", 3_000]]);
     });
 });
 
--- a/packages/daisyturn/src/process/forwarding/views/createCacheBeliefs.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createCacheBeliefs.ts
@@ -10,8 +10,8 @@
     note(targetId: string, parts: readonly PromptPart[], capacityTokens: number): void;
     /** Takes in what a peer has placed. */
     noteTold(targetId: string, partId: string, tokens: number): void;
-    /** Own placements since the last call, for the peers; at most so many. */
-    takeNew(most: number): readonly PartPlacement[];
+    /** Called with each part that was noted and that peers need to know of. */
+    onNoted(listener: (placement: PartPlacement) => void): void;
     /** Tokens at the start of the prompt that the engine need not compute. */
     keptTokens(targetId: string, parts: readonly PromptPart[]): number;
     forget(targetId: string): void;
@@ -39,7 +39,7 @@
 /** Creates the beliefs of one process. */
 export function createCacheBeliefs(clock: Clock): CacheBeliefs {
     const caches = new Map<string, EngineCache>();
-    let untold: PartPlacement[] = [];
+    const listeners: ((placement: PartPlacement) => void)[] = [];
 
     const find = (targetId: string): EngineCache => {
         let cache = caches.get(targetId);
@@ -75,16 +75,12 @@
             parts.forEach(({ partId, tokens }, index) => {
                 put(cache, partId, tokens);
                 if (tokens >= leastToldTokens && index < parts.length - 1) {
-                    untold.push([targetId, partId, tokens]);
+                    listeners.forEach(listener => listener([targetId, partId, tokens]));
                 }
             });
         },
         noteTold: (targetId, partId, tokens) => put(find(targetId), partId, tokens),
-        takeNew: most => {
-            const told = untold.slice(-most);
-            untold = [];
-            return told;
-        },
+        onNoted: listener => void listeners.push(listener),
         keptTokens: (targetId, parts) => {
             const cache = caches.get(targetId);
             const oldest = clock.monotonicNow() - beliefMilliseconds;
--- a/packages/daisyturn/src/process/forwarding/views/createEventPace.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createEventPace.ts
@@ -1,11 +1,21 @@
+/** The mean pause of one answer that had several events: service, milliseconds. */
+export type PauseObservation = readonly [service: string, meanInterval: number];
+
 /** How far apart the events of answers come at the engines of a service, while nothing else holds them up. */
 export interface EventPace {
     /** Usual milliseconds between two events. */
     interval(service: string): number;
     /** Takes in the mean of one answer that had several events. */
     observe(service: string, meanInterval: number): void;
+    /** Takes in what a peer has observed. */
+    noteTold(observation: PauseObservation): void;
+    /** Own observations since the last call, for the peers. */
+    takeNew(): readonly PauseObservation[];
 }
 
+/** Observations kept for the peers; an answer's pause says about as much as that of the one before it. */
+const mostUntold = 16;
+
 /** Before the first answer has ended: an event of nine tokens in a half-full batch of a large model. */
 const startingInterval = 45;
 /**
@@ -18,12 +28,23 @@
 /** Creates the view of one process. */
 export function createEventPace(): EventPace {
     const intervals = new Map<string, number>();
+    let untold: PauseObservation[] = [];
+    const learn = (service: string, meanInterval: number) => {
+        const known = intervals.get(service) ?? startingInterval;
+        const weight = meanInterval < known ? weightBelow : weightAbove;
+        intervals.set(service, known + (meanInterval - known) * weight);
+    };
     return {
         interval: service => intervals.get(service) ?? startingInterval,
         observe: (service, meanInterval) => {
-            const known = intervals.get(service) ?? startingInterval;
-            const weight = meanInterval < known ? weightBelow : weightAbove;
-            intervals.set(service, known + (meanInterval - known) * weight);
+            learn(service, meanInterval);
+            untold = [...untold, [service, meanInterval] as const].slice(-mostUntold);
+        },
+        noteTold: ([service, meanInterval]) => learn(service, meanInterval),
+        takeNew: () => {
+            const told = untold;
+            untold = [];
+            return told;
         },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
@@ -8,8 +8,11 @@
      * @param forgottenAt monotonic time after which it no longer counts
      */
     note(peerId: string, underWay: readonly WorkUnderWay[], forgottenAt: number): void;
+    forget(peerId: string): void;
     /** Undefined while no peer is heard. */
     sum(targetId: string): PeerLoad | undefined;
+    /** The sums of all targets at which there is any. */
+    list(): readonly WorkUnderWay[];
 }
 
 /** What peers have under way at one target. */
@@ -59,6 +62,7 @@
     };
 
     return {
+        forget,
         note: (peerId, underWay, forgottenAt) => {
             forget(peerId);
             peers.set(peerId, { forgottenAt, underWay });
@@ -69,5 +73,9 @@
             forgetOld();
             return peers.size > 0 ? sums.get(targetId) ?? nothing : undefined;
         },
+        list: () => {
+            forgetOld();
+            return [...sums].map(([targetId, sum]) => ({ targetId, ...sum }));
+        },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/views/createReadingDemand.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createReadingDemand.ts
@@ -8,8 +8,12 @@
 export interface ReadingDemand {
     note(service: string, milliseconds: number): void;
     listOwn(): readonly ServiceDemand[];
+    /** That of this process and of those that have told theirs, other groups not counted. */
+    listGroup(): readonly ServiceDemand[];
     /** @param pause milliseconds until the peer tells it anew */
     notePeer(peerId: string, demand: readonly ServiceDemand[], pause: number): void;
+    /** The same of another group of processes, told by its coordinator. */
+    noteGroup(coordinatorId: string, demand: readonly ServiceDemand[], pause: number): void;
     /** Engines that would read without a pause. */
     engines(service: string): number;
 }
@@ -20,16 +24,42 @@
 const peerMemoryMilliseconds = 3_000;
 const millisecondsPerSecond = 1_000;
 
+interface ToldDemand {
+    /** Monotonic time. */
+    readonly forgottenAt: number;
+    readonly demand: ReadonlyMap<string, number>;
+}
+
 /** Creates the view of one process. */
 export function createReadingDemand(clock: Clock): ReadingDemand {
     const own = new Map<string, DecayingRate>();
-    const peers = new Map<string, {
-        /** Monotonic time. */
-        readonly forgottenAt: number;
-        readonly demand: ReadonlyMap<string, number>;
-    }>();
+    const peers = new Map<string, ToldDemand>();
+    const groups = new Map<string, ToldDemand>();
     const ownRate = (service: string) => own.get(service)?.perSecond(clock.monotonicNow()) ?? 0;
 
+    const noteIn = (
+        told: Map<string, ToldDemand>,
+        teller: string,
+        demand: readonly ServiceDemand[],
+        pause: number,
+    ) => {
+        const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
+        told.set(teller, { forgottenAt, demand: new Map(demand) });
+    };
+
+    const sumTold = (told: ReadonlyMap<string, ToldDemand>, service: string) => {
+        const now = clock.monotonicNow();
+        let sum = 0;
+        for (const { forgottenAt, demand } of told.values()) {
+            sum += forgottenAt >= now ? demand.get(service) ?? 0 : 0;
+        }
+        return sum;
+    };
+
+    const groupRate = (service: string) => ownRate(service) + sumTold(peers, service);
+    const listServices = () =>
+        new Set([...own.keys(), ...[...peers.values()].flatMap(({ demand }) => [...demand.keys()])]);
+
     return {
         note: (service, milliseconds) => {
             let rate = own.get(service);
@@ -40,17 +70,9 @@
             rate.add(milliseconds, clock.monotonicNow());
         },
         listOwn: () => [...own.keys()].map(service => [service, ownRate(service)] as const),
-        notePeer: (peerId, demand, pause) => {
-            const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
-            peers.set(peerId, { forgottenAt, demand: new Map(demand) });
-        },
-        engines: service => {
-            const now = clock.monotonicNow();
-            let sum = ownRate(service);
-            for (const peer of peers.values()) {
-                sum += peer.forgottenAt >= now ? peer.demand.get(service) ?? 0 : 0;
-            }
-            return sum / millisecondsPerSecond;
-        },
+        listGroup: () => [...listServices()].map(service => [service, groupRate(service)] as const),
+        notePeer: (peerId, demand, pause) => noteIn(peers, peerId, demand, pause),
+        noteGroup: (coordinatorId, demand, pause) => noteIn(groups, coordinatorId, demand, pause),
+        engines: service => (groupRate(service) + sumTold(groups, service)) / millisecondsPerSecond,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/views/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetLoads.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import type { ReportedLoad } from "../../../ports/forwardedCall.js";
-import { createPeerLoads } from "./createPeerLoads.js";
+import { createPeerLoads, type PeerLoad } from "./createPeerLoads.js";
 import { findForgetTime } from "./findForgetTime.js";
 import type { WorkUnderWay } from "./workUnderWay.js";
 
@@ -30,8 +30,15 @@
      * @param pause milliseconds until the peer tells it anew
      */
     notePeer(peerId: string, work: readonly WorkUnderWay[], pause: number): void;
-    /** What this process has under way, for its peers. */
+    forgetPeer(peerId: string): void;
+    /** The same of another group of processes, told by its coordinator. */
+    noteGroup(coordinatorId: string, work: readonly WorkUnderWay[], pause: number): void;
+    /** What this process has under way at engines, for its coordinators: plain calls end before it would be known. */
     listOwn(): readonly WorkUnderWay[];
+    /** What this process and those that have told theirs have under way at engines, other groups not counted. */
+    listGroup(): readonly WorkUnderWay[];
+    /** Called each time that what `listOwn` tells has changed. */
+    onChanged(listener: () => void): void;
     /** Calls that run or wait at the target, of all processes. */
     calls(targetId: string): number;
     /** Tokens of KV cache held by calls under way, of all processes. */
@@ -43,6 +50,8 @@
 
 interface TargetLoad {
     calls: number;
+    /** Those that hold memory or are expensive. */
+    engineCalls: number;
     work: number;
     deferredWork: number;
     tokens: number;
@@ -62,12 +71,16 @@
 export function createTargetLoads(clock: Clock): TargetLoads {
     const own = new Map<string, TargetLoad>();
     const peers = createPeerLoads(clock);
+    const groups = createPeerLoads(clock);
+    const listeners: (() => void)[] = [];
+    const noteChange = () => listeners.forEach(listener => listener());
 
     const find = (targetId: string): TargetLoad => {
         let load = own.get(targetId);
         if (!load) {
             load = {
                 calls: 0,
+                engineCalls: 0,
                 work: 0,
                 deferredWork: 0,
                 tokens: 0,
@@ -85,15 +98,23 @@
     const begin = (targetId: string, { work, isDeferred, tokens }: CallCost): PlacedWork => {
         const load = find(targetId);
         const kind = isDeferred ? "deferredWork" : "work";
+        const isTold = tokens > 0 || work > 0;
         load.calls += 1;
+        load.engineCalls += isTold ? 1 : 0;
         load.tokens += tokens;
         load[kind] += work;
+        if (isTold) {
+            noteChange();
+        }
         let isHeavy = true;
         let isRunning = true;
         const finishHeavyPart = () => {
             if (isHeavy) {
                 isHeavy = false;
                 load[kind] = Math.max(0, load[kind] - work);
+                if (isTold) {
+                    noteChange();
+                }
             }
         };
         return {
@@ -103,24 +124,45 @@
                 if (isRunning) {
                     isRunning = false;
                     load.calls -= 1;
+                    load.engineCalls -= isTold ? 1 : 0;
                     load.tokens -= tokens;
+                    if (isTold) {
+                        noteChange();
+                    }
                 }
             },
         };
     };
 
     const listOwn = () =>
-        [...own].filter(([, load]) => load.calls > 0).map(([targetId, { calls, work, deferredWork, tokens }]) => ({
+        [...own].filter(([, load]) => load.engineCalls > 0).map(([targetId, load]): WorkUnderWay => ({
             targetId,
-            calls,
-            work,
-            deferredWork,
-            tokens,
+            calls: load.engineCalls,
+            work: load.work,
+            deferredWork: load.deferredWork,
+            tokens: load.tokens,
         }));
 
+    /** What others have under way there; undefined while nobody is heard. */
+    const findTold = (targetId: string): PeerLoad | undefined => {
+        const told = [peers.sum(targetId), groups.sum(targetId)].filter(load => load !== undefined);
+        return told.length > 0 ? told.reduce(addLoads) : undefined;
+    };
+
+    const listGroup = () => {
+        const sums = new Map<string, PeerLoad>();
+        for (const { targetId, ...load } of [...listOwn(), ...peers.list()]) {
+            const known = sums.get(targetId);
+            sums.set(targetId, known ? addLoads(known, load) : load);
+        }
+        return [...sums].map(([targetId, sum]) => ({ targetId, ...sum }));
+    };
+
     return {
         begin,
         listOwn,
+        listGroup,
+        onChanged: listener => void listeners.push(listener),
         noteReport: (targetId, { running, waiting }) => {
             const load = find(targetId);
             load.reportedOthers = Math.max(0, running + waiting - load.calls);
@@ -130,18 +172,32 @@
             const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
             peers.note(peerId, work, forgottenAt);
         },
+        forgetPeer: peers.forget,
+        noteGroup: (coordinatorId, work, pause) => {
+            const forgottenAt = findForgetTime(clock.monotonicNow(), pause, peerMemoryMilliseconds);
+            groups.note(coordinatorId, work, forgottenAt);
+        },
         calls: targetId => {
             const load = own.get(targetId);
-            const told = peers.sum(targetId)?.calls ?? 0;
+            const told = findTold(targetId)?.calls ?? 0;
             return (load?.calls ?? 0) + Math.max(told, reportedOthers(load));
         },
-        tokens: targetId => (own.get(targetId)?.tokens ?? 0) + (peers.sum(targetId)?.tokens ?? 0),
+        tokens: targetId => (own.get(targetId)?.tokens ?? 0) + (findTold(targetId)?.tokens ?? 0),
         wait: (targetId, isDeferred) => {
             const load = own.get(targetId);
-            const told = peers.sum(targetId);
+            const told = findTold(targetId);
             const behind = isDeferred ? (load?.deferredWork ?? 0) + (told?.deferredWork ?? 0) : 0;
             return behind + (load?.work ?? 0) + (told?.work ?? reportedOthers(load) * unknownWorkMilliseconds);
         },
         forget: targetId => own.delete(targetId),
     };
 }
+
+function addLoads(left: PeerLoad, right: PeerLoad): PeerLoad {
+    return {
+        calls: left.calls + right.calls,
+        work: left.work + right.work,
+        deferredWork: left.deferredWork + right.deferredWork,
+        tokens: left.tokens + right.tokens,
+    };
+}
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -35,6 +35,7 @@
     if (answer.isErr) {
         account.noteUnserved();
     }
+    account.end();
     return answer;
 }
 
--- a/scripts/bundle/bundle.js
+++ b/scripts/bundle/bundle.js
@@ -17,7 +17,7 @@
 }
 
 await build({
-    entryPoints: ["platform/dist/runEntry.js"],
+    entryPoints: ["platform/dist/program/runEntry.js"],
     outfile: "target/entry.cjs",
     plugins: [replaceModules([
         [/^undici$/, "undiciClients.cjs"],
