Reopen engines everywhere once their change of stage is complete

Symptom: after the last engines of a stage were lost, prompts were refused with no_target until eight seconds after the replacement engine had been closed, although it had been listed in its new stage four seconds earlier.

The process that had closed an engine received its own closing back from its coordinator's deputy, and a list that omitted the engine did not reopen it at any process; only the eight-second time limit did.

Ruled out: that the engine was not listed, or that placement did not trust it (target_listed at all processes at 47.3 s).

Change: the targets a process keeps closed form a single list with a revision number, identified by the run of that process. A list replaces those of the same process with lower revisions, regardless of the path it arrived by, and an empty list is sent until the last closing has expired. Each process logs target_closed and target_reopened events.

The message tests require the same entries to be left out as before, in the new format.

--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -51,6 +51,9 @@
     TargetAnswered = "target_answered",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
+    /** A target receives no new work because it is about to change its stage. */
+    TargetClosed = "target_closed",
+    TargetReopened = "target_reopened",
     KvReleaseFailed = "kv_release_failed",
     EngineDegraded = "engine_degraded",
     EngineRecovered = "engine_recovered",
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
@@ -113,6 +113,46 @@
         await fleet.stop();
     });
 
+    // Guards against an engine that stays closed until its closing expires, although it has been reopened.
+    for (const [count, zones] of [[9, 4], [60, 3]] as const) {
+        it(`reopens an engine at all ${count} processes when the process that closed it reopens it`, async () => {
+            const fleet = createFleet(count, zones);
+            await fleet.clock.advance(6_000);
+            const first = fleet.processes.find(({ coordination }) => coordination.isFirst());
+            assert.ok(first);
+            first.closed.close("engine", fleet.clock.monotonicNow() + 8_000);
+            first.closed.close("other", fleet.clock.monotonicNow() + 8_000);
+            await fleet.clock.advance(3_600);
+            first.closed.reopen("engine");
+            assert.equal(first.closed.isClosed("engine"), false);
+            await fleet.clock.advance(50);
+            const isClosedByProcess = () => fleet.processes.map(({ closed }) => closed.isClosed("engine"));
+            assert.ok(!isClosedByProcess().includes(true), "reopened with the first message");
+            assert.ok(fleet.processes.every(({ closed }) => closed.isClosed("other")));
+            await fleet.clock.advance(2_000);
+            assert.ok(!isClosedByProcess().includes(true), "not closed again by relayed lists");
+            await fleet.stop();
+        });
+    }
+
+    // Guards against an engine that stays closed at some processes because the message that reopens it was lost.
+    it("reopens an engine at processes that missed the first message about it", async () => {
+        const fleet = createFleet(60, 3);
+        await fleet.clock.advance(6_000);
+        const first = fleet.processes.find(({ coordination }) => coordination.isFirst());
+        assert.ok(first);
+        first.closed.close("engine", fleet.clock.monotonicNow() + 8_000);
+        await fleet.clock.advance(1_000);
+        fleet.setLink(from => from !== first.self);
+        first.closed.reopen("engine");
+        await fleet.clock.advance(100);
+        assert.ok(fleet.processes.some(({ closed }) => closed.isClosed("engine")));
+        fleet.setLink(() => true);
+        await fleet.clock.advance(1_500);
+        assert.ok(fleet.processes.every(({ closed }) => !closed.isClosed("engine")));
+        await fleet.stop();
+    });
+
     it("has one process in the whole fleet that plans", async () => {
         const fleet = createFleet(60, 3);
         await fleet.clock.advance(6_000);
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -124,7 +124,7 @@
     });
 
     const takeLoad = (message: LoadMessage, from: PeerAddress) => {
-        closed.notePeer(message.from, message.closed);
+        closed.noteTold(message.closed);
         message.kept.forEach(([targetId, partId, tokens]) => caches.noteTold(targetId, partId, tokens));
         if (message.isGroup) {
             otherCoordinators.set(message.from, clock.monotonicNow());
@@ -147,7 +147,7 @@
     const takeState = (state: CoordinatorState) => {
         link.noteHeard(state.from, state.isAnswering);
         link.addPeers(state.candidates);
-        closed.notePeer(state.from, state.closed);
+        closed.noteTold(state.closed);
         tables.noteState(state);
     };
 
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
@@ -31,7 +31,7 @@
     const news = createSignal();
     let wasBusy = false;
     let toldAt = -Infinity;
-    closed.onClosed(news.raise);
+    closed.onChanged(news.raise);
     caches.onNoted(placement => {
         kept = [...kept, placement].slice(-mostPlacements);
     });
--- a/packages/daisyturn/src/process/forwarding/coordination/createStateTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createStateTeller.ts
@@ -41,7 +41,7 @@
     const { selfId, members, link, reader, closed, send, clock } = options;
     const news = createSignal();
     let isStopping = false;
-    closed.onClosed(news.raise);
+    closed.onChanged(news.raise);
 
     const describe = () =>
         encodeCoordinatorState({
@@ -61,7 +61,7 @@
     };
 
     const pause = () =>
-        closed.listOwn().length > 0
+        closed.hasOwnClosings()
             ? closingMilliseconds
             : Math.min(longestPauseMilliseconds, options.freshMilliseconds() / statesPerFreshTime);
 
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -12,7 +12,7 @@
     work: [{ targetId: "i-1", calls: 3, work: 40, deferredWork: 0, tokens: 900 }],
     kept: [["i-1", "part", 600]],
     demand: [["engines", 1_800]],
-    closed: [["i-2", 5_000]],
+    closed: [{ closerId: "run-1", revision: 3, closings: [["i-2", 5_000]] }],
     paces: [["i-1", 10, 200, 260]],
     pauses: [["engines", 48]],
     ended: [["ask", 17_000, true]],
@@ -58,8 +58,10 @@
         ["kept", ["i-1", "x".repeat(1_000), 600]],
         ["kept", ["i-1", "part", -1]],
         ["demand", ["engines", 1e12]],
-        ["closed", ["i-2", 1e15]],
-        ["closed", ["i-2", -1]],
+        ["closed", ["run-2", 1, 5]],
+        ["closed", ["", 1, []]],
+        ["closed", ["run-2", -1, []]],
+        ["closed", ["i-2", 5_000]],
         ["paces", ["i-1", 0, 0, -1]],
         ["pauses", ["", 5]],
         ["ended", ["ask", 17_000, "yes"]],
@@ -71,6 +73,13 @@
     }
 });
 
+test("an invalid closing is left out, and the other closings of its list are kept", () => {
+    for (const closing of [["i-9", 1e15], ["i-9", -1], ["", 5], "i-9"]) {
+        const read = parse({ ...createParams(), closed: [["run-1", 3, [closing, ["i-2", 5_000]]]] });
+        assert.deepEqual(read, message, JSON.stringify(closing));
+    }
+});
+
 test("whatever a datagram holds, it is no message or one with amounts that a process can have", () => {
     const field = fastCheck.constantFrom(
         "from",
@@ -96,7 +105,8 @@
         fastCheck.property(field, fastCheck.jsonValue(), (name, value) => {
             const read = parse({ ...createParams(), [name]: value });
             assert.ok((read?.placed ?? 0) >= 0 && (read?.placed ?? 0) <= 1e15);
-            checkAmounts({ ...read, placed: 0 });
+            checkAmounts({ ...read, placed: 0, closed: read?.closed.map(({ closings }) => closings) });
+            read?.closed.forEach(({ revision }) => assert.ok(revision >= 0 && revision <= 1e15));
         }),
         { seed: 7, numRuns: 1_000 },
     );
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -1,10 +1,11 @@
 import type { EndedPrompt } from "../../limits/createSizeFairness.js";
-import type { Closing } from "../../targets/createClosedTargets.js";
+import type { ClosingList } from "../../targets/createClosedTargets.js";
 import type { PartPlacement } from "../../views/createCacheBeliefs.js";
 import type { PauseObservation } from "../../views/createEventPace.js";
 import type { PaceObservation } from "../../views/createPaceView.js";
 import type { ServiceDemand } from "../../views/createReadingDemand.js";
 import type { WorkUnderWay } from "../../views/workUnderWay.js";
+import { encodeClosingList, readClosingLists } from "./closingLists.js";
 import {
     encodeNotification,
     isAmount,
@@ -28,7 +29,7 @@
     readonly work: readonly WorkUnderWay[];
     readonly kept: readonly PartPlacement[];
     readonly demand: readonly ServiceDemand[];
-    readonly closed: readonly Closing[];
+    readonly closed: readonly ClosingList[];
     /** What has been observed since the last message. */
     readonly paces: readonly PaceObservation[];
     readonly pauses: readonly PauseObservation[];
@@ -43,12 +44,14 @@
 const largestAmount = 1e9;
 /** Thousands of processes tell each other within this time; a longer pause would keep what is told for ever. */
 const longestPauseMilliseconds = 600_000;
-/** A change of stage takes seconds; a target that is closed for longer would be lost to the service. */
-const longestClosingMilliseconds = 60_000;
 
 /** Writes a message as the notification that its receivers read. */
-export function encodeLoadMessage({ work, ...message }: LoadMessage): Buffer {
-    return encodeNotification(loadMethod, { ...message, work: work.map(encodeWork) });
+export function encodeLoadMessage({ work, closed, ...message }: LoadMessage): Buffer {
+    return encodeNotification(loadMethod, {
+        ...message,
+        work: work.map(encodeWork),
+        closed: closed.map(encodeClosingList),
+    });
 }
 
 /**
@@ -70,7 +73,7 @@
         work: readList<WorkEntry>(params["work"], [isName, isLoad, isLoad, isLoad, isLoad]).map(decodeWork),
         kept: readList(params["kept"], [isName, isName, isLoad]),
         demand: readList(params["demand"], [isName, isLoad]),
-        closed: readList(params["closed"], [isName, value => isAmount(value, longestClosingMilliseconds)]),
+        closed: readClosingLists(params["closed"]),
         paces: readList(params["paces"], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -1,6 +1,7 @@
 import type { FeedRow } from "../../../../ports/changeFeed.js";
 import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
-import type { Closing } from "../../targets/createClosedTargets.js";
+import type { ClosingList } from "../../targets/createClosedTargets.js";
+import { encodeClosingList, readClosingLists } from "./closingLists.js";
 import {
     encodeNotification,
     isAmount,
@@ -30,7 +31,7 @@
     /** Whether it knows by now what its group has under way, and may be asked for placements. */
     readonly isAnswering: boolean;
     readonly tables: readonly TableState[];
-    readonly closed: readonly Closing[];
+    readonly closed: readonly ClosingList[];
     /** The processes that come first as coordinators of the group. */
     readonly candidates: readonly RegisteredPeer[];
 }
@@ -48,12 +49,12 @@
 
 export const stateMethod = "state";
 export const rowsMethod = "rows";
-const longestClosingMilliseconds = 60_000;
 
 /** Writes a coordinator's state. */
-export function encodeCoordinatorState({ tables, candidates, ...state }: CoordinatorState): Buffer {
+export function encodeCoordinatorState({ tables, closed, candidates, ...state }: CoordinatorState): Buffer {
     return encodeNotification(stateMethod, {
         ...state,
+        closed: closed.map(encodeClosingList),
         tables: tables.map(({ table, changedVersion, version, age }) => [table, changedVersion, version, age]),
         candidates: candidates.map(peer => [
             peer.peerId,
@@ -93,7 +94,7 @@
         from: readName(params["from"]),
         isAnswering: params["isAnswering"] === true,
         tables: tables.map(([table, changedVersion, version, age]) => ({ table, changedVersion, version, age })),
-        closed: readList(params["closed"], [isName, value => isAmount(value, longestClosingMilliseconds)]),
+        closed: readClosingLists(params["closed"]),
         candidates: candidates.map(([peerId, host, port, availabilityZone, strength]) => ({
             peerId,
             host,
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -39,7 +39,7 @@
         caches,
         paces,
         eventPace: createEventPace(),
-        closed: createClosedTargets(clock),
+        closed: createClosedTargets(clock, eventLog),
         demand: createReadingDemand(clock),
     };
 }
