Skip the closing wait for prefilling engines when no engine decodes

Symptom: after the last decoding engine was lost, prompts went unanswered for an additional 0.6 s.

Cause: an engine is closed for 0.6 s before it is ordered to change its stage, until all processes have been notified. Without a decoding engine no prompt can be placed, so there is no new work to keep away from it.

Change: skip this wait when no engine decodes. The ordering process still closes the engine locally before it sends the order.

Test: "an engine is ordered without a closing wait when none decodes, and after it otherwise", which was seen to fail before the change.

--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -196,3 +196,18 @@
     assert.equal(isLeaseKept(), false);
     await end();
 });
+
+// Guards against a needless closing wait: without a decoding engine, no work is sent to prefilling engines.
+test("an engine is ordered without a closing wait when none decodes, and after it otherwise", async () => {
+    const withoutDecoder = createScene({ readers: 3, decoders: 0 });
+    await withoutDecoder.clock.advance(1_100);
+    assert.equal(withoutDecoder.sent[0]?.wasClosed, true);
+    await withoutDecoder.end();
+
+    const withDecoder = createScene({ readers: 3, decoders: 1 });
+    await withDecoder.clock.advance(1_100);
+    assert.equal(withDecoder.sent.length, 0);
+    await withDecoder.clock.advance(300);
+    assert.equal(withDecoder.sent[0]?.wasClosed, true);
+    await withDecoder.end();
+});
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -106,7 +106,7 @@
         const target = chooseTarget(engines, stage);
         if (lease && target) {
             eventLog.record(EventKind.RolePlanned, { target: target.targetId, stage, ...view });
-            void change(target, stage, lease);
+            void change(target, stage, lease, view.decoders === 0);
         }
     };
 
@@ -136,11 +136,14 @@
             .filter(engine => engine.stage !== stage && !changing.has(engine.targetId))
             .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
 
-    const change = async (target: ListedTarget, stage: EngineStage, lease: Lease) => {
+    /** @param receivesNoWork whether no new work can reach the target, so that the closing wait is skipped */
+    const change = async (target: ListedTarget, stage: EngineStage, lease: Lease, receivesNoWork: boolean) => {
         const until = clock.monotonicNow() + changeTimeoutMilliseconds;
         changing.set(target.targetId, until);
         closed.close(target.targetId, until);
-        await clock.sleepUntil(clock.monotonicNow() + options.closingMilliseconds(), signal);
+        if (!receivesNoWork) {
+            await clock.sleepUntil(clock.monotonicNow() + options.closingMilliseconds(), signal);
+        }
         const answer = await order(target, stage, lease);
         eventLog.record(EventKind.OrderSent, {
             target: target.targetId,
