Detect unresponsive engines before their store entries expire

Symptom: after the decoding engines stopped responding, no prompt was answered until their store entries had expired (2.6 to 3.7 s), followed by another planning cycle, the lease acquisition and the stage change itself.

Cause: stage planning counted every listed engine as available, regardless of failed calls. The lease was requested only after planning.

Alternative rejected: relying on failed calls alone. A process that is cut off from engines, or is slow itself, sees failed calls although the engines work. The engines' status is therefore read directly, twice, and an engine that answers continues to count.

Change: when calls fail and the engines without failures could not serve a prompt alone, the planning process reads the status of the failing engines and of all engines of the insufficient stage. Two consecutive reads without an answer mark an engine as lost; the lease is requested after the first. A loss detected this way is acted on in the next planning cycle and logged as engine_lost.

Tests: three in changeStages.test.ts. "decoding engines that stop responding are replaced while they are still listed" was seen to fail before the change. The other two, "engines that answer status reads keep their stage despite failed calls" and "no engine status is read while the healthy engines can serve alone", guard against reads and orders where engines work.

--- a/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -58,6 +58,7 @@
         kvTokens: service => parts.keeper.current()?.configuration.services.get(service)?.engine?.kvTokens ?? 0,
         targets: parts.targets,
         loads: parts.loads,
+        health: parts.health,
         demand: parts.demand,
         closed: parts.closed,
         orders: engineOrders,
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -58,6 +58,8 @@
     EngineDegraded = "engine_degraded",
     EngineRecovered = "engine_recovered",
     EngineState = "engine_state",
+    /** An engine is still listed but no longer responds to status reads. */
+    EngineLost = "engine_lost",
     RolePlanned = "role_planned",
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -1,10 +1,11 @@
-import { FakeClock, MemoryEventLog } from "daisyturn-utils";
+import { FailureReason, FakeClock, mayHaveRun, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ok } from "true-myth/result";
+import { err, ok } from "true-myth/result";
 import { EngineOrders, OrderAnswer, type StageOrder } from "../../../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import type { Lease, LeaseKeeper } from "../../../lease/index.js";
+import { TargetEvidence } from "../../targets/createTargetHealth.js";
 import { createTargetViews } from "../../views/createTargetViews.js";
 import { changeStages } from "../changeStages.js";
 
@@ -16,6 +17,8 @@
     readonly isLeaseHeld?: () => boolean;
     /** Which start of an engine answers when it is asked for its state; the listed one if absent. */
     readonly startOf?: (targetId: string) => string;
+    /** Whether an engine answers its status read of the given number, counted from 1; always if absent. */
+    readonly isAnswering?: (targetId: string, read: number) => boolean;
 }
 
 const askMilliseconds = 50;
@@ -24,6 +27,7 @@
     const eventLog = new MemoryEventLog();
     const views = createTargetViews((targetId, text) => JSON.parse(text) as ListedTarget, clock, eventLog);
     const { targets, closed } = views;
+    const reads = new Map<string, number>();
     const sent: (StageOrder & { readonly wasClosed: boolean; readonly at: number; })[] = [];
     const list = (targetId: string, stage: EngineStage) =>
         targets.change([{
@@ -49,7 +53,13 @@
     }
 
     class RecordedOrders extends EngineOrders {
-        override async readStatus(target: ListedTarget) {
+        override async readStatus(target: ListedTarget, deadline: number) {
+            const read = (reads.get(target.targetId) ?? 0) + 1;
+            reads.set(target.targetId, read);
+            if (options.isAnswering?.(target.targetId, read) === false) {
+                await clock.sleepUntil(deadline);
+                return err(mayHaveRun(FailureReason.TargetFailed, "no answer")) as never;
+            }
             const targetId = options.startOf?.(target.targetId) ?? target.targetId;
             return ok({ targetId, stage: target.stage, isBusy: false, orders: 3 }) as never;
         }
@@ -112,7 +122,23 @@
             await clock.advance(askMilliseconds);
         }
     };
-    return { clock, sent, list, closed, end, answerCalls, askForReading, isLeaseKept: () => isRunning };
+    /** Records a failed call at each engine, as for a terminated engine. */
+    const failCalls = (...targetIds: string[]) =>
+        targetIds.forEach(targetId => views.health.note(targetId, TargetEvidence.Unreachable));
+    const isLeaseKept = () => isRunning;
+    return {
+        clock,
+        sent,
+        reads,
+        list,
+        closed,
+        health: views.health,
+        end,
+        answerCalls,
+        askForReading,
+        failCalls,
+        isLeaseKept,
+    };
 }
 
 test("an engine takes over a stage that has none, closed before it is ordered and open once it has changed", async () => {
@@ -197,6 +223,40 @@
     await end();
 });
 
+// Guards against an outage that lasts until the entries of terminated engines expire.
+test("decoding engines that stop responding are replaced while they are still listed", async () => {
+    const isAnswering = (targetId: string) => !targetId.startsWith("d");
+    const { clock, sent, failCalls, end } = createScene({ readers: 4, decoders: 2, isAnswering });
+    await clock.advance(3_000);
+    failCalls("d0");
+    await clock.advance(2_000);
+    assert.deepEqual(sent.map(order => order.stage), [EngineStage.Decode, EngineStage.Decode]);
+    await end();
+});
+
+// Guards against stage changes caused by network faults or single failed reads while the engines work.
+test("engines that answer status reads keep their stage despite failed calls", async () => {
+    for (const isAnswering of [() => true, (targetId: string, read: number) => read > 1]) {
+        const { clock, sent, reads, failCalls, end } = createScene({ readers: 4, decoders: 2, isAnswering });
+        await clock.advance(3_000);
+        failCalls("d0", "d1");
+        await clock.advance(10_000);
+        assert.deepEqual(sent, []);
+        assert.ok((reads.get("d0") ?? 0) <= 13, `${reads.get("d0")} reads in ten seconds`);
+        await end();
+    }
+});
+
+// Guards against status reads, which load the engines, when the remaining engines would suffice.
+test("no engine status is read while the healthy engines can serve alone", async () => {
+    const { clock, reads, failCalls, end } = createScene({ readers: 3, decoders: 4, isAnswering: () => false });
+    await clock.advance(3_000);
+    failCalls("d0", "p0");
+    await clock.advance(3_000);
+    assert.equal(reads.size, 0);
+    await end();
+});
+
 // Guards against a needless closing wait: without a decoding engine, no work is sent to prefilling engines.
 test("an engine is ordered without a closing wait when none decodes, and after it otherwise", async () => {
     const withoutDecoder = createScene({ readers: 3, decoders: 0 });
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -3,11 +3,13 @@
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { Lease, LeaseKeeper } from "../../lease/index.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
+import type { TargetHealth } from "../targets/createTargetHealth.js";
 import type { TargetList } from "../targets/createTargetList.js";
 import type { ReadingDemand } from "../views/createReadingDemand.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
+import { createLostEngines } from "./createLostEngines.js";
 import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
-import { leastDecoders, planStage } from "./planStage.js";
+import { countDecodersNeeded, leastDecoders, planStage } from "./planStage.js";
 
 /** What {@link changeStages} needs. */
 export interface ChangeStagesOptions {
@@ -17,6 +19,7 @@
     readonly kvTokens: (service: string) => number;
     readonly targets: TargetList;
     readonly loads: TargetLoads;
+    readonly health: TargetHealth;
     readonly demand: ReadingDemand;
     readonly closed: ClosedTargets;
     readonly orders: EngineOrders;
@@ -54,7 +57,8 @@
  * process at a time gives orders, under a lease, each with the lease's fencing number and the engine's order count.
  */
 export async function changeStages(options: ChangeStagesOptions, signal: AbortSignal): Promise<void> {
-    const { targets, loads, demand, closed, orders, leaseKeeper, clock, eventLog } = options;
+    const { targets, loads, health, demand, closed, orders, leaseKeeper, clock, eventLog } = options;
+    const lostEngines = createLostEngines(options);
     const needs = new Map<string, { stage: EngineStage; looks: number; }>();
     const changing = new Map<string, number>();
     const peaks = new Map<string, RecentPeak>();
@@ -77,10 +81,28 @@
         }
     };
 
+    /**
+     * Lists the engines of a service without those found lost. The entry of a terminated engine takes seconds to expire,
+     * so where calls fail and the healthy engines could not serve alone, engine status is read directly.
+     */
+    const listLiveEngines = (service: string) => {
+        const listed = targets.open(service).filter(target => target.stage !== undefined);
+        const healthy = listed.filter(({ targetId }) => !health.isFailing(targetId));
+        const insufficientStage = healthy.length < listed.length ? findInsufficientStage(healthy) : undefined;
+        const isSuspected = ({ targetId }: ListedTarget) => lostEngines.isSuspected(targetId);
+        const needsCheck = (engine: ListedTarget) =>
+            engine.stage === insufficientStage || health.isFailing(engine.targetId);
+        lostEngines.check(listed.filter(engine => isSuspected(engine) || insufficientStage && needsCheck(engine)));
+        if (listed.some(isSuspected)) {
+            keepLease();
+        }
+        const engines = listed.filter(({ targetId }) => !lostEngines.isLost(targetId));
+        return { engines, hasLostEngines: engines.length < listed.length };
+    };
+
     const look = (service: string) => {
-        const engines = targets.open(service).filter(target => target.stage !== undefined);
-        const readers = engines.filter(target => target.stage === EngineStage.Prefill);
-        const decoders = engines.filter(target => target.stage !== EngineStage.Prefill);
+        const { engines, hasLostEngines } = listLiveEngines(service);
+        const { readers, decoders } = splitByStage(engines);
         const decodingFill = findFill(decoders, options.kvTokens(service));
         const view = {
             readers: readers.length,
@@ -98,7 +120,7 @@
         const looks = known?.stage === stage ? known.looks + 1 : 1;
         needs.set(service, { stage, looks });
         const isFull = countChanging(engines) >= limitOf(engines, view.readers === 0 || view.decoders === 0);
-        if (looks < looksNeeded(stage, view.readers, view.decoders) || isFull) {
+        if (looks < looksNeeded(stage, view.readers, view.decoders, hasLostEngines) || isFull) {
             return;
         }
         keepLease();
@@ -203,7 +225,25 @@
     keeping?.stop.abort();
 }
 
-function looksNeeded(stage: EngineStage, readers: number, decoders: number): number {
+function splitByStage(engines: readonly ListedTarget[]) {
+    return {
+        readers: engines.filter(({ stage }) => stage === EngineStage.Prefill),
+        decoders: engines.filter(({ stage }) => stage !== EngineStage.Prefill),
+    };
+}
+
+function findInsufficientStage(engines: readonly ListedTarget[]): EngineStage | undefined {
+    const { readers, decoders } = splitByStage(engines);
+    if (decoders.length < countDecodersNeeded(engines.length)) {
+        return EngineStage.Decode;
+    }
+    return readers.length === 0 ? EngineStage.Prefill : undefined;
+}
+
+function looksNeeded(stage: EngineStage, readers: number, decoders: number, hasLostEngines: boolean): number {
+    if (hasLostEngines && stage === EngineStage.Decode && decoders < leastDecoders) {
+        return 1;
+    }
     if (readers === 0 || decoders <= leastDecoders) {
         return looksWhenMissing;
     }
--- a/packages/daisyturn/src/process/forwarding/stages/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/planStage.ts
@@ -41,13 +41,17 @@
 const leastDecodingFraction = 0.3;
 export const leastDecoders = 2;
 
+/** The minimum number of decoding engines among the given number of engines. */
+export function countDecodersNeeded(engines: number): number {
+    return Math.min(engines - 1, Math.max(leastDecoders, Math.ceil(engines * leastDecodingFraction)));
+}
+
 /**
  * The stage of which one more engine is needed, if any. Decoding engines read prompts at half the speed and, while they
  * do, stretch every answer they decode; so where the demand for reading allows it, they only decode.
  */
 export function planStage({ readers, decoders, demand, decodingFill, peakFill }: StageView): EngineStage | undefined {
-    const engines = readers + decoders;
-    const decodersNeeded = Math.min(engines - 1, Math.max(leastDecoders, Math.ceil(engines * leastDecodingFraction)));
+    const decodersNeeded = countDecodersNeeded(readers + decoders);
     if (decoders < decodersNeeded) {
         return readers > 0 ? EngineStage.Decode : undefined;
     }
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -23,6 +23,8 @@
     beginWait(targetId: string): { end(): void; };
     /** Whether calls have waited for long while nothing at all was heard of the target. */
     isSilent(targetId: string): boolean;
+    /** Whether calls to the target have failed since its last answer, or the target is silent. */
+    isFailing(targetId: string): boolean;
     /**
      * Those of a service's targets that may be sent work. Never fewer than half: where that many seem to fail, the
      * cause is more likely elsewhere, and the others could not bear the work.
@@ -208,6 +210,7 @@
             return { end: () => void state.waits.delete(wait) };
         },
         isSilent,
+        isFailing: targetId => (states.get(targetId)?.failures ?? 0) > 0 || isSilent(targetId),
         selectTrusted: targets => {
             findFailing(targets.map(target => target.targetId));
             const trusted = targets.filter(target => mayTake(target.targetId));
