Try other engines immediately after a rejected stage change

Symptom: when the engine chosen to take over a stage was gone (its status could not be read) or refused the order, no other engine was ordered for four seconds. The refused change counted towards the limit of concurrent changes, which is one when two engines are left.

Cause: an engine whose order was rejected counted as changing until its pause ended.

Change: a rejected engine still pauses, but no longer counts as changing. Among the candidates for a stage change, engines with failing calls come last.

Test: "an unresponsive engine is not chosen for a stage change and does not delay the others", which was seen to fail before the change.

--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -234,6 +234,18 @@
     await end();
 });
 
+// Guards against an order to a terminated engine that blocks orders to other engines for seconds.
+test("an unresponsive engine is not chosen for a stage change and does not delay the others", async () => {
+    const isAnswering = (targetId: string) => targetId === "p2";
+    const { clock, sent, failCalls, answerCalls, end } = createScene({ readers: 3, decoders: 2, isAnswering });
+    answerCalls(2, 1);
+    await clock.advance(3_000);
+    failCalls("d0", "d1", "p0");
+    await clock.advance(3_500);
+    assert.deepEqual(sent.map(order => order.target.targetId), ["p2"]);
+    await end();
+});
+
 // Guards against stage changes caused by network faults or single failed reads while the engines work.
 test("engines that answer status reads keep their stage despite failed calls", async () => {
     for (const isAnswering of [() => true, (targetId: string, read: number) => read > 1]) {
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -152,11 +152,14 @@
     const countChanging = (engines: readonly ListedTarget[]) =>
         engines.filter(engine => (changing.get(engine.targetId) ?? 0) > clock.monotonicNow()).length;
 
-    /** The engine of the other stage that has least under way. */
+    /** The engine of the other stage with the fewest calls in progress; engines with failing calls come last. */
     const chooseTarget = (engines: readonly ListedTarget[], stage: EngineStage) =>
         engines
             .filter(engine => engine.stage !== stage && !changing.has(engine.targetId))
-            .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
+            .sort((left, right) =>
+                Number(health.isFailing(left.targetId)) - Number(health.isFailing(right.targetId))
+                || loads.calls(left.targetId) - loads.calls(right.targetId)
+            )[0];
 
     /** @param receivesNoWork whether no new work can reach the target, so that the closing wait is skipped */
     const change = async (target: ListedTarget, stage: EngineStage, lease: Lease, receivesNoWork: boolean) => {
@@ -178,6 +181,10 @@
             await waitForStage(target, stage, until);
         }
         closed.reopen(target.targetId);
+        if (answer === OrderAnswer.Rejected) {
+            // A rejected order does not count towards the limit of concurrent changes.
+            changing.set(target.targetId, -Infinity);
+        }
         if (answer !== OrderAnswer.Accepted) {
             await clock.sleepUntil(clock.monotonicNow() + pauseMilliseconds, signal);
         }
