Report failing targets to the process that plans stage changes

Impact: the process that plans stage changes detected the loss of the last decoding engines only when its own calls to them failed. Calls from other processes failed at them from 15.6 s on. The planning process's own calls failed at 17.6 s and 18.1 s, and it planned at 18.64 s.

Cause: call failures were recorded only by the process that made the calls, and a single process makes one ninth or one sixty-eighth of the calls.

Change: load messages now list the targets at which calls fail, at most twenty per message. A coordinator forwards its group's failing targets to the coordinators of other groups. Each receiver treats a report as valid for 2.5 s after it arrives, so a report forwarded by a coordinator can stay in effect for up to about 5 s. A report never marks an engine as lost. A message without the field is read as having no failing targets, so processes of both versions can run side by side.

Test: "reports failing targets of any process to the process that plans, until they answer again", with 9 processes in one group and 60 in three; it fails without the reports.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { createDemand, createLongPrompt, createShortPrompt, engineService } from "../../__fixtures__/placementBench.js";
 import type { DecisionRequest } from "../../placement/decidePrompt.js";
+import { TargetEvidence } from "../../targets/createTargetHealth.js";
 import { createFleet, type Fleet, type FleetProcess } from "../__fixtures__/createFleet.js";
 
 const kvTokens = engineService.engine?.kvTokens ?? 0;
@@ -153,6 +154,27 @@
         await fleet.stop();
     });
 
+    // Guards against the planning process detecting a dead engine only when its own calls to it fail.
+    it("reports failing targets of any process to the process that plans, until they answer again", async () => {
+        for (const [count, zones] of [[9, 4], [60, 3]] as const) {
+            const fleet = createFleet(count, zones);
+            await fleet.clock.advance(6_000);
+            const planner = fleet.processes.find(({ coordination }) => coordination.isFirst());
+            const member = fleet.processes.findLast(({ self, coordination }) =>
+                self.availabilityZone !== planner?.self.availabilityZone && !coordination.isCoordinator()
+            );
+            assert.ok(planner && member);
+            member.health.note("engine", TargetEvidence.Unreachable);
+            member.loads.begin("other", { work: 5, isDeferred: false, tokens: 1 }).end();
+            await fleet.clock.advance(1_300);
+            assert.equal(planner.health.isFailing("engine"), true, `${count} processes`);
+            member.health.note("engine", TargetEvidence.Answered);
+            await fleet.clock.advance(6_500);
+            fleet.processes.forEach(({ health }) => assert.equal(health.isFailing("engine"), false));
+            await fleet.stop();
+        }
+    });
+
     it("has one process in the whole fleet that plans", async () => {
         const fleet = createFleet(60, 3);
         await fleet.clock.advance(6_000);
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -125,6 +125,7 @@
 
     const takeLoad = (message: LoadMessage, from: PeerAddress) => {
         closed.noteTold(message.closed);
+        health.noteFailing(message.failing, message.isGroup);
         message.kept.forEach(([targetId, partId, tokens]) => caches.noteTold(targetId, partId, tokens));
         if (message.isGroup) {
             otherCoordinators.set(message.from, clock.monotonicNow());
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
@@ -7,7 +7,7 @@
 /** What {@link createGroupTeller} needs. */
 export interface GroupTellerOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "caches" | "demand" | "closed">;
+    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
     readonly clock: Clock;
@@ -26,7 +26,7 @@
 
 /** Creates the teller of one process, which tells only while it coordinates its group. */
 export function createGroupTeller({ selfId, views, link, send, clock }: GroupTellerOptions): GroupTeller {
-    const { loads, caches, demand, closed } = views;
+    const { loads, health, caches, demand, closed } = views;
     let kept: LoadMessage["kept"][number][] = [];
     const news = createSignal();
     let wasBusy = false;
@@ -44,6 +44,7 @@
         work: loads.listGroup(),
         demand: demand.listGroup().map(([service, rate]) => [service, Math.round(rate)] as const),
         closed: closed.listOwn(),
+        failing: health.listGroupFailing(),
         kept,
         paces: [],
         pauses: [],
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadTeller.ts
@@ -9,7 +9,7 @@
 /** What {@link createLoadTeller} needs. */
 export interface LoadTellerOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "caches" | "demand" | "closed" | "paces" | "eventPace">;
+    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "paces" | "eventPace">;
     readonly sizeFairness: SizeFairness;
     readonly link: Pick<CoordinatorLink, "listTold" | "current" | "isSilent">;
     /** Number of the last placement that was taken from a coordinator. */
@@ -38,7 +38,7 @@
 /** Creates the teller of one process. */
 export function createLoadTeller(options: LoadTellerOptions): LoadTeller {
     const { selfId, views, sizeFairness, link, clock } = options;
-    const { loads, caches, demand, closed, paces, eventPace } = views;
+    const { loads, health, caches, demand, closed, paces, eventPace } = views;
     const changed = createSignal();
     const untold = new Map<string, News>();
     const toldAt = new Map<string, number>();
@@ -80,6 +80,7 @@
                 work: loads.listOwn(),
                 demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)] as const),
                 closed: closed.listOwn(),
+                failing: health.listOwnFailing(),
                 ...news,
             }),
         );
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -30,6 +30,8 @@
     readonly kept: readonly PartPlacement[];
     readonly demand: readonly ServiceDemand[];
     readonly closed: readonly ClosingList[];
+    /** Targets at which calls fail, at the sender or, if `isGroup`, at any process of its group. */
+    readonly failing: readonly string[];
     /** What has been observed since the last message. */
     readonly paces: readonly PaceObservation[];
     readonly pauses: readonly PauseObservation[];
@@ -45,12 +47,16 @@
 /** Thousands of processes tell each other within this time; a longer pause would keep what is told for ever. */
 const longestPauseMilliseconds = 600_000;
 
+/** Limits the size of a message when many targets fail at once. */
+const mostFailingTargets = 20;
+
 /** Writes a message as the notification that its receivers read. */
-export function encodeLoadMessage({ work, closed, ...message }: LoadMessage): Buffer {
+export function encodeLoadMessage({ work, closed, failing, ...message }: LoadMessage): Buffer {
     return encodeNotification(loadMethod, {
         ...message,
         work: work.map(encodeWork),
         closed: closed.map(encodeClosingList),
+        failing: failing.slice(0, mostFailingTargets).map(targetId => [targetId]),
     });
 }
 
@@ -74,6 +80,7 @@
         kept: readList(params["kept"], [isName, isName, isLoad]),
         demand: readList(params["demand"], [isName, isLoad]),
         closed: readClosingLists(params["closed"]),
+        failing: readList<readonly [string]>(params["failing"] ?? [], [isName]).map(([targetId]) => targetId),
         paces: readList(params["paces"], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -23,8 +23,17 @@
     beginWait(targetId: string): { end(): void; };
     /** Whether calls have waited for long while nothing at all was heard of the target. */
     isSilent(targetId: string): boolean;
-    /** Whether calls to the target have failed since its last answer, or the target is silent. */
+    /**
+     * Whether calls to the target have failed since its last answer, or the target is silent, at this process or according
+     * to a recent report from another process.
+     */
     isFailing(targetId: string): boolean;
+    /** Targets failing for this process's own calls, without reports from others. */
+    listOwnFailing(): readonly string[];
+    /** Targets failing at this process or reported by members of its group, without reports from other groups. */
+    listGroupFailing(): readonly string[];
+    /** Records targets reported as failing by a member of the same group or, if `isGroup`, by another group's coordinator. */
+    noteFailing(targetIds: readonly string[], isGroup: boolean): void;
     /**
      * Those of a service's targets that may be sent work. Never fewer than half: where that many seem to fail, the
      * cause is more likely elsewhere, and the others could not bear the work.
@@ -63,9 +72,15 @@
 const errorExcess = 0.22;
 const errorSuspicionMilliseconds = 2_000;
 
+/** How long a report stays valid after it is received; longer than the interval between reports. */
+const reportValidityMilliseconds = 2_500;
+
 /** Creates the health view of one process. */
 export function createTargetHealth(clock: Clock, eventLog: EventLog): TargetHealth {
     const states = new Map<string, HealthState>();
+    /** Monotonic expiry times of reports by target, from members of the same group and from other groups. */
+    const peerReportExpiry = new Map<string, number>();
+    const groupReportExpiry = new Map<string, number>();
 
     const find = (targetId: string): HealthState => {
         let state = states.get(targetId);
@@ -197,6 +212,13 @@
         }
     };
 
+    const isFailingLocally = (targetId: string) => (states.get(targetId)?.failures ?? 0) > 0 || isSilent(targetId);
+
+    const isReported = (expiry: ReadonlyMap<string, number>, targetId: string) =>
+        (expiry.get(targetId) ?? -Infinity) > clock.monotonicNow();
+
+    const listOwnFailing = () => [...states.keys()].filter(isFailingLocally);
+
     return {
         note,
         noteHeard: targetId => {
@@ -210,7 +232,19 @@
             return { end: () => void state.waits.delete(wait) };
         },
         isSilent,
-        isFailing: targetId => (states.get(targetId)?.failures ?? 0) > 0 || isSilent(targetId),
+        isFailing: targetId =>
+            isFailingLocally(targetId) || isReported(peerReportExpiry, targetId)
+            || isReported(groupReportExpiry, targetId),
+        listOwnFailing,
+        listGroupFailing: () => {
+            const reported = [...peerReportExpiry.keys()].filter(targetId => isReported(peerReportExpiry, targetId));
+            return [...new Set([...listOwnFailing(), ...reported])];
+        },
+        noteFailing: (targetIds, isGroup) => {
+            const expiry = isGroup ? groupReportExpiry : peerReportExpiry;
+            expiry.forEach((expiresAt, targetId) => expiresAt <= clock.monotonicNow() && expiry.delete(targetId));
+            targetIds.forEach(targetId => expiry.set(targetId, clock.monotonicNow() + reportValidityMilliseconds));
+        },
         selectTrusted: targets => {
             findFailing(targets.map(target => target.targetId));
             const trusted = targets.filter(target => mayTake(target.targetId));
