Leave an engine of the other stage when idle engines have also stopped responding

Cause: while no engine decodes, engines of the other stage receive no calls, so nothing showed that two of them had been lost. Half of the engines that count as available may change at once, and four were counted.

Change: when a stage is insufficient, the status of all listed engines is read. A single remaining engine is changed to decoding, because it can answer prompts only then. Previously this happened only because lost engines were still counted.

Test: "an engine of the other stage remains when idle engines of that stage have also stopped responding", which was seen to fail before the change.

--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -63,6 +63,8 @@
     RolePlanned = "role_planned",
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
+    /** The store has come back from an older copy, and a table was read anew. */
+    StoreRolledBack = "store_rolled_back",
     StoreOutcomeSettled = "store_outcome_settled",
     SettingsReloaded = "settings_reloaded",
     LogLinesDropped = "log_lines_dropped",
--- a/packages/daisyturn/src/ports/changeFeed.ts
+++ b/packages/daisyturn/src/ports/changeFeed.ts
@@ -1,5 +1,6 @@
 import type { Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
+import type { StorePosition } from "./storePosition.js";
 
 /** A row as the store holds it; its text is undefined once the row was removed. */
 export interface FeedRow {
@@ -8,10 +9,10 @@
     readonly text: string | undefined;
 }
 
-/** Rows, and the version of the store as of which they were read. */
+/** Rows, and the position of the store as of which they were read. */
 export interface FeedPage {
     readonly rows: readonly FeedRow[];
-    readonly version: number;
+    readonly position: StorePosition;
     /** Whether the store has dropped the changes that were asked for; then `rows` is empty. */
     readonly isHistoryLost: boolean;
 }
@@ -20,9 +21,9 @@
 export abstract class ChangeFeed {
     /** Reads every row. */
     abstract readAll(deadline: number): Promise<Result<FeedPage, Failure>>;
-    /** Waits for changes after a version; an empty page where none came within `waitMilliseconds`. */
+    /** Waits for changes after a position; an empty page where none came within `waitMilliseconds`. */
     abstract waitForChanges(
-        afterVersion: number,
+        after: StorePosition,
         waitMilliseconds: number,
         deadline: number,
     ): Promise<Result<FeedPage, Failure>>;
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -27,6 +27,8 @@
 export interface PlatformAnswer {
     readonly status: number;
     readonly body: string;
+    /** Header fields by name in lower case. */
+    readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 }
 
 /** HTTP connections to the platform, shared by the adapters. */
@@ -76,7 +78,7 @@
             signal,
             opaque: progress,
         });
-        return { status: response.statusCode, body: await response.body.text() };
+        return { status: response.statusCode, body: await response.body.text(), headers: response.headers };
     };
 
     const send = async (
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -110,6 +110,9 @@
         setLink: (link: Link) => {
             hears = link;
         },
+        /** The registry loses all entries. */
+        loseEntries: () => entered.clear(),
+        listEntries: () => [...entered.keys()],
         counts: (): SentCounts => ({ ...sent, bySender: new Map(sent.bySender) }),
         /** Those that coordinate a group by their own sight. */
         listCoordinators: () => processes.filter(({ coordination }) => coordination.isCoordinator()),
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
@@ -175,6 +175,23 @@
         }
     });
 
+    // Guards against processes that nobody finds any more, since the store has lost their entries.
+    it("writes the entries of its processes again on demand, also while a coordinator is heard", async () => {
+        const fleet = createFleet(60, 3);
+        await fleet.clock.advance(6_000);
+        fleet.loseEntries();
+        fleet.processes.forEach(({ coordination }) => coordination.renewEntry());
+        await fleet.clock.advance(50);
+        assert.equal(fleet.listEntries().length, 60);
+        const before = fleet.counts().registryCalls;
+        const coordinators = fleet.listCoordinators();
+        await fleet.clock.advance(1_000);
+        assert.ok(fleet.counts().registryCalls - before <= 10, "no more looks than before");
+        assert.deepEqual(fleet.listCoordinators(), coordinators);
+        assert.equal(coordinators.length, 3);
+        await fleet.stop();
+    });
+
     it("has one process in the whole fleet that plans", async () => {
         const fleet = createFleet(60, 3);
         await fleet.clock.advance(6_000);
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { ok, type Result } from "true-myth/result";
 import { ChangeFeed, type FeedPage, type FeedRow } from "../../../../ports/changeFeed.js";
+import type { StorePosition } from "../../../../ports/storePosition.js";
 import { followTable } from "../../targets/followTable.js";
 import { createRelayedTables } from "../createRelayedTables.js";
 import { createTableReader } from "../createTableReader.js";
@@ -14,9 +15,10 @@
 
 /** A store with one table, whose changes are counted by one version. */
 function createStore(clock: FakeClock) {
-    const history: FeedRow[] = [];
+    let history: FeedRow[] = [];
     const calls: string[] = [];
     let version = 5;
+    let era = 1;
 
     const changesAfter = (after: number) => history.filter(row => row.version > after);
     const feedFor = (name: string) => {
@@ -24,16 +26,23 @@
             override async readAll(): Promise<Result<FeedPage, Failure>> {
                 calls.push(`${name} all`);
                 const latest = new Map(history.map(row => [row.key, row]));
-                return ok({ rows: [...latest.values()].filter(row => row.text), version, isHistoryLost: false });
+                return ok({
+                    rows: [...latest.values()].filter(row => row.text),
+                    position: { era, version },
+                    isHistoryLost: false,
+                });
             }
 
-            override async waitForChanges(after: number, wait: number): Promise<Result<FeedPage, Failure>> {
+            override async waitForChanges(
+                { version: after }: StorePosition,
+                wait: number,
+            ): Promise<Result<FeedPage, Failure>> {
                 calls.push(`${name} after ${after}`);
                 const until = clock.monotonicNow() + wait;
                 while (changesAfter(after).length === 0 && clock.monotonicNow() < until) {
                     await clock.sleepUntil(Math.min(until, clock.monotonicNow() + 5));
                 }
-                return ok({ rows: changesAfter(after), version, isHistoryLost: false });
+                return ok({ rows: changesAfter(after), position: { era, version }, isHistoryLost: false });
             }
         }
         return new TableFeed();
@@ -45,6 +54,12 @@
             version += 1;
             history.push({ key, version, text });
         },
+        /** The store loses all that was written after a version. */
+        rollBack: (to: number) => {
+            era += 1;
+            version = to;
+            history = history.filter(row => row.version <= to);
+        },
         /** Another table of the store changes. */
         passVersion: () => {
             version += 1;
@@ -155,7 +170,7 @@
         await clock.advance(3_000);
         // The coordinator still speaks, but what it knows grows old.
         link.passesRows = false;
-        reader.listStates = () => [{ table: "t", changedVersion: 5, version: 5, age: freshMilliseconds + 1 }];
+        reader.listStates = () => [{ table: "t", era: 1, changedVersion: 5, version: 5, age: freshMilliseconds + 1 }];
         await clock.advance(freshMilliseconds + stateMilliseconds);
         store.put("a", "1");
         await clock.advance(200);
@@ -173,4 +188,24 @@
         assert.equal(taken.at(-1), "a=undefined failed");
         stop();
     });
+
+    // Guards against rows that stay unknown since the store has given out their versions a second time.
+    it("is read anew after the store has come back from an older copy, with versions given out again", async () => {
+        for (const passesRows of [true, false]) {
+            const { clock, store, link, taken, stop } = createPair();
+            link.passesRows = passesRows;
+            store.put("a", "1");
+            await clock.advance(3_000);
+            store.put("lost", "1");
+            await clock.advance(500);
+            store.rollBack(6);
+            store.put("b", "1");
+            store.put("c", "1");
+            await clock.advance(2_000);
+            store.put("d", "1");
+            await clock.advance(bound);
+            assert.ok(["b=1", "c=1", "d=1"].every(row => taken.includes(row)), `${taken.join(" ")}`);
+            stop();
+        }
+    });
 });
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -1,4 +1,4 @@
-import type { Clock, EventLog } from "daisyturn-utils";
+import { type Clock, createSignal, type EventLog } from "daisyturn-utils";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
@@ -15,7 +15,7 @@
 import { createRelayedTables, type RelayedTable } from "./createRelayedTables.js";
 import { createStateTeller } from "./createStateTeller.js";
 import { createTableReader, type TableReader } from "./createTableReader.js";
-import { followPeers } from "./followPeers.js";
+import { followPeers, type Renewal } from "./followPeers.js";
 import { type LoadMessage, readLoadMessage } from "./messages/loadMessage.js";
 import { type Notification, parseNotification } from "./messages/notification.js";
 import { encodePlacementAnswer, readPlacementAnswer, readPlacementAsk } from "./messages/placementMessages.js";
@@ -54,6 +54,8 @@
     /** Whether this process coordinates its group, and no coordinator of another one has a name that sorts before its own. */
     isFirst(): boolean;
     run(signal: AbortSignal): void;
+    /** Has the own entry among the processes written again, where the store has lost it. */
+    renewEntry(): void;
     /** Tells the group to ask another process from now on. */
     stopAnswering(): void;
 }
@@ -94,6 +96,8 @@
     /** When each coordinator of another group was last heard. */
     const otherCoordinators = new Map<string, number>();
 
+    const renewal: Renewal = { raised: createSignal(), isDue: false };
+
     const desk = createPlacementDesk({
         coordinatorId: self.peerId,
         decide: request => {
@@ -200,11 +204,15 @@
                 && [...otherCoordinators].every(([peerId, at]) => at < oldest || peerId > self.peerId);
         },
         run: signal => {
-            void followPeers({ self, registry: options.registry, link, clock, eventLog }, signal);
+            void followPeers({ self, registry: options.registry, link, renewal, clock, eventLog }, signal);
             void loadTeller.run(signal);
             void groupTeller.run(signal);
             void stateTeller.run(signal);
         },
+        renewEntry: () => {
+            renewal.isDue = true;
+            renewal.raised.raise();
+        },
         stopAnswering: stateTeller.stopAnswering,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
@@ -1,14 +1,16 @@
 import { type Clock, createSignal } from "daisyturn-utils";
 import type { FeedPage } from "../../../ports/changeFeed.js";
+import type { StorePosition } from "../../../ports/storePosition.js";
 import type { CoordinatorState, RowsMessage, TableState } from "./messages/tableMessages.js";
 
 /** News of one table of the store, as coordinators pass it on. */
 export interface RelayedTable {
     /**
-     * Waits for news after a version, for as long as a coordinator vouches that it knows the table as of a moment ago.
-     * Resolves with undefined once none does, or what it has is not at hand: then the store is to be asked.
+     * Waits for news after a position, for as long as a coordinator vouches that it knows the table as of a moment ago.
+     * Resolves with undefined once none does, or what it has is not at hand: then the store is to be asked. A page without
+     * history tells that a coordinator has seen a later era.
      */
-    next(version: number, signal: AbortSignal): Promise<RelayedPage | undefined>;
+    next(after: StorePosition, signal: AbortSignal): Promise<RelayedPage | undefined>;
 }
 
 /** Rows that a coordinator has passed on. */
@@ -50,43 +52,49 @@
     const messages = new Map<string, (RowsMessage & { readonly at: number; })[]>();
     const news = createSignal();
 
-    /** The freshest word on a table. */
+    /** The freshest word on a table in the latest era. */
     const findVouch = (table: string): Vouch | undefined => {
         const found = [...vouches.get(table)?.values() ?? []];
-        return found.sort((left, right) => right.knownAt - left.knownAt)[0];
+        return found.sort((left, right) => right.era - left.era || right.knownAt - left.knownAt)[0];
     };
 
-    const takeRows = (table: string, version: number): RelayedPage | undefined => {
+    const takeRows = (table: string, { era, version }: StorePosition): RelayedPage | undefined => {
+        const isAhead = (message: RowsMessage) => message.era > era || message.era === era && message.version > version;
         const fitting = messages.get(table)?.find(message =>
-            message.afterVersion <= version && message.version > version
-        );
-        messages.set(
-            table,
-            (messages.get(table) ?? []).filter(message => message.version > version && message !== fitting),
+            message.era === era && message.afterVersion <= version && message.version > version
         );
+        messages.set(table, (messages.get(table) ?? []).filter(message => isAhead(message) && message !== fitting));
         return fitting && {
             rows: fitting.rows,
-            version: fitting.version,
+            position: { era, version: fitting.version },
             isHistoryLost: false,
             ...(fitting.failedAge !== undefined && { storeFailedAt: fitting.at - fitting.failedAge }),
         };
     };
 
-    const next = async (table: string, version: number, signal: AbortSignal): Promise<RelayedPage | undefined> => {
+    const next = async (
+        table: string,
+        after: StorePosition,
+        signal: AbortSignal,
+    ): Promise<RelayedPage | undefined> => {
+        const { era, version } = after;
         let missingSince: number | undefined;
         while (!signal.aborted && !options.isReader()) {
-            const rows = takeRows(table, version);
+            const rows = takeRows(table, after);
             if (rows) {
                 return rows;
             }
             const vouch = findVouch(table);
             const staleAt = (vouch?.knownAt ?? -Infinity) + options.freshMilliseconds();
             const now = clock.monotonicNow();
-            if (!vouch || staleAt <= now) {
+            if (!vouch || staleAt <= now || vouch.era < era) {
                 return undefined;
             }
+            if (vouch.era > era) {
+                return { rows: [], position: { era: vouch.era, version: 0 }, isHistoryLost: true };
+            }
             if (vouch.changedVersion <= version && vouch.version > version) {
-                return { rows: [], version: vouch.version, isHistoryLost: false };
+                return { rows: [], position: { era, version: vouch.version }, isHistoryLost: false };
             }
             const isMissing = vouch.changedVersion > version;
             missingSince = isMissing ? missingSince ?? now : undefined;
@@ -99,7 +107,7 @@
     };
 
     return {
-        find: table => ({ next: (version, signal) => next(table, version, signal) }),
+        find: table => ({ next: (after, signal) => next(table, after, signal) }),
         noteState: ({ from, tables }) => {
             for (const state of tables) {
                 const byCoordinator = vouches.get(state.table) ?? new Map<string, Vouch>();
--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -1,11 +1,12 @@
 import type { Clock } from "daisyturn-utils";
 import type { FeedPage } from "../../../ports/changeFeed.js";
+import type { StorePosition } from "../../../ports/storePosition.js";
 import type { RowsMessage, TableState } from "./messages/tableMessages.js";
 
 /** What this process knows of the tables that it reads from the store itself, to be passed on. */
 export interface TableReader {
-    /** Notes an answer of the store; `afterVersion` is undefined where the table was read whole. */
-    noteAnswer(table: string, page: FeedPage, afterVersion: number | undefined): void;
+    /** Notes an answer of the store; `after` is undefined where the table was read whole. */
+    noteAnswer(table: string, page: FeedPage, after: StorePosition | undefined): void;
     noteFailure(table: string): void;
     listStates(): readonly TableState[];
     /** Called with rows that have changed. */
@@ -17,7 +18,7 @@
 
 interface ReadTable {
     changedVersion: number;
-    version: number;
+    position: StorePosition;
     /** Monotonic time of the store's last answer. */
     answeredAt: number;
     failedAt: number;
@@ -31,18 +32,19 @@
     const find = (table: string): ReadTable => {
         let known = tables.get(table);
         if (!known) {
-            known = { changedVersion: 0, version: 0, answeredAt: -Infinity, failedAt: -Infinity };
+            known = { changedVersion: 0, position: { era: 0, version: 0 }, answeredAt: -Infinity, failedAt: -Infinity };
             tables.set(table, known);
         }
         return known;
     };
 
-    const tell = (table: string, page: FeedPage, afterVersion: number) => {
+    const tell = (table: string, page: FeedPage, after: StorePosition) => {
         const failedAge = clock.monotonicNow() - find(table).failedAt;
         const message = {
             table,
-            afterVersion,
-            version: page.version,
+            era: page.position.era,
+            afterVersion: after.version,
+            version: page.position.version,
             rows: page.rows,
             ...(failedAge < rememberedFailureMilliseconds && { failedAge: Math.round(failedAge) }),
         };
@@ -50,18 +52,22 @@
     };
 
     return {
-        noteAnswer: (table, page, afterVersion) => {
+        noteAnswer: (table, page, after) => {
+            if (after && after.era !== page.position.era) {
+                // Changes of another era don't follow what is known; the table is read anew.
+                return;
+            }
             const known = find(table);
             known.answeredAt = clock.monotonicNow();
             if (page.isHistoryLost) {
                 return;
             }
-            known.version = page.version;
-            if (afterVersion === undefined || page.rows.length > 0) {
-                known.changedVersion = page.version;
+            known.position = page.position;
+            if (after === undefined || page.rows.length > 0) {
+                known.changedVersion = page.position.version;
             }
-            if (afterVersion !== undefined && page.rows.length > 0) {
-                tell(table, page, afterVersion);
+            if (after !== undefined && page.rows.length > 0) {
+                tell(table, page, after);
             }
         },
         noteFailure: table => {
@@ -71,10 +77,10 @@
             const now = clock.monotonicNow();
             return [...tables]
                 .filter(([, { answeredAt }]) => answeredAt > -Infinity)
-                .map(([table, { changedVersion, version, answeredAt }]) => ({
+                .map(([table, { changedVersion, position, answeredAt }]) => ({
                     table,
+                    ...position,
                     changedVersion,
-                    version,
                     age: Math.round(now - answeredAt),
                 }));
         },
--- a/packages/daisyturn/src/process/forwarding/coordination/followPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/followPeers.ts
@@ -1,4 +1,4 @@
-import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import { type Clock, EventKind, type EventLog, type Signal } from "daisyturn-utils";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 
@@ -7,10 +7,18 @@
     readonly self: RegisteredPeer;
     readonly registry: PeerRegistry;
     readonly link: CoordinatorLink;
+    /** Asks for a look at once, since the store may have lost the own entry. */
+    readonly renewal: Renewal;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
 
+/** A wish to have the own entry written again; it lasts until that is done. */
+export interface Renewal {
+    readonly raised: Signal;
+    isDue: boolean;
+}
+
 /** Until other processes are found, while no coordinator is heard, and after a failure. */
 const searchMilliseconds = 1_000;
 /** Coordinators meet each other here; each look is a call to the store, which is priced. */
@@ -18,14 +26,19 @@
 /** Between two looks whether a process that follows a coordinator still hears one. */
 const checkMilliseconds = 2_000;
 const timeoutMilliseconds = 1_000;
+/** After a rollback of the store, processes that are not listed are kept until they had time to write their entries. */
+const renewalMilliseconds = 2_500;
 
 /**
  * Enters this process among those of the fleet and finds the others, until the signal is aborted. A process that hears a
  * coordinator learns from it who comes next, and asks the store no more.
  */
 export async function followPeers(options: FollowPeersOptions, signal: AbortSignal): Promise<void> {
-    const { self, registry, link, clock, eventLog } = options;
+    const { self, registry, link, renewal, clock, eventLog } = options;
     let unreadable = 0;
+    let mustLook = true;
+    /** Monotonic time until which a process that is not listed may still be there. */
+    let keptUntil = -Infinity;
     let found: readonly RegisteredPeer[] = [];
 
     const noteUnreadable = (count: number) => {
@@ -37,23 +50,36 @@
 
     /** @returns the pause until the next look */
     const look = async (): Promise<number> => {
+        if (renewal.isDue) {
+            renewal.isDue = false;
+            keptUntil = clock.monotonicNow() + renewalMilliseconds;
+        }
         const listing = await registry.refresh(self, clock.monotonicNow() + timeoutMilliseconds);
         if (listing.isErr) {
             eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${listing.error.message}` });
+            mustLook = true;
             return searchMilliseconds;
         }
+        mustLook = false;
         const { peers, unreadable: unreadableNow } = listing.value;
         // Processes start together: the first ones to look find a part of the others.
         const isSettled = peers.length > 1 && peers.length === found.length;
         found = peers;
-        link.setPeers(peers);
+        if (clock.monotonicNow() < keptUntil) {
+            link.addPeers(peers);
+        }
+        else {
+            link.setPeers(peers);
+        }
         noteUnreadable(unreadableNow);
         return isSettled && link.isCandidate() ? coordinatorMilliseconds : searchMilliseconds;
     };
 
     while (!signal.aborted) {
-        const needsLook = found.length === 0 || link.isCandidate() || !link.isHeard();
+        const needsLook = mustLook || renewal.isDue || found.length === 0 || link.isCandidate() || !link.isHeard();
         const pause = needsLook ? await look() : checkMilliseconds;
-        await clock.sleepUntil(clock.monotonicNow() + pause, signal);
+        if (!renewal.isDue) {
+            await renewal.raised.wait(clock, clock.monotonicNow() + pause, signal);
+        }
     }
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -17,6 +17,8 @@
 /** What a coordinator knows of one table that it follows in the store. */
 export interface TableState {
     readonly table: string;
+    /** Era of the store that the versions belong to. */
+    readonly era: number;
     /** Version of the store at the last change of the table, as far as it is known. */
     readonly changedVersion: number;
     /** Version of the store up to which the table is known. */
@@ -40,6 +42,8 @@
 export interface RowsMessage {
     readonly from: string;
     readonly table: string;
+    /** Era of the store that the versions belong to. */
+    readonly era: number;
     readonly afterVersion: number;
     readonly version: number;
     readonly rows: readonly FeedRow[];
@@ -55,7 +59,9 @@
     return encodeNotification(stateMethod, {
         ...state,
         closed: closed.map(encodeClosingList),
-        tables: tables.map(({ table, changedVersion, version, age }) => [table, changedVersion, version, age]),
+        tables: tables.map((
+            { table, changedVersion, version, age, era },
+        ) => [table, changedVersion, version, age, era]),
         candidates: candidates.map(peer => [
             peer.peerId,
             peer.host,
@@ -82,18 +88,25 @@
     return method === rowsMethod ? tryRead(() => readRowsParams(params)) : undefined;
 }
 
-type StateEntry = readonly [string, number, number, number];
+type StateEntry = readonly [string, number, number, number, number?];
 type CandidateEntry = readonly [string, string, number, string, number];
 type RowEntry = readonly [string, number, string?];
 
 function readStateParams(params: Notification["params"]): CoordinatorState {
     const isCount = (value: unknown) => isAmount(value);
-    const tables = readList<StateEntry>(params["tables"], [isName, isCount, isCount, isCount]);
+    const isOptionalCount = (value: unknown) => value === undefined || isAmount(value);
+    const tables = readList<StateEntry>(params["tables"], [isName, isCount, isCount, isCount, isOptionalCount]);
     const candidates = readList<CandidateEntry>(params["candidates"], [isName, isName, isCount, isText, isCount]);
     return {
         from: readName(params["from"]),
         isAnswering: params["isAnswering"] === true,
-        tables: tables.map(([table, changedVersion, version, age]) => ({ table, changedVersion, version, age })),
+        tables: tables.map(([table, changedVersion, version, age, era = 0]) => ({
+            table,
+            era,
+            changedVersion,
+            version,
+            age,
+        })),
         closed: readClosingLists(params["closed"]),
         candidates: candidates.map(([peerId, host, port, availabilityZone, strength]) => ({
             peerId,
@@ -115,6 +128,7 @@
     return {
         from: readName(params["from"]),
         table: readName(params["table"]),
+        era: readOptionalAmount(params["era"]) ?? 0,
         afterVersion: readAmount(params["afterVersion"]),
         version: readAmount(params["version"]),
         rows: entries.map(([key, version, text]) => ({ key, version, text })),
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -246,6 +246,17 @@
     await end();
 });
 
+// Guards against changing every remaining engine because terminated engines that receive no calls count as available.
+test("an engine of the other stage remains when idle engines of that stage have also stopped responding", async () => {
+    const isAnswering = (targetId: string) => ["p2", "p3"].includes(targetId);
+    const { clock, sent, failCalls, end } = createScene({ readers: 4, decoders: 2, isAnswering });
+    await clock.advance(3_000);
+    failCalls("d0");
+    await clock.advance(4_000);
+    assert.equal(sent.length, 1);
+    await end();
+});
+
 // Guards against stage changes caused by network faults or single failed reads while the engines work.
 test("engines that answer status reads keep their stage despite failed calls", async () => {
     for (const isAnswering of [() => true, (targetId: string, read: number) => read > 1]) {
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -90,9 +90,7 @@
         const healthy = listed.filter(({ targetId }) => !health.isFailing(targetId));
         const insufficientStage = healthy.length < listed.length ? findInsufficientStage(healthy) : undefined;
         const isSuspected = ({ targetId }: ListedTarget) => lostEngines.isSuspected(targetId);
-        const needsCheck = (engine: ListedTarget) =>
-            engine.stage === insufficientStage || health.isFailing(engine.targetId);
-        lostEngines.check(listed.filter(engine => isSuspected(engine) || insufficientStage && needsCheck(engine)));
+        lostEngines.check(insufficientStage === undefined ? listed.filter(isSuspected) : listed);
         if (listed.some(isSuspected)) {
             keepLease();
         }
@@ -111,7 +109,10 @@
             decodingFill,
             peakFill: notePeak(service, decodingFill),
         };
-        const stage = engines.length > 1 ? planStage(view) : undefined;
+        // A single remaining engine can answer prompts only if it decodes.
+        const isLastReader = hasLostEngines && engines.length === 1 && view.readers === 1;
+        const plannedStage = engines.length > 1 ? planStage(view) : undefined;
+        const stage = isLastReader ? EngineStage.Decode : plannedStage;
         const known = needs.get(service);
         if (!stage) {
             needs.delete(service);
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -131,3 +131,18 @@
     assert.equal(list.isOpen("a@1000"), false);
     assert.equal(list.isOpen("a@2000"), true);
 });
+
+// Guards against new work for a target that was seen leaving, where the store has lost the word of it.
+test("a target that leaves stays closed after a rollback of the store, until it tells its state again", () => {
+    const { list } = createBench();
+    list.replace([row("a", false, 1_000), row("b", false, 1_000)]);
+    list.change([row("a", true, 1_000)]);
+    list.replace([row("a", false, 1_000), row("b", false, 1_000)], true);
+    assert.equal(list.isOpen("a@1000"), false);
+    assert.equal(list.isOpen("b@1000"), true);
+    list.change([row("a", false, 1_000)]);
+    assert.equal(list.isOpen("a@1000"), true);
+    list.change([row("a", true, 1_000)]);
+    list.replace([row("a", false, 2_000)], true);
+    assert.equal(list.isOpen("a@2000"), true);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { err, ok, type Result } from "true-myth/result";
 import { ChangeFeed, type FeedPage, type FeedRow } from "../../../../ports/changeFeed.js";
+import type { StorePosition } from "../../../../ports/storePosition.js";
 import { followTable } from "../followTable.js";
 
 const failure = mayHaveRun(FailureReason.StoreUnavailable, "away");
@@ -10,12 +11,15 @@
 /** A feed that answers by a list; after its end it waits as long as it is asked to. */
 function createScriptedFeed(clock: FakeClock, answers: Result<FeedPage, Failure>[]) {
     const calls: string[] = [];
+    const waits: number[] = [];
+    let lastEra = 0;
     const next = async (waitMilliseconds: number) => {
         const answer = answers.shift();
+        lastEra = answer?.isOk ? Math.max(lastEra, answer.value.position.era) : lastEra;
         if (!answer) {
             await clock.sleepUntil(clock.monotonicNow() + waitMilliseconds);
         }
-        return answer ?? ok({ rows: [], version: 99, isHistoryLost: false });
+        return answer ?? ok({ rows: [], position: { era: lastEra, version: 99 }, isHistoryLost: false });
     };
     class ScriptedFeed extends ChangeFeed {
         override readAll(): Promise<Result<FeedPage, Failure>> {
@@ -23,22 +27,33 @@
             return next(0);
         }
 
-        override waitForChanges(after: number, waitMilliseconds: number): Promise<Result<FeedPage, Failure>> {
-            calls.push(`after ${after}`);
+        override waitForChanges(
+            { version }: StorePosition,
+            waitMilliseconds: number,
+        ): Promise<Result<FeedPage, Failure>> {
+            calls.push(`after ${version}`);
+            waits.push(waitMilliseconds);
             return next(waitMilliseconds);
         }
     }
-    return { feed: new ScriptedFeed(), calls };
+    return { feed: new ScriptedFeed(), calls, waits };
 }
 
 function page(version: number, ...keys: string[]): Result<FeedPage, Failure> {
-    return ok({ rows: keys.map(key => ({ key, version, text: "x" })), version, isHistoryLost: false });
+    return pageOf(0, version, ...keys);
+}
+
+function pageOf(era: number, version: number, ...keys: string[]): Result<FeedPage, Failure> {
+    const rows = keys.map(key => ({ key, version, text: "x" }));
+    return ok({ rows, position: { era, version }, isHistoryLost: false });
 }
 
 async function follow(answers: Result<FeedPage, Failure>[], milliseconds: number) {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
-    const { feed, calls } = createScriptedFeed(clock, answers);
+    const { feed, calls, waits } = createScriptedFeed(clock, answers);
+    const storeCalls: boolean[] = [];
+    let rollbacks = 0;
     const taken: string[] = [];
     const describe = (rows: readonly FeedRow[]) => rows.map(row => row.key).join(",");
     const stop = new AbortController();
@@ -46,18 +61,22 @@
         name: "table",
         feed,
         follower: {
-            replace: rows => void taken.push(`all ${describe(rows)}`),
+            replace: (rows, isOlderCopy) => void taken.push(`${isOlderCopy ? "copy" : "all"} ${describe(rows)}`),
             change: rows => void taken.push(`change ${describe(rows)}`),
         },
         timing: { waitMilliseconds: () => 1_000, mergeMilliseconds: 100 },
         clock,
         eventLog,
+        onCall: isAnswered => storeCalls.push(isAnswered),
+        onRolledBack: () => {
+            rollbacks += 1;
+        },
     }, stop.signal);
     await clock.advance(milliseconds);
     stop.abort();
     await clock.advance(2_000);
     await done;
-    return { taken, calls, eventLog };
+    return { taken, calls, waits, eventLog, storeCalls, rollbacks };
 }
 
 test("a table is read whole once and then by its changes", async () => {
@@ -73,7 +92,7 @@
 });
 
 test("lost history leads to reading the whole table", async () => {
-    const lost = ok<FeedPage, Failure>({ rows: [], version: 0, isHistoryLost: true });
+    const lost = ok<FeedPage, Failure>({ rows: [], position: { era: 0, version: 0 }, isHistoryLost: true });
     const { taken } = await follow([page(5, "a"), lost, page(9, "b")], 1_000);
     assert.deepEqual(taken, ["all a", "all b"]);
 });
@@ -88,3 +107,47 @@
     const { eventLog } = await follow([page(5, "a"), err(failure), err(failure), page(6)], 3_000);
     assert.deepEqual(eventLog.events.map(event => event.kind), ["store_unavailable", "store_available"]);
 });
+
+// Guards against changes that are never seen, since the store has given out their versions a second time.
+test("a table is read whole once the store has come back from an older copy", async () => {
+    const answers = [pageOf(3, 50, "a", "b"), pageOf(4, 52, "c"), pageOf(4, 53, "a", "c"), pageOf(4, 54, "d")];
+    const { taken, calls, eventLog, rollbacks, storeCalls } = await follow(answers, 1_000);
+    assert.deepEqual(taken, ["all a,b", "copy a,c", "change d"]);
+    assert.deepEqual(calls.slice(0, 5), ["all", "after 50", "all", "after 53", "after 54"]);
+    assert.equal(rollbacks, 1);
+    assert.ok(storeCalls.includes(false), "entries that the copy lacks count as lapsed in an outage");
+    const [event] = eventLog.events;
+    assert.equal(event?.kind, "store_rolled_back");
+    assert.deepEqual([event.fields["fromEra"], event.fields["era"], event.fields["rows"]], [3, 4, 2]);
+});
+
+test("a rollback is noticed too where the answer says that the history is lost, and the next one again", async () => {
+    const lost = ok<FeedPage, Failure>({ rows: [], position: { era: 4, version: 0 }, isHistoryLost: true });
+    const answers = [pageOf(3, 50, "a"), lost, pageOf(5, 45, "b"), pageOf(5, 46, "c")];
+    const { taken, rollbacks } = await follow(answers, 1_000);
+    assert.deepEqual(taken, ["all a", "copy b", "change c"]);
+    assert.equal(rollbacks, 2);
+});
+
+// Guards against state that is overwritten by what the store held before it came back.
+test("a late answer of an older era changes nothing", async () => {
+    const answers = [pageOf(4, 50, "a"), pageOf(3, 60, "old"), pageOf(4, 51, "b")];
+    const { taken, calls, rollbacks } = await follow(answers, 1_000);
+    assert.deepEqual(taken, ["all a", "change b"]);
+    assert.deepEqual(calls.slice(0, 3), ["all", "after 50", "after 50"]);
+    assert.equal(rollbacks, 0);
+});
+
+test("the era of a first answer is no rollback, and a store that tells no era works as before", async () => {
+    for (const era of [0, 7]) {
+        const { taken, rollbacks } = await follow([pageOf(era, 5, "a"), pageOf(era, 6, "b")], 500);
+        assert.deepEqual(taken, ["all a", "change b"]);
+        assert.equal(rollbacks, 0);
+    }
+});
+
+// Guards against a rollback that stays unnoticed for as long as the first call after an outage waits for changes.
+test("the first call after a failure does not wait for changes", async () => {
+    const { waits } = await follow([page(5, "a"), err(failure), page(6, "b"), page(7, "c")], 1_000);
+    assert.deepEqual(waits.slice(0, 3), [1_000, 0, 1_000]);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -84,20 +84,20 @@
         }
     };
 
-    const put = (row: FeedRow, storeFailedAt?: number) => {
+    const put = (row: FeedRow, storeFailedAt?: number, isOlderCopy = false) => {
         if (row.text === undefined) {
             remove(row.key, storeFailedAt);
             return;
         }
         try {
-            take(row.key, options.decode(row.key, row.text));
+            take(row.key, options.decode(row.key, row.text), isOlderCopy);
         }
         catch (error) {
             refuse(row.key, String(error));
         }
     };
 
-    const take = (key: string, target: ListedTarget) => {
+    const take = (key: string, target: ListedTarget, isOlderCopy: boolean) => {
         unreadable.delete(key);
         const known = entries.get(key);
         if (known && (known.bornAt ?? 0) > (target.bornAt ?? 0)) {
@@ -107,10 +107,13 @@
         if (known && known.targetId !== target.targetId) {
             forget(key, "started anew");
         }
+        // The copy may be from before the target began to leave, and the target tells of it again.
+        const isLeaving = target.isLeaving || isOlderCopy && known?.targetId === target.targetId && known.isLeaving;
+        const taken = { ...target, isLeaving };
         lapsed.delete(key);
-        entries.set(key, target);
-        targets.set(target.targetId, target);
-        recordChange(known, target);
+        entries.set(key, taken);
+        targets.set(target.targetId, taken);
+        recordChange(known, taken);
     };
 
     /** An entry that is no target's names none to use, whatever it said before. */
@@ -166,11 +169,11 @@
             }
         },
         onGone: listener => goneListeners.push(listener),
-        replace: rows => {
+        replace: (rows, isOlderCopy = false) => {
             isKnown = true;
             const present = new Set(rows.map(row => row.key));
             [...entries.keys()].filter(key => !present.has(key)).forEach(key => remove(key));
-            rows.forEach(row => put(row));
+            rows.forEach(row => put(row, undefined, isOlderCopy));
             index();
         },
         change: (rows, storeFailedAt) => {
--- a/packages/daisyturn/src/process/forwarding/targets/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -1,13 +1,17 @@
 import { type Clock, EventKind, type EventLog, type Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
 import type { ChangeFeed, FeedPage, FeedRow } from "../../../ports/changeFeed.js";
+import type { StorePosition } from "../../../ports/storePosition.js";
 import type { RelayedPage, RelayedTable } from "../coordination/createRelayedTables.js";
 import type { TableReader } from "../coordination/createTableReader.js";
 
 /** Takes what a followed table says. */
 export interface TableFollower {
-    /** All rows as of one moment: what is missing is gone. */
-    replace(rows: readonly FeedRow[]): void;
+    /**
+     * All rows as of one moment: what is missing is gone.
+     * @param isOlderCopy whether the store has lost what was written to it last, so that rows may be older than those known
+     */
+    replace(rows: readonly FeedRow[], isOlderCopy?: boolean): void;
     /**
      * Rows that changed.
      * @param storeFailedAt monotonic time at which the store last failed to answer whoever has read them, where that was
@@ -25,6 +29,8 @@
     readonly waitMilliseconds: () => number;
     /** Pause after a change, so that changes in quick succession come as one answer. */
     readonly mergeMilliseconds: number;
+    /** Pause before the table is read whole after a rollback of the store, so that processes don't all ask at once. */
+    readonly rereadPauseMilliseconds?: () => number;
 }
 
 /** What {@link followTable} needs. */
@@ -37,6 +43,8 @@
     readonly eventLog: EventLog;
     /** Told of each answer and each failure of the store, with the time the call took beyond its wait. */
     readonly onCall?: (isAnswered: boolean) => void;
+    /** Told that the store has come back from an older copy. */
+    readonly onRolledBack?: () => void;
     /** News that another process passes on: while it does, the store is not asked. */
     readonly relay?: RelayedTable;
     /** Takes what the store has answered, for other processes. */
@@ -50,22 +58,63 @@
 const firstRetryMilliseconds = 250;
 const longestRetryMilliseconds = 1_200;
 
+/** A return of the store from an older copy, after which the table has not been read yet. */
+interface Rollback {
+    readonly fromEra: number;
+    /** Monotonic time. */
+    readonly noticedAt: number;
+}
+
 /** Follows one table until the signal is aborted: reads it whole, then takes its changes, and anew after a loss. */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<void> {
     const { feed, follower, timing, clock } = options;
-    let version: number | undefined;
+    let position: StorePosition | undefined;
+    let era: number | undefined;
+    let rollback: Rollback | undefined;
     let retryMilliseconds = firstRetryMilliseconds;
     let isReachable = true;
 
+    const noteRollback = (fromEra: number) => {
+        rollback = { fromEra, noticedAt: clock.monotonicNow() };
+        // Entries that were written after the copy are missing in it until they are written again.
+        options.onCall?.(false);
+        options.onRolledBack?.();
+    };
+
+    const takeWhole = (page: FeedPage) => {
+        follower.replace(page.rows, rollback !== undefined);
+        if (rollback) {
+            options.eventLog.record(EventKind.StoreRolledBack, {
+                table: options.name,
+                fromEra: rollback.fromEra,
+                era,
+                rows: page.rows.length,
+                version: page.position.version,
+                afterMilliseconds: Math.round(clock.monotonicNow() - rollback.noticedAt),
+            });
+            rollback = undefined;
+        }
+    };
+
+    /** @returns the pause before the next call */
     const take = (page: RelayedPage): number => {
-        if (page.isHistoryLost) {
-            version = undefined;
-            return 0;
+        const known = era ?? page.position.era;
+        if (page.position.era < known) {
+            // An answer from before the rollback that arrives late.
+            return firstRetryMilliseconds;
+        }
+        era = page.position.era;
+        if (era > known) {
+            noteRollback(known);
+        }
+        if (page.isHistoryLost || position !== undefined && era > known) {
+            position = undefined;
+            return era > known ? timing.rereadPauseMilliseconds?.() ?? 0 : 0;
         }
-        const isWhole = version === undefined;
-        version = page.version;
+        const isWhole = position === undefined;
+        position = page.position;
         if (isWhole) {
-            follower.replace(page.rows);
+            takeWhole(page);
         }
         else if (page.rows.length > 0) {
             follower.change(page.rows, page.storeFailedAt);
@@ -78,16 +127,17 @@
         if (reachable !== isReachable) {
             isReachable = reachable;
             const kind = reachable ? EventKind.StoreAvailable : EventKind.StoreUnavailable;
-            options.eventLog.record(kind, { table: options.name, reason, version });
+            options.eventLog.record(kind, { table: options.name, reason, version: position?.version, era });
         }
     };
 
     const askStore = () => {
         const now = clock.monotonicNow();
-        const wait = timing.waitMilliseconds();
-        return version === undefined
+        // After a failure an answer is due at once: it tells whether the store has come back from an older copy.
+        const wait = isReachable ? timing.waitMilliseconds() : 0;
+        return position === undefined
             ? feed.readAll(now + readTimeoutMilliseconds)
-            : feed.waitForChanges(version, wait, now + wait + answerSlackMilliseconds);
+            : feed.waitForChanges(position, wait, now + wait + answerSlackMilliseconds);
     };
 
     /** @returns the pause before the next call */
@@ -99,15 +149,18 @@
             retryMilliseconds = Math.min(longestRetryMilliseconds, retryMilliseconds * 2);
             return pause;
         }
-        options.reader?.noteAnswer(options.name, answer.value, version);
+        options.reader?.noteAnswer(options.name, answer.value, position);
         retryMilliseconds = firstRetryMilliseconds;
         return take(answer.value);
     };
 
     while (!signal.aborted) {
-        const relayed = version === undefined ? undefined : await options.relay?.next(version, signal);
+        const relayed = position === undefined ? undefined : await options.relay?.next(position, signal);
         if (relayed) {
-            take(relayed);
+            const pause = take(relayed);
+            if (position === undefined) {
+                await clock.sleepUntil(clock.monotonicNow() + pause, signal);
+            }
         }
         else if (!signal.aborted) {
             const pause = takeAnswer(await askStore());
