--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -57,8 +57,8 @@
 const readerWaitFraction = 0.5;
 /** Changes of several targets come in one priced answer, within this part of the time in which they must be heeded. */
 const mergeFraction = 0.25;
-/** After a rollback of the store its processes read and write anew within this time, not all at once. */
-const rollbackSpreadMilliseconds = 400;
+/** Upper bound of the random delay before a process re-reads its tables and rewrites its entry after a store rollback. */
+const rollbackJitterMilliseconds = 400;
 const seedLimit = 0x7fffffff;
 const incarnationBytes = 6;
 
@@ -140,12 +140,12 @@
         const timing: FollowTiming = {
             waitMilliseconds: () => Math.min(ownWait(), coordination.isReader() ? readerWait() : Infinity),
             mergeMilliseconds: settings.drainMilliseconds * mergeFraction,
-            rereadPauseMilliseconds: () => random.fraction() * rollbackSpreadMilliseconds,
+            rereadDelayMilliseconds: () => random.fraction() * rollbackJitterMilliseconds,
         };
-        const renewEntry = async () => {
-            const renewAt = clock.monotonicNow() + random.fraction() * rollbackSpreadMilliseconds;
-            await clock.sleepUntil(renewAt, background.signal);
-            coordination.renewEntry();
+        const refreshEntry = async () => {
+            const refreshAt = clock.monotonicNow() + random.fraction() * rollbackJitterMilliseconds;
+            await clock.sleepUntil(refreshAt, background.signal);
+            coordination.refreshEntry();
         };
         const follow = (name: string, feed: ChangeFeed, follower: TableFollower) =>
             followTable({
@@ -156,7 +156,7 @@
                 clock,
                 eventLog,
                 onCall: parts.targets.noteStoreCall,
-                onRolledBack: () => void renewEntry(),
+                onRolledBack: () => void refreshEntry(),
                 relay: coordination.relayedTable(name),
                 reader: coordination.tableReader,
             }, background.signal);
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -63,7 +63,7 @@
     RolePlanned = "role_planned",
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
-    /** The store has come back from an older copy, and a table was read anew. */
+    /** A table was re-read in full because the store was restored from an older snapshot. */
     StoreRolledBack = "store_rolled_back",
     StoreOutcomeSettled = "store_outcome_settled",
     SettingsReloaded = "settings_reloaded",
--- a/packages/daisyturn/src/ports/changeFeed.ts
+++ b/packages/daisyturn/src/ports/changeFeed.ts
@@ -9,7 +9,7 @@
     readonly text: string | undefined;
 }
 
-/** Rows, and the position of the store as of which they were read. */
+/** Rows, and the store position at which they were read. */
 export interface FeedPage {
     readonly rows: readonly FeedRow[];
     readonly position: StorePosition;
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -27,7 +27,7 @@
 export interface PlatformAnswer {
     readonly status: number;
     readonly body: string;
-    /** Header fields by name in lower case. */
+    /** Header fields, keyed by lower-case name. */
     readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 }
 
--- a/packages/daisyturn/src/ports/storePosition.ts
+++ b/packages/daisyturn/src/ports/storePosition.ts
@@ -1,9 +1,9 @@
 /**
- * A point in the store's history. The era rises each time the store comes back from an older copy; versions are then given
- * out again, so that those of different eras can't be compared.
+ * A point in the store's history. The era increases each time the store is restored from an older snapshot. Versions are
+ * reused after a restore, so versions of different eras must not be compared.
  */
 export interface StorePosition {
-    /** 0 where the store tells none. */
+    /** 0 if the store does not report one. */
     readonly era: number;
     readonly version: number;
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -110,8 +110,8 @@
         setLink: (link: Link) => {
             hears = link;
         },
-        /** The registry loses all entries. */
-        loseEntries: () => entered.clear(),
+        /** Removes all entries from the registry. */
+        clearEntries: () => entered.clear(),
         listEntries: () => [...entered.keys()],
         counts: (): SentCounts => ({ ...sent, bySender: new Map(sent.bySender) }),
         /** Those that coordinate a group by their own sight. */
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
@@ -175,18 +175,18 @@
         }
     });
 
-    // Guards against processes that nobody finds any more, since the store has lost their entries.
-    it("writes the entries of its processes again on demand, also while a coordinator is heard", async () => {
+    // Guards against processes that stay undiscoverable after the store has lost their entries.
+    it("rewrites the entries of its processes on request, even while a coordinator is heard", async () => {
         const fleet = createFleet(60, 3);
         await fleet.clock.advance(6_000);
-        fleet.loseEntries();
-        fleet.processes.forEach(({ coordination }) => coordination.renewEntry());
+        fleet.clearEntries();
+        fleet.processes.forEach(({ coordination }) => coordination.refreshEntry());
         await fleet.clock.advance(50);
         assert.equal(fleet.listEntries().length, 60);
         const before = fleet.counts().registryCalls;
         const coordinators = fleet.listCoordinators();
         await fleet.clock.advance(1_000);
-        assert.ok(fleet.counts().registryCalls - before <= 10, "no more looks than before");
+        assert.ok(fleet.counts().registryCalls - before <= 10, "no additional registry calls");
         assert.deepEqual(fleet.listCoordinators(), coordinators);
         assert.equal(coordinators.length, 3);
         await fleet.stop();
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
@@ -54,11 +54,11 @@
             version += 1;
             history.push({ key, version, text });
         },
-        /** The store loses all that was written after a version. */
-        rollBack: (to: number) => {
+        /** Discards everything written after a version and starts a new era. */
+        rollBack: (toVersion: number) => {
             era += 1;
-            version = to;
-            history = history.filter(row => row.version <= to);
+            version = toVersion;
+            history = history.filter(row => row.version <= toVersion);
         },
         /** Another table of the store changes. */
         passVersion: () => {
@@ -189,8 +189,8 @@
         stop();
     });
 
-    // Guards against rows that stay unknown since the store has given out their versions a second time.
-    it("is read anew after the store has come back from an older copy, with versions given out again", async () => {
+    // Guards against rows that are never seen because the store reused their versions.
+    it("is re-read after the store is restored from an older snapshot and reuses versions", async () => {
         for (const passesRows of [true, false]) {
             const { clock, store, link, taken, stop } = createPair();
             link.passesRows = passesRows;
@@ -208,4 +208,24 @@
             stop();
         }
     });
+
+    // Guards against a row of the new era that is skipped because its version is below one known from the era before.
+    it("is re-read after a rollback whose new changes stay below the version known before", async () => {
+        const { clock, store, link, taken, stop } = createPair();
+        link.passesRows = false;
+        await clock.advance(3_000);
+        for (let version = 6; version <= 20; version++) {
+            store.passVersion();
+        }
+        await clock.advance(1_500);
+        store.rollBack(6);
+        store.put("b", "1");
+        await clock.advance(bound);
+        for (let version = 8; version <= 25; version++) {
+            store.passVersion();
+        }
+        await clock.advance(bound);
+        assert.deepEqual(taken, ["b=1"]);
+        stop();
+    });
 });
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -15,7 +15,7 @@
 import { createRelayedTables, type RelayedTable } from "./createRelayedTables.js";
 import { createStateTeller } from "./createStateTeller.js";
 import { createTableReader, type TableReader } from "./createTableReader.js";
-import { followPeers, type Renewal } from "./followPeers.js";
+import { type EntryRefreshRequest, followPeers } from "./followPeers.js";
 import { type LoadMessage, readLoadMessage } from "./messages/loadMessage.js";
 import { type Notification, parseNotification } from "./messages/notification.js";
 import { encodePlacementAnswer, readPlacementAnswer, readPlacementAsk } from "./messages/placementMessages.js";
@@ -54,8 +54,8 @@
     /** Whether this process coordinates its group, and no coordinator of another one has a name that sorts before its own. */
     isFirst(): boolean;
     run(signal: AbortSignal): void;
-    /** Has the own entry among the processes written again, where the store has lost it. */
-    renewEntry(): void;
+    /** Requests that this process's registry entry be rewritten because the store may have lost it. */
+    refreshEntry(): void;
     /** Tells the group to ask another process from now on. */
     stopAnswering(): void;
 }
@@ -96,7 +96,7 @@
     /** When each coordinator of another group was last heard. */
     const otherCoordinators = new Map<string, number>();
 
-    const renewal: Renewal = { raised: createSignal(), isDue: false };
+    const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false };
 
     const desk = createPlacementDesk({
         coordinatorId: self.peerId,
@@ -204,14 +204,14 @@
                 && [...otherCoordinators].every(([peerId, at]) => at < oldest || peerId > self.peerId);
         },
         run: signal => {
-            void followPeers({ self, registry: options.registry, link, renewal, clock, eventLog }, signal);
+            void followPeers({ self, registry: options.registry, link, refreshRequest, clock, eventLog }, signal);
             void loadTeller.run(signal);
             void groupTeller.run(signal);
             void stateTeller.run(signal);
         },
-        renewEntry: () => {
-            renewal.isDue = true;
-            renewal.raised.raise();
+        refreshEntry: () => {
+            refreshRequest.isPending = true;
+            refreshRequest.requested.raise();
         },
         stopAnswering: stateTeller.stopAnswering,
     };
--- a/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
@@ -6,9 +6,9 @@
 /** News of one table of the store, as coordinators pass it on. */
 export interface RelayedTable {
     /**
-     * Waits for news after a position, for as long as a coordinator vouches that it knows the table as of a moment ago.
-     * Resolves with undefined once none does, or what it has is not at hand: then the store is to be asked. A page without
-     * history tells that a coordinator has seen a later era.
+     * Waits for changes after a position, for as long as a coordinator reports a recent state of the table. Resolves with
+     * undefined if no coordinator does, or if the changes it reports are unavailable; the caller then reads the store. A page
+     * with `isHistoryLost` set means that a coordinator has seen a later era.
      */
     next(after: StorePosition, signal: AbortSignal): Promise<RelayedPage | undefined>;
 }
@@ -52,7 +52,7 @@
     const messages = new Map<string, (RowsMessage & { readonly at: number; })[]>();
     const news = createSignal();
 
-    /** The freshest word on a table in the latest era. */
+    /** Finds the most recent state report of a table within the latest era. */
     const findVouch = (table: string): Vouch | undefined => {
         const found = [...vouches.get(table)?.values() ?? []];
         return found.sort((left, right) => right.era - left.era || right.knownAt - left.knownAt)[0];
--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -5,7 +5,7 @@
 
 /** What this process knows of the tables that it reads from the store itself, to be passed on. */
 export interface TableReader {
-    /** Notes an answer of the store; `after` is undefined where the table was read whole. */
+    /** Records an answer of the store; `after` is undefined if the table was read in full. */
     noteAnswer(table: string, page: FeedPage, after: StorePosition | undefined): void;
     noteFailure(table: string): void;
     listStates(): readonly TableState[];
@@ -54,7 +54,7 @@
     return {
         noteAnswer: (table, page, after) => {
             if (after && after.era !== page.position.era) {
-                // Changes of another era don't follow what is known; the table is read anew.
+                // Changes of another era cannot be applied to the known rows; the table is re-read in full.
                 return;
             }
             const known = find(table);
--- a/packages/daisyturn/src/process/forwarding/coordination/followPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/followPeers.ts
@@ -7,16 +7,16 @@
     readonly self: RegisteredPeer;
     readonly registry: PeerRegistry;
     readonly link: CoordinatorLink;
-    /** Asks for a look at once, since the store may have lost the own entry. */
-    readonly renewal: Renewal;
+    /** Triggers an immediate refresh, because the store may have lost this process's entry. */
+    readonly refreshRequest: EntryRefreshRequest;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
 
-/** A wish to have the own entry written again; it lasts until that is done. */
-export interface Renewal {
-    readonly raised: Signal;
-    isDue: boolean;
+/** A request to rewrite this process's registry entry; pending until the next refresh starts. */
+export interface EntryRefreshRequest {
+    readonly requested: Signal;
+    isPending: boolean;
 }
 
 /** Until other processes are found, while no coordinator is heard, and after a failure. */
@@ -26,19 +26,19 @@
 /** Between two looks whether a process that follows a coordinator still hears one. */
 const checkMilliseconds = 2_000;
 const timeoutMilliseconds = 1_000;
-/** After a rollback of the store, processes that are not listed are kept until they had time to write their entries. */
-const renewalMilliseconds = 2_500;
+/** Unlisted peers are kept this long after a store rollback, so that they have time to rewrite their entries. */
+const unlistedGraceMilliseconds = 2_500;
 
 /**
  * Enters this process among those of the fleet and finds the others, until the signal is aborted. A process that hears a
  * coordinator learns from it who comes next, and asks the store no more.
  */
 export async function followPeers(options: FollowPeersOptions, signal: AbortSignal): Promise<void> {
-    const { self, registry, link, renewal, clock, eventLog } = options;
+    const { self, registry, link, refreshRequest, clock, eventLog } = options;
     let unreadable = 0;
-    let mustLook = true;
-    /** Monotonic time until which a process that is not listed may still be there. */
-    let keptUntil = -Infinity;
+    let mustRefresh = true;
+    /** Monotonic time until which unlisted peers are kept. */
+    let keepUnlistedUntil = -Infinity;
     let found: readonly RegisteredPeer[] = [];
 
     const noteUnreadable = (count: number) => {
@@ -50,22 +50,22 @@
 
     /** @returns the pause until the next look */
     const look = async (): Promise<number> => {
-        if (renewal.isDue) {
-            renewal.isDue = false;
-            keptUntil = clock.monotonicNow() + renewalMilliseconds;
+        if (refreshRequest.isPending) {
+            refreshRequest.isPending = false;
+            keepUnlistedUntil = clock.monotonicNow() + unlistedGraceMilliseconds;
         }
         const listing = await registry.refresh(self, clock.monotonicNow() + timeoutMilliseconds);
         if (listing.isErr) {
             eventLog.record(EventKind.Fault, { reason: `peers could not be read: ${listing.error.message}` });
-            mustLook = true;
+            mustRefresh = true;
             return searchMilliseconds;
         }
-        mustLook = false;
+        mustRefresh = false;
         const { peers, unreadable: unreadableNow } = listing.value;
         // Processes start together: the first ones to look find a part of the others.
         const isSettled = peers.length > 1 && peers.length === found.length;
         found = peers;
-        if (clock.monotonicNow() < keptUntil) {
+        if (clock.monotonicNow() < keepUnlistedUntil) {
             link.addPeers(peers);
         }
         else {
@@ -76,10 +76,11 @@
     };
 
     while (!signal.aborted) {
-        const needsLook = mustLook || renewal.isDue || found.length === 0 || link.isCandidate() || !link.isHeard();
+        const needsLook = mustRefresh || refreshRequest.isPending || found.length === 0 || link.isCandidate()
+            || !link.isHeard();
         const pause = needsLook ? await look() : checkMilliseconds;
-        if (!renewal.isDue) {
-            await renewal.raised.wait(clock, clock.monotonicNow() + pause, signal);
+        if (!refreshRequest.isPending) {
+            await refreshRequest.requested.wait(clock, clock.monotonicNow() + pause, signal);
         }
     }
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -17,7 +17,7 @@
 /** What a coordinator knows of one table that it follows in the store. */
 export interface TableState {
     readonly table: string;
-    /** Era of the store that the versions belong to. */
+    /** Store era of the versions. */
     readonly era: number;
     /** Version of the store at the last change of the table, as far as it is known. */
     readonly changedVersion: number;
@@ -42,7 +42,7 @@
 export interface RowsMessage {
     readonly from: string;
     readonly table: string;
-    /** Era of the store that the versions belong to. */
+    /** Store era of the versions. */
     readonly era: number;
     readonly afterVersion: number;
     readonly version: number;
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -132,8 +132,8 @@
     assert.equal(list.isOpen("a@2000"), true);
 });
 
-// Guards against new work for a target that was seen leaving, where the store has lost the word of it.
-test("a target that leaves stays closed after a rollback of the store, until it tells its state again", () => {
+// Guards against new work for a leaving target whose leaving state was lost in a store rollback.
+test("a leaving target stays closed after a store rollback until it reports its state again", () => {
     const { list } = createBench();
     list.replace([row("a", false, 1_000), row("b", false, 1_000)]);
     list.change([row("a", true, 1_000)]);
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/followTable.test.ts
@@ -40,10 +40,10 @@
 }
 
 function page(version: number, ...keys: string[]): Result<FeedPage, Failure> {
-    return pageOf(0, version, ...keys);
+    return pageInEra(0, version, ...keys);
 }
 
-function pageOf(era: number, version: number, ...keys: string[]): Result<FeedPage, Failure> {
+function pageInEra(era: number, version: number, ...keys: string[]): Result<FeedPage, Failure> {
     const rows = keys.map(key => ({ key, version, text: "x" }));
     return ok({ rows, position: { era, version }, isHistoryLost: false });
 }
@@ -61,7 +61,8 @@
         name: "table",
         feed,
         follower: {
-            replace: (rows, isOlderCopy) => void taken.push(`${isOlderCopy ? "copy" : "all"} ${describe(rows)}`),
+            replace: (rows, isAfterRollback) =>
+                void taken.push(`${isAfterRollback ? "restored" : "all"} ${describe(rows)}`),
             change: rows => void taken.push(`change ${describe(rows)}`),
         },
         timing: { waitMilliseconds: () => 1_000, mergeMilliseconds: 100 },
@@ -108,45 +109,50 @@
     assert.deepEqual(eventLog.events.map(event => event.kind), ["store_unavailable", "store_available"]);
 });
 
-// Guards against changes that are never seen, since the store has given out their versions a second time.
-test("a table is read whole once the store has come back from an older copy", async () => {
-    const answers = [pageOf(3, 50, "a", "b"), pageOf(4, 52, "c"), pageOf(4, 53, "a", "c"), pageOf(4, 54, "d")];
+// Guards against changes that are never seen because the store reused their versions.
+test("a table is read in full after the store is restored from an older snapshot", async () => {
+    const answers = [
+        pageInEra(3, 50, "a", "b"),
+        pageInEra(4, 52, "c"),
+        pageInEra(4, 53, "a", "c"),
+        pageInEra(4, 54, "d"),
+    ];
     const { taken, calls, eventLog, rollbacks, storeCalls } = await follow(answers, 1_000);
-    assert.deepEqual(taken, ["all a,b", "copy a,c", "change d"]);
+    assert.deepEqual(taken, ["all a,b", "restored a,c", "change d"]);
     assert.deepEqual(calls.slice(0, 5), ["all", "after 50", "all", "after 53", "after 54"]);
     assert.equal(rollbacks, 1);
-    assert.ok(storeCalls.includes(false), "entries that the copy lacks count as lapsed in an outage");
+    assert.ok(storeCalls.includes(false), "a rollback counts as a failed store call");
     const [event] = eventLog.events;
     assert.equal(event?.kind, "store_rolled_back");
     assert.deepEqual([event.fields["fromEra"], event.fields["era"], event.fields["rows"]], [3, 4, 2]);
 });
 
-test("a rollback is noticed too where the answer says that the history is lost, and the next one again", async () => {
+test("a rollback is detected from an answer with lost history, and so is a second rollback", async () => {
     const lost = ok<FeedPage, Failure>({ rows: [], position: { era: 4, version: 0 }, isHistoryLost: true });
-    const answers = [pageOf(3, 50, "a"), lost, pageOf(5, 45, "b"), pageOf(5, 46, "c")];
+    const answers = [pageInEra(3, 50, "a"), lost, pageInEra(5, 45, "b"), pageInEra(5, 46, "c")];
     const { taken, rollbacks } = await follow(answers, 1_000);
-    assert.deepEqual(taken, ["all a", "copy b", "change c"]);
+    assert.deepEqual(taken, ["all a", "restored b", "change c"]);
     assert.equal(rollbacks, 2);
 });
 
-// Guards against state that is overwritten by what the store held before it came back.
-test("a late answer of an older era changes nothing", async () => {
-    const answers = [pageOf(4, 50, "a"), pageOf(3, 60, "old"), pageOf(4, 51, "b")];
+// Guards against overwriting current state with rows from before the rollback.
+test("a late answer of an older era is ignored", async () => {
+    const answers = [pageInEra(4, 50, "a"), pageInEra(3, 60, "old"), pageInEra(4, 51, "b")];
     const { taken, calls, rollbacks } = await follow(answers, 1_000);
     assert.deepEqual(taken, ["all a", "change b"]);
     assert.deepEqual(calls.slice(0, 3), ["all", "after 50", "after 50"]);
     assert.equal(rollbacks, 0);
 });
 
-test("the era of a first answer is no rollback, and a store that tells no era works as before", async () => {
+test("the first era received is not a rollback, and a store without eras is followed by version", async () => {
     for (const era of [0, 7]) {
-        const { taken, rollbacks } = await follow([pageOf(era, 5, "a"), pageOf(era, 6, "b")], 500);
+        const { taken, rollbacks } = await follow([pageInEra(era, 5, "a"), pageInEra(era, 6, "b")], 500);
         assert.deepEqual(taken, ["all a", "change b"]);
         assert.equal(rollbacks, 0);
     }
 });
 
-// Guards against a rollback that stays unnoticed for as long as the first call after an outage waits for changes.
+// Guards against late detection of a rollback while the first call after an outage waits for changes.
 test("the first call after a failure does not wait for changes", async () => {
     const { waits } = await follow([page(5, "a"), err(failure), page(6, "b"), page(7, "c")], 1_000);
     assert.deepEqual(waits.slice(0, 3), [1_000, 0, 1_000]);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -84,20 +84,20 @@
         }
     };
 
-    const put = (row: FeedRow, storeFailedAt?: number, isOlderCopy = false) => {
+    const put = (row: FeedRow, storeFailedAt?: number, isAfterRollback = false) => {
         if (row.text === undefined) {
             remove(row.key, storeFailedAt);
             return;
         }
         try {
-            take(row.key, options.decode(row.key, row.text), isOlderCopy);
+            take(row.key, options.decode(row.key, row.text), isAfterRollback);
         }
         catch (error) {
             refuse(row.key, String(error));
         }
     };
 
-    const take = (key: string, target: ListedTarget, isOlderCopy: boolean) => {
+    const take = (key: string, target: ListedTarget, isAfterRollback: boolean) => {
         unreadable.delete(key);
         const known = entries.get(key);
         if (known && (known.bornAt ?? 0) > (target.bornAt ?? 0)) {
@@ -107,13 +107,13 @@
         if (known && known.targetId !== target.targetId) {
             forget(key, "started anew");
         }
-        // The copy may be from before the target began to leave, and the target tells of it again.
-        const isLeaving = target.isLeaving || isOlderCopy && known?.targetId === target.targetId && known.isLeaving;
-        const taken = { ...target, isLeaving };
+        // The snapshot may predate the start of leaving, so the target stays closed until it reports its state again.
+        const isLeaving = target.isLeaving || isAfterRollback && known?.targetId === target.targetId && known.isLeaving;
+        const updated = { ...target, isLeaving };
         lapsed.delete(key);
-        entries.set(key, taken);
-        targets.set(target.targetId, taken);
-        recordChange(known, taken);
+        entries.set(key, updated);
+        targets.set(target.targetId, updated);
+        recordChange(known, updated);
     };
 
     /** An entry that is no target's names none to use, whatever it said before. */
@@ -169,11 +169,11 @@
             }
         },
         onGone: listener => goneListeners.push(listener),
-        replace: (rows, isOlderCopy = false) => {
+        replace: (rows, isAfterRollback = false) => {
             isKnown = true;
             const present = new Set(rows.map(row => row.key));
             [...entries.keys()].filter(key => !present.has(key)).forEach(key => remove(key));
-            rows.forEach(row => put(row, undefined, isOlderCopy));
+            rows.forEach(row => put(row, undefined, isAfterRollback));
             index();
         },
         change: (rows, storeFailedAt) => {
--- a/packages/daisyturn/src/process/forwarding/targets/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -9,9 +9,9 @@
 export interface TableFollower {
     /**
      * All rows as of one moment: what is missing is gone.
-     * @param isOlderCopy whether the store has lost what was written to it last, so that rows may be older than those known
+     * @param isAfterRollback whether the store has lost recent writes, so that rows may be older than the known ones
      */
-    replace(rows: readonly FeedRow[], isOlderCopy?: boolean): void;
+    replace(rows: readonly FeedRow[], isAfterRollback?: boolean): void;
     /**
      * Rows that changed.
      * @param storeFailedAt monotonic time at which the store last failed to answer whoever has read them, where that was
@@ -29,8 +29,8 @@
     readonly waitMilliseconds: () => number;
     /** Pause after a change, so that changes in quick succession come as one answer. */
     readonly mergeMilliseconds: number;
-    /** Pause before the table is read whole after a rollback of the store, so that processes don't all ask at once. */
-    readonly rereadPauseMilliseconds?: () => number;
+    /** Delay before the full read after a store rollback; randomized so that processes don't all read at once. */
+    readonly rereadDelayMilliseconds?: () => number;
 }
 
 /** What {@link followTable} needs. */
@@ -43,7 +43,7 @@
     readonly eventLog: EventLog;
     /** Told of each answer and each failure of the store, with the time the call took beyond its wait. */
     readonly onCall?: (isAnswered: boolean) => void;
-    /** Told that the store has come back from an older copy. */
+    /** Called when the store was restored from an older snapshot. */
     readonly onRolledBack?: () => void;
     /** News that another process passes on: while it does, the store is not asked. */
     readonly relay?: RelayedTable;
@@ -58,11 +58,11 @@
 const firstRetryMilliseconds = 250;
 const longestRetryMilliseconds = 1_200;
 
-/** A return of the store from an older copy, after which the table has not been read yet. */
+/** A store rollback after which the table has not been read in full yet. */
 interface Rollback {
     readonly fromEra: number;
     /** Monotonic time. */
-    readonly noticedAt: number;
+    readonly detectedAt: number;
 }
 
 /** Follows one table until the signal is aborted: reads it whole, then takes its changes, and anew after a loss. */
@@ -75,13 +75,13 @@
     let isReachable = true;
 
     const noteRollback = (fromEra: number) => {
-        rollback = { fromEra, noticedAt: clock.monotonicNow() };
-        // Entries that were written after the copy are missing in it until they are written again.
+        rollback = { fromEra, detectedAt: clock.monotonicNow() };
+        // Entries written after the snapshot are missing until rewritten; a reported failure makes them lapse as in an outage.
         options.onCall?.(false);
         options.onRolledBack?.();
     };
 
-    const takeWhole = (page: FeedPage) => {
+    const replaceRows = (page: FeedPage) => {
         follower.replace(page.rows, rollback !== undefined);
         if (rollback) {
             options.eventLog.record(EventKind.StoreRolledBack, {
@@ -90,7 +90,7 @@
                 era,
                 rows: page.rows.length,
                 version: page.position.version,
-                afterMilliseconds: Math.round(clock.monotonicNow() - rollback.noticedAt),
+                afterMilliseconds: Math.round(clock.monotonicNow() - rollback.detectedAt),
             });
             rollback = undefined;
         }
@@ -98,23 +98,23 @@
 
     /** @returns the pause before the next call */
     const take = (page: RelayedPage): number => {
-        const known = era ?? page.position.era;
-        if (page.position.era < known) {
-            // An answer from before the rollback that arrives late.
+        const previousEra = era ?? page.position.era;
+        if (page.position.era < previousEra) {
+            // Ignores a late answer from before the rollback.
             return firstRetryMilliseconds;
         }
         era = page.position.era;
-        if (era > known) {
-            noteRollback(known);
+        if (era > previousEra) {
+            noteRollback(previousEra);
         }
-        if (page.isHistoryLost || position !== undefined && era > known) {
+        if (page.isHistoryLost || position !== undefined && era > previousEra) {
             position = undefined;
-            return era > known ? timing.rereadPauseMilliseconds?.() ?? 0 : 0;
+            return era > previousEra ? timing.rereadDelayMilliseconds?.() ?? 0 : 0;
         }
         const isWhole = position === undefined;
         position = page.position;
         if (isWhole) {
-            takeWhole(page);
+            replaceRows(page);
         }
         else if (page.rows.length > 0) {
             follower.change(page.rows, page.storeFailedAt);
@@ -133,7 +133,7 @@
 
     const askStore = () => {
         const now = clock.monotonicNow();
-        // After a failure an answer is due at once: it tells whether the store has come back from an older copy.
+        // The first call after a failure does not wait for changes, so that a rollback is detected at once.
         const wait = isReachable ? timing.waitMilliseconds() : 0;
         return position === undefined
             ? feed.readAll(now + readTimeoutMilliseconds)
