Invalidate leases after a store restore and prevent reuse of fencing numbers

Cause: the lease relied on versions and numbers in rows that a restore may discard.

Change: - The era of each store answer, including rejections, is decoded in one place for all adapters. An answer of any kind with an invalid era header is treated as a failure. - A tenure ends with the first answer of a later era. - A lease that is free according to its row can be taken at once only if the row was written in the current era; otherwise only after the lease length. - In a store with eras, the fencing number consists of the era and the version of the takeover's commit. Versions are unique within an era. Numbers are exact for eras below 2^21 and versions below 2^32. - A release is not sent once the process has seen an era other than that of the tenure, because its condition may then match another holder's row. - Stores without eras behave as before, with the same fencing numbers.

Rejected alternative: incrementing the number in the row above a floor for each era.

Tests: - createLeaseKeeper.test.ts: 200 seeds of three processes with clocks 4 % off and random disconnections, while the store loses its last one to eight transactions. Checks that there is one holder at a time and that fencing numbers increase. - createLeaseKeeper.test.ts: the lease is lost on the first answer of a later era and reacquired after the lease length. - storeAdapters.test.ts: the era is tracked from answers of any kind.

--- a/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
@@ -5,6 +5,7 @@
     ForwardingConfiguration,
     ListedTarget,
     PeerRegistry,
+    StoreEraTracker,
     TableService,
     TargetProtocol,
 } from "daisyturn/forwarding";
@@ -22,6 +23,7 @@
     readonly peerRegistry: PeerRegistry;
     /** Rows of the system's own. */
     readonly tableService: TableService;
+    readonly storeEra: StoreEraTracker;
     readonly engineOrders: EngineOrders;
     /** Path at which the balancer asks whether the process takes requests. */
     readonly readinessPath: string;
--- a/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -30,7 +30,7 @@
 export function startStageChanges(options: StageChangesOptions): void {
     const { settings, adapters, parts, incarnation, clock, random, eventLog, signal } = options;
     const { processId, availabilityZone, leaseMilliseconds } = settings;
-    const { tableService, engineOrders } = adapters;
+    const { tableService, storeEra, engineOrders } = adapters;
     const storeClient = createStoreClient({
         tableService,
         clock,
@@ -51,6 +51,7 @@
         eventLog,
         leaseMilliseconds,
         renewalIntervalMilliseconds,
+        storeEra: storeEra.current,
     });
     void changeStages({
         holder: processId,
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -10,6 +10,7 @@
 export * from "./ports/http/platformConnection.js";
 export * from "./ports/listedTarget.js";
 export * from "./ports/peerRegistry.js";
+export * from "./ports/storeEra.js";
 export * from "./ports/storePosition.js";
 export * from "./ports/tableService.js";
 export * from "./process/forwarding/index.js";
--- a/packages/daisyturn/src/process/lease/__tests__/createLeaseKeeper.test.ts
+++ b/packages/daisyturn/src/process/lease/__tests__/createLeaseKeeper.test.ts
@@ -4,11 +4,13 @@
 import { createFakeIdentity } from "../../../__fixtures__/fakePeerNetwork.js";
 import { createFaultyTableService, TableFaultKind } from "../../../ports/faultyTableService.js";
 import { createMemoryTableService } from "../../../ports/memoryTableService.js";
+import { createStoreEraTracker, type StoreEraTracker } from "../../../ports/storeEra.js";
 import { absentVersion, type TableService, type Transaction, TransactionOutcome } from "../../../ports/tableService.js";
 import { hostTable } from "../../orders/__fixtures__/hostTable.js";
 import { CallFault, CallKind, createProcessHost } from "../../orders/__fixtures__/processHost.js";
 import { createStoreClient } from "../../store/index.js";
 import { createDriftingClock } from "../__fixtures__/driftingClock.js";
+import { createRestorableTable } from "../__fixtures__/restorableTable.js";
 import { createLeaseKeeper } from "../createLeaseKeeper.js";
 import type { Lease } from "../lease.js";
 import { fencingRowKey } from "../leaseRows.js";
@@ -22,7 +24,15 @@
 };
 
 /** A process that competes for the lease; its clock runs at `rate`. */
-function startKeeper(clock: FakeClock, table: TableService, name: string, rate = 1, seed = 1, longestDelay = 1) {
+function startKeeper(
+    clock: FakeClock,
+    table: TableService,
+    name: string,
+    rate = 1,
+    seed = 1,
+    longestDelay = 1,
+    storeEra?: StoreEraTracker,
+) {
     const drifting = createDriftingClock(clock, rate);
     const random = createSeededRandom(seed);
     const host = createProcessHost(drifting, 9_000, () => random.integerBelow(longestDelay));
@@ -45,6 +55,7 @@
         random,
         ids,
         eventLog,
+        storeEra: storeEra?.current,
         ...times,
     });
     const leases: Lease[] = [];
@@ -102,6 +113,71 @@
         assert.ok(takeovers > 400, `${takeovers} takeovers`);
     });
 
+    // Guards against concurrent holders and reused fencing numbers after a restore that loses a takeover.
+    it("has one holder at a time and growing fencing numbers when the store loses its latest transactions", async () => {
+        const overlaps: string[] = [];
+        let takeovers = 0;
+        for (let seed = 1; seed <= 200; seed++) {
+            const clock = new FakeClock();
+            const random = createSeededRandom(seed);
+            const store = createRestorableTable();
+            const keepers = [0.96, 1, 1.04].map((rate, index) => {
+                const storeEra = createStoreEraTracker();
+                return startKeeper(clock, store.connect(storeEra), `p${index}`, rate, seed + index, 800, storeEra);
+            });
+            const taken: Lease[] = [];
+            keepers.forEach(one =>
+                one.keeper.onAcquired(lease => {
+                    const isHeldTwice = taken.some(other => other.isHeld());
+                    const isOld = taken.some(other => other.fencingNumber >= lease.fencingNumber);
+                    if (isHeldTwice || isOld) {
+                        overlaps.push(`seed ${seed}: ${lease.fencingNumber} at ${clock.monotonicNow()}`);
+                    }
+                    taken.push(lease);
+                })
+            );
+            for (let round = 0; round < 8; round++) {
+                await clock.advance(2_000 + random.integerBelow(5_000));
+                const { host } = keepers.find(one => one.keeper.current()) ?? keepers[random.integerBelow(3)]!;
+                host.cutOff(CallKind.Store, random.fraction() < 0.5);
+                keepers.filter(one => one.host !== host).forEach(one => one.host.cutOff(CallKind.Store, false));
+                if (random.fraction() < 0.7) {
+                    await store.rollBack(1 + random.integerBelow(8));
+                }
+            }
+            takeovers += taken.length;
+            keepers.forEach(one => one.host.kill());
+        }
+        assert.deepEqual(overlaps, []);
+        assert.ok(takeovers > 250, `${takeovers} takeovers`);
+    });
+
+    // Guards against a holder that keeps acting on a lease that the restored store no longer contains.
+    it("loses the lease on the first answer of a later era and reacquires it after the lease length", async () => {
+        const clock = new FakeClock();
+        const store = createRestorableTable();
+        const storeEra = createStoreEraTracker();
+        const one = startKeeper(clock, store.connect(storeEra), "p1", 1, 1, 1, storeEra);
+        await awaitHolder(clock, [one]);
+        const [first] = one.leases;
+        await store.rollBack(1_000);
+        storeEra.note(2);
+        assert.equal(one.keeper.current(), undefined);
+        assert.equal(first?.isHeld(), false);
+        const waited = await awaitHolder(clock, [one]);
+        assert.ok(waited >= times.leaseMilliseconds, `taken after ${waited} ms`);
+        assert.ok((one.keeper.current()?.fencingNumber ?? 0) > (first?.fencingNumber ?? Infinity));
+        one.stop();
+        await clock.advance(1_000);
+        const next = startKeeper(clock, store.connect(createStoreEraTracker()), "p2", 1, 2, 1, storeEra);
+        assert.ok(
+            await awaitHolder(clock, [next]) <= 1.5 * times.pollIntervalMilliseconds,
+            "a lease released in the current era can be taken at once",
+        );
+        next.stop();
+        await clock.advance(1_000);
+    });
+
     it("passes on after a kill within the lease and two looks, after a release within one look", async () => {
         const clock = new FakeClock();
         const table = createMemoryTableService();
--- a/packages/daisyturn/src/process/lease/createLeaseKeeper.ts
+++ b/packages/daisyturn/src/process/lease/createLeaseKeeper.ts
@@ -24,6 +24,8 @@
     /** How often a claimant looks at the rows. */
     readonly pollIntervalMilliseconds?: number;
     readonly callLimitMilliseconds?: number;
+    /** Returns the latest era of the store that this process has seen. By default, the store has no eras. */
+    readonly storeEra?: () => number;
     /** False while this process should not take the lease, such as when it drains. */
     readonly mayCompete?: () => boolean;
 }
@@ -36,10 +38,17 @@
 /** Wait after a renewal whose outcome is not known or that was not sent. */
 const renewalRetryMilliseconds = 200;
 
+/**
+ * Size of the range of fencing numbers reserved for each era. Separate ranges prevent reuse of numbers that a restore has
+ * removed from the store. Numbers are exact for eras below 2^21 and versions below 2^32.
+ */
+const fencingNumbersPerEra = 2 ** 32;
+
 /** What a claimant saw, and since when it has not changed. */
 interface Observation {
     readonly fencingVersion: number;
     readonly renewalVersion: number;
+    readonly era: number;
     readonly fencing?: FencingValue;
     /** Monotonic time, on this process's own clock, after the read that first showed these versions. */
     readonly firstSeenAt: number;
@@ -53,12 +62,14 @@
     const renewalInterval = options.renewalIntervalMilliseconds ?? defaultRenewalIntervalMilliseconds;
     const pollInterval = options.pollIntervalMilliseconds ?? defaultPollIntervalMilliseconds;
     const callLimit = options.callLimitMilliseconds ?? defaultCallLimitMilliseconds;
+    const storeEra = options.storeEra ?? (() => 0);
     const fencingKey = fencingRowKey(name);
     const renewalKey = renewalRowKey(name);
     const acquiredListeners: ((lease: Lease) => void)[] = [];
     const lostListeners: ((lease: Lease) => void)[] = [];
     const releaseTasks: (() => Promise<void>)[] = [];
     let tenure: LeaseTenure | undefined;
+    let tenureEra = 0;
     let observation: Observation | undefined;
     let renewalCount = 0;
 
@@ -80,7 +91,7 @@
             await clock.sleepUntil(clock.monotonicNow() + renewalRetryMilliseconds, signal);
         }
         if (held.hasEnded()) {
-            lose(held, "deadline passed or row taken");
+            lose(held, "deadline passed, row taken or store rolled back");
         }
     };
 
@@ -110,7 +121,7 @@
             return;
         }
         const claimableAt = observation && (options.mayCompete?.() ?? true)
-            ? findClaimableAt(observation)
+            ? findClaimableAt(observation, self.incarnation, leaseMilliseconds)
             : Infinity;
         if (observation && claimableAt <= clock.monotonicNow()) {
             await takeOver(observation);
@@ -131,26 +142,19 @@
         const fencingRow = findRow(answer.value, fencingKey);
         const fencingVersion = fencingRow?.version ?? absentVersion;
         const renewalVersion = findRow(answer.value, renewalKey)?.version ?? absentVersion;
+        const era = storeEra();
         const isUnchanged = observation?.fencingVersion === fencingVersion
-            && observation.renewalVersion === renewalVersion;
+            && observation.renewalVersion === renewalVersion && observation.era === era;
         if (!isUnchanged) {
             const fencing = fencingRow && parseFencingValue(fencingRow.value);
-            observation = { fencingVersion, renewalVersion, fencing, firstSeenAt: clock.monotonicNow() };
-        }
-    };
-
-    // A lease that is absent, released, or whose row still names this very run (an earlier tenure here is over for
-    // good) can be taken at once; any other only after its whole length without a renewal.
-    const findClaimableAt = ({ fencingVersion, fencing, firstSeenAt }: Observation) => {
-        if (fencingVersion === absentVersion || fencing?.released || fencing?.holder.incarnation === self.incarnation) {
-            return firstSeenAt;
+            observation = { fencingVersion, renewalVersion, era, fencing, firstSeenAt: clock.monotonicNow() };
         }
-        return firstSeenAt + Math.max(leaseMilliseconds, fencing?.leaseMilliseconds ?? 0);
     };
 
     const takeOver = async (seen: Observation) => {
         const takenAt = readClocks(clock);
-        const value = createValue((seen.fencing?.fencingNumber ?? 0) + 1);
+        const { era } = seen;
+        const value = createValue((seen.fencing?.fencingNumber ?? 0) + 1, era);
         const answer = await storeClient.commit(
             takeoverTransaction(name, ids.next("wr"), value, seen),
             StorePriority.Lease,
@@ -159,24 +163,29 @@
         if (answer.outcome !== TransactionOutcome.Committed || answer.version === undefined) {
             return;
         }
+        // A delayed takeover from an earlier era may overwrite the row with a lower number, so the number is derived from the
+        // version of the commit, which is unique within an era.
+        const fencingNumber = era > 0 ? era * fencingNumbersPerEra + answer.version : value.fencingNumber;
         const taken = createLeaseTenure({
             name,
             clock,
-            fencingNumber: value.fencingNumber,
+            fencingNumber,
             fencingRow: { key: fencingKey, version: answer.version },
             takenAt,
             usableMilliseconds: leaseMilliseconds - marginMilliseconds,
+            isEraCurrent: () => storeEra() === era,
         });
         if (taken.hasEnded()) {
             return;
         }
         tenure = taken;
-        eventLog.record(EventKind.LeaseAcquired, { lease: name, fencing: value.fencingNumber });
+        tenureEra = era;
+        eventLog.record(EventKind.LeaseAcquired, { lease: name, fencing: fencingNumber });
         acquiredListeners.forEach(listener => listener(taken.lease));
     };
 
-    const createValue = (fencingNumber: number): FencingValue => (
-        { holder: self, fencingNumber, leaseMilliseconds, released: false }
+    const createValue = (fencingNumber: number, era: number): FencingValue => (
+        { holder: self, fencingNumber, leaseMilliseconds, released: false, ...(era > 0 && { era }) }
     );
 
     const lose = (held: LeaseTenure, reason: string) => {
@@ -196,8 +205,12 @@
         const { fencingNumber } = held.lease;
         lose(held, "stopping");
         await Promise.all(releaseTasks.map(task => task()));
+        if (storeEra() !== tenureEra) {
+            // Versions are reused after a restore, so the release could match another holder's row.
+            return;
+        }
         const answer = await storeClient.commit(
-            releaseTransaction(held.lease, ids.next("wr"), createValue(fencingNumber)),
+            releaseTransaction(held.lease, ids.next("wr"), createValue(fencingNumber, tenureEra)),
             StorePriority.Lease,
             clock.monotonicNow() + callLimit,
         );
@@ -213,6 +226,23 @@
     };
 }
 
+/**
+ * Returns the time from which the lease can be claimed. A lease that is absent, released or was last held by this process
+ * run is available at once if its row was written in the current era; an absent row counts as era 0. Otherwise the lease is
+ * available after its full length without a renewal: a restore may have removed the row of a later holder.
+ */
+function findClaimableAt(
+    { fencingVersion, fencing, firstSeenAt, era }: Observation,
+    ownIncarnation: string,
+    leaseMilliseconds: number,
+): number {
+    const isFree = fencingVersion === absentVersion || fencing?.released
+        || fencing?.holder.incarnation === ownIncarnation;
+    return isFree && (fencing?.era ?? 0) === era
+        ? firstSeenAt
+        : firstSeenAt + Math.max(leaseMilliseconds, fencing?.leaseMilliseconds ?? 0);
+}
+
 function findRow(rows: readonly Row[], key: string): Row | undefined {
     return rows.find(row => row.key === key);
 }
--- a/packages/daisyturn/src/process/lease/createLeaseTenure.ts
+++ b/packages/daisyturn/src/process/lease/createLeaseTenure.ts
@@ -31,6 +31,8 @@
     readonly takenAt: ClockReading;
     /** Length of the lease less the margin. */
     readonly usableMilliseconds: number;
+    /** Whether the latest known era of the store is the one in which the lease was taken. */
+    readonly isEraCurrent: () => boolean;
 }
 
 /** Creates the holder's view of its lease. */
@@ -47,7 +49,7 @@
         clock.monotonicNow() < deadline() && clock.wallNow() - renewal.wall < usableMilliseconds;
 
     const isHeld = () => {
-        if (!ended && !isWithinDeadline()) {
+        if (!ended && !(isWithinDeadline() && options.isEraCurrent())) {
             ended = true;
         }
         return !ended;
