Listen for callers before readiness is reported

Symptom: while a process starts on a busy machine, the balancer can be told that it is ready before it accepts connections from callers; their connections are refused.

Cause: the readiness server was started before the callers' server.

Ruled out: that the call was refused or lost on its way. 26 plays of that test alone beside the same load passed; with the callers' server started 1.5 s late in the compiled code it fails with the same message, and the call ends without an answer.

Change: the callers' server is started first.

Test: "does not report readiness while it can't listen for callers", which fails with the old order.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -188,9 +188,9 @@
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
         follow();
         actWithPeers();
+        await server.start();
         await readiness.start();
         await metricsServer?.start();
-        await server.start();
     };
 
     const reload = (load: () => ForwardingSettings) => {
