Ask a quiet engine whether it works before giving its calls up

What callers saw: under overload the longest prompts got 502, or were refused as too late on their second attempt.

Cause: a target counted as silent once a call had waited for two seconds and this process had heard nothing of it. A prompt is answered only when it has been read, so an engine that reads long prompts sends nothing for that long; the more processes share an engine, the more seldom each hears of it. What had been read was lost, and the engine was suspected here and reported as failing to the fleet.

Change: once calls wait and nothing was heard for 1.4 s, the engine is asked for its report, which takes no slot. Requests that run or wait there confirm that it works. Two answers that do not, or none within 300 ms, and it is silent after two seconds as before. An idle engine before a waiting call counts as silent: the connection is dead. Targets without a report, as plain services, are judged by time alone as before. target_checked logs each question.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -45,7 +45,8 @@
     });
     const { availabilityZone, placement: policy, sampledCalls = defaultSampledCalls } = settings();
     const switchedOff = settings().switchedOff ?? new Set();
-    const views = switchOffViews(createTargetViews(adapters.decodeTarget, clock, eventLog), switchedOff);
+    const { decodeTarget, engineOrders } = adapters;
+    const views = switchOffViews(createTargetViews(decodeTarget, clock, eventLog, engineOrders), switchedOff);
     const connections = createTargetConnections(clock);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -51,6 +51,7 @@
     TargetAnswered = "target_answered",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
+    TargetChecked = "target_checked",
     /** A target receives no new work because it is about to change its stage. */
     TargetClosed = "target_closed",
     TargetReopened = "target_reopened",
--- a/packages/daisyturn/src/ports/engineOrders.ts
+++ b/packages/daisyturn/src/ports/engineOrders.ts
@@ -33,8 +33,19 @@
     Unknown = "unknown",
 }
 
+/** What an engine is doing, as far as its answer tells. */
+export enum EngineActivity {
+    /** It has requests that run or wait, or has answered without telling. */
+    Working = "working",
+    /** It has answered, and nothing runs or waits there. */
+    Idle = "idle",
+    NoAnswer = "no_answer",
+}
+
 /** Gives orders to engines. Only an adapter knows the wire. */
 export abstract class EngineOrders {
     abstract readStatus(target: ListedTarget, deadline: number): Promise<Result<EngineStatus, Failure>>;
+    /** @param deadline monotonic time until which an answer counts */
+    abstract checkActivity(target: ListedTarget, deadline: number): Promise<EngineActivity>;
     abstract changeStage(order: StageOrder, deadline: number): Promise<OrderAnswer>;
 }
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { err, ok } from "true-myth/result";
-import { EngineOrders, OrderAnswer, type StageOrder } from "../../../../ports/engineOrders.js";
+import { EngineActivity, EngineOrders, OrderAnswer, type StageOrder } from "../../../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import type { Lease, LeaseKeeper } from "../../../lease/index.js";
 import { TargetEvidence } from "../../targets/createTargetHealth.js";
@@ -64,6 +64,10 @@
             return ok({ targetId, stage: target.stage, isBusy: false, orders: 3 }) as never;
         }
 
+        override async checkActivity(): Promise<EngineActivity> {
+            return EngineActivity.Working;
+        }
+
         override async changeStage(order: StageOrder): Promise<OrderAnswer> {
             const { targetId } = order.target;
             sent.push({ ...order, wasClosed: closed.isClosed(targetId), at: clock.monotonicNow() });
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -1,4 +1,5 @@
 import { type Clock, createDecayingRate, type DecayingRate, EventKind, type EventLog } from "daisyturn-utils";
+import { type ActivitySource, createSilenceDetector, noActivitySource } from "./createSilenceDetector.js";
 
 /** What a call showed of its target's health. */
 export enum TargetEvidence {
@@ -10,7 +11,7 @@
     Unreachable = "unreachable",
     /** The connection broke, or the answer made no sense. */
     Broken = "broken",
-    /** Nothing was heard for longer than any call should take. */
+    /** Calls wait and the target does not work on them, as `SilenceDetector` tells. */
     Silent = "silent",
 }
 
@@ -21,7 +22,9 @@
     noteHeard(targetId: string): void;
     /** Notes a call that waits for its answer; to be ended once the answer begins or the call is over. */
     beginWait(targetId: string): { end(): void; };
-    /** Whether calls have waited for long while nothing at all was heard of the target. */
+    /** Has the target asked for its activity if calls have waited for long and nothing was heard. */
+    checkSilence(targetId: string): void;
+    /** Whether calls have waited for long while nothing was heard of the target, and it is not known to be working. */
     isSilent(targetId: string): boolean;
     /**
      * Whether calls to the target have failed since its last answer, or the target is silent, at this process or according
@@ -49,8 +52,6 @@
     /** Whether the next call shows if the target works again; others wait for it. */
     isOnTrial: boolean;
     trialUntil: number;
-    heardAt: number;
-    readonly waits: Set<{ readonly since: number; }>;
     readonly answers: DecayingRate;
     readonly errors: DecayingRate;
 }
@@ -60,8 +61,6 @@
 const longestSuspicionMilliseconds = 3_000;
 /** A single broken answer may be chance; two in a row are not. */
 const brokenAnswersForSuspicion = 2;
-/** Longer than the queue of a target that works, as far as calls are still worth waiting for. */
-const silenceMilliseconds = 2_000;
 /** A trial call that has not ended by then no longer keeps others away. */
 const trialMilliseconds = 1_000;
 /** Over this time the part of failing answers is taken. */
@@ -76,7 +75,12 @@
 const reportValidityMilliseconds = 2_500;
 
 /** Creates the health view of one process. */
-export function createTargetHealth(clock: Clock, eventLog: EventLog): TargetHealth {
+export function createTargetHealth(
+    clock: Clock,
+    eventLog: EventLog,
+    activitySource: ActivitySource = noActivitySource,
+): TargetHealth {
+    const silence = createSilenceDetector(clock, eventLog, activitySource);
     const states = new Map<string, HealthState>();
     /** Monotonic expiry times of reports by target, from members of the same group and from other groups. */
     const peerReportExpiry = new Map<string, number>();
@@ -91,8 +95,6 @@
                 suspectUntil: -Infinity,
                 isOnTrial: false,
                 trialUntil: -Infinity,
-                heardAt: now,
-                waits: new Set(),
                 answers: createDecayingRate(errorMemoryMilliseconds, now),
                 errors: createDecayingRate(errorMemoryMilliseconds, now),
             };
@@ -178,13 +180,6 @@
         });
     };
 
-    const isSilent = (targetId: string) => {
-        const state = states.get(targetId);
-        const oldest = state?.waits.values().next().value;
-        const limit = clock.monotonicNow() - silenceMilliseconds;
-        return state !== undefined && oldest !== undefined && oldest.since < limit && state.heardAt < limit;
-    };
-
     /** Once a suspicion ends, a single call goes first and shows whether the target works. */
     const mayTake = (targetId: string): boolean => {
         const state = states.get(targetId);
@@ -192,7 +187,8 @@
             return true;
         }
         const now = clock.monotonicNow();
-        if (isSilent(targetId)) {
+        silence.check(targetId);
+        if (silence.isSilent(targetId)) {
             if (state.suspectUntil <= now) {
                 noteFailure(targetId, state, TargetEvidence.Silent);
             }
@@ -212,7 +208,8 @@
         }
     };
 
-    const isFailingLocally = (targetId: string) => (states.get(targetId)?.failures ?? 0) > 0 || isSilent(targetId);
+    const isFailingLocally = (targetId: string) =>
+        (states.get(targetId)?.failures ?? 0) > 0 || silence.isSilent(targetId);
 
     const isReported = (expiry: ReadonlyMap<string, number>, targetId: string) =>
         (expiry.get(targetId) ?? -Infinity) > clock.monotonicNow();
@@ -221,17 +218,14 @@
 
     return {
         note,
-        noteHeard: targetId => {
-            find(targetId).heardAt = clock.monotonicNow();
-        },
+        noteHeard: silence.noteHeard,
         beginWait: targetId => {
-            const state = find(targetId);
-            const wait = { since: clock.monotonicNow() };
-            state.waits.add(wait);
+            find(targetId);
             beginTrial(targetId);
-            return { end: () => void state.waits.delete(wait) };
+            return silence.beginWait(targetId);
         },
-        isSilent,
+        checkSilence: silence.check,
+        isSilent: silence.isSilent,
         isFailing: targetId =>
             isFailingLocally(targetId) || isReported(peerReportExpiry, targetId)
             || isReported(groupReportExpiry, targetId),
@@ -250,6 +244,9 @@
             const trusted = targets.filter(target => mayTake(target.targetId));
             return trusted.length * 2 >= targets.length ? trusted : targets;
         },
-        forget: targetId => states.delete(targetId),
+        forget: targetId => {
+            states.delete(targetId);
+            silence.forget(targetId);
+        },
     };
 }
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -216,6 +216,7 @@
     let isSilent = false;
     let heardAt = clock.monotonicNow();
     const check = () => {
+        health.checkSilence(targetId);
         if (health.isSilent(targetId) && clock.monotonicNow() - heardAt > silenceCheckMilliseconds) {
             isSilent = true;
             controller.abort(mayHaveRun(FailureReason.TargetFailed, "The target has fallen silent."));
