Learn how fast engines prefill instead of assuming the rates of one model

Cause: forecasts used fixed rates of one model (15.4 ms a thousand tokens, 0.25 ms a million pairs of attention).

Ruled out: the pace of an engine. It is one factor for all sizes, and refusals leave it out on purpose, since it holds work that nobody has told of.

Change: each process learns for each service the milliseconds of a token as a line over the mean position in its prompt, which is exact for attention, from prompts that hardly waited; peers tell each other. Observations above the line weigh a tenth, since a prompt may have waited for unknown work, while none is read faster than the engine can.

--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -66,7 +66,7 @@
 /** Creates the part of one process in its group. Nothing is sent before it runs. */
 export function coordinate(options: CoordinationOptions): Coordination {
     const { self, channel, views, sizeFairness, clock, eventLog, freshMilliseconds } = options;
-    const { loads, caches, demand, closed, paces, eventPace, targets, health } = views;
+    const { loads, caches, demand, closed, paces, prefillRates, eventPace, targets, health } = views;
     const send = (to: PeerAddress, datagram: Buffer) => channel.send(to, datagram);
     const link = createCoordinatorLink({ self, clock, eventLog });
     const members = createMembers(clock);
@@ -141,6 +141,7 @@
         loads.notePeer(message.from, message.work, message.pause);
         demand.notePeer(message.from, message.demand, message.pause);
         message.paces.forEach(paces.noteTold);
+        message.prefills.forEach(prefillRates.noteTold);
         message.pauses.forEach(eventPace.noteTold);
         message.ended.forEach(sizeFairness.noteTold);
         if (members.note(message.from, from)) {
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupTeller.ts
@@ -47,6 +47,7 @@
         failing: health.listGroupFailing(),
         kept,
         paces: [],
+        prefills: [],
         pauses: [],
         ended: [],
     });
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadTeller.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadTeller.ts
@@ -9,7 +9,10 @@
 /** What {@link createLoadTeller} needs. */
 export interface LoadTellerOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "paces" | "eventPace">;
+    readonly views: Pick<
+        TargetViews,
+        "loads" | "health" | "caches" | "demand" | "closed" | "paces" | "prefillRates" | "eventPace"
+    >;
     readonly sizeFairness: SizeFairness;
     readonly link: Pick<CoordinatorLink, "listTold" | "current" | "isSilent">;
     /** Number of the last placement that was taken from a coordinator. */
@@ -31,14 +34,14 @@
 /** Longest list of news told at once; of more, the last ones say most. */
 const mostNews = 20;
 
-type News = Pick<LoadMessage, "kept" | "paces" | "pauses" | "ended">;
+type News = Pick<LoadMessage, "kept" | "paces" | "prefills" | "pauses" | "ended">;
 
-const noNews: News = { kept: [], paces: [], pauses: [], ended: [] };
+const noNews: News = { kept: [], paces: [], prefills: [], pauses: [], ended: [] };
 
 /** Creates the teller of one process. */
 export function createLoadTeller(options: LoadTellerOptions): LoadTeller {
     const { selfId, views, sizeFairness, link, clock } = options;
-    const { loads, health, caches, demand, closed, paces, eventPace } = views;
+    const { loads, health, caches, demand, closed, paces, prefillRates, eventPace } = views;
     const changed = createSignal();
     const untold = new Map<string, News>();
     const toldAt = new Map<string, number>();
@@ -51,7 +54,13 @@
     caches.onNoted(placement => kept.push(placement));
 
     const takeNews = (): News => {
-        const news = { kept, paces: paces.takeNew(), pauses: eventPace.takeNew(), ended: sizeFairness.takeNew() };
+        const news: News = {
+            kept,
+            paces: paces.takeNew(),
+            prefills: prefillRates.takeNew(),
+            pauses: eventPace.takeNew(),
+            ended: sizeFairness.takeNew(),
+        };
         kept = [];
         return news;
     };
@@ -114,11 +123,12 @@
     return {
         kept: [...left.kept, ...right.kept].slice(-mostNews),
         paces: [...left.paces, ...right.paces].slice(-mostNews),
+        prefills: [...left.prefills, ...right.prefills].slice(-mostNews),
         pauses: [...left.pauses, ...right.pauses].slice(-mostNews),
         ended: [...left.ended, ...right.ended].slice(-mostNews),
     };
 }
 
-function countNews({ kept, paces, pauses, ended }: News): number {
-    return kept.length + paces.length + pauses.length + ended.length;
+function countNews({ kept, paces, prefills, pauses, ended }: News): number {
+    return kept.length + paces.length + prefills.length + pauses.length + ended.length;
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
@@ -122,13 +122,14 @@
     };
 }
 
-function describeStep({ target, work, wait, leastWork, fetchFrom }: PlacedStep): PlacementStep {
+function describeStep({ target, work, wait, leastWork, keptTokens, fetchFrom }: PlacedStep): PlacementStep {
     const [roundedWork = 0, roundedWait = 0, roundedLeastWork = 0] = [work, wait, leastWork].map(Math.round);
     return {
         targetId: target.targetId,
         work: roundedWork,
         wait: roundedWait,
         leastWork: roundedLeastWork,
+        keptTokens,
         ...(fetchFrom && { fetchFrom: fetchFrom.targetId }),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -15,6 +15,7 @@
     failing: ["i-3"],
     closed: [{ closerId: "run-1", revision: 3, closings: [["i-2", 5_000]] }],
     paces: [["i-1", 10, 200, 260]],
+    prefills: [["engines", 9_000, 4_000, 190]],
     pauses: [["engines", 48]],
     ended: [["ask", 17_000, true]],
 };
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -3,6 +3,7 @@
 import type { PartPlacement } from "../../views/createCacheBeliefs.js";
 import type { PauseObservation } from "../../views/createEventPace.js";
 import type { PaceObservation } from "../../views/createPaceView.js";
+import type { PrefillObservation } from "../../views/createPrefillRates.js";
 import type { ServiceDemand } from "../../views/createReadingDemand.js";
 import type { WorkUnderWay } from "../../views/workUnderWay.js";
 import { encodeClosingList, readClosingLists } from "./closingLists.js";
@@ -34,6 +35,7 @@
     readonly failing: readonly string[];
     /** What has been observed since the last message. */
     readonly paces: readonly PaceObservation[];
+    readonly prefills: readonly PrefillObservation[];
     readonly pauses: readonly PauseObservation[];
     readonly ended: readonly EndedPrompt[];
 }
@@ -82,6 +84,7 @@
         closed: readClosingLists(params["closed"]),
         failing: readList<readonly [string]>(params["failing"] ?? [], [isName]).map(([targetId]) => targetId),
         paces: readList(params["paces"], [isName, isLoad, isLoad, isLoad]),
+        prefills: readList(params["prefills"] ?? [], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
     };
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
@@ -37,6 +37,7 @@
     readonly work: number;
     readonly wait: number;
     readonly leastWork: number;
+    readonly keptTokens: number;
     readonly fetchFrom?: string;
 }
 
@@ -133,6 +134,7 @@
         work: readAmount(step["work"]),
         wait: readAmount(step["wait"]),
         leastWork: readAmount(step["leastWork"]),
+        keptTokens: readOptionalAmount(step["keptTokens"]) ?? 0,
         fetchFrom: step["fetchFrom"] === undefined ? undefined : readName(step["fetchFrom"]),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
+++ b/packages/daisyturn/src/process/forwarding/experiments/mechanism.ts
@@ -13,6 +13,8 @@
     KvFetch = "kv-fetch",
     /** How slow each engine has shown itself to be scales its forecasts. */
     Pace = "pace",
+    /** How fast engines read prompts is learned, in place of the rates of one model. */
+    PrefillRates = "prefill-rates",
     /** What reading would do to the pauses of answers decides where prompts are read and answers decoded. */
     PauseForecast = "pause-forecast",
     /** Engines that decode read prompts too, while others only read. */
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/placementDifferential.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/placementDifferential.test.ts
@@ -67,15 +67,16 @@
 
 /** Reading with what the engine keeps, or with what it fetches from any other engine. */
 function readAt(world: World, engine: ListedTarget, prompt: PromptDescription): number {
-    const { loads, caches, listed } = world;
+    const { loads, caches, listed, prefillRates } = world;
+    const rate = prefillRates.rate(engineService.name);
     const keptAt = ({ targetId }: ListedTarget) => caches.keptTokens(targetId, prompt.parts);
     const isShared = engine.stage === EngineStage.Decode;
     const wait = loads.wait(engine.targetId, false);
     const fetched = listed.filter(holder => keptAt(holder) > keptAt(engine)).map(holder => {
         const transfer = estimateMove(keptAt(holder) - keptAt(engine), holder, engine);
-        return Math.max(wait, transfer) + estimatePrefill(prompt.promptTokens, keptAt(holder), isShared);
+        return Math.max(wait, transfer) + estimatePrefill(rate, prompt.promptTokens, keptAt(holder), isShared);
     });
-    return Math.min(wait + estimatePrefill(prompt.promptTokens, keptAt(engine), isShared), ...fetched);
+    return Math.min(wait + estimatePrefill(rate, prompt.promptTokens, keptAt(engine), isShared), ...fetched);
 }
 
 function estimateMove(tokens: number, from: ListedTarget, to: ListedTarget): number {
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -10,6 +10,8 @@
     readonly wait: number;
     /** The same work at an engine that nothing slows. */
     readonly leastWork: number;
+    /** Tokens of the prompt that need not be read there, since they are kept or fetched. */
+    readonly keptTokens: number;
     /** Estimated milliseconds to read what the prompt shares with others, or to fetch it where that is done. */
     readonly sharedWork: number;
     /** The engine from which it fetches the KV cache of a beginning that it lacks. */
--- a/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -62,5 +62,5 @@
 }
 
 function createStep(target: ListedTarget): PlacedStep {
-    return { target, work: 0, leastWork: 0, sharedWork: 0, wait: 0 };
+    return { target, work: 0, leastWork: 0, keptTokens: 0, sharedWork: 0, wait: 0 };
 }
--- a/packages/daisyturn/src/process/forwarding/placement/createStepEstimates.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createStepEstimates.ts
@@ -3,6 +3,7 @@
 import { Mechanism } from "../experiments/mechanism.js";
 import type { CacheBeliefs } from "../views/createCacheBeliefs.js";
 import type { PaceView } from "../views/createPaceView.js";
+import type { PrefillRates } from "../views/createPrefillRates.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
 import { countTokens, type PlacedStep, type PromptDemand } from "./callPlacement.js";
 import { estimatePrefill, estimateTransfer } from "./estimatePrefill.js";
@@ -23,6 +24,7 @@
     readonly loads: TargetLoads;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly prefillRates: PrefillRates;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
 }
@@ -38,7 +40,7 @@
 
 /** Creates the estimates of one prompt at the engines of its service, from the views of one process. */
 export function createStepEstimates(
-    { loads, caches, paces, switchedOff }: StepEstimatesOptions,
+    { loads, caches, paces, prefillRates, switchedOff }: StepEstimatesOptions,
     demand: PromptDemand,
     engines: readonly ListedTarget[],
 ): StepEstimates {
@@ -47,7 +49,8 @@
         engines.map(({ targetId }) => [targetId, caches.keptTokens(targetId, prompt.parts)] as const),
     );
     const keptAt = ({ targetId }: ListedTarget) => kept.get(targetId) ?? 0;
-    const readingShared = estimatePrefill(sumShared(prompt), 0, false);
+    const rate = prefillRates.rate(service.name);
+    const readingShared = estimatePrefill(rate, sumShared(prompt), 0, false);
     const mayFetch = service.engine !== undefined && !switchedOff.has(Mechanism.KvFetch);
     const holders = mayFetch ? findPrefixHolders(engines, keptAt) : [];
 
@@ -69,8 +72,9 @@
 
     /** How long the engine is busy reading all but the first `keptTokens`. */
     const workWith = (engine: ListedTarget, keptTokens: number) => {
-        const leastWork = estimatePrefill(prompt.promptTokens, keptTokens, engine.stage === EngineStage.Decode);
-        return { target: engine, leastWork, work: leastWork * paces.factor(engine.targetId) };
+        const isShared = engine.stage === EngineStage.Decode;
+        const leastWork = estimatePrefill(rate, prompt.promptTokens, keptTokens, isShared);
+        return { target: engine, keptTokens, leastWork, work: leastWork * paces.factor(engine.targetId) };
     };
 
     const readHere = (engine: ListedTarget, wait: number): PlacedStep => ({
@@ -103,7 +107,7 @@
             // Prompts read there delay the answer's first step by a chunk, not by the whole queue.
             const chunk = Math.min(loads.wait(engine.targetId, isDeferred), chunkMilliseconds);
             const wait = placeWait(engine) + chunk + transferTime(moved, reader, engine, traits);
-            return { target: engine, work: 0, leastWork: 0, sharedWork: 0, wait };
+            return { target: engine, work: 0, leastWork: 0, keptTokens: prompt.promptTokens, sharedWork: 0, wait };
         },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/placement/estimatePrefill.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/estimatePrefill.ts
@@ -1,14 +1,5 @@
-/**
- * How long engines take for a prompt, in milliseconds, while nothing slows them. What an engine really takes is learned as
- * a factor on top (`createPaceView`), so for placement only the ratio of these figures matters. Refusals go by them as
- * they are: they must not be slower than engines, which were seen to read 64 to 68 tokens in a millisecond and to take
- * 0.24 ms for a million pairs, with a model of some ten billion active parameters.
- */
+import type { PrefillRate } from "../views/createPrefillRates.js";
 
-/** Prompt tokens read in a millisecond, without attention to what stands before them. */
-const tokensPerMillisecond = 65;
-/** Milliseconds for a million pairs of a token and one before it. */
-const attentionMilliseconds = 0.25;
 /** Fixed part of each prefill: its share of a step, which it often has in common with others. */
 const stepMilliseconds = 2;
 /** An engine that also decodes reads prompts at half the speed, between the tokens of other requests. */
@@ -22,14 +13,27 @@
 const bitsPerMillisecond = 1_000;
 const pairsPerMillion = 1e6;
 
-/** Time to read a prompt of which the first `keptTokens` are in the engine's cache. */
-export function estimatePrefill(promptTokens: number, keptTokens: number, isShared: boolean): number {
+/**
+ * Time to read a prompt of which the first `keptTokens` are in the engine's cache, while nothing slows the engine.
+ * What an engine really takes is learned as a factor on top (`createPaceView`).
+ */
+export function estimatePrefill(
+    rate: PrefillRate,
+    promptTokens: number,
+    keptTokens: number,
+    isShared: boolean,
+): number {
     const tokens = Math.max(1, promptTokens - keptTokens);
     const pairs = tokens * (keptTokens + tokens / 2) / pairsPerMillion;
-    const own = tokens / tokensPerMillisecond + pairs * attentionMilliseconds;
+    const own = tokens * rate.tokenMilliseconds + pairs * rate.pairMilliseconds;
     return stepMilliseconds + own * (isShared ? sharedEngineFactor : 1);
 }
 
+/** What a prefill that took so long tells of the rates of engines that only prefill, in milliseconds without its fixed part. */
+export function toUnsharedMilliseconds(milliseconds: number, isShared: boolean): number {
+    return Math.max(0, milliseconds - stepMilliseconds) / (isShared ? sharedEngineFactor : 1);
+}
+
 /** Time to move the KV cache of a prompt between two engines. */
 export function estimateTransfer(
     tokens: number,
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -7,6 +7,7 @@
 import { type CacheBeliefs, createCacheBeliefs } from "./createCacheBeliefs.js";
 import { createEventPace, type EventPace } from "./createEventPace.js";
 import { createPaceView, type PaceView } from "./createPaceView.js";
+import { createPrefillRates, type PrefillRates } from "./createPrefillRates.js";
 import { createReadingDemand, type ReadingDemand } from "./createReadingDemand.js";
 import { createTargetLoads, type TargetLoads } from "./createTargetLoads.js";
 
@@ -17,6 +18,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly prefillRates: PrefillRates;
     readonly eventPace: EventPace;
     readonly closed: ClosedTargets;
     readonly demand: ReadingDemand;
@@ -47,6 +49,7 @@
         health,
         caches,
         paces,
+        prefillRates: createPrefillRates(),
         eventPace: createEventPace(),
         closed: createClosedTargets(clock, eventLog),
         demand: createReadingDemand(clock),
--- a/packages/daisyturn/src/process/load/index.ts
+++ b/packages/daisyturn/src/process/load/index.ts
@@ -9,5 +9,6 @@
 export * from "./createLoadView.js";
 export * from "./engineLoad.js";
 export * from "./engineRates.js";
+export { createLineFit, type LineFit } from "./lineFit.js";
 export * from "./outputLengths.js";
 export * from "./transferRate.js";
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -10,6 +10,7 @@
     ForwardingMetrics,
     Mechanism,
     PaceView,
+    PrefillRates,
     PromptDecisions,
     ReadingDemand,
     SizeCounts,
@@ -28,6 +29,7 @@
     readonly health: TargetHealth;
     readonly caches: CacheBeliefs;
     readonly paces: PaceView;
+    readonly prefillRates: PrefillRates;
     readonly eventPace: EventPace;
     readonly demand: ReadingDemand;
     readonly closed: ClosedTargets;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -2,8 +2,14 @@
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionCare } from "../../connection/target/createTargetConnections.js";
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
-import type { ListedTarget } from "../../ports/listedTarget.js";
-import { type AccountedPrompt, countTokens, type PlacedStep, type PromptWay } from "../../process/forwarding/index.js";
+import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
+import {
+    type AccountedPrompt,
+    countTokens,
+    type PlacedStep,
+    type PromptWay,
+    toUnsharedMilliseconds,
+} from "../../process/forwarding/index.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { type CallAnswer, concludeStream } from "./callAnswer.js";
 import { type CallRun, concludeRun, hasReached, isRepeatable, mayTryAgain } from "./callRun.js";
@@ -17,6 +23,8 @@
 /** Priorities of routes start here, and as many follow for calls that are late. The target's range is 0 to 9. */
 const firstUrgency = 2;
 const mostPriorities = 4;
+/** A prompt that waited for more than this part of its work says little of how fast it was read. */
+const mostWaitFraction = 0.25;
 /** A release that takes longer is left to the cache's own end. */
 const releaseMilliseconds = 500;
 const lateRelease = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
@@ -133,7 +141,7 @@
         const message = `The engine did not read the prompt and answered with status ${head.status}.`;
         return err(mayHaveRun(FailureReason.TargetFailed, message));
     }
-    parts.paces.observe(step.target.targetId, step.wait, step.work, parts.clock.monotonicNow() - startedAt);
+    notePrefill(parts, run, prompt, step, parts.clock.monotonicNow() - startedAt);
     parts.caches.note(step.target.targetId, prompt.parts, run.service.engine?.kvTokens ?? 0);
     return parts.protocol.readKvHandle(body).map(handle => ({ address: step.target.address, handle }));
 }
@@ -146,7 +154,7 @@
     kvSource: KvSource | undefined,
     relay: EventRelay,
 ): Promise<Result<CallAnswer, Failure>> {
-    const { target, work, wait, fetchFrom } = way.decode;
+    const { target, work, fetchFrom } = way.decode;
     const startedAt = parts.clock.monotonicNow();
     const reply = await sendToTarget(parts, run, {
         target,
@@ -161,7 +169,7 @@
         onPiece: (head, piece) => relay.take(head.status, head.forwardedFields, piece),
         onFirstByte: () => {
             if (!kvSource) {
-                parts.paces.observe(target.targetId, wait, work, parts.clock.monotonicNow() - startedAt);
+                notePrefill(parts, run, prompt, way.decode, parts.clock.monotonicNow() - startedAt);
             }
         },
     });
@@ -180,6 +188,21 @@
     return concludeStream(run, relay, reply.value);
 }
 
+/** Learns from the time that an engine took to prefill, its queue included. */
+function notePrefill(
+    { paces, prefillRates }: ForwardingParts,
+    run: CallRun,
+    { promptTokens }: PromptDescription,
+    { target, wait, work, keptTokens }: PlacedStep,
+    milliseconds: number,
+): void {
+    paces.observe(target.targetId, wait, work, milliseconds);
+    if (wait <= work * mostWaitFraction) {
+        const own = toUnsharedMilliseconds(milliseconds, target.stage === EngineStage.Decode);
+        prefillRates.observe([run.service.name, promptTokens - keptTokens, keptTokens, Math.round(own)]);
+    }
+}
+
 /** A target that refused the call has not fetched the cache, or can't: then it lapses by itself soon. */
 function hasBeenFetched(failure: Failure): boolean {
     return failure.verdict !== ExecutionVerdict.NotRun;
