Account by size: prompts count once they have ended, not while they wait

What callers saw: callers of the longest prompts left without an event while the account of their route still owed them nothing.

Cause: a prompt counted as served from its arrival until it was said to be not. The callers of the longest leave after 2.4 s, so under a lasting overload the account held two seconds of prompts that were about to fail, most of them long, and went by them.

Ruled out: that refusals, which end at once, now weigh more. They do so for all lengths alike, and the account compares lengths.

Change: AccountedPrompt.end(isServed) enters the prompt; begin enters nothing. noteUnserved is gone.

Test: "does not take prompts under way for served ones" (40 prompts of which the longest failed, then 20 more of the longest under way: nothing was owed before). The existing cases enter their prompts through end, with the same expectations.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/sharedSizeFairness.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/sharedSizeFairness.test.ts
@@ -16,11 +16,9 @@
     assert.ok(coordinator && member);
     for (const { sizeFairness } of group) {
         for (let prompt = 0; prompt < 3; prompt++) {
-            sizeFairness.begin(route, shortTokens).end();
+            sizeFairness.begin(route, shortTokens).end(true);
         }
-        const refused = sizeFairness.begin(route, longTokens);
-        refused.noteUnserved();
-        refused.end();
+        sizeFairness.begin(route, longTokens).end(false);
     }
     await fleet.clock.advance(1_500);
     assert.equal(coordinator.sizeFairness.isOwed(route, longTokens), true);
--- a/packages/daisyturn/src/process/forwarding/limits/__tests__/createSizeFairness.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createSizeFairness.test.ts
@@ -5,10 +5,7 @@
 /** Takes prompts of these lengths in, of which those of a length in the second list are not served. */
 function account(fairness: SizeFairness, lengths: readonly number[], unserved: readonly number[], route = "route") {
     for (const tokens of lengths) {
-        const prompt = fairness.begin(route, tokens);
-        if (unserved.includes(tokens)) {
-            prompt.noteUnserved();
-        }
+        fairness.begin(route, tokens).end(!unserved.includes(tokens));
     }
 }
 
@@ -50,6 +47,16 @@
         assert.equal(fairness.begin("route", 10_000).isOwed(), false);
     });
 
+    // Guards against starvation that goes unseen for as long as the longest prompts wait in vain.
+    it("does not take prompts under way for served ones", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, [10_000]);
+        for (let count = 0; count < 20; count++) {
+            fairness.begin("route", 10_000);
+        }
+        assert.equal(fairness.begin("route", 10_000).isOwed(), true);
+    });
+
     it("keeps the account of each route by itself, and says nothing of a route that is hardly known", () => {
         const fairness = createSizeFairness();
         account(fairness, forty, [10_000], "other");
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -1,14 +1,12 @@
 /** A prompt that has ended: its route, its tokens, and whether it was served. */
 export type EndedPrompt = readonly [route: string, tokens: number, isServed: boolean];
 
-/** A prompt that is under way, in the account of its route. */
+/** A prompt that is under way. It counts in the account of its route once it has ended. */
 export interface AccountedPrompt {
     /** Whether prompts as long as this one were served so seldom of late that it should not be refused as well. */
     isOwed(): boolean;
-    /** The prompt was refused, or failed, or its caller left. */
-    noteUnserved(): void;
-    /** The prompt has ended, for the peers. */
-    end(): void;
+    /** The prompt has ended; it was not served if it was refused or failed, or its caller left. */
+    end(isServed: boolean): void;
 }
 
 /**
@@ -16,9 +14,8 @@
  * them under a lasting overload: the queue grows until what comes is refused, and settles where short prompts just fit.
  */
 export interface SizeFairness {
-    /** Takes a prompt in, as one that will be served until it is said to be not. */
     begin(route: string, tokens: number): AccountedPrompt;
-    /** The same for a prompt of another process, which is not in the account. */
+    /** The same for a prompt of another process. */
     isOwed(route: string, tokens: number): boolean;
     /** Takes in prompts that ended at a peer. */
     noteTold(ended: EndedPrompt): void;
@@ -42,7 +39,7 @@
 
 interface Entry {
     readonly tokens: number;
-    isServed: boolean;
+    readonly isServed: boolean;
 }
 
 /** Creates the account of one process. */
@@ -71,20 +68,13 @@
     };
 
     return {
-        begin: (route, tokens) => {
-            const entries = find(route);
-            const own: Entry = { tokens, isServed: true };
-            add(entries, own);
-            return {
-                isOwed: () => isOwed(tokens, entries.filter(entry => entry !== own)),
-                noteUnserved: () => {
-                    own.isServed = false;
-                },
-                end: () => {
-                    untold = [...untold, [route, tokens, own.isServed] as const].slice(-mostUntold);
-                },
-            };
-        },
+        begin: (route, tokens) => ({
+            isOwed: () => isOwed(tokens, find(route)),
+            end: isServed => {
+                add(find(route), { tokens, isServed });
+                untold = [...untold, [route, tokens, isServed] as const].slice(-mostUntold);
+            },
+        }),
         isOwed: (route, tokens) => isOwed(tokens, routes.get(route) ?? []),
         noteTold: ([route, tokens, isServed]) => add(find(route), { tokens, isServed }),
         takeNew: () => {
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -90,7 +90,7 @@
         const account = sizeFairness.begin(run.route.name, prompt.promptTokens);
         const admitted = await admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
         if (admitted.isErr) {
-            account.noteUnserved();
+            account.end(false);
             onEnd(false);
             return;
         }
@@ -100,9 +100,7 @@
         caches.note(targetId, prompt.parts, engineService.engine?.kvTokens ?? 0);
         const end = (isServed: boolean) => {
             placed.end();
-            if (!isServed) {
-                account.noteUnserved();
-            }
+            account.end(isServed);
             onEnd(isServed);
         };
         engines.add(targetId, { isDeferred, leavesAt: findLeaveTime(run), end, left: leastWork });
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -40,10 +40,7 @@
 ): Promise<Result<CallAnswer, Failure>> {
     const account = parts.sizeFairness.begin(run.route.name, prompt.promptTokens);
     const answer = await answerPrompt(parts, run, prompt, account);
-    if (answer.isErr) {
-        account.noteUnserved();
-    }
-    account.end();
+    account.end(answer.isOk);
     return answer;
 }
 
