Prompts that are owed service are not deferred

What callers saw: callers of long prompts were admitted and left without an event after 2.4 s, though the longest of their route were owed service.

Cause: the account by size lifted refusals by forecast only. A prompt whose own reading takes longer than its aim is deferred in any case; if its forecast let it in, it went behind all that could be on time, and behind all of those that came later.

Change: an owed prompt is placed undeferred wherever it would be deferred, not only where it would be refused.

Test: decidePrompt.test.ts; its first case fails without the change.

--- a/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
@@ -38,8 +38,8 @@
 }
 
 /**
- * The way that placement prefers. Where it is too late for a prompt that is owed service, the prompt goes among those that
- * can be on time instead: there the wait is short enough for any length.
+ * The way that placement prefers. Where it is deferred or too late for a prompt that is owed service, the prompt goes among
+ * those that can be on time instead: there the wait is short enough for any length, and nothing that comes later goes first.
  */
 export function decidePrompt(
     placement: CallPlacement,
@@ -51,7 +51,7 @@
         return undefined;
     }
     const latenessOf = ({ soonestEvent }: PromptWay) => soonestEvent - patience;
-    const mayPass = latenessOf(way) > 0 && !switchedOff.has(Mechanism.SizeFairness) && isOwed();
+    const mayPass = (way.isDeferred || latenessOf(way) > 0) && !switchedOff.has(Mechanism.SizeFairness) && isOwed();
     const undeferred = mayPass ? placement.placePrompt({ ...demand, mayDefer: false }) : undefined;
     return undeferred && latenessOf(undeferred) <= 0
         ? { way: undeferred, isOwed: true, lateness: latenessOf(undeferred) }
