Owe the longest prompts four fifths of the service of all, and none but the longest

Cause: the account by size steers to its own bound.

Ruled out: a higher bound alone.

Change: bound of 0.8; only prompts among the longest three tenths are owed.

Tests: two cases of createSizeFairness.test.ts; the first fails at 0.6, the second at 0.8 without the limit to the longest.

--- a/packages/daisyturn/src/process/forwarding/limits/__tests__/createSizeFairness.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createSizeFairness.test.ts
@@ -22,6 +22,21 @@
         assert.equal(fairness.begin("route", 6_000).isOwed(), false);
     });
 
+    // Guards against the longest being served hardly more than half as often as all, which misses the promise now and then.
+    it("owes the longest prompts service where they are served two thirds as often as all", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, []);
+        account(fairness, [10_000, 10_000], [10_000]);
+        assert.equal(fairness.begin("route", 10_000).isOwed(), true);
+    });
+
+    it("owes prompts of middle length nothing where the longest alone are refused", () => {
+        const fairness = createSizeFairness();
+        account(fairness, forty, [9_000, 10_000]);
+        assert.equal(fairness.begin("route", 10_000).isOwed(), true);
+        assert.equal(fairness.begin("route", 6_000).isOwed(), false);
+    });
+
     it("owes nobody anything where all lengths are refused alike, or none", () => {
         for (const unserved of [[], tenLengths]) {
             tenLengths.forEach(tokens => {
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -30,7 +30,9 @@
 /** Of the longest prompts, this part counts together: with fewer, a single one would decide. */
 const longestFraction = 0.1;
 /** The longest prompts are owed at least this part of the service of all: half is promised, and some is lost on the way. */
-const leastFraction = 0.6;
+const leastFraction = 0.8;
+/** Only prompts among the longest are owed anything, as a part of those that are counted. */
+const owedFraction = 0.3;
 
 /** Routes with an account; beyond, the one that was opened first is dropped. */
 const mostRoutes = 64;
@@ -86,7 +88,8 @@
 }
 
 function isOwed(tokens: number, others: readonly Entry[]): boolean {
-    if (others.length < fewestPrompts) {
+    const longer = others.filter(entry => entry.tokens > tokens).length;
+    if (others.length < fewestPrompts || longer > others.length * owedFraction) {
         return false;
     }
     const longestFirst = [...others].sort((left, right) => right.tokens - left.tokens);
