Keep the queue short enough for long prompts while they are owed service

Cause: a prompt was refused where its wait and its own reading end after its caller leaves. The queue of deferred prompts therefore grew until short prompts just fit: full of work that comes too late once anything goes first, and never short enough for a long prompt.

Ruled out: that a shorter queue lets engines idle. It holds hundreds of milliseconds of work for each engine at any time.

Change: while the longest tenth of a route is served less than four fifths as often as all, a deferred prompt is admitted only where one that takes as long to read as 95 of 100 of its route would begin in time too. Readings longer than three quarters of a caller's patience do not close the queue. Retry-After goes by the same forecast. The coordinator's answer tells the lateness; without it, as from an older process, it is worked out as before.

Tests: decidePrompt.test.ts (three new cases), createLongReadings.test.ts.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -105,7 +105,7 @@
         channel: peerChannel.channel,
         views: parts,
         sizeFairness: parts.sizeFairness,
-        decideHere: request => decidePrompt(parts.placement, parts.switchedOff, request),
+        decideHere: request => decidePrompt(parts, request),
         findService: name => parts.keeper.current()?.configuration.services.get(name),
         freshMilliseconds: () => heedMilliseconds() * freshFraction,
         clock,
@@ -114,7 +114,7 @@
     const isOn = (mechanism: Mechanism) => !parts.switchedOff.has(mechanism);
     const decisions = isOn(Mechanism.PeerMessages)
         ? coordination.decisions
-        : new LocalDecisions(parts.placement, parts.switchedOff);
+        : new LocalDecisions(parts);
     const servingParts = { ...parts, decisions };
     const takeUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, takeUtilization });
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/coordinate.test.ts
@@ -9,7 +9,8 @@
 const guide = [{ partId: "guide", tokens: 9_000 }, { partId: "own", tokens: 10 }];
 
 function createRequest(prompt = createShortPrompt("own"), availabilityZone = "zone-0"): DecisionRequest {
-    return { route: "ask", demand: createDemand(prompt, { availabilityZone }), patience: 2_000, isOwed: () => false };
+    const demand = createDemand(prompt, { availabilityZone });
+    return { route: "ask", demand, patience: 2_000, isOwed: () => false, areLongestOwed: () => false };
 }
 
 /** Lets a decision be made, and takes the way as a process does: its reading counts at once. */
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
@@ -53,6 +53,7 @@
         },
         patience: ask.patience,
         isOwed: () => sizeFairness.isOwed(ask.route, ask.prompt.promptTokens),
+        areLongestOwed: () => sizeFairness.areLongestOwed(ask.route),
     });
 
     /** A prompt that will be refused is not under way. */
@@ -119,6 +120,7 @@
         reading: Math.round(way?.reading ?? 0),
         isDeferred: way?.isDeferred ?? false,
         isOwed: decision?.isOwed ?? false,
+        lateness: Math.round(decision?.lateness ?? 0),
     };
 }
 
@@ -152,5 +154,5 @@
     }
     const { firstEvent, soonestEvent, reading, isDeferred, isOwed } = answer;
     const way = { prefill, decode, firstEvent, soonestEvent, reading, isDeferred };
-    return { way, isOwed, lateness: soonestEvent - patience };
+    return { way, isOwed, lateness: answer.lateness ?? soonestEvent - patience };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
@@ -55,6 +55,8 @@
     readonly reading: number;
     readonly isDeferred: boolean;
     readonly isOwed: boolean;
+    /** As in `PromptDecision`; absent where the sender does not tell it. */
+    readonly lateness?: number;
 }
 
 export const askMethod = "place";
@@ -121,6 +123,7 @@
         reading: readAmount(params["reading"]),
         isDeferred: params["isDeferred"] === true,
         isOwed: params["isOwed"] === true,
+        lateness: params["lateness"] === undefined ? undefined : readSigned(params["lateness"]),
     };
 }
 
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -12,6 +12,7 @@
 export * from "./experiments/mechanism.js";
 export * from "./experiments/switchOffViews.js";
 export * from "./forwardingMetrics.js";
+export * from "./limits/createLongReadings.js";
 export * from "./limits/createOverloadGuard.js";
 export * from "./limits/createSizeFairness.js";
 export * from "./limits/createWindowedRetryBudget.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createLongReadings.test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLongReadings } from "../createLongReadings.js";
+
+test("the long readings of a route cover all but the very longest, and follow what came last", () => {
+    const readings = createLongReadings();
+    assert.equal(readings.find("ask"), 0);
+    for (let milliseconds = 1; milliseconds <= 100; milliseconds++) {
+        readings.note("ask", milliseconds);
+    }
+    assert.equal(readings.find("ask"), 95);
+    assert.equal(readings.find("chat"), 0);
+    for (let count = 0; count < 200; count++) {
+        readings.note("ask", 20);
+    }
+    assert.equal(readings.find("ask"), 20);
+});
+
+test("a storm of routes does not grow the readings without end", () => {
+    const readings = createLongReadings();
+    for (let number = 0; number < 1_000; number++) {
+        readings.note(`route-${number}`, 5);
+    }
+    assert.equal(readings.find("route-0"), 0);
+    assert.equal(readings.find("route-999"), 5);
+});
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -5,6 +5,8 @@
 export interface AccountedPrompt {
     /** Whether prompts as long as this one were served so seldom of late that it should not be refused as well. */
     isOwed(): boolean;
+    /** Whether the longest prompts of its route were served too seldom. */
+    areLongestOwed(): boolean;
     /** The prompt has ended; it was not served if it was refused or failed, or its caller left. */
     end(isServed: boolean): void;
 }
@@ -17,6 +19,7 @@
     begin(route: string, tokens: number): AccountedPrompt;
     /** The same for a prompt of another process. */
     isOwed(route: string, tokens: number): boolean;
+    areLongestOwed(route: string): boolean;
     /** Takes in prompts that ended at a peer. */
     noteTold(ended: EndedPrompt): void;
     /** Own prompts that ended since the last call, for the peers. */
@@ -72,12 +75,14 @@
     return {
         begin: (route, tokens) => ({
             isOwed: () => isOwed(tokens, find(route)),
+            areLongestOwed: () => areLongestOwed(find(route)),
             end: isServed => {
                 add(find(route), { tokens, isServed });
                 untold = [...untold, [route, tokens, isServed] as const].slice(-mostUntold);
             },
         }),
         isOwed: (route, tokens) => isOwed(tokens, routes.get(route) ?? []),
+        areLongestOwed: route => areLongestOwed(routes.get(route) ?? []),
         noteTold: ([route, tokens, isServed]) => add(find(route), { tokens, isServed }),
         takeNew: () => {
             const told = untold;
@@ -89,13 +94,22 @@
 
 function isOwed(tokens: number, others: readonly Entry[]): boolean {
     const longer = others.filter(entry => entry.tokens > tokens).length;
-    if (others.length < fewestPrompts || longer > others.length * owedFraction) {
-        return false;
+    return longer <= others.length * owedFraction
+        && findLongestShare(tokens, others) < leastFraction * findShareServed(others);
+}
+
+function areLongestOwed(others: readonly Entry[]): boolean {
+    return findLongestShare(Infinity, others) < leastFraction * findShareServed(others);
+}
+
+/** How often prompts as long as this one, or the longest tenth if that is more, were served; all, if too little is known. */
+function findLongestShare(tokens: number, others: readonly Entry[]): number {
+    if (others.length < fewestPrompts) {
+        return 1;
     }
     const longestFirst = [...others].sort((left, right) => right.tokens - left.tokens);
     const asLong = longestFirst.filter(entry => entry.tokens >= tokens).length;
-    const longest = longestFirst.slice(0, Math.max(asLong, Math.ceil(others.length * longestFraction)));
-    return findShareServed(longest) < leastFraction * findShareServed(others);
+    return findShareServed(longestFirst.slice(0, Math.max(asLong, Math.ceil(others.length * longestFraction))));
 }
 
 function findShareServed(entries: readonly Entry[]): number {
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/decidePrompt.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/decidePrompt.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createDemand, createLongPrompt, createPlacementBench } from "../../__fixtures__/placementBench.js";
+import { createLongReadings } from "../../limits/createLongReadings.js";
 import type { CallPlacement, PromptDemand, PromptWay } from "../callPlacement.js";
 import { decidePrompt } from "../decidePrompt.js";
 
@@ -13,6 +14,10 @@
     /** Milliseconds to read the prompt. */
     readonly reading: number;
     readonly isOwed?: boolean;
+    readonly areLongestOwed?: boolean;
+    /** Milliseconds to read other prompts of the route. */
+    readonly otherReadings?: readonly number[];
+    readonly mayDefer?: boolean;
 }
 
 /** A placement that defers every prompt that may be deferred. */
@@ -29,11 +34,15 @@
 }
 
 function decide(options: SceneOptions) {
-    const decision = decidePrompt(createPlacement(options), new Set(), {
+    const longReadings = createLongReadings();
+    options.otherReadings?.forEach(reading => longReadings.note("ask", reading));
+    const parts = { placement: createPlacement(options), longReadings, switchedOff: new Set<never>() };
+    const decision = decidePrompt(parts, {
         route: "ask",
-        demand: createDemand(createLongPrompt("shared", "own")),
+        demand: createDemand(createLongPrompt("shared", "own"), { mayDefer: options.mayDefer ?? true }),
         patience,
         isOwed: () => options.isOwed ?? false,
+        areLongestOwed: () => options.areLongestOwed ?? false,
     });
     assert.ok(decision);
     return decision;
@@ -58,3 +67,25 @@
     assert.equal(isOwed, false);
     assert.ok(lateness > 0);
 });
+
+const otherReadings = [200, 300, 1_200];
+
+// Guards against queues that settle where short prompts just fit, so that long ones never do.
+test("while the longest are owed service, short prompts are refused where a long one would be too late", () => {
+    const short = { reading: 200, otherReadings, areLongestOwed: true };
+    assert.equal(decide({ ...short, deferredWait: 1_700 }).lateness, 1_700 + 300 - patience);
+    assert.ok(decide({ ...short, otherReadings: [...otherReadings, 1_200], deferredWait: 1_700 }).lateness > 0);
+    assert.ok(decide({ ...short, otherReadings: [...otherReadings, 1_200], deferredWait: 1_100 }).lateness <= 0);
+});
+
+test("short prompts are judged by themselves while nothing is owed, or where they are not deferred", () => {
+    const short = { deferredWait: 1_700, reading: 200, otherReadings: [1_200, 1_200, 1_200] };
+    assert.equal(decide(short).lateness, 1_900 - patience);
+    const undeferred = decide({ ...short, mayDefer: false, areLongestOwed: true });
+    assert.equal(undeferred.lateness, undeferredWait + 200 - patience);
+});
+
+test("prompts longer than a caller waits do not close the queue for all others", () => {
+    const short = { reading: 200, otherReadings: [5_000, 5_000, 5_000], areLongestOwed: true };
+    assert.ok(decide({ ...short, deferredWait: 500 }).lateness <= 0);
+});
--- a/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
@@ -1,4 +1,5 @@
 import { Mechanism } from "../experiments/mechanism.js";
+import type { LongReadings } from "../limits/createLongReadings.js";
 import type { CallPlacement, PromptDemand, PromptWay } from "./callPlacement.js";
 
 /** A prompt that asks for its way. */
@@ -9,6 +10,8 @@
     readonly patience: number;
     /** Whether prompts as long as this one were served too seldom, as far as this process knows. */
     readonly isOwed: () => boolean;
+    /** Whether the longest prompts of the route were served too seldom. */
+    readonly areLongestOwed: () => boolean;
 }
 
 /** Which way a prompt goes. */
@@ -16,7 +19,10 @@
     readonly way: PromptWay;
     /** Whether it goes among those that can be on time though it can't, since it is owed service. */
     readonly isOwed: boolean;
-    /** Milliseconds by which its answer would begin after its caller has left; 0 or less if it begins before. */
+    /**
+     * Milliseconds by which its answer, or while the longest prompts are owed service that of a long prompt in its place,
+     * would begin after the caller has left; 0 or less if it begins before.
+     */
     readonly lateness: number;
 }
 
@@ -26,34 +32,58 @@
     abstract decide(request: DecisionRequest): Promise<PromptDecision | undefined>;
 }
 
+/** What {@link decidePrompt} needs. */
+export interface DecisionParts {
+    readonly placement: CallPlacement;
+    readonly longReadings: LongReadings;
+    readonly switchedOff: ReadonlySet<Mechanism>;
+}
+
 /** Decides by what this process knows. */
 export class LocalDecisions extends PromptDecisions {
-    constructor(private readonly placement: CallPlacement, private readonly switchedOff: ReadonlySet<Mechanism>) {
+    constructor(private readonly parts: DecisionParts) {
         super();
     }
 
     override decide(request: DecisionRequest): Promise<PromptDecision | undefined> {
-        return Promise.resolve(decidePrompt(this.placement, this.switchedOff, request));
+        return Promise.resolve(decidePrompt(this.parts, request));
     }
 }
 
+/** The queue is kept short for long prompts up to this part of a caller's patience. */
+const mostReserveFraction = 0.75;
+
 /**
  * The way that placement prefers. Where it is deferred or too late for a prompt that is owed service, the prompt goes among
- * those that can be on time instead: there the wait is short enough for any length, and nothing that comes later goes first.
+ * those that can be on time instead: there the wait is short enough for any length, and nothing that comes later goes first. While the longest prompts of a route are owed
+ * service, deferred prompts of any length are admitted only to a queue in which a long one would be on time too: else the
+ * queue would settle where short prompts just fit.
  */
 export function decidePrompt(
-    placement: CallPlacement,
-    switchedOff: ReadonlySet<Mechanism>,
-    { demand, patience, isOwed }: DecisionRequest,
+    { placement, longReadings, switchedOff }: DecisionParts,
+    { route, demand, patience, isOwed, areLongestOwed }: DecisionRequest,
 ): PromptDecision | undefined {
     const way = placement.placePrompt(demand);
     if (!way) {
         return undefined;
     }
+    const reading = findReading(way);
+    longReadings.note(route, reading);
+    const isFair = !switchedOff.has(Mechanism.SizeFairness);
     const latenessOf = ({ soonestEvent }: PromptWay) => soonestEvent - patience;
-    const mayPass = (way.isDeferred || latenessOf(way) > 0) && !switchedOff.has(Mechanism.SizeFairness) && isOwed();
-    const undeferred = mayPass ? placement.placePrompt({ ...demand, mayDefer: false }) : undefined;
-    return undeferred && latenessOf(undeferred) <= 0
-        ? { way: undeferred, isOwed: true, lateness: latenessOf(undeferred) }
-        : { way, isOwed: false, lateness: latenessOf(way) };
+    if ((way.isDeferred || latenessOf(way) > 0) && isFair && isOwed()) {
+        const undeferred = placement.placePrompt({ ...demand, mayDefer: false });
+        if (undeferred && latenessOf(undeferred) <= 0) {
+            return { way: undeferred, isOwed: true, lateness: latenessOf(undeferred) };
+        }
+    }
+    const reserve = way.isDeferred && isFair && areLongestOwed()
+        ? Math.min(longReadings.find(route), patience * mostReserveFraction) - reading
+        : 0;
+    return { way, isOwed: false, lateness: latenessOf(way) + Math.max(0, reserve) };
+}
+
+/** Milliseconds that the prompt is read for at an engine that nothing slows. */
+function findReading({ prefill, decode }: PromptWay): number {
+    return (prefill ?? decode).leastWork;
 }
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -2,7 +2,12 @@
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage } from "../../../ports/listedTarget.js";
 import { createPlacementBench, engineService } from "../../../process/forwarding/__fixtures__/placementBench.js";
-import { createSizeFairness, LocalDecisions, type Mechanism } from "../../../process/forwarding/index.js";
+import {
+    createLongReadings,
+    createSizeFairness,
+    LocalDecisions,
+    type Mechanism,
+} from "../../../process/forwarding/index.js";
 import { type AdmissionParts, admitPrompt } from "../admitPrompt.js";
 import { findLeaveTime } from "../findLeaveTime.js";
 import { createRequestTrace } from "../requestTrace.js";
@@ -81,7 +86,7 @@
 /** One process before its engines. */
 function createPlayedProcess({ seed, switchedOff = new Set() }: Overload) {
     const { placement, loads, caches, clock } = createPlacementBench(stages, seed, switchedOff);
-    const decisions = new LocalDecisions(placement, switchedOff);
+    const decisions = new LocalDecisions({ placement, longReadings: createLongReadings(), switchedOff });
     const parts: AdmissionParts = { decisions, clock, switchedOff, availabilityZone: "zone-0" };
     const sizeFairness = createSizeFairness();
     const engines = createPlayedEngines();
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -75,6 +75,7 @@
         },
         patience: findLeaveTime(run) - now,
         isOwed: account.isOwed,
+        areLongestOwed: account.areLongestOwed,
     };
 }
 
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -8,6 +8,7 @@
     EventPace,
     ForwardingKeeper,
     ForwardingMetrics,
+    LongReadings,
     Mechanism,
     PaceView,
     PrefillRates,
@@ -41,6 +42,7 @@
     readonly metrics: ForwardingMetrics;
     readonly sizeCounts: SizeCounts;
     readonly sizeFairness: SizeFairness;
+    readonly longReadings: LongReadings;
     readonly availabilityZone: string;
     /** What an experiment takes out. */
     readonly switchedOff: ReadonlySet<Mechanism>;
