Measure the size of prompts with their answers in the account and the counts

Cause: the account by size and prompts_by_size went by prompt tokens alone.

Change: measureSize, used by the account, its messages, the counts and the last line of a call (field size).

--- a/packages/daisyturn-cli/src/ledger/sumSizes.ts
+++ b/packages/daisyturn-cli/src/ledger/sumSizes.ts
@@ -49,12 +49,12 @@
 
 function addCounts(classes: Map<number, Count>, sizes: string): void {
     for (const size of sizes.split(",")) {
-        const [, tokens, served, ended] = sizePattern.exec(size) ?? [];
-        if (tokens === undefined) {
+        const [, leastSize, served, ended] = sizePattern.exec(size) ?? [];
+        if (leastSize === undefined) {
             continue;
         }
-        const count = classes.get(Number(tokens)) ?? { ended: 0, served: 0 };
-        classes.set(Number(tokens), { ended: count.ended + Number(ended), served: count.served + Number(served) });
+        const count = classes.get(Number(leastSize)) ?? { ended: 0, served: 0 };
+        classes.set(Number(leastSize), { ended: count.ended + Number(ended), served: count.served + Number(served) });
     }
 }
 
--- a/packages/daisyturn/src/process/forwarding/__tests__/sizeCounts.test.ts
+++ b/packages/daisyturn/src/process/forwarding/__tests__/sizeCounts.test.ts
@@ -22,7 +22,7 @@
     for (const tokens of [1, 2, 3, 511, 512, 513, 16_384, 100_000]) {
         counts.note("route", tokens, true);
         const [count] = counts.take();
-        assert.ok(count && count.leastTokens <= tokens && tokens < count.leastTokens * 1.25 + 1, JSON.stringify(count));
+        assert.ok(count && count.leastSize <= tokens && tokens < count.leastSize * 1.25 + 1, JSON.stringify(count));
     }
 });
 
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
@@ -2,6 +2,7 @@
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
+import { measureSize } from "../limits/measureSize.js";
 import { countTokens, type PlacedStep } from "../placement/callPlacement.js";
 import type { DecisionRequest, PromptDecision } from "../placement/decidePrompt.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
@@ -52,7 +53,7 @@
             mayDefer: true,
         },
         patience: ask.patience,
-        isOwed: () => sizeFairness.isOwed(ask.route, ask.prompt.promptTokens),
+        isOwed: () => sizeFairness.isOwed(ask.route, measureSize(ask.prompt)),
         areLongestOwed: () => sizeFairness.areLongestOwed(ask.route),
     });
 
--- a/packages/daisyturn/src/process/forwarding/createSizeCounts.ts
+++ b/packages/daisyturn/src/process/forwarding/createSizeCounts.ts
@@ -1,8 +1,8 @@
 /** How many prompts of one route and of about one size ended, and how many of them were answered with success. */
 export interface SizeCount {
     readonly route: string;
-    /** The class's least prompt, in tokens. */
-    readonly leastTokens: number;
+    /** The least size of the class, as `measureSize` tells it. */
+    readonly leastSize: number;
     readonly ended: number;
     readonly served: number;
 }
@@ -12,7 +12,7 @@
  * no mean, and single lines are sampled and bounded.
  */
 export interface SizeCounts {
-    note(route: string, tokens: number, isServed: boolean): void;
+    note(route: string, size: number, isServed: boolean): void;
     /** What was counted since the last call, by route and size. */
     take(): readonly SizeCount[];
 }
@@ -29,10 +29,10 @@
 export function createSizeCounts(): SizeCounts {
     let routes = new Map<string, Map<number, Count>>();
     return {
-        note: (route, tokens, isServed) => {
+        note: (route, size, isServed) => {
             const classes = routes.get(route) ?? new Map<number, Count>();
             routes.set(route, classes);
-            const sizeClass = Math.floor(Math.log2(Math.max(1, tokens)) * classesPerDoubling);
+            const sizeClass = Math.floor(Math.log2(Math.max(1, size)) * classesPerDoubling);
             const { ended, served } = classes.get(sizeClass) ?? { ended: 0, served: 0 };
             classes.set(sizeClass, { ended: ended + 1, served: served + (isServed ? 1 : 0) });
         },
@@ -42,12 +42,12 @@
             return [...taken].flatMap(([route, classes]) =>
                 [...classes]
                     .sort(([left], [right]) => left - right)
-                    .map(([sizeClass, count]) => ({ route, leastTokens: leastTokensOf(sizeClass), ...count }))
+                    .map(([sizeClass, count]) => ({ route, leastSize: leastSizeOf(sizeClass), ...count }))
             );
         },
     };
 }
 
-function leastTokensOf(sizeClass: number): number {
+function leastSizeOf(sizeClass: number): number {
     return Math.ceil(2 ** (sizeClass / classesPerDoubling));
 }
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -16,6 +16,7 @@
 export * from "./limits/createOverloadGuard.js";
 export * from "./limits/createSizeFairness.js";
 export * from "./limits/createWindowedRetryBudget.js";
+export * from "./limits/measureSize.js";
 export * from "./placement/callPlacement.js";
 export * from "./placement/createCallPlacement.js";
 export * from "./placement/createLeastRunningPlacement.js";
--- a/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createSizeFairness.ts
@@ -1,5 +1,5 @@
-/** A prompt that has ended: its route, its tokens, and whether it was served. */
-export type EndedPrompt = readonly [route: string, tokens: number, isServed: boolean];
+/** A prompt that has ended: its route, its size, and whether it was served. */
+export type EndedPrompt = readonly [route: string, size: number, isServed: boolean];
 
 /** A prompt that is under way. It counts in the account of its route once it has ended. */
 export interface AccountedPrompt {
@@ -16,9 +16,9 @@
  * them under a lasting overload: the queue grows until what comes is refused, and settles where short prompts just fit.
  */
 export interface SizeFairness {
-    begin(route: string, tokens: number): AccountedPrompt;
+    begin(route: string, size: number): AccountedPrompt;
     /** The same for a prompt of another process. */
-    isOwed(route: string, tokens: number): boolean;
+    isOwed(route: string, size: number): boolean;
     areLongestOwed(route: string): boolean;
     /** Takes in prompts that ended at a peer. */
     noteTold(ended: EndedPrompt): void;
@@ -43,7 +43,7 @@
 const mostUntold = 32;
 
 interface Entry {
-    readonly tokens: number;
+    readonly size: number;
     readonly isServed: boolean;
 }
 
@@ -73,17 +73,17 @@
     };
 
     return {
-        begin: (route, tokens) => ({
-            isOwed: () => isOwed(tokens, find(route)),
+        begin: (route, size) => ({
+            isOwed: () => isOwed(size, find(route)),
             areLongestOwed: () => areLongestOwed(find(route)),
             end: isServed => {
-                add(find(route), { tokens, isServed });
-                untold = [...untold, [route, tokens, isServed] as const].slice(-mostUntold);
+                add(find(route), { size, isServed });
+                untold = [...untold, [route, size, isServed] as const].slice(-mostUntold);
             },
         }),
-        isOwed: (route, tokens) => isOwed(tokens, routes.get(route) ?? []),
+        isOwed: (route, size) => isOwed(size, routes.get(route) ?? []),
         areLongestOwed: route => areLongestOwed(routes.get(route) ?? []),
-        noteTold: ([route, tokens, isServed]) => add(find(route), { tokens, isServed }),
+        noteTold: ([route, size, isServed]) => add(find(route), { size, isServed }),
         takeNew: () => {
             const told = untold;
             untold = [];
@@ -92,10 +92,10 @@
     };
 }
 
-function isOwed(tokens: number, others: readonly Entry[]): boolean {
-    const longer = others.filter(entry => entry.tokens > tokens).length;
+function isOwed(size: number, others: readonly Entry[]): boolean {
+    const longer = others.filter(entry => entry.size > size).length;
     return longer <= others.length * owedFraction
-        && findLongestShare(tokens, others) < leastFraction * findShareServed(others);
+        && findLongestShare(size, others) < leastFraction * findShareServed(others);
 }
 
 function areLongestOwed(others: readonly Entry[]): boolean {
@@ -103,13 +103,13 @@
 }
 
 /** How often prompts as long as this one, or the longest tenth if that is more, were served; all, if too little is known. */
-function findLongestShare(tokens: number, others: readonly Entry[]): number {
+function findLongestShare(size: number, others: readonly Entry[]): number {
     if (others.length < fewestPrompts) {
         return 1;
     }
-    const longestFirst = [...others].sort((left, right) => right.tokens - left.tokens);
-    const asLong = longestFirst.filter(entry => entry.tokens >= tokens).length;
-    return findShareServed(longestFirst.slice(0, Math.max(asLong, Math.ceil(others.length * longestFraction))));
+    const largestFirst = [...others].sort((left, right) => right.size - left.size);
+    const asLong = largestFirst.filter(entry => entry.size >= size).length;
+    return findShareServed(largestFirst.slice(0, Math.max(asLong, Math.ceil(others.length * longestFraction))));
 }
 
 function findShareServed(entries: readonly Entry[]): number {
--- a/packages/daisyturn/src/process/forwarding/reportSizeCounts.ts
+++ b/packages/daisyturn/src/process/forwarding/reportSizeCounts.ts
@@ -22,9 +22,9 @@
     }
 }
 
-/** Least tokens of the class, prompts served and prompts ended. */
-function formatCount({ leastTokens, served, ended }: SizeCount): string {
-    return `${leastTokens}:${served}/${ended}`;
+/** Least size of the class, prompts served and prompts ended. */
+function formatCount({ leastSize, served, ended }: SizeCount): string {
+    return `${leastSize}:${served}/${ended}`;
 }
 
 function groupByRoute(counts: readonly SizeCount[]): ReadonlyMap<string, readonly SizeCount[]> {
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/playOverload.ts
@@ -6,6 +6,7 @@
     createLongReadings,
     createSizeFairness,
     LocalDecisions,
+    measureSize,
     type Mechanism,
 } from "../../../process/forwarding/index.js";
 import { type AdmissionParts, admitPrompt } from "../admitPrompt.js";
@@ -92,7 +93,7 @@
     const engines = createPlayedEngines();
 
     const send = async (run: PlayedRun, prompt: PromptDescription, onEnd: EndListener) => {
-        const account = sizeFairness.begin(run.route.name, prompt.promptTokens);
+        const account = sizeFairness.begin(run.route.name, measureSize(prompt));
         const admitted = await admitPrompt(parts, run, { prompt, account, isWholeOnly: false, hasBegun: false });
         if (admitted.isErr) {
             account.end(false);
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -6,6 +6,7 @@
 import {
     type AccountedPrompt,
     countTokens,
+    measureSize,
     type PlacedStep,
     type PromptWay,
     toUnsharedMilliseconds,
@@ -38,7 +39,7 @@
     run: CallRun,
     prompt: PromptDescription,
 ): Promise<Result<CallAnswer, Failure>> {
-    const account = parts.sizeFairness.begin(run.route.name, prompt.promptTokens);
+    const account = parts.sizeFairness.begin(run.route.name, measureSize(prompt));
     const answer = await answerPrompt(parts, run, prompt, account);
     account.end(answer.isOk);
     return answer;
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
-import { CallOutcome } from "../../process/forwarding/index.js";
+import { CallOutcome, measureSize } from "../../process/forwarding/index.js";
 import { chooseService } from "../../version/forwarding/createRouteTable.js";
 import { startRequestLife } from "../requestLife.js";
 import { type CallRun, createCallRun } from "./callRun.js";
@@ -81,7 +81,11 @@
         remaining: Math.round(deadline - parts.clock.monotonicNow()),
         tokens: call.prompt?.promptTokens,
     });
-    trace.repeatAtEnd({ route: route.name, tokens: call.prompt?.promptTokens });
+    trace.repeatAtEnd({
+        route: route.name,
+        tokens: call.prompt?.promptTokens,
+        size: call.prompt && measureSize(call.prompt),
+    });
     return ok({
         run: createCallRun({ call, route, service, pauseAim, exchange, signal: life.signal, deadline, trace }),
         end: life.end,
@@ -117,7 +121,7 @@
     const outcome = judgeOutcome(run, milliseconds, failure, reply);
     parts.metrics.noteCall(kind, outcome, milliseconds, longestPause);
     if (run?.call.prompt) {
-        parts.sizeCounts.note(run.route.name, run.call.prompt.promptTokens, isServed(outcome));
+        parts.sizeCounts.note(run.route.name, measureSize(run.call.prompt), isServed(outcome));
     }
     trace.noteEnd(failure ? kindOfFailure(failure) : EventKind.RequestAnswered, {
         outcome,
