Ask engines that are listed without a stage for their activity too

Cause: whether a target can be asked went by the stage in its entry. Which targets are engines is the service's to say.

Change: a call says whether its service has engines.

--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createSilenceDetector.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createSilenceDetector.test.ts
@@ -10,13 +10,10 @@
 function createScene(activity: EngineActivity) {
     const clock = new FakeClock();
     const asked: number[] = [];
-    const detector = createSilenceDetector(clock, new MemoryEventLog(), {
-        isAvailable: targetId => targetId !== "plain",
-        ask: async () => {
-            asked.push(clock.monotonicNow());
-            await clock.sleepUntil(clock.monotonicNow() + answerMilliseconds);
-            return activity;
-        },
+    const detector = createSilenceDetector(clock, new MemoryEventLog(), async () => {
+        asked.push(clock.monotonicNow());
+        await clock.sleepUntil(clock.monotonicNow() + answerMilliseconds);
+        return activity;
     });
     /** Lets calls check the target from time to time, as they do while they wait. */
     const wait = async (targetId: string, milliseconds: number) => {
@@ -31,7 +28,7 @@
 // Guards against calls given up, and engines suspected, while a long prompt is read.
 test("an engine that confirms that it works is not silent, however long its answer takes", async () => {
     const { detector, asked, wait } = createScene(EngineActivity.Working);
-    detector.beginWait("a");
+    detector.beginWait("a", true);
     await wait("a", 20_000);
     assert.equal(detector.isSilent("a"), false);
     assert.ok(asked.length > 5 && asked.length < 15, `asked ${asked.length} times`);
@@ -40,7 +37,7 @@
 for (const activity of [EngineActivity.NoAnswer, EngineActivity.Idle]) {
     test(`an engine whose activity is ${activity} while a call waits is silent after little more than two seconds`, async () => {
         const { detector, wait } = createScene(activity);
-        detector.beginWait("a");
+        detector.beginWait("a", true);
         await wait("a", 1_900);
         assert.equal(detector.isSilent("a"), false);
         await wait("a", 700);
@@ -52,7 +49,7 @@
 
 test("a target that can't be asked is silent by time alone", async () => {
     const { detector, asked, wait } = createScene(EngineActivity.Working);
-    detector.beginWait("plain");
+    detector.beginWait("plain", false);
     await wait("plain", 2_500);
     assert.equal(detector.isSilent("plain"), true);
     assert.deepEqual(asked, []);
@@ -60,7 +57,7 @@
 
 test("a target is not asked while it is heard, or while no call waits", async () => {
     const { detector, asked, wait } = createScene(EngineActivity.NoAnswer);
-    const waiting = detector.beginWait("a");
+    const waiting = detector.beginWait("a", true);
     await wait("a", 1_000);
     detector.noteHeard("a");
     await wait("a", 1_000);
--- a/packages/daisyturn/src/process/forwarding/targets/createSilenceDetector.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createSilenceDetector.ts
@@ -5,8 +5,11 @@
 export interface SilenceDetector {
     /** Notes that bytes of an answer arrived. */
     noteHeard(targetId: string): void;
-    /** Notes a call that waits for its answer; to be ended once the answer begins or the call is over. */
-    beginWait(targetId: string): { end(): void; };
+    /**
+     * Notes a call that waits for its answer; to be ended once the answer begins or the call is over.
+     * @param isEngine whether the target can be asked for its activity; others count as silent by time alone
+     */
+    beginWait(targetId: string, isEngine: boolean): { end(): void; };
     /** Asks the target for its activity if calls have waited for long and nothing was heard; at most one question at a time. */
     check(targetId: string): void;
     /** Whether calls have waited for long while nothing was heard of the target, and it is not known to be working. */
@@ -14,22 +17,13 @@
     forget(targetId: string): void;
 }
 
-/** Asks targets for their activity. */
-export interface ActivitySource {
-    /** Whether the target has means to tell; others count as silent by time alone. */
-    isAvailable(targetId: string): boolean;
-    ask(targetId: string): Promise<EngineActivity>;
-}
-
-/** A source for processes that can ask no target. */
-export const noActivitySource: ActivitySource = {
-    isAvailable: () => false,
-    ask: () => Promise.resolve(EngineActivity.NoAnswer),
-};
+/** Asks an engine for its activity. */
+export type ActivityQuestion = (targetId: string) => Promise<EngineActivity>;
 
 interface WaitState {
     /** Monotonic time at which the target was last heard or known to be working. */
     heardAt: number;
+    isEngine: boolean;
     readonly waits: Set<{ readonly since: number; }>;
     isChecking: boolean;
     /** Checks that failed since the target was last heard. */
@@ -47,13 +41,23 @@
  * Creates the detector of one process. A prompt is answered only once it has been read, so an engine that reads long
  * prompts sends nothing for seconds; targets that can be asked count as silent only if they do not confirm that they work.
  */
-export function createSilenceDetector(clock: Clock, eventLog: EventLog, source: ActivitySource): SilenceDetector {
+export function createSilenceDetector(
+    clock: Clock,
+    eventLog: EventLog,
+    askActivity: ActivityQuestion,
+): SilenceDetector {
     const states = new Map<string, WaitState>();
 
     const find = (targetId: string): WaitState => {
         let state = states.get(targetId);
         if (!state) {
-            state = { heardAt: clock.monotonicNow(), waits: new Set(), isChecking: false, failedChecks: 0 };
+            state = {
+                heardAt: clock.monotonicNow(),
+                isEngine: false,
+                waits: new Set(),
+                isChecking: false,
+                failedChecks: 0,
+            };
             states.set(targetId, state);
         }
         return state;
@@ -75,7 +79,7 @@
     const ask = async (targetId: string, state: WaitState) => {
         state.isChecking = true;
         const askedAt = clock.monotonicNow();
-        const activity = await source.ask(targetId);
+        const activity = await askActivity(targetId);
         state.isChecking = false;
         if (activity === EngineActivity.Working) {
             noteHeard(targetId);
@@ -88,21 +92,23 @@
 
     return {
         noteHeard,
-        beginWait: targetId => {
-            const { waits } = find(targetId);
+        beginWait: (targetId, isEngine) => {
+            const state = find(targetId);
+            const { waits } = state;
+            state.isEngine = isEngine;
             const wait = { since: clock.monotonicNow() };
             waits.add(wait);
             return { end: () => void waits.delete(wait) };
         },
         check: targetId => {
             const state = states.get(targetId);
-            if (state && !state.isChecking && isQuiet(state, checkAfterMilliseconds) && source.isAvailable(targetId)) {
+            if (state?.isEngine && !state.isChecking && isQuiet(state, checkAfterMilliseconds)) {
                 void ask(targetId, state);
             }
         },
         isSilent: targetId => {
             const state = states.get(targetId);
-            const isUnconfirmed = (state?.failedChecks ?? 0) < failedChecksForSilence && source.isAvailable(targetId);
+            const isUnconfirmed = state?.isEngine && state.failedChecks < failedChecksForSilence;
             return isQuiet(state, silenceMilliseconds) && !isUnconfirmed;
         },
         forget: targetId => states.delete(targetId),
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -1,5 +1,6 @@
 import { type Clock, createDecayingRate, type DecayingRate, EventKind, type EventLog } from "daisyturn-utils";
-import { type ActivitySource, createSilenceDetector, noActivitySource } from "./createSilenceDetector.js";
+import { EngineActivity } from "../../../ports/engineOrders.js";
+import { type ActivityQuestion, createSilenceDetector } from "./createSilenceDetector.js";
 
 /** What a call showed of its target's health. */
 export enum TargetEvidence {
@@ -20,8 +21,8 @@
     note(targetId: string, evidence: TargetEvidence): void;
     /** Notes that bytes of an answer arrived. */
     noteHeard(targetId: string): void;
-    /** Notes a call that waits for its answer; to be ended once the answer begins or the call is over. */
-    beginWait(targetId: string): { end(): void; };
+    /** As {@link SilenceDetector.beginWait}; targets are no engines unless it is told. */
+    beginWait(targetId: string, isEngine?: boolean): { end(): void; };
     /** Has the target asked for its activity if calls have waited for long and nothing was heard. */
     checkSilence(targetId: string): void;
     /** Whether calls have waited for long while nothing was heard of the target, and it is not known to be working. */
@@ -78,9 +79,9 @@
 export function createTargetHealth(
     clock: Clock,
     eventLog: EventLog,
-    activitySource: ActivitySource = noActivitySource,
+    askActivity: ActivityQuestion = () => Promise.resolve(EngineActivity.NoAnswer),
 ): TargetHealth {
-    const silence = createSilenceDetector(clock, eventLog, activitySource);
+    const silence = createSilenceDetector(clock, eventLog, askActivity);
     const states = new Map<string, HealthState>();
     /** Monotonic expiry times of reports by target, from members of the same group and from other groups. */
     const peerReportExpiry = new Map<string, number>();
@@ -219,10 +220,10 @@
     return {
         note,
         noteHeard: silence.noteHeard,
-        beginWait: targetId => {
+        beginWait: (targetId, isEngine = false) => {
             find(targetId);
             beginTrial(targetId);
-            return silence.beginWait(targetId);
+            return silence.beginWait(targetId, isEngine);
         },
         checkSilence: silence.check,
         isSilent: silence.isSilent,
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -1,7 +1,6 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import { EngineActivity, type EngineOrders } from "../../../ports/engineOrders.js";
 import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
-import { type ActivitySource, noActivitySource } from "../targets/createSilenceDetector.js";
 import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
 import { createTargetList, type TargetList, type TargetListOptions } from "../targets/createTargetList.js";
 import { type CacheBeliefs, createCacheBeliefs } from "./createCacheBeliefs.js";
@@ -28,7 +27,7 @@
 
 /**
  * Creates the views of one process; what is believed of a target ends with it.
- * @param engineOrders asks engines that send nothing whether they work; without it, silence alone counts
+ * @param engineOrders asks engines that send nothing whether they work; without it, none confirms that it does
  */
 export function createTargetViews(
     decode: TargetListOptions["decode"],
@@ -38,8 +37,12 @@
 ): TargetViews {
     const targets = createTargetList({ decode, clock, eventLog });
     const loads = createTargetLoads(clock);
-    const activitySource = createActivitySource(targets, clock, engineOrders);
-    const health = createTargetHealth(clock, eventLog, activitySource);
+    const askActivity = async (targetId: string) => {
+        const target = targets.find(targetId);
+        const deadline = clock.monotonicNow() + activityTimeoutMilliseconds;
+        return target && engineOrders ? await engineOrders.checkActivity(target, deadline) : EngineActivity.NoAnswer;
+    };
+    const health = createTargetHealth(clock, eventLog, askActivity);
     const caches = createCacheBeliefs(clock);
     const paces = createPaceView();
     targets.onGone(targetId => [loads, health, caches, paces].forEach(view => view.forget(targetId)));
@@ -55,22 +58,3 @@
         demand: createReadingDemand(clock),
     };
 }
-
-function createActivitySource(
-    targets: TargetList,
-    clock: Clock,
-    engineOrders: Pick<EngineOrders, "checkActivity"> | undefined,
-): ActivitySource {
-    const findEngine = (targetId: string) => {
-        const target = targets.find(targetId);
-        return target?.stage === undefined ? undefined : target;
-    };
-    return engineOrders === undefined ? noActivitySource : {
-        isAvailable: targetId => findEngine(targetId) !== undefined,
-        ask: async targetId => {
-            const engine = findEngine(targetId);
-            const deadline = clock.monotonicNow() + activityTimeoutMilliseconds;
-            return engine ? await engineOrders.checkActivity(engine, deadline) : EngineActivity.NoAnswer;
-        },
-    };
-}
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -60,7 +60,7 @@
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const pieces: Buffer[] = [];
     const work = loads.begin(target.targetId, send.cost);
-    const wait = health.beginWait(target.targetId);
+    const wait = health.beginWait(target.targetId, run.service.engine !== undefined);
     const watch = watchSilence(clock, health, run.signal, target.targetId, send.isRepeatable);
 
     run.trace.note(EventKind.RequestDispatched, {
