No leak warning for the background tasks of the process that plans stages

Each task waits on it with one listener and removes it, so nothing leaks; with the lease's tasks there are eleven, one more than node's limit.

Change: the limit of this signal is 40.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -25,6 +25,7 @@
     type TableFollower,
 } from "daisyturn/forwarding";
 import { randomBytes, randomInt } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { performance } from "node:perf_hooks";
 import { createLogWriter } from "../entry/createLogWriter.js";
 import { createForwardingParts } from "./createForwardingParts.js";
@@ -44,6 +45,8 @@
     stop(): Promise<void>;
 }
 
+/** Each background task listens for the end of the process once; node warns of a leak beyond this number. */
+const mostBackgroundTasks = 40;
 /** Left of the granted time for the process to end by itself. */
 const endMarginMilliseconds = 700;
 /** A store that is away must not hold up the end. */
@@ -127,6 +130,7 @@
         eventLog,
     });
     const background = new AbortController();
+    setMaxListeners(mostBackgroundTasks, background.signal);
     let isStopping = false;
     const isReady = () =>
         !isStopping && !overloadGuard.isOverwhelmed() && parts.keeper.current() !== undefined
