A reader that the store turns away takes what other coordinators have read

One that is turned away keeps the targets of before for as long as that lasts: it places prompts at targets that are leaving, and sends its own callers' calls there, while others of its group know better.

Ruled out: members. They stop relying on a coordinator's word 0.75 of the bound after the store has last answered it, and check their own list at dispatch.

Change: between two attempts at the store, a process whose call failed takes the rows that other coordinators pass on, as members do. It asks the store as often as before. Ages are those of a process's own reads, so two that are turned away do not vouch for each other.

Test: relayedTables.test.ts, "reaches a process that reads the store itself while the store turns it away"; without the change it learns of nothing.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
@@ -1,7 +1,7 @@
-import { type Failure, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import { type Failure, FailureReason, FakeClock, mayHaveRun, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ok, type Result } from "true-myth/result";
+import { err, ok, type Result } from "true-myth/result";
 import { ChangeFeed, type FeedPage, type FeedRow } from "../../../../ports/changeFeed.js";
 import type { StorePosition } from "../../../../ports/storePosition.js";
 import { followTable } from "../../targets/followTable.js";
@@ -17,6 +17,9 @@
 function createStore(clock: FakeClock) {
     let history: FeedRow[] = [];
     const calls: string[] = [];
+    /** Names of the processes that the store turns away. */
+    const refused = new Set<string>();
+    const refusal = mayHaveRun(FailureReason.StoreUnavailable, "the store answered with status 503");
     let version = 5;
     let era = 1;
 
@@ -38,6 +41,9 @@
                 wait: number,
             ): Promise<Result<FeedPage, Failure>> {
                 calls.push(`${name} after ${after}`);
+                if (refused.has(name)) {
+                    return err(refusal);
+                }
                 const until = clock.monotonicNow() + wait;
                 while (changesAfter(after).length === 0 && clock.monotonicNow() < until) {
                     await clock.sleepUntil(Math.min(until, clock.monotonicNow() + 5));
@@ -49,6 +55,7 @@
     };
     return {
         feedFor,
+        refused,
         callsOf: (name: string) => calls.filter(call => call.startsWith(name)).length,
         put: (key: string, text: string | undefined) => {
             version += 1;
@@ -68,12 +75,16 @@
 }
 
 /** A coordinator that reads the table, and a process that goes by its word. */
-function createPair() {
+function createPair(isMemberReader = false) {
     const clock = new FakeClock();
     const store = createStore(clock);
     const stop = new AbortController();
     const reader = createTableReader(clock);
-    const tables = createRelayedTables({ clock, freshMilliseconds: () => freshMilliseconds, isReader: () => false });
+    const tables = createRelayedTables({
+        clock,
+        freshMilliseconds: () => freshMilliseconds,
+        isReader: () => isMemberReader,
+    });
     const link = { passesStates: true, passesRows: true };
     const taken: string[] = [];
     const eventLog = new MemoryEventLog();
@@ -189,6 +200,29 @@
         stop();
     });
 
+    // Guards against work sent to targets that have been leaving for long, by a coordinator that the store turns away.
+    it("reaches a process that reads the store itself while the store turns it away", async () => {
+        const { clock, store, taken, stop } = createPair(true);
+        await clock.advance(3_000);
+        store.refused.add("member");
+        await clock.advance(5_000);
+        for (let change = 0; change < 5; change++) {
+            store.put("a", `${change}`);
+            await clock.advance(700);
+        }
+        assert.deepEqual(taken, ["a=0", "a=1", "a=2", "a=3", "a=4"]);
+        const before = store.callsOf("member");
+        await clock.advance(6_000);
+        const calls = store.callsOf("member") - before;
+        assert.ok(calls > 3 && calls < 10, `the store is still asked from time to time: ${calls} times`);
+        store.refused.clear();
+        await clock.advance(3_000);
+        store.put("b", "1");
+        await clock.advance(200);
+        assert.equal(taken.at(-1), "b=1");
+        stop();
+    });
+
     // Guards against rows that are never seen because the store reused their versions.
     it("is re-read after the store is restored from an older snapshot and reuses versions", async () => {
         for (const passesRows of [true, false]) {
--- a/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
@@ -11,6 +11,11 @@
      * with `isHistoryLost` set means that a coordinator has seen a later era.
      */
     next(after: StorePosition, signal: AbortSignal): Promise<RelayedPage | undefined>;
+    /**
+     * The same for a process that the store does not answer, which may be one that others rely on: waits for changes that
+     * other coordinators have read, up to a monotonic time.
+     */
+    nextUntil(after: StorePosition, until: number, signal: AbortSignal): Promise<RelayedPage | undefined>;
 }
 
 /** Rows that a coordinator has passed on. */
@@ -76,10 +81,12 @@
         table: string,
         after: StorePosition,
         signal: AbortSignal,
+        isWaiting: () => boolean,
+        until = Infinity,
     ): Promise<RelayedPage | undefined> => {
         const { era, version } = after;
         let missingSince: number | undefined;
-        while (!signal.aborted && !options.isReader()) {
+        while (!signal.aborted && isWaiting()) {
             const rows = takeRows(table, after);
             if (rows) {
                 return rows;
@@ -101,13 +108,17 @@
             if (missingSince !== undefined && now - missingSince >= missingMilliseconds) {
                 return undefined;
             }
-            await news.wait(clock, missingSince === undefined ? staleAt : missingSince + missingMilliseconds, signal);
+            const wakeAt = missingSince === undefined ? staleAt : missingSince + missingMilliseconds;
+            await news.wait(clock, Math.min(wakeAt, until), signal);
         }
         return undefined;
     };
 
     return {
-        find: table => ({ next: (after, signal) => next(table, after, signal) }),
+        find: table => ({
+            next: (after, signal) => next(table, after, signal, () => !options.isReader()),
+            nextUntil: (after, until, signal) => next(table, after, signal, () => clock.monotonicNow() < until, until),
+        }),
         noteState: ({ from, tables }) => {
             for (const state of tables) {
                 const byCoordinator = vouches.get(state.table) ?? new Map<string, Vouch>();
--- a/packages/daisyturn/src/process/forwarding/targets/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -154,6 +154,17 @@
         return take(answer.value);
     };
 
+    /** Takes what coordinators pass on, if any does, for the time in which the store is not asked. */
+    const takeRelayedUntil = async (until: number) => {
+        while (position !== undefined && clock.monotonicNow() < until && !signal.aborted) {
+            const relayed = await options.relay?.nextUntil(position, until, signal);
+            if (!relayed) {
+                return;
+            }
+            take(relayed);
+        }
+    };
+
     while (!signal.aborted) {
         const relayed = position === undefined ? undefined : await options.relay?.next(position, signal);
         if (relayed) {
@@ -163,8 +174,12 @@
             }
         }
         else if (!signal.aborted) {
-            const pause = takeAnswer(await askStore());
-            await clock.sleepUntil(clock.monotonicNow() + pause, signal);
+            const answer = await askStore();
+            const nextAt = clock.monotonicNow() + takeAnswer(answer);
+            if (answer.isErr) {
+                await takeRelayedUntil(nextAt);
+            }
+            await clock.sleepUntil(nextAt, signal);
         }
     }
 }
