A removal told by a coordinator that the store answers counts at once

What callers could see: calls failed at targets that had ended.

The later of this process's failures and those of the coordinator that had read the removal counted, though only who has read it can tell whether the store was away.

Change: rows that a coordinator passes on carry when the store last failed it, or that it did not lately; for rows that this process has read itself its own failures count as before.

Test: createTargetList.test.ts, last case; it fails without the change. The fixture of relayedTables.test.ts tells "failed" from the time instead of its presence.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
@@ -96,7 +96,7 @@
                 replace: rows => rows.forEach(row => taking.push(`${row.key}=${row.text}`)),
                 change: (rows, failedAt) =>
                     rows.forEach(row =>
-                        taking.push(`${row.key}=${row.text}${failedAt === undefined ? "" : " failed"}`)
+                        taking.push(`${row.key}=${row.text}${(failedAt ?? -Infinity) === -Infinity ? "" : " failed"}`)
                     ),
             },
             timing: { waitMilliseconds: () => readerWaitMilliseconds, mergeMilliseconds: 100 },
--- a/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createRelayedTables.ts
@@ -20,7 +20,7 @@
 
 /** Rows that a coordinator has passed on. */
 export interface RelayedPage extends FeedPage {
-    /** Monotonic time at which the store last failed to answer the coordinator, where that was lately. */
+    /** Monotonic time at which the store last failed to answer the coordinator; -Infinity if not lately, absent without rows. */
     readonly storeFailedAt?: number;
 }
 
@@ -73,7 +73,7 @@
             rows: fitting.rows,
             position: { era, version: fitting.version },
             isHistoryLost: false,
-            ...(fitting.failedAge !== undefined && { storeFailedAt: fitting.at - fitting.failedAge }),
+            storeFailedAt: fitting.failedAge === undefined ? -Infinity : fitting.at - fitting.failedAge,
         };
     };
 
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -146,3 +146,14 @@
     list.replace([row("a", false, 2_000)], true);
     assert.equal(list.isOpen("a@2000"), true);
 });
+
+// Guards against work sent to ended targets by a process that the store turns away while it answers others.
+test("an entry removed according to a coordinator that the store answers is gone, whatever this process's own calls show", () => {
+    const { list, clock } = createBench();
+    list.replace([row("a"), row("b")]);
+    list.noteStoreCall(false);
+    list.change([removed("a")], -Infinity);
+    assert.equal(list.isOpen("a"), false);
+    list.change([removed("b")], clock.monotonicNow());
+    assert.equal(list.isOpen("b"), true);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -63,9 +63,9 @@
         }
     };
 
-    const remove = (key: string, storeFailedAt = -Infinity) => {
+    const remove = (key: string, storeFailedAt = lastFailureAt) => {
         unreadable.delete(key);
-        const graceEnd = Math.max(lastFailureAt, storeFailedAt) + returnMilliseconds;
+        const graceEnd = storeFailedAt + returnMilliseconds;
         if (graceEnd > clock.monotonicNow()) {
             lapsed.set(key, graceEnd);
             return;
--- a/packages/daisyturn/src/process/forwarding/targets/followTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/followTable.ts
@@ -14,8 +14,8 @@
     replace(rows: readonly FeedRow[], isAfterRollback?: boolean): void;
     /**
      * Rows that changed.
-     * @param storeFailedAt monotonic time at which the store last failed to answer whoever has read them, where that was
-     * lately and is not known from this process's own calls
+     * @param storeFailedAt monotonic time at which the store last failed to answer the coordinator that has read them,
+     * -Infinity if not lately; undefined if this process has read them itself
      */
     change(rows: readonly FeedRow[], storeFailedAt?: number): void;
 }
