--- a/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
@@ -40,7 +40,7 @@
     private decideHere(request: DecisionRequest): PromptDecision | undefined {
         const decision = this.options.decideHere(request);
         noteKept(this.options.caches, request, decision);
-        return decision;
+        return decision && { ...decision, decidedBy: this.options.selfId };
     }
 
     private describeQuestion({ route, demand, patience }: DecisionRequest): PlacementQuestion {
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementDesk.ts
@@ -155,5 +155,5 @@
     }
     const { firstEvent, soonestEvent, reading, isDeferred, isOwed } = answer;
     const way = { prefill, decode, firstEvent, soonestEvent, reading, isDeferred };
-    return { way, isOwed, lateness: answer.lateness ?? soonestEvent - patience };
+    return { way, isOwed, lateness: answer.lateness ?? soonestEvent - patience, decidedBy: answer.from };
 }
--- a/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
@@ -24,6 +24,8 @@
      * would begin after the caller has left; 0 or less if it begins before.
      */
     readonly lateness: number;
+    /** The process that has decided, where that can be another one than asked. */
+    readonly decidedBy?: string;
 }
 
 /** Decides which way prompts go. */
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -79,7 +79,11 @@
     };
 }
 
-function recordPlacement({ clock }: AdmissionParts, run: AdmittedRun, { way, isOwed }: PromptDecision): void {
+function recordPlacement(
+    { clock }: AdmissionParts,
+    run: AdmittedRun,
+    { way, isOwed, decidedBy }: PromptDecision,
+): void {
     const { prefill: reader, decode: decoder, firstEvent, soonestEvent, isDeferred } = way;
     const { arrivedAt } = run.call;
     run.trace.repeatAtEnd({
@@ -99,5 +103,6 @@
         soonest: Math.round(soonestEvent),
         deferred: isDeferred,
         owed: isOwed,
+        decidedBy,
     });
 }
