--- a/packages/daisyturn/src/process/forwarding/limits/measureSize.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/measureSize.ts
@@ -1,5 +1,8 @@
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 
+/** The lengths that make up the size of a prompt. */
+export type SizedPrompt = Pick<PromptDescription, "promptTokens" | "maxOutputTokens">;
+
 /** What an output token costs an engine, in prompt tokens: it takes a step of its own, where prompts are read in chunks. */
 const outputTokenWeight = 10;
 
@@ -7,6 +10,3 @@
 export function measureSize({ promptTokens, maxOutputTokens }: SizedPrompt): number {
     return promptTokens + maxOutputTokens * outputTokenWeight;
 }
-
-/** The lengths that make up the size of a prompt. */
-export type SizedPrompt = Pick<PromptDescription, "promptTokens" | "maxOutputTokens">;
--- a/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/decidePrompt.ts
@@ -57,9 +57,10 @@
 
 /**
  * The way that placement prefers. Where it is deferred or too late for a prompt that is owed service, the prompt goes among
- * those that can be on time instead: there the wait is short enough for any length, and nothing that comes later goes first. While the longest prompts of a route are owed
- * service, deferred prompts of any length are admitted only to a queue in which a long one would be on time too: else the
- * queue would settle where short prompts just fit.
+ * those that can be on time instead: there the wait is short enough for any length, and nothing that comes later goes first.
+ *
+ * While the longest prompts of a route are owed service, a deferred prompt of any length is admitted only where a long one
+ * in its place would begin before its caller leaves. Otherwise the queue would grow until only short prompts fit.
  */
 export function decidePrompt(
     { placement, longReadings, switchedOff }: DecisionParts,
--- a/packages/daisyturn/src/process/forwarding/views/__tests__/createPrefillRates.test.ts
+++ b/packages/daisyturn/src/process/forwarding/views/__tests__/createPrefillRates.test.ts
@@ -52,12 +52,13 @@
     assert.ok(mean > 0.9 && mean < 1.25, `${mean}`);
 });
 
-test("faster engines are learned too, and prompts of one step teach nothing", () => {
+test("faster engines are learned too, and prompts of one step or of impossible length teach nothing", () => {
     const engine = { tokenMilliseconds: 0.008, pairMilliseconds: 0.1 };
     const rates = createObservations(engine, () => 0);
     assert.ok(compareEstimates(rates.rate(service), engine, longestTokens) < 1.2);
     const untaught = createPrefillRates();
     untaught.observe([service, 400, 0, 900]);
+    untaught.noteTold([service, 2_000, 1e9, 1]);
     assert.deepEqual(untaught.rate(service), createPrefillRates().rate(service));
 });
 
--- a/packages/daisyturn/src/process/forwarding/views/createPrefillRates.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPrefillRates.ts
@@ -29,6 +29,8 @@
 const startingWeight = 0.05;
 /** Shorter prompts are read within one step, which says little of the rate. */
 const leastTokens = 1_024;
+/** Far beyond any prompt: peers may tell anything, and a single far point would turn the line. */
+const mostTokens = 1e6;
 /**
  * Weight of an observation above the line, where one below it has the weight 1: prompts may have waited for work that this
  * process does not know of, while none is read faster than the engine can.
@@ -70,7 +72,7 @@
 
     /** Each token attends to all before it, so milliseconds for a token grow in a line with the mean position. */
     const learn = ([service, tokens, keptTokens, milliseconds]: PrefillObservation) => {
-        if (tokens < leastTokens) {
+        if (tokens < leastTokens || keptTokens + tokens > mostTokens) {
             return;
         }
         const fit = find(service);
@@ -87,9 +89,7 @@
             const tokenMilliseconds = fit?.at(0) ?? startingTokenMilliseconds;
             return {
                 tokenMilliseconds,
-                pairMilliseconds: fit
-                    ? (fit.at(pairsPerMillion) - tokenMilliseconds)
-                    : startingPairMilliseconds,
+                pairMilliseconds: fit ? fit.at(pairsPerMillion) - tokenMilliseconds : startingPairMilliseconds,
             };
         },
         observe: observation => {
