Log which calls ran at a target that ended

Change: a fingerprint of caller, method, host, path and body on the last line of a call that its target failed, and a line target_ended with the fingerprints aboard. A target has ended if it refuses new connections after one broke, or if its entry is removed while it was not leaving and nothing accepts connections there. Nothing is decided by it yet.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import {
     createCallPlacement,
+    createCrashDetector,
     createForwardingConfigurationManager,
     createLeastRunningPlacement,
     createLongPrefillTimes,
@@ -13,6 +14,7 @@
     type ForwardingConfigurationManager,
     type ForwardingMetrics,
     type ForwardingParts,
+    probeAddress,
     switchOffViews,
     type TargetList,
 } from "daisyturn/forwarding";
@@ -55,6 +57,13 @@
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
+    const crashDetector = createCrashDetector({
+        probe: probeAddress,
+        findTarget: views.targets.find,
+        clock,
+        eventLog,
+    });
+    views.targets.onRemoved((targetId, removal) => crashDetector.recordRemoval(removal));
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
@@ -68,6 +77,7 @@
         metrics,
         sizeCounts: createSizeCounts(),
         sizeFairness,
+        crashDetector,
         longPrefillTimes: createLongPrefillTimes(),
         switchedOff,
         sampledCalls,
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -49,6 +49,8 @@
     TargetListed = "target_listed",
     TargetGone = "target_gone",
     TargetAnswered = "target_answered",
+    /** A target ended without notice while calls ran there. */
+    TargetEnded = "target_ended",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
+import { splitAddress } from "./splitAddress.js";
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
@@ -168,11 +169,6 @@
 // eslint-disable-next-line no-restricted-syntax
 const noSocket = null;
 
-function splitAddress(address: string): [string, number] {
-    const colon = address.lastIndexOf(":");
-    return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
-
 /**
  * Rejects a body that is delimited only by the close of the connection. Its truncation can't be detected, since a
  * target that crashes closes its connection like one that has finished.
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -4,6 +4,7 @@
 export * from "./connection/forwarding/openDatagramChannel.js";
 export * from "./connection/listenAt.js";
 export * from "./connection/target/createTargetConnections.js";
+export * from "./connection/target/probeAddress.js";
 export * from "./ports/changeFeed.js";
 export * from "./ports/engineOrders.js";
 export * from "./ports/forwardedCall.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createCrashDetector.test.ts
@@ -0,0 +1,107 @@
+import { EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ProbeResult } from "../../../../connection/target/probeAddress.js";
+import type { ListedTarget } from "../../../../ports/listedTarget.js";
+import { createCrashDetector, RunEnd, type TargetCrash } from "../createCrashDetector.js";
+
+const probeMilliseconds = 3;
+/** Longer than all probes of one suspicion. */
+const settleMilliseconds = 300;
+
+function createTarget(changes: Partial<ListedTarget> = {}): ListedTarget {
+    return {
+        targetId: "t1",
+        name: "t1",
+        service: "plain",
+        address: "10.0.0.1:80",
+        availabilityZone: "zone-a",
+        slots: 8,
+        isLeaving: false,
+        ...changes,
+    };
+}
+
+/** A detector whose probes find what `scene.port` says, and the crashes that it reports. */
+function createScene() {
+    const clock = new FakeClock();
+    const eventLog = new MemoryEventLog();
+    const crashes: TargetCrash[] = [];
+    const scene = { clock, eventLog, crashes, port: ProbeResult.Refused, listed: createTarget(), probes: 0 };
+    const detector = createCrashDetector({
+        probe: async () => {
+            scene.probes += 1;
+            await clock.sleepUntil(clock.monotonicNow() + probeMilliseconds);
+            return scene.port;
+        },
+        findTarget: targetId => targetId === scene.listed.targetId ? scene.listed : undefined,
+        clock,
+        eventLog,
+    });
+    detector.onCrash(crash => crashes.push(crash));
+    return Object.assign(scene, { detector, begin: (name: string) => detector.beginRun(scene.listed, () => name) });
+}
+
+// Guards against a crash of which only the calls whose connections broke first are known.
+test("reports all calls that ran at a target whose port refuses connections, once", async () => {
+    const { clock, crashes, begin, eventLog } = createScene();
+    const [endFirst, endAbandoned, endAnswered] = ["first", "abandoned", "answered"].map(begin);
+    begin("running");
+    endAnswered?.(RunEnd.Settled);
+    endAbandoned?.(RunEnd.Abandoned);
+    await clock.advance(100);
+    endFirst?.(RunEnd.Broken);
+    await clock.advance(settleMilliseconds);
+    assert.deepEqual(crashes.map(({ fingerprints }) => [...fingerprints].sort()), [["abandoned", "first", "running"]]);
+    assert.equal(crashes[0]?.endedAt, 100);
+    assert.equal(eventLog.of(EventKind.TargetEnded).length, 1);
+});
+
+// Guards against evidence from cut links and single broken answers.
+test("does not take a broken connection for a crash while the port accepts connections", async () => {
+    const scene = createScene();
+    scene.port = ProbeResult.Accepted;
+    ["a", "b", "c"].map(scene.begin).forEach(end => end(RunEnd.Broken));
+    await scene.clock.advance(settleMilliseconds);
+    assert.deepEqual(scene.crashes, []);
+    assert.equal(scene.probes, 2);
+});
+
+test("does not take the planned end of a leaving target for a crash", async () => {
+    const scene = createScene();
+    const end = scene.begin("a");
+    scene.begin("b");
+    scene.listed = createTarget({ isLeaving: true });
+    end(RunEnd.Broken);
+    scene.detector.recordRemoval({ target: scene.listed, isRestarted: false });
+    await scene.clock.advance(settleMilliseconds);
+    assert.deepEqual(scene.crashes, []);
+});
+
+// Guards against a host that goes dark, whose connections never break.
+test("reports the calls at a target whose entry expires while nothing answers at its address", async () => {
+    const scene = createScene();
+    scene.port = ProbeResult.Unknown;
+    scene.begin("waiting");
+    scene.begin("given up")(RunEnd.Abandoned);
+    scene.detector.recordRemoval({ target: scene.listed, isRestarted: false });
+    await scene.clock.advance(settleMilliseconds);
+    assert.deepEqual(scene.crashes.map(({ fingerprints }) => fingerprints), [["waiting", "given up"]]);
+});
+
+test("does not take a target that is removed and still answers for one that crashed", async () => {
+    const scene = createScene();
+    scene.port = ProbeResult.Accepted;
+    scene.begin("a");
+    scene.detector.recordRemoval({ target: scene.listed, isRestarted: false });
+    await scene.clock.advance(settleMilliseconds);
+    assert.deepEqual(scene.crashes, []);
+});
+
+test("reports the calls at a target that is listed as started anew", async () => {
+    const scene = createScene();
+    scene.begin("a");
+    scene.detector.recordRemoval({ target: scene.listed, isRestarted: true });
+    await scene.clock.advance(settleMilliseconds);
+    assert.deepEqual(scene.crashes.map(({ fingerprints }) => fingerprints), [["a"]]);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -16,7 +16,14 @@
     /** Records each call to the store, so that entries that expire because of an outage are recognized. */
     recordStoreCall(isAnswered: boolean): void;
     /** Calls the listener once a target is removed or has restarted, so that all state about it can be discarded. */
-    onRemoved(listener: (targetId: string) => void): void;
+    onRemoved(listener: (targetId: string, removal: TargetRemoval) => void): void;
+}
+
+/** The last entry of a target that is no longer listed. */
+export interface TargetRemoval {
+    readonly target: ListedTarget;
+    /** Whether an entry of the next incarnation under the same name shows that this one has ended. */
+    readonly isRestarted: boolean;
 }
 
 /** What {@link createTargetList} needs. */
@@ -47,7 +54,7 @@
     const expired = new Map<string, number>();
     /** Keys whose entry can't be decoded; each is logged once, not at each heartbeat. */
     const unreadable = new Set<string>();
-    const removedListeners: ((targetId: string) => void)[] = [];
+    const removedListeners: ((targetId: string, removal: TargetRemoval) => void)[] = [];
     let openByService = new Map<string, ListedTarget[]>();
     let isKnown = false;
     let lastFailureAt = -Infinity;
@@ -73,14 +80,14 @@
         forget(key, "entry removed");
     };
 
-    const forget = (key: string, reason: string) => {
+    const forget = (key: string, reason: string, isRestarted = false) => {
         expired.delete(key);
         const target = entries.get(key);
         if (target) {
             entries.delete(key);
             targets.delete(target.targetId);
             eventLog.record(EventKind.TargetGone, { target: target.targetId, reason });
-            removedListeners.forEach(listener => listener(target.targetId));
+            removedListeners.forEach(listener => listener(target.targetId, { target, isRestarted }));
         }
     };
 
@@ -105,7 +112,7 @@
             return;
         }
         if (known && known.targetId !== target.targetId) {
-            forget(key, "restarted");
+            forget(key, "restarted", true);
         }
         // The snapshot may predate the start of leaving, so the target stays closed until it reports its state again.
         const isLeaving = target.isLeaving || isAfterRollback && known?.targetId === target.targetId && known.isLeaving;
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/__tests__/fingerprintCall.test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { fingerprintCall, type RepeatedFields } from "../fingerprintCall.js";
+
+function fingerprint(changes: Partial<RepeatedFields> = {}): string {
+    const fields = { callerAddress: "10.0.0.7", method: "POST", host: "shop.example", url: "/ask/1?n=2" };
+    return fingerprintCall({ ...fields, body: Buffer.from("text"), ...changes });
+}
+
+// Guards against attempts of one request that are not recognized as the same.
+test("is the same for the same caller, method, host, path and body", () => {
+    assert.equal(fingerprint(), fingerprint());
+    assert.match(fingerprint(), /^[\w-]{16}$/);
+});
+
+// Guards against a caller that keeps out the requests of others.
+test("differs if any of them differs, also where their texts joined are the same", () => {
+    const others = [
+        fingerprint({ callerAddress: "10.0.0.8" }),
+        fingerprint({ method: "GET" }),
+        fingerprint({ host: "shop.exampl", url: "e/ask/1?n=2" }),
+        fingerprint({ url: "/ask/1?n=3" }),
+        fingerprint({ body: Buffer.from("texts") }),
+        fingerprint({ url: "/ask/1?n=2\"]t", body: Buffer.from("ext") }),
+    ];
+    assert.equal(new Set([fingerprint(), ...others]).size, others.length + 1);
+});
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -3,12 +3,15 @@
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
+import { fingerprintCall } from "./fingerprintCall.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import type { RequestTrace } from "./requestTrace.js";
 
 /** A forwarded call that is being served, and the results of its attempts. */
 export interface CallContext {
     readonly call: ForwardedCall;
+    /** Returns the fingerprint of `call`, which is computed at the first use only. */
+    readonly fingerprint: () => string;
     readonly route: ForwardRoute;
     readonly service: ForwardService;
     /** Smallest target pause of the routes of the service, in milliseconds. */
@@ -34,8 +37,17 @@
 const minRetryMilliseconds = 30;
 
 /** Creates the context of a call before its first attempt. */
-export function createCallContext(start: Omit<CallContext, "history" | "avoid" | "attemptedTargets">): CallContext {
-    return { ...start, history: createFailureHistory(), avoid: new Set(), attemptedTargets: new Set() };
+export function createCallContext(
+    start: Omit<CallContext, "fingerprint" | "history" | "avoid" | "attemptedTargets">,
+): CallContext {
+    let fingerprint: string | undefined;
+    return {
+        ...start,
+        fingerprint: () => fingerprint ??= fingerprintCall(start.call),
+        history: createFailureHistory(),
+        avoid: new Set(),
+        attemptedTargets: new Set(),
+    };
 }
 
 /** Whether a call that may have run may be sent again; a stream is resumed after its last event. */
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -5,6 +5,7 @@
     CacheEstimates,
     CallPlacement,
     ClosedTargets,
+    CrashDetector,
     EventIntervals,
     ForwardingConfigurationManager,
     ForwardingMetrics,
@@ -34,6 +35,7 @@
     readonly eventIntervals: EventIntervals;
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
+    readonly crashDetector: CrashDetector;
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -11,7 +11,7 @@
 import { ConnectionPolicy } from "../../connection/target/createTargetConnections.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
-import { type CallCost, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
+import { type CallCost, RunEnd, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
 import { type CallContext } from "./callContext.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
@@ -61,6 +61,7 @@
     const chunks: Buffer[] = [];
     const work = loads.begin(target.targetId, attempt.cost);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
+    const endRun = parts.crashDetector.beginRun(target, context.fingerprint);
     const silenceWatch = watchSilence(clock, health, context.signal, target.targetId, attempt.isRepeatable);
 
     context.trace.record(EventKind.RequestDispatched, {
@@ -124,6 +125,7 @@
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
     recordEvidence(parts, context, target.targetId, outcome, silenceWatch.isSilent());
+    endRun(determineRunEnd(context, outcome, silenceWatch.isSilent()));
     return outcome;
 }
 
@@ -200,6 +202,16 @@
     }
 }
 
+function determineRunEnd(context: CallContext, outcome: Result<TargetReply, Failure>, isSilent: boolean): RunEnd {
+    if (isSilent) {
+        return RunEnd.Broken;
+    }
+    if (outcome.isOk || outcome.error.verdict === ExecutionVerdict.NotRun) {
+        return RunEnd.Settled;
+    }
+    return context.signal.aborted ? RunEnd.Abandoned : RunEnd.Broken;
+}
+
 interface SilenceWatch {
     readonly signal: AbortSignal;
     recordBytesReceived(): void;
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -41,6 +41,9 @@
     const answer = await runCall(parts, context);
     end();
     const failure = answer.isErr ? addRetryTime(parts, answer.error) : undefined;
+    if (failure?.reason === FailureReason.TargetFailed) {
+        trace.addSummaryFields({ fingerprint: context.fingerprint() });
+    }
     recordEnd(parts, trace, context, context.route.kind, failure, answer.unwrapOr(undefined));
     if (failure) {
         refuseCall(exchange, failure, parts.clock);
