Keep requests that end their targets out of all targets

Cause: nothing links the attempts of a request. Each has an identifier of its own, what a call did to its target is forgotten with the call, and no process tells another. Change: each process records which of its calls ran at a target that ended. Such records are a set of (fingerprint, target), so they may be lost, doubled and relayed; they go to all processes at once by way of the coordinators, and digests in the load and state messages show who lacks some, also one that has just started; the store is not needed. A request is listed after three ends, those within 200 ms of each other counting once, and then refused with 503 before placement and before each send. An answer to it refutes the evidence against it, so popular requests aboard every crash go on. Records last ten minutes, which is what Retry-After says.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,6 +8,7 @@
 /** The parts of `process/`. A part may import only parts that precede it in this list, so there are no cycles. */
 const processParts = [
     "peers",
+    "crashes",
     "store",
     "configuration",
     "targets",
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -2,6 +2,7 @@
 import {
     createCallPlacement,
     createCrashDetector,
+    createCrashEvidence,
     createForwardingConfigurationManager,
     createLeastRunningPlacement,
     createLongPrefillTimes,
@@ -63,6 +64,10 @@
         clock,
         eventLog,
     });
+    const crashEvidence = createCrashEvidence(clock, eventLog);
+    crashDetector.onCrash(({ targetId, endedAt, fingerprints }) =>
+        crashEvidence.recordCrash(targetId, endedAt, fingerprints)
+    );
     views.targets.onRemoved((targetId, removal) => crashDetector.recordRemoval(removal));
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
@@ -78,6 +83,7 @@
         sizeCounts: createSizeCounts(),
         sizeFairness,
         crashDetector,
+        crashEvidence,
         longPrefillTimes: createLongPrefillTimes(),
         switchedOff,
         sampledCalls,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -114,6 +114,7 @@
         channel: peerChannel.channel,
         views: parts,
         sizeFairness: parts.sizeFairness,
+        crashEvidence: parts.crashEvidence,
         decideLocally: request => decidePrompt(parts, request),
         findService: name => parts.configurationManager.current()?.configuration.services.get(name),
         maxStateAgeMilliseconds: () => applyLimitMilliseconds() * stateAgeFraction,
@@ -175,9 +176,8 @@
     };
 
     const startCoordination = () => {
-        const { signal } = background;
-        signal.addEventListener("abort", peerChannel.close);
-        coordination.run(signal);
+        background.signal.addEventListener("abort", peerChannel.close);
+        coordination.run(background.signal);
         startStageChanges({
             settings,
             adapters,
@@ -188,7 +188,7 @@
             clock,
             random,
             eventLog,
-            signal,
+            signal: background.signal,
         });
     };
 
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -51,6 +51,8 @@
     TargetAnswered = "target_answered",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
+    /** A request is kept out of targets, because several of them ended while they ran it. */
+    CallListed = "call_listed",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn-utils/src/failure.ts
+++ b/packages/daisyturn-utils/src/failure.ts
@@ -16,6 +16,8 @@
     NoTarget = "no_target",
     TargetRefused = "target_refused",
     TargetFailed = "target_failed",
+    /** Several targets ended while they ran the same request. */
+    CrashesTargets = "crashes_targets",
     StreamBroken = "stream_broken",
     Cancelled = "cancelled",
     StoreUnavailable = "store_unavailable",
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -14,6 +14,7 @@
 export * from "./ports/storeEra.js";
 export * from "./ports/storePosition.js";
 export * from "./ports/tableService.js";
+export * from "./process/crashes/index.js";
 export * from "./process/forwarding/index.js";
 export * from "./process/lease/index.js";
 export type { ProcessIdentity } from "./process/peers/index.js";
--- a/packages/daisyturn/src/index.ts
+++ b/packages/daisyturn/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./process/admission/index.js";
 export * from "./process/claims/index.js";
 export * from "./process/configuration/index.js";
+export * from "./process/crashes/index.js";
 export * from "./process/health/index.js";
 export * from "./process/lease/index.js";
 export * from "./process/load/index.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
@@ -0,0 +1,143 @@
+import { createSeededRandom, EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { type CrashEvidence, createCrashEvidence, evidenceLifetimeMilliseconds } from "../createCrashEvidence.js";
+
+const secondMilliseconds = 1_000;
+
+function createScene() {
+    const clock = new FakeClock();
+    const eventLog = new MemoryEventLog();
+    const evidence = createCrashEvidence(clock, eventLog);
+    /** Records that targets ended one second after the other while these calls ran there. */
+    const crash = async (targetIds: readonly string[], fingerprints: readonly string[] = ["bad"]) => {
+        for (const targetId of targetIds) {
+            evidence.recordCrash(targetId, clock.monotonicNow(), fingerprints);
+            await clock.advance(secondMilliseconds);
+        }
+    };
+    return { clock, eventLog, evidence, crash };
+}
+
+function isListed(evidence: CrashEvidence, fingerprint = "bad"): boolean {
+    return evidence.findListed(fingerprint) !== undefined;
+}
+
+describe("evidence on requests that end their targets", () => {
+    it("lists a request once three targets have ended under it, and says until when", async () => {
+        const { evidence, crash, eventLog } = createScene();
+        await crash(["t1", "t2"]);
+        assert.equal(isListed(evidence), false);
+        await crash(["t3"], ["bad", "fresh"]);
+        assert.deepEqual(evidence.findListed("bad"), {
+            targetIds: ["t1", "t2", "t3"],
+            until: evidenceLifetimeMilliseconds,
+        });
+        assert.equal(isListed(evidence, "fresh"), false);
+        assert.deepEqual(eventLog.of(EventKind.CallListed).map(({ fields }) => fields), [
+            { fingerprint: "bad", targets: "t1,t2,t3" },
+        ]);
+    });
+
+    // Guards against one end that counts several times, because several processes had the same call there.
+    it("counts the end of a target once, whoever reports it and how often", async () => {
+        const { evidence, crash } = createScene();
+        await crash(["t1", "t1", "t2"]);
+        const records = evidence.list();
+        evidence.recordRemote(records);
+        evidence.recordRemote(records.map(record => ({ ...record, age: record.age + 400 })));
+        assert.equal(isListed(evidence), false);
+        assert.equal(evidence.list().length, 2);
+    });
+
+    // Guards against a popular request that is kept out because it runs at nearly every target that ends.
+    it("lists no request that is answered between the ends", async () => {
+        const { evidence, crash } = createScene();
+        for (const targetId of ["t1", "t2", "t3", "t4", "t5", "t6"]) {
+            await crash([targetId], ["bad", "popular"]);
+            evidence.recordAnswer("popular");
+        }
+        assert.equal(isListed(evidence, "popular"), false);
+        assert.equal(isListed(evidence), true);
+    });
+
+    it("lists no request that another process has seen answered, and accepts no older evidence against it", async () => {
+        const { evidence, crash, clock } = createScene();
+        const other = createCrashEvidence(clock, new MemoryEventLog());
+        await crash(["t1", "t2", "t3"]);
+        const accusing = evidence.list();
+        other.recordRemote(accusing);
+        other.recordAnswer("bad");
+        evidence.recordRemote(other.list());
+        evidence.recordRemote(accusing);
+        assert.equal(isListed(evidence), false);
+        await crash(["t4", "t5", "t6"]);
+        assert.equal(isListed(evidence), true, "evidence from after the answer counts");
+    });
+
+    // Guards against popular requests that are kept out because a rack fails.
+    it("counts targets that end at the same time once", async () => {
+        const { evidence, clock, crash } = createScene();
+        ["t1", "t2", "t3", "t4"].forEach((targetId, index) => evidence.recordCrash(targetId, index * 50, ["bad"]));
+        await clock.advance(secondMilliseconds);
+        assert.equal(isListed(evidence), false);
+        await crash(["t5", "t6"]);
+        assert.equal(isListed(evidence), true);
+    });
+
+    it("lets a request run again once its evidence has expired, also evidence of other processes", async () => {
+        const { evidence, clock, crash } = createScene();
+        await crash(["t1", "t2", "t3"]);
+        const other = createCrashEvidence(clock, new MemoryEventLog());
+        await clock.advance(evidenceLifetimeMilliseconds - 10 * secondMilliseconds);
+        other.recordRemote(evidence.list());
+        assert.equal(isListed(other), true);
+        await clock.advance(8 * secondMilliseconds);
+        assert.equal(isListed(evidence), false);
+        assert.equal(isListed(other), false);
+        await clock.advance(5 * secondMilliseconds);
+        assert.equal(evidence.digest(), 0);
+        assert.equal(evidence.isEmpty(), true);
+    });
+
+    it("has the same digest wherever the same records arrive, in whatever order", async () => {
+        const { evidence, clock, crash } = createScene();
+        await crash(["t1", "t2", "t3"], ["bad", "popular"]);
+        evidence.recordAnswer("popular");
+        const random = createSeededRandom(7);
+        for (let round = 0; round < 20; round++) {
+            const other = createCrashEvidence(clock, new MemoryEventLog());
+            const records = evidence.list().flatMap(record => [record, { ...record, isRefuted: false }]);
+            const shuffled = records.map(record => ({ record, key: random.fraction() }))
+                .sort((left, right) => left.key - right.key);
+            shuffled.forEach(({ record }) => other.recordRemote([record]));
+            assert.equal(other.digest(), evidence.digest());
+        }
+        assert.notEqual(evidence.digest(), 0);
+    });
+
+    it("keeps a bounded number of records, the newest", () => {
+        const { evidence } = createScene();
+        for (let number = 0; number < 5_000; number++) {
+            evidence.recordCrash("t1", 0, [`call-${number}`]);
+        }
+        const records = evidence.list();
+        assert.equal(records.length, 2_048);
+        assert.equal(records.at(-1)?.fingerprint, "call-4999");
+    });
+
+    it("tells its listeners only what is new", async () => {
+        const { evidence, crash } = createScene();
+        const told: string[] = [];
+        evidence.onChanged((records, source) =>
+            records.forEach(({ targetId, isRefuted }) => told.push(`${targetId} ${isRefuted} ${source ?? "own"}`))
+        );
+        await crash(["t1", "t1"]);
+        const records = evidence.list();
+        evidence.recordRemote(records, "peer");
+        evidence.recordRemote([...records, { fingerprint: "bad", targetId: "t2", age: 5, isRefuted: false }], "peer");
+        evidence.recordAnswer("bad");
+        evidence.recordAnswer("bad");
+        assert.deepEqual(told, ["t1 false own", "t2 false peer", "t1 true own", "t2 true own"]);
+    });
+});
--- /dev/null
+++ b/packages/daisyturn/src/process/crashes/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Evidence on requests that end the targets that run them.
+ *
+ * @module
+ */
+
+export * from "./createCrashEvidence.js";
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -2,6 +2,7 @@
 import { ok, type Result } from "true-myth/result";
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../../ports/peerRegistry.js";
+import { createCrashEvidence } from "../../../crashes/index.js";
 import { engineService } from "../../__fixtures__/placementBench.js";
 import { createLongPrefillTimes } from "../../limits/createLongPrefillTimes.js";
 import { createSizeFairness } from "../../limits/createSizeFairness.js";
@@ -77,6 +78,7 @@
         const views = createTargetViews((...[, text]) => JSON.parse(text) as ListedTarget, clock, eventLog);
         views.targets.replace(createEngines(zones, enginesPerZone));
         const sizeFairness = createSizeFairness();
+        const crashEvidence = createCrashEvidence(clock, eventLog);
         const switchedOff = new Set<never>();
         const placement = createCallPlacement({
             ...views,
@@ -91,6 +93,7 @@
             channel: new LocalChannel(),
             views,
             sizeFairness,
+            crashEvidence,
             decideLocally: request => decidePrompt({ placement, longPrefillTimes, switchedOff }, request),
             findService: () => engineService,
             maxStateAgeMilliseconds: () => maxStateAgeMilliseconds,
@@ -100,7 +103,7 @@
         const ended = new AbortController();
         stop.signal.addEventListener("abort", () => ended.abort());
         coordination.run(ended.signal);
-        return { self, ...views, coordination, eventLog, sizeFairness, end: () => ended.abort() };
+        return { self, ...views, coordination, eventLog, sizeFairness, crashEvidence, end: () => ended.abort() };
     };
 
     const processes = peers.map(start);
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -2,11 +2,13 @@
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
+import type { CrashEvidence } from "../../crashes/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
 import { createCoordinatorLink } from "./createCoordinatorLink.js";
+import { createEvidencePublisher } from "./createEvidencePublisher.js";
 import { createGroupLoadPublisher, groupReportMilliseconds } from "./createGroupLoadPublisher.js";
 import { createLoadPublisher } from "./createLoadPublisher.js";
 import { createMembers } from "./createMembers.js";
@@ -15,6 +17,7 @@
 import { createRelayedTables, type RelayedTable } from "./createRelayedTables.js";
 import { createStatePublisher } from "./createStatePublisher.js";
 import { createTableReader, type TableReader } from "./createTableReader.js";
+import { readEvidence } from "./messages/evidenceMessage.js";
 import { type LoadMessage, readLoadMessage } from "./messages/loadMessage.js";
 import { type Notification, parseNotification } from "./messages/notification.js";
 import { encodePlacementAnswer, readPlacementAnswer, readPlacementRequest } from "./messages/placementMessages.js";
@@ -29,6 +32,7 @@
     readonly channel: DatagramChannel;
     readonly views: TargetViews;
     readonly sizeFairness: SizeFairness;
+    readonly crashEvidence: CrashEvidence;
     /** Decides with the information of this process alone. */
     readonly decideLocally: (request: DecisionRequest) => PromptDecision | undefined;
     readonly findService: (name: string) => ForwardService | undefined;
@@ -73,7 +77,7 @@
 
 /** Creates the participation of one process in its group. Nothing is sent before `run` is called. */
 export function coordinate(options: CoordinationOptions): Coordination {
-    const { self, channel, views, sizeFairness, clock, eventLog, maxStateAgeMilliseconds } = options;
+    const { self, channel, views, sizeFairness, crashEvidence, clock, eventLog, maxStateAgeMilliseconds } = options;
     const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, targets, health } = views;
     const send = (to: PeerAddress, datagram: Buffer) => channel.send(to, datagram);
     const link = createCoordinatorLink({ self, clock, eventLog });
@@ -81,26 +85,11 @@
     const reader = createTableReader(clock);
     const tables = createRelayedTables({ clock, maxStateAgeMilliseconds, isReader: link.isCandidate });
     const client = createPlacementClient({ selfId: self.peerId, send, link, clock });
-    const loadPublisher = createLoadPublisher({
-        selfId: self.peerId,
-        views,
-        sizeFairness,
-        link,
-        lastReceived: client.lastReceived,
-        send,
-        clock,
-    });
-    const groupLoadPublisher = createGroupLoadPublisher({ selfId: self.peerId, views, link, send, clock });
-    const statePublisher = createStatePublisher({
-        selfId: self.peerId,
-        members,
-        link,
-        reader,
-        closed,
-        maxStateAgeMilliseconds,
-        send,
-        clock,
-    });
+    const shared = { selfId: self.peerId, link, evidence: crashEvidence, send, clock };
+    const loadPublisher = createLoadPublisher({ ...shared, views, sizeFairness, lastReceived: client.lastReceived });
+    const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views });
+    const evidencePublisher = createEvidencePublisher({ ...shared, members });
+    const statePublisher = createStatePublisher({ ...shared, members, reader, closed, maxStateAgeMilliseconds });
     /** Monotonic time of the last message from each coordinator of another group. */
     const otherCoordinators = new Map<string, number>();
 
@@ -136,6 +125,7 @@
     });
 
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
+        evidencePublisher.compareDigest(message.from, from, message.evidence);
         closed.applyRemote(message.closed);
         health.recordFailing(message.failing, message.isGroup);
         message.kept.forEach(([targetId, partId, tokens]) => caches.recordRemote(targetId, partId, tokens));
@@ -158,7 +148,8 @@
         }
     };
 
-    const applyState = (state: CoordinatorState) => {
+    const applyState = (state: CoordinatorState, from: PeerAddress) => {
+        evidencePublisher.compareDigest(state.from, from, state.evidence);
         link.recordContact(state.from, state.isAnswering);
         link.addPeers(state.candidates);
         closed.applyRemote(state.closed);
@@ -174,6 +165,7 @@
         const load = readLoadMessage(notification);
         const state = readCoordinatorState(notification);
         const rows = readRowsMessage(notification);
+        const evidence = readEvidence(notification);
         if (request) {
             send(from, encodePlacementAnswer(placementServer.answer(request)));
         }
@@ -184,11 +176,14 @@
             applyLoad(load, from);
         }
         if (state && isRegistered(state.from, from)) {
-            applyState(state);
+            applyState(state, from);
         }
         if (rows && isRegistered(rows.from, from)) {
             tables.applyRows(rows);
         }
+        if (evidence && (isRegistered(evidence.from, from) || members.has(evidence.from, from.host))) {
+            evidencePublisher.receive(evidence, from);
+        }
     };
 
     const isCoordinator = () => link.current()?.peerId === self.peerId;
@@ -217,6 +212,7 @@
             void loadPublisher.run(signal);
             void groupLoadPublisher.run(signal);
             void statePublisher.run(signal);
+            void evidencePublisher.run(signal);
         },
         refreshEntry: () => {
             refreshRequest.isPending = true;
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -1,4 +1,5 @@
 import { type Clock, createSignal } from "daisyturn-utils";
+import type { CrashEvidence } from "../../crashes/index.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import { encodeLoadMessage, type LoadMessage } from "./messages/loadMessage.js";
@@ -9,6 +10,7 @@
     readonly selfId: string;
     readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
+    readonly evidence: Pick<CrashEvidence, "digest">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
     readonly clock: Clock;
 }
@@ -26,7 +28,7 @@
 
 /** Creates the publisher of one process, which sends only while the process coordinates its group. */
 export function createGroupLoadPublisher(
-    { selfId, views, link, send, clock }: GroupLoadPublisherOptions,
+    { selfId, views, link, evidence, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
     const { loads, health, caches, demand, closed } = views;
     let kept: LoadMessage["kept"][number][] = [];
@@ -52,6 +54,7 @@
         prefills: [],
         pauses: [],
         ended: [],
+        evidence: evidence.digest(),
     });
 
     /**
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
@@ -1,5 +1,6 @@
 import { type Clock, createSignal } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
+import type { CrashEvidence } from "../../crashes/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
@@ -17,6 +18,7 @@
     readonly link: Pick<CoordinatorLink, "listReportReceivers" | "current" | "isSilent">;
     /** Returns the number of the last placement received from a coordinator. */
     readonly lastReceived: (peerId: string) => number;
+    readonly evidence: Pick<CrashEvidence, "digest">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
     readonly clock: Clock;
 }
@@ -44,7 +46,7 @@
 const noUpdates: Updates = { kept: [], paces: [], prefills: [], pauses: [], ended: [] };
 
 export function createLoadPublisher(options: LoadPublisherOptions): LoadPublisher {
-    const { selfId, views, sizeFairness, link, clock } = options;
+    const { selfId, views, sizeFairness, link, evidence, clock } = options;
     const { loads, health, caches, demand, closed, slowdowns, prefillRates, eventIntervals } = views;
     const changed = createSignal();
     const unsent = new Map<string, Updates>();
@@ -94,6 +96,7 @@
                 demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)] as const),
                 closed: closed.listOwn(),
                 failing: health.listOwnFailing(),
+                evidence: evidence.digest(),
                 ...updates,
             }),
         );
--- a/packages/daisyturn/src/process/forwarding/coordination/createMembers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createMembers.ts
@@ -6,6 +6,8 @@
     /** Records a load report. @returns whether the process is new, or its previous report has expired */
     record(peerId: string, address: PeerAddress): boolean;
     list(): readonly PeerAddress[];
+    /** Whether a process reports to this one from the given host. */
+    has(peerId: string, host: string): boolean;
     /** Whether all members have had enough time to report. */
     isComplete(): boolean;
 }
@@ -46,6 +48,7 @@
             removeExpired();
             return [...members.values()].map(({ address }) => address);
         },
+        has: (peerId, host) => members.get(peerId)?.address.host === host,
         isComplete: () => since !== undefined && clock.monotonicNow() - since >= completeMilliseconds,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
@@ -1,4 +1,5 @@
 import { type Clock, createSignal } from "daisyturn-utils";
+import type { CrashEvidence } from "../../crashes/index.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import type { Members } from "./createMembers.js";
@@ -13,6 +14,7 @@
     readonly link: Pick<CoordinatorLink, "isCandidate" | "listCandidates">;
     readonly reader: TableReader;
     readonly closed: ClosedTargets;
+    readonly evidence: Pick<CrashEvidence, "digest">;
     /** Members use a state report of a table for up to this time after the store last answered. */
     readonly maxStateAgeMilliseconds: () => number;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
@@ -40,7 +42,7 @@
 const maxRowsBytes = 16_384;
 
 export function createStatePublisher(options: StatePublisherOptions): StatePublisher {
-    const { selfId, members, link, reader, closed, send, clock } = options;
+    const { selfId, members, link, reader, closed, evidence, send, clock } = options;
     const changed = createSignal();
     let isStopping = false;
     closed.onChanged(changed.raise);
@@ -52,6 +54,7 @@
             tables: link.isCandidate() ? reader.listStates() : [],
             closed: closed.listKnown(),
             candidates: link.listCandidates(),
+            evidence: evidence.digest(),
         });
 
     const publishAll = () => {
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -18,6 +18,7 @@
     prefills: [["engines", 9_000, 4_000, 190]],
     pauses: [["engines", 48]],
     ended: [["ask", 17_000, true]],
+    evidence: 4_294_967_299,
 };
 
 function parseLoadMessage(datagram: Buffer): LoadMessage | undefined {
@@ -97,6 +98,7 @@
         "paces",
         "pauses",
         "ended",
+        "evidence",
     );
     const checkAmounts = (value: unknown): void => {
         if (typeof value === "number") {
@@ -110,7 +112,8 @@
         fastCheck.property(field, fastCheck.jsonValue(), (name, value) => {
             const read = parse({ ...createParams(), [name]: value });
             assert.ok((read?.placed ?? 0) >= 0 && (read?.placed ?? 0) <= 1e15);
-            checkAmounts({ ...read, placed: 0, closed: read?.closed.map(({ closings }) => closings) });
+            assert.ok((read?.evidence ?? 0) >= 0 && (read?.evidence ?? 0) <= 1e15);
+            checkAmounts({ ...read, placed: 0, evidence: 0, closed: read?.closed.map(({ closings }) => closings) });
             read?.closed.forEach(({ revision }) => assert.ok(revision >= 0 && revision <= 1e15));
         }),
         { seed: 7, numRuns: 1_000 },
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -15,6 +15,7 @@
     readAmount,
     readList,
     readName,
+    readOptionalAmount,
     readOrUndefined,
 } from "./notification.js";
 
@@ -48,6 +49,8 @@
     readonly pauses: readonly EventIntervalObservation[];
     /** Prompts that have ended since the last message. */
     readonly ended: readonly EndedPrompt[];
+    /** `CrashEvidence.digest` of the sender; absent if its version does not send it. */
+    readonly evidence?: number;
 }
 
 /** Target, calls, milliseconds of work, milliseconds of deferred work, tokens. */
@@ -99,6 +102,7 @@
         prefills: readList(params["prefills"] ?? [], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
+        evidence: readOptionalAmount(params["evidence"]),
     };
 }
 
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -36,6 +36,8 @@
     readonly closed: readonly ClosingList[];
     /** The first processes in the ranking of the group's coordinators. */
     readonly candidates: readonly RegisteredPeer[];
+    /** `CrashEvidence.digest` of the sender; absent if its version does not send it. */
+    readonly evidence?: number;
 }
 
 /** Rows of a table that changed after `afterVersion` of the store, up to `version`. */
@@ -114,6 +116,7 @@
             availabilityZone,
             strength,
         })),
+        evidence: readOptionalAmount(params["evidence"]),
     };
 }
 
--- a/packages/daisyturn/src/request/answer/answer.ts
+++ b/packages/daisyturn/src/request/answer/answer.ts
@@ -20,6 +20,7 @@
     [FailureReason.TargetFailed]: 502,
     [FailureReason.StreamBroken]: 502,
     [FailureReason.OutcomeUnknown]: 502,
+    [FailureReason.CrashesTargets]: 503,
     [FailureReason.Overloaded]: 503,
     [FailureReason.DeadlineUnreachable]: 503,
     [FailureReason.NoTarget]: 503,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import type { TargetConnections } from "../../connection/target/createTargetConnections.js";
 import type { TargetProtocol } from "../../ports/forwardedCall.js";
+import type { CrashEvidence } from "../../process/crashes/index.js";
 import type {
     CacheEstimates,
     CallPlacement,
@@ -36,6 +37,7 @@
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
     readonly crashDetector: CrashDetector;
+    readonly crashEvidence: CrashEvidence;
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -13,6 +13,7 @@
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import { type CallCost, RunEnd, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
 import { type CallContext } from "./callContext.js";
+import { checkListed, recordAnswer } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
 /** One attempt to have a target run a call. */
@@ -57,6 +58,10 @@
     if (!parts.targets.isOpen(target.targetId) || parts.closed.isClosed(target.targetId)) {
         return err(notRun(FailureReason.NoTarget, "The chosen target has just stopped taking new work."));
     }
+    const listed = checkListed(parts, context);
+    if (listed.isErr) {
+        return err(listed.error);
+    }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const chunks: Buffer[] = [];
     const work = loads.begin(target.targetId, attempt.cost);
@@ -125,6 +130,9 @@
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
     recordEvidence(parts, context, target.targetId, outcome, silenceWatch.isSilent());
+    if (outcome.isOk && !attempt.terms.prefillOnly && outcome.value.head.status < minErrorStatus) {
+        recordAnswer(parts, context);
+    }
     endRun(determineRunEnd(context, outcome, silenceWatch.isSilent()));
     return outcome;
 }
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -6,6 +6,7 @@
 import { chooseService } from "../../version/forwarding/createRouteTable.js";
 import { startRequestLifetime } from "../requestLifetime.js";
 import { type CallContext, createCallContext } from "./callContext.js";
+import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { refuseCall } from "./refuseCall.js";
 import { createRequestTrace, type RequestTrace } from "./requestTrace.js";
@@ -41,7 +42,7 @@
     const answer = await runCall(parts, context);
     end();
     const failure = answer.isErr ? addRetryTime(parts, answer.error) : undefined;
-    if (failure?.reason === FailureReason.TargetFailed) {
+    if (failure?.reason === FailureReason.TargetFailed || failure?.reason === FailureReason.CrashesTargets) {
         trace.addSummaryFields({ fingerprint: context.fingerprint() });
     }
     recordEnd(parts, trace, context, context.route.kind, failure, answer.unwrapOr(undefined));
@@ -105,6 +106,10 @@
 }
 
 async function runCall(parts: ForwardingParts, context: CallContext): Promise<Result<Answer, Failure>> {
+    const listed = checkListed(parts, context);
+    if (listed.isErr) {
+        return err(listed.error);
+    }
     const { prompt } = context.call;
     const answer = prompt && context.service.engine
         ? await runPromptCall(parts, context, prompt)
