Recognize a request that comes from different addresses

Cause: the fingerprint had the address of the connection, which is not the caller: the attempts came by way of entries in all three zones, so from several addresses, and each address was allowed three ends. Change: the fingerprint covers method, host, path, body and the credentials of the caller, and no address.

--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -120,7 +120,6 @@
         }
         await options.serve({
             ...described.value,
-            callerAddress: incoming.socket.remoteAddress ?? "",
             method: incoming.method ?? "GET",
             host: stripPort(incoming.headers.host ?? ""),
             url: incoming.url ?? "/",
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -36,8 +36,6 @@
 
 /** A caller's complete request. */
 export interface ForwardedCall extends CallDescription {
-    /** IP address of the connection on which the call arrived. */
-    readonly callerAddress: string;
     readonly method: string;
     readonly host: string;
     /** The request target as the caller sent it, with its query. */
