Count the ends under one attempt, and ends of unknown time, for what they are

Cause: ends within 200 ms of each other counted once, since a rack that fails ends many targets under a popular call. But an attempt that is repeated at the next target at once ends two within 30 to 90 ms, and its caller's retry a third one. Change: a record tells how many targets had failed the same attempt (an attempt is at one target at a time, so these ends are separate), and by how much a target may have ended earlier than was noticed: one that goes dark is noticed when its entry expires, so the entries of a dark rack that expire one by one count once. Ends that may be less than 100 ms apart count once. createCrashGuard joins the detector and the evidence for all who send calls.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -1,8 +1,9 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import {
+    type CrashEvidence,
     createCallPlacement,
-    createCrashDetector,
     createCrashEvidence,
+    createCrashGuard,
     createForwardingConfigurationManager,
     createLeastRunningPlacement,
     createLongPrefillTimes,
@@ -40,6 +41,7 @@
 export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions"> {
     readonly configurationManager: ForwardingConfigurationManager;
     readonly targets: TargetList;
+    readonly crashEvidence: CrashEvidence;
 }
 
 /** Creates the parts that a forwarded call passes through. */
@@ -58,17 +60,15 @@
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
-    const crashDetector = createCrashDetector({
+    const crashEvidence = createCrashEvidence(clock, eventLog);
+    const crashGuard = createCrashGuard({
+        evidence: crashEvidence,
         probe: probeAddress,
-        findTarget: views.targets.find,
+        isExpected: views.targets.isOpen,
         clock,
         eventLog,
     });
-    const crashEvidence = createCrashEvidence(clock, eventLog);
-    crashDetector.onCrash(({ targetId, endedAt, fingerprints }) =>
-        crashEvidence.recordCrash(targetId, endedAt, fingerprints)
-    );
-    views.targets.onRemoved((targetId, removal) => crashDetector.recordRemoval(removal));
+    views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
@@ -82,8 +82,8 @@
         metrics,
         sizeCounts: createSizeCounts(),
         sizeFairness,
-        crashDetector,
         crashEvidence,
+        crashGuard,
         longPrefillTimes: createLongPrefillTimes(),
         switchedOff,
         sampledCalls,
--- a/packages/daisyturn/src/ports/listedTarget.ts
+++ b/packages/daisyturn/src/ports/listedTarget.ts
@@ -25,3 +25,10 @@
     /** Absent if the target runs both stages or is not an engine. */
     readonly stage?: EngineStage;
 }
+
+/** The last entry of a target that is no longer listed. */
+export interface TargetRemoval {
+    readonly target: ListedTarget;
+    /** Whether an entry of the next incarnation under the same name shows that this one has ended. */
+    readonly isRestarted: boolean;
+}
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createCrashDetector.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
@@ -1,9 +1,11 @@
 import { EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ProbeResult } from "../../../../connection/target/probeAddress.js";
-import type { ListedTarget } from "../../../../ports/listedTarget.js";
-import { createCrashDetector, RunEnd, type TargetCrash } from "../createCrashDetector.js";
+import { ProbeResult } from "../../../connection/target/probeAddress.js";
+import type { ListedTarget } from "../../../ports/listedTarget.js";
+import { createCrashDetector, RunEnd } from "../createCrashDetector.js";
+import type { RecordedCrash } from "../createCrashEvidence.js";
+import type { GuardedCall } from "../guardedCall.js";
 
 const probeMilliseconds = 3;
 /** Longer than all probes of one suspicion. */
@@ -22,11 +24,19 @@
     };
 }
 
+function createCall(name: string): GuardedCall {
+    return { fingerprint: () => name, brokenRuns: 0 };
+}
+
+function namesOf({ calls }: RecordedCrash): string[] {
+    return calls.map(({ fingerprint }) => fingerprint);
+}
+
 /** A detector whose probes find what `scene.port` says, and the crashes that it reports. */
 function createScene() {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
-    const crashes: TargetCrash[] = [];
+    const crashes: RecordedCrash[] = [];
     const scene = { clock, eventLog, crashes, port: ProbeResult.Refused, listed: createTarget(), probes: 0 };
     const detector = createCrashDetector({
         probe: async () => {
@@ -34,12 +44,15 @@
             await clock.sleepUntil(clock.monotonicNow() + probeMilliseconds);
             return scene.port;
         },
-        findTarget: targetId => targetId === scene.listed.targetId ? scene.listed : undefined,
+        isExpected: targetId => targetId === scene.listed.targetId && !scene.listed.isLeaving,
         clock,
         eventLog,
     });
     detector.onCrash(crash => crashes.push(crash));
-    return Object.assign(scene, { detector, begin: (name: string) => detector.beginRun(scene.listed, () => name) });
+    return Object.assign(scene, {
+        detector,
+        begin: (name: string) => detector.beginRun(scene.listed, createCall(name)),
+    });
 }
 
 // Guards against a crash of which only the calls whose connections broke first are known.
@@ -47,13 +60,13 @@
     const { clock, crashes, begin, eventLog } = createScene();
     const [endFirst, endAbandoned, endAnswered] = ["first", "abandoned", "answered"].map(begin);
     begin("running");
-    endAnswered?.(RunEnd.Settled);
+    endAnswered?.(RunEnd.Answered);
     endAbandoned?.(RunEnd.Abandoned);
     await clock.advance(100);
     endFirst?.(RunEnd.Broken);
     await clock.advance(settleMilliseconds);
-    assert.deepEqual(crashes.map(({ fingerprints }) => [...fingerprints].sort()), [["abandoned", "first", "running"]]);
-    assert.equal(crashes[0]?.endedAt, 100);
+    assert.deepEqual(crashes.map(crash => namesOf(crash).sort()), [["abandoned", "first", "running"]]);
+    assert.deepEqual([crashes[0]?.endedAt, crashes[0]?.uncertainty], [100, 0]);
     assert.equal(eventLog.of(EventKind.TargetEnded).length, 1);
 });
 
@@ -82,11 +95,15 @@
 test("reports the calls at a target whose entry expires while nothing answers at its address", async () => {
     const scene = createScene();
     scene.port = ProbeResult.Unknown;
+    scene.begin("answered")(RunEnd.Answered);
+    await scene.clock.advance(2_000);
     scene.begin("waiting");
     scene.begin("given up")(RunEnd.Abandoned);
     scene.detector.recordRemoval({ target: scene.listed, isRestarted: false });
     await scene.clock.advance(settleMilliseconds);
-    assert.deepEqual(scene.crashes.map(({ fingerprints }) => fingerprints), [["waiting", "given up"]]);
+    assert.deepEqual(scene.crashes.map(namesOf), [["waiting", "given up"]]);
+    const { endedAt = 0, uncertainty = 0 } = scene.crashes[0] ?? {};
+    assert.equal(endedAt - uncertainty, 0, "it may have ended right after its last answer");
 });
 
 test("does not take a target that is removed and still answers for one that crashed", async () => {
@@ -103,5 +120,29 @@
     scene.begin("a");
     scene.detector.recordRemoval({ target: scene.listed, isRestarted: true });
     await scene.clock.advance(settleMilliseconds);
-    assert.deepEqual(scene.crashes.map(({ fingerprints }) => fingerprints), [["a"]]);
+    assert.deepEqual(scene.crashes.map(namesOf), [["a"]]);
+});
+
+// Guards against a target that keeps its name over restarts and counts as ended only once.
+test("reports each crash of a target that starts again under the same name", async () => {
+    const scene = createScene();
+    for (const name of ["a", "b"]) {
+        scene.begin(name)(RunEnd.Broken);
+        await scene.clock.advance(settleMilliseconds);
+    }
+    assert.deepEqual(scene.crashes.map(namesOf), [["a"], ["b"]]);
+});
+
+// Guards against one attempt whose ends, close to each other, count as one.
+test("counts how many targets have failed the same attempt", async () => {
+    const scene = createScene();
+    const call = createCall("a");
+    for (let run = 0; run < 2; run++) {
+        scene.detector.beginRun(scene.listed, call)(RunEnd.Broken);
+        await scene.clock.advance(settleMilliseconds);
+    }
+    assert.deepEqual(scene.crashes.flatMap(({ calls }) => calls), [
+        { fingerprint: "a", chain: 1 },
+        { fingerprint: "a", chain: 2 },
+    ]);
 });
--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
@@ -1,22 +1,34 @@
 import { createSeededRandom, EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type CrashEvidence, createCrashEvidence, evidenceLifetimeMilliseconds } from "../createCrashEvidence.js";
+import {
+    type CrashEvidence,
+    type CrashRecord,
+    createCrashEvidence,
+    evidenceLifetimeMilliseconds,
+} from "../createCrashEvidence.js";
 
 const secondMilliseconds = 1_000;
 
+type Changes = Partial<Pick<CrashRecord, "uncertainty" | "chain">>;
+
 function createScene() {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
     const evidence = createCrashEvidence(clock, eventLog);
+    const record = (targetId: string, endedAt: number, fingerprints: readonly string[], changes: Changes = {}) => {
+        const { uncertainty = 0, chain = 1 } = changes;
+        const calls = fingerprints.map(fingerprint => ({ fingerprint, chain }));
+        evidence.recordCrash({ targetId, endedAt, uncertainty, calls });
+    };
     /** Records that targets ended one second after the other while these calls ran there. */
     const crash = async (targetIds: readonly string[], fingerprints: readonly string[] = ["bad"]) => {
         for (const targetId of targetIds) {
-            evidence.recordCrash(targetId, clock.monotonicNow(), fingerprints);
+            record(targetId, clock.monotonicNow(), fingerprints);
             await clock.advance(secondMilliseconds);
         }
     };
-    return { clock, eventLog, evidence, crash };
+    return { clock, eventLog, evidence, record, crash };
 }
 
 function isListed(evidence: CrashEvidence, fingerprint = "bad"): boolean {
@@ -77,14 +89,50 @@
 
     // Guards against popular requests that are kept out because a rack fails.
     it("counts targets that end at the same time once", async () => {
-        const { evidence, clock, crash } = createScene();
-        ["t1", "t2", "t3", "t4"].forEach((targetId, index) => evidence.recordCrash(targetId, index * 50, ["bad"]));
+        const { evidence, clock, crash, record } = createScene();
+        ["t1", "t2", "t3", "t4"].forEach((targetId, index) => record(targetId, index * 30, ["bad"]));
         await clock.advance(secondMilliseconds);
         assert.equal(isListed(evidence), false);
         await crash(["t5", "t6"]);
         assert.equal(isListed(evidence), true);
     });
 
+    // Guards against popular requests that are kept out because a zone goes dark, whose entries expire one by one.
+    it("counts targets once that may have ended at the same time", async () => {
+        const { evidence, clock, record } = createScene();
+        await clock.advance(10_000);
+        const uncertainty = 3_500;
+        [7_600, 8_100, 8_900, 9_700].forEach((at, index) => record(`t${index}`, at, ["bad"], { uncertainty }));
+        assert.equal(isListed(evidence), false);
+        record("t5", 10_000, ["bad"]);
+        assert.equal(isListed(evidence), false);
+    });
+
+    // Guards against an attempt that ends a target every few milliseconds, whose ends count as one.
+    it("counts the ends that one attempt ran into, however close they are", () => {
+        const { evidence, record } = createScene();
+        record("t1", 0, ["bad"]);
+        record("t2", 20, ["bad"], { chain: 2 });
+        assert.equal(isListed(evidence), false);
+        record("t3", 40, ["bad"], { chain: 3 });
+        assert.equal(isListed(evidence), true);
+    });
+
+    it("counts close ends of two attempts that ran into two targets each", () => {
+        const { evidence, record } = createScene();
+        record("t1", 0, ["bad"]);
+        record("t2", 20, ["bad"], { chain: 2 });
+        record("t3", 1_000, ["bad"]);
+        assert.equal(isListed(evidence), true);
+    });
+
+    it("counts an end only once for an attempt whose earlier end lies further back", async () => {
+        const { evidence, record } = createScene();
+        record("t1", 0, ["bad"]);
+        record("t2", 1_000, ["bad"], { chain: 2 });
+        assert.equal(isListed(evidence), false);
+    });
+
     it("lets a request run again once its evidence has expired, also evidence of other processes", async () => {
         const { evidence, clock, crash } = createScene();
         await crash(["t1", "t2", "t3"]);
@@ -117,9 +165,9 @@
     });
 
     it("keeps a bounded number of records, the newest", () => {
-        const { evidence } = createScene();
+        const { evidence, record } = createScene();
         for (let number = 0; number < 5_000; number++) {
-            evidence.recordCrash("t1", 0, [`call-${number}`]);
+            record("t1", 0, [`call-${number}`]);
         }
         const records = evidence.list();
         assert.equal(records.length, 2_048);
@@ -135,7 +183,8 @@
         await crash(["t1", "t1"]);
         const records = evidence.list();
         evidence.recordRemote(records, "peer");
-        evidence.recordRemote([...records, { fingerprint: "bad", targetId: "t2", age: 5, isRefuted: false }], "peer");
+        const other = { fingerprint: "bad", targetId: "t2", age: 5, uncertainty: 0, chain: 1, isRefuted: false };
+        evidence.recordRemote([...records, other], "peer");
         evidence.recordAnswer("bad");
         evidence.recordAnswer("bad");
         assert.deepEqual(told, ["t1 false own", "t2 false peer", "t1 true own", "t2 true own"]);
--- a/packages/daisyturn/src/process/forwarding/targets/createCrashDetector.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashDetector.ts
@@ -1,11 +1,14 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import { ProbeResult } from "../../../connection/target/probeAddress.js";
-import type { ListedTarget } from "../../../ports/listedTarget.js";
-import type { TargetRemoval } from "./createTargetList.js";
+import { ProbeResult } from "../../connection/target/probeAddress.js";
+import type { ListedTarget, TargetRemoval } from "../../ports/listedTarget.js";
+import type { RecordedCrash } from "./createCrashEvidence.js";
+import type { GuardedCall } from "./guardedCall.js";
 
 /** How a run ended for the process that sent the call. */
 export enum RunEnd {
-    /** The target answered, or the call never reached it. */
+    /** The target ran the call and answered. */
+    Answered = "answered",
+    /** The target did not run the call. */
     Settled = "settled",
     /** The connection broke, or the target fell silent. */
     Broken = "broken",
@@ -13,29 +16,24 @@
     Abandoned = "abandoned",
 }
 
-/** A target that ended without notice. */
-export interface TargetCrash {
-    readonly targetId: string;
-    /** Monotonic time at which the first of its connections broke. */
-    readonly endedAt: number;
-    /** Fingerprints of the calls of this process that ran there. */
-    readonly fingerprints: readonly string[];
-}
+/** A target, and the address (host:port) at which it takes connections. */
+export type RunTarget = Pick<ListedTarget, "targetId" | "address">;
 
 /** Detects targets that have ended without notice, and which calls of this process ran there. */
 export interface CrashDetector {
     /** Records that a call is sent to a target. The returned function records how the run ended. */
-    beginRun(target: ListedTarget, fingerprint: () => string): (end: RunEnd) => void;
+    beginRun(target: RunTarget, call: GuardedCall): (end: RunEnd) => void;
     /** Records that a target is no longer listed. */
     recordRemoval(removal: TargetRemoval): void;
-    onCrash(listener: (crash: TargetCrash) => void): void;
+    /** Registers a listener that is called once for each target that ended while calls of this process ran there. */
+    onCrash(listener: (crash: RecordedCrash) => void): void;
 }
 
 /** What {@link createCrashDetector} needs. */
 export interface CrashDetectorOptions {
     readonly probe: (address: string) => Promise<ProbeResult>;
-    /** Returns the present entry of a target. */
-    readonly findTarget: (targetId: string) => ListedTarget | undefined;
+    /** Whether a target is meant to run, so that its end is not planned. */
+    readonly isExpected: (targetId: string) => boolean;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -54,7 +52,10 @@
 const maxLoggedCalls = 12;
 
 interface Run {
-    readonly fingerprint: () => string;
+    readonly call: GuardedCall;
+    readonly chain: number;
+    /** Monotonic time. */
+    readonly startedAt: number;
     /** Monotonic time; undefined while the call runs. */
     endedAt?: number;
 }
@@ -63,9 +64,10 @@
     readonly running: Set<Run>;
     /** Runs that were not answered, oldest first. */
     unanswered: Run[];
-    /** Monotonic time at which the first connection of the present suspicion broke. */
-    brokenAt?: number;
+    /** Monotonic time of the last answer. */
+    lastAnsweredAt?: number;
     isProbing: boolean;
+    /** Set once the crash is reported; runs that begin later belong to the next start of a target of this name. */
     hasCrashed: boolean;
 }
 
@@ -74,9 +76,9 @@
  * and targets break off single answers. It has ended if its port refuses connections, or if its entry is removed while
  * it was not leaving and nothing accepts connections at its address.
  */
-export function createCrashDetector({ probe, findTarget, clock, eventLog }: CrashDetectorOptions): CrashDetector {
+export function createCrashDetector({ probe, isExpected, clock, eventLog }: CrashDetectorOptions): CrashDetector {
     const targets = new Map<string, RunsAtTarget>();
-    const listeners: ((crash: TargetCrash) => void)[] = [];
+    const listeners: ((crash: RecordedCrash) => void)[] = [];
 
     const find = (targetId: string): RunsAtTarget => {
         let runs = targets.get(targetId);
@@ -92,39 +94,45 @@
         runs.unanswered = runs.unanswered.filter(run => (run.endedAt ?? Infinity) >= oldest);
     };
 
-    const reportCrash = (targetId: string, runs: RunsAtTarget, reason: string) => {
+    /** @param earliest monotonic time before which the target had not ended */
+    const reportCrash = (targetId: string, runs: RunsAtTarget, earliest: number, endedAt: number, reason: string) => {
         if (runs.hasCrashed) {
             return;
         }
         runs.hasCrashed = true;
-        const endedAt = runs.brokenAt ?? clock.monotonicNow();
+        targets.delete(targetId);
         const aboard = [
             ...runs.running,
-            ...runs.unanswered.filter(run => (run.endedAt ?? Infinity) >= endedAt - abandonedMilliseconds),
+            ...runs.unanswered.filter(run => (run.endedAt ?? Infinity) >= earliest - abandonedMilliseconds),
         ];
-        const fingerprints = [...new Set(aboard.map(run => run.fingerprint()))];
+        const chains = new Map<string, number>();
+        for (const { call, chain } of aboard) {
+            const fingerprint = call.fingerprint();
+            chains.set(fingerprint, Math.max(chain, chains.get(fingerprint) ?? 0));
+        }
+        const calls = [...chains].map(([fingerprint, chain]) => ({ fingerprint, chain }));
         runs.unanswered = [];
         eventLog.record(EventKind.TargetEnded, {
             target: targetId,
             reason,
             calls: aboard.length,
-            fingerprints: fingerprints.slice(0, maxLoggedCalls).join(),
+            fingerprints: calls.slice(0, maxLoggedCalls).map(({ fingerprint }) => fingerprint).join(),
         });
-        listeners.forEach(listener => listener({ targetId, endedAt, fingerprints }));
+        listeners.forEach(listener => listener({ targetId, endedAt, uncertainty: endedAt - earliest, calls }));
     };
 
     /** Probes a target whose connection broke, unless it is leaving and therefore ends as planned. */
-    const suspect = async (target: ListedTarget, runs: RunsAtTarget) => {
+    const suspect = async (target: RunTarget, runs: RunsAtTarget) => {
         const { targetId, address } = target;
-        if (runs.isProbing || runs.hasCrashed || findTarget(targetId)?.isLeaving !== false) {
+        if (runs.isProbing || runs.hasCrashed || !isExpected(targetId)) {
             return;
         }
         runs.isProbing = true;
-        runs.brokenAt = clock.monotonicNow();
+        const brokenAt = clock.monotonicNow();
         for (let count = 1; count <= maxProbes; count++) {
             const result = await probe(address);
             if (result === ProbeResult.Refused) {
-                reportCrash(targetId, runs, "its port refuses connections");
+                reportCrash(targetId, runs, brokenAt, brokenAt, "its port refuses connections");
                 break;
             }
             if (count < maxProbes) {
@@ -134,26 +142,37 @@
         runs.isProbing = false;
     };
 
-    const checkRemoved = async (target: ListedTarget, runs: RunsAtTarget) => {
-        if (await probe(target.address) !== ProbeResult.Accepted) {
-            reportCrash(target.targetId, runs, "its entry has expired and it does not answer");
+    /** Nothing tells when a target ended that falls silent, except that it did so after its last answer. */
+    const reportRemoved = (targetId: string, runs: RunsAtTarget, reason: string) => {
+        const starts = [...runs.running, ...runs.unanswered].map(run => run.startedAt);
+        const now = clock.monotonicNow();
+        reportCrash(targetId, runs, runs.lastAnsweredAt ?? Math.min(now, ...starts), now, reason);
+    };
+
+    const checkRemoved = async ({ targetId, address }: RunTarget, runs: RunsAtTarget) => {
+        if (await probe(address) !== ProbeResult.Accepted) {
+            reportRemoved(targetId, runs, "its entry has expired and it does not answer");
         }
     };
 
     return {
-        beginRun: (target, fingerprint) => {
+        beginRun: (target, call) => {
             const runs = find(target.targetId);
-            const run: Run = { fingerprint };
+            const run: Run = { call, chain: call.brokenRuns + 1, startedAt: clock.monotonicNow() };
             runs.running.add(run);
             return end => {
                 runs.running.delete(run);
-                if (end === RunEnd.Settled) {
+                if (end === RunEnd.Answered) {
+                    runs.lastAnsweredAt = clock.monotonicNow();
+                }
+                if (end === RunEnd.Settled || end === RunEnd.Answered) {
                     return;
                 }
                 run.endedAt = clock.monotonicNow();
                 dropOld(runs);
                 runs.unanswered.push(run);
                 if (end === RunEnd.Broken) {
+                    call.brokenRuns += 1;
                     void suspect(target, runs);
                 }
             };
@@ -169,7 +188,7 @@
                 return;
             }
             if (isRestarted) {
-                reportCrash(target.targetId, runs, "it has started anew");
+                reportRemoved(target.targetId, runs, "it has started anew");
             }
             else {
                 void checkRemoved(target, runs);
--- a/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
@@ -6,8 +6,15 @@
     readonly fingerprint: string;
     /** Identifies one incarnation of the target. */
     readonly targetId: string;
-    /** Milliseconds since the target ended. */
+    /** Milliseconds since the target had ended. */
     readonly age: number;
+    /** Milliseconds by which it may have ended earlier. */
+    readonly uncertainty: number;
+    /**
+     * How many targets had failed the same attempt by then, with this one. An attempt runs at one target after the
+     * other, so those ends are not simultaneous, however close they are.
+     */
+    readonly chain: number;
     /** Whether the same request has been answered since, which shows that it does not end its targets. */
     readonly isRefuted: boolean;
 }
@@ -19,13 +26,20 @@
     readonly until: number;
 }
 
+/** The end of a target, and the calls that ran there. */
+export interface RecordedCrash extends Pick<CrashRecord, "targetId" | "uncertainty"> {
+    /** Monotonic time by which the target had ended. */
+    readonly endedAt: number;
+    readonly calls: readonly Pick<CrashRecord, "fingerprint" | "chain">[];
+}
+
 /**
  * Evidence on requests that end the targets that run them, from this process and others. It is a set: records that are
  * lost, repeated or relayed never count twice.
  */
 export interface CrashEvidence {
-    /** Records that a target ended, at a monotonic time, while this process's calls ran there. */
-    recordCrash(targetId: string, endedAt: number, fingerprints: readonly string[]): void;
+    /** Records that a target ended while calls of this process ran there. */
+    recordCrash(crash: RecordedCrash): void;
     /** Records that a request was answered, which refutes all evidence against it so far. */
     recordAnswer(fingerprint: string): void;
     /** Adds records of another process. @param source passed on to the listeners */
@@ -46,7 +60,7 @@
  * Targets that end within this time of each other count once: a rack or a zone that fails ends many targets at once,
  * and popular requests run at most of them.
  */
-const simultaneousMilliseconds = 200;
+const simultaneousMilliseconds = 100;
 /** After this time a request may run again, because its caller or the targets may have been repaired. */
 export const evidenceLifetimeMilliseconds = 600_000;
 /** A crash adds a few dozen records, one for each call at the target. */
@@ -56,7 +70,9 @@
 interface KnownRecord {
     /** Monotonic time. */
     readonly endedAt: number;
-    isRefuted: boolean;
+    readonly uncertainty: number;
+    readonly chain: number;
+    readonly isRefuted: boolean;
 }
 
 /** Creates the evidence of one process. */
@@ -68,8 +84,8 @@
     let hashSum = 0;
     let nextExpiry = Infinity;
 
-    const addToHash = (fingerprint: string, targetId: string, { isRefuted }: KnownRecord, sign: 1 | -1) => {
-        const hash = hashTextTo32Bits(`${fingerprint} ${targetId} ${isRefuted}`);
+    const addToHash = (fingerprint: string, targetId: string, { chain, isRefuted }: KnownRecord, sign: 1 | -1) => {
+        const hash = hashTextTo32Bits(`${fingerprint} ${targetId} ${chain} ${isRefuted}`);
         hashSum = (hashSum + sign * hash + digestModulus) % digestModulus;
     };
 
@@ -113,11 +129,12 @@
         }
     };
 
-    /** @returns whether the record is new or newly refuted */
+    /** @returns whether the record tells anything new */
     const put = (fingerprint: string, targetId: string, record: KnownRecord): boolean => {
         const records = calls.get(fingerprint) ?? new Map<string, KnownRecord>();
         const known = records.get(targetId);
-        if (known && (known.isRefuted || !record.isRefuted)) {
+        const merged = known ? mergeRecords(known, record) : record;
+        if (known && merged.chain === known.chain && merged.isRefuted === known.isRefuted) {
             return false;
         }
         if (known) {
@@ -126,19 +143,23 @@
         else {
             count += 1;
         }
-        // Kept from the first report, so that reports that cross each other agree.
-        const kept = { endedAt: known?.endedAt ?? record.endedAt, isRefuted: record.isRefuted };
-        addToHash(fingerprint, targetId, kept, 1);
-        records.set(targetId, kept);
+        addToHash(fingerprint, targetId, merged, 1);
+        records.set(targetId, merged);
         calls.set(fingerprint, records);
-        nextExpiry = Math.min(nextExpiry, kept.endedAt + evidenceLifetimeMilliseconds);
+        nextExpiry = Math.min(nextExpiry, merged.endedAt + evidenceLifetimeMilliseconds);
         return true;
     };
 
-    const describe = (fingerprint: string, targetId: string, { endedAt, isRefuted }: KnownRecord): CrashRecord => ({
+    const describe = (
+        fingerprint: string,
+        targetId: string,
+        { endedAt, uncertainty, chain, isRefuted }: KnownRecord,
+    ): CrashRecord => ({
         fingerprint,
         targetId,
         age: Math.max(0, Math.round(clock.monotonicNow() - endedAt)),
+        uncertainty: Math.round(uncertainty),
+        chain,
         isRefuted,
     });
 
@@ -158,11 +179,10 @@
             return undefined;
         }
         const unrefuted = [...records].filter(([, { isRefuted }]) => !isRefuted);
-        const ends = selectSeparate(unrefuted.map(([, { endedAt }]) => endedAt));
-        const decisive = ends.at(-endsForListing);
-        return decisive === undefined ? undefined : {
+        const ends = countEnds(unrefuted.map(([, record]) => record));
+        return ends < endsForListing ? undefined : {
             targetIds: unrefuted.map(([targetId]) => targetId),
-            until: decisive + evidenceLifetimeMilliseconds,
+            until: Math.min(...unrefuted.map(([, { endedAt }]) => endedAt)) + evidenceLifetimeMilliseconds,
         };
     };
 
@@ -177,26 +197,27 @@
     };
 
     return {
-        recordCrash: (targetId, endedAt, fingerprints) => {
+        recordCrash: ({ targetId, endedAt, uncertainty, calls: aboard }) => {
             removeExpired();
-            const changed = fingerprints.filter(fingerprint =>
-                put(fingerprint, targetId, { endedAt, isRefuted: false })
-            );
-            const records = changed.map(fingerprint => describe(fingerprint, targetId, { endedAt, isRefuted: false }));
+            const records = aboard.flatMap(({ fingerprint, chain }) => {
+                const record = { endedAt, uncertainty, chain, isRefuted: false };
+                return put(fingerprint, targetId, record) ? [describe(fingerprint, targetId, record)] : [];
+            });
             notify(records);
             logListings(records);
         },
         recordAnswer: fingerprint => {
             const refuted = [...calls.get(fingerprint) ?? []]
-                .map(([targetId, { endedAt }]) => [targetId, { endedAt, isRefuted: true }] as const)
+                .map(([targetId, record]) => [targetId, { ...record, isRefuted: true }] as const)
                 .filter(([targetId, record]) => put(fingerprint, targetId, record));
             notify(refuted.map(([targetId, record]) => describe(fingerprint, targetId, record)));
         },
         recordRemote: (received, source) => {
             removeExpired();
             const now = clock.monotonicNow();
-            const changed = received.filter(({ fingerprint, targetId, age, isRefuted }) =>
-                age < evidenceLifetimeMilliseconds && put(fingerprint, targetId, { endedAt: now - age, isRefuted })
+            const changed = received.filter(({ fingerprint, targetId, age, uncertainty, chain, isRefuted }) =>
+                age < evidenceLifetimeMilliseconds
+                && put(fingerprint, targetId, { endedAt: now - age, uncertainty, chain, isRefuted })
             );
             notify(changed, source);
             logListings(changed);
@@ -217,13 +238,31 @@
     };
 }
 
-/** Selects times that lie apart from each other, in ascending order. */
-function selectSeparate(times: readonly number[]): number[] {
-    const separate: number[] = [];
-    for (const time of [...times].sort((left, right) => left - right)) {
-        if (time - (separate.at(-1) ?? -Infinity) >= simultaneousMilliseconds) {
-            separate.push(time);
+/** The more certain time is kept, or that of the first report. */
+function mergeRecords(known: KnownRecord, other: KnownRecord): KnownRecord {
+    const { endedAt, uncertainty } = other.uncertainty < known.uncertainty ? other : known;
+    return {
+        endedAt,
+        uncertainty,
+        chain: Math.max(known.chain, other.chain),
+        isRefuted: known.isRefuted || other.isRefuted,
+    };
+}
+
+/** Counts the ends, of which those that may be simultaneous count once, except for as many as one attempt ran into. */
+function countEnds(records: readonly KnownRecord[]): number {
+    const groups: KnownRecord[][] = [];
+    let groupEnd = -Infinity;
+    for (const record of [...records].sort((left, right) => left.endedAt - right.endedAt)) {
+        if (record.endedAt - record.uncertainty - groupEnd >= simultaneousMilliseconds) {
+            groupEnd = record.endedAt;
+            groups.push([]);
         }
+        groups.at(-1)?.push(record);
     }
-    return separate;
+    const countGroup = (group: readonly KnownRecord[]) => {
+        const chains = group.map(({ chain }) => chain);
+        return Math.max(...chains) - Math.min(...chains) + 1;
+    };
+    return groups.reduce((sum, group) => sum + countGroup(group), 0);
 }
--- /dev/null
+++ b/packages/daisyturn/src/process/crashes/createCrashGuard.ts
@@ -0,0 +1,36 @@
+import { type CrashDetector, type CrashDetectorOptions, createCrashDetector, RunEnd } from "./createCrashDetector.js";
+import type { CrashEvidence, ListedCall } from "./createCrashEvidence.js";
+import type { GuardedCall } from "./guardedCall.js";
+
+/** Keeps requests that end their targets out of them. */
+export interface CrashGuard extends Pick<CrashDetector, "beginRun" | "recordRemoval"> {
+    /** Returns why a request is kept out of targets; undefined if it is not. */
+    findListed(call: GuardedCall): ListedCall | undefined;
+}
+
+/** What {@link createCrashGuard} needs. */
+export interface CrashGuardOptions extends CrashDetectorOptions {
+    readonly evidence: CrashEvidence;
+    /** Names one start of a target for other processes, where its identifier stays the same over restarts. */
+    readonly nameIncarnation?: (targetId: string) => string;
+}
+
+/** Creates the guard of one process. */
+export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+    const { evidence, nameIncarnation = (targetId: string) => targetId } = options;
+    const detector = createCrashDetector(options);
+    detector.onCrash(crash => evidence.recordCrash({ ...crash, targetId: nameIncarnation(crash.targetId) }));
+    return {
+        beginRun: (target, call) => {
+            const endRun = detector.beginRun(target, call);
+            return end => {
+                if (end === RunEnd.Answered && !evidence.isEmpty()) {
+                    evidence.recordAnswer(call.fingerprint());
+                }
+                endRun(end);
+            };
+        },
+        recordRemoval: detector.recordRemoval,
+        findListed: call => evidence.isEmpty() ? undefined : evidence.findListed(call.fingerprint()),
+    };
+}
--- a/packages/daisyturn/src/process/crashes/index.ts
+++ b/packages/daisyturn/src/process/crashes/index.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
+export * from "./createCrashDetector.js";
 export * from "./createCrashEvidence.js";
+export * from "./createCrashGuard.js";
+export * from "./guardedCall.js";
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishEvidence.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishEvidence.test.ts
@@ -11,7 +11,12 @@
 /** Records the ends of targets at different processes, one second after the other. */
 async function crashAt(fleet: Fleet, indexes: readonly number[], fingerprint = "bad"): Promise<void> {
     for (const [number, index] of indexes.entries()) {
-        fleet.processes[index]?.crashEvidence.recordCrash(`t${number}`, fleet.clock.monotonicNow(), [fingerprint]);
+        fleet.processes[index]?.crashEvidence.recordCrash({
+            targetId: `t${number}`,
+            endedAt: fleet.clock.monotonicNow(),
+            uncertainty: 0,
+            calls: [{ fingerprint, chain: 1 }],
+        });
         if (number < indexes.length - 1) {
             await fleet.clock.advance(secondMilliseconds);
         }
@@ -114,7 +119,7 @@
     it("is not accepted from a process that is neither registered nor reports to this one", async () => {
         const fleet = createFleet(3);
         await fleet.clock.advance(settleMilliseconds);
-        const records = [0, 1, 2].map(number => [`bad`, `t${number}`, number * secondMilliseconds, false]);
+        const records = [0, 1, 2].map(number => ["bad", `t${number}`, number * secondMilliseconds, 0, 1, false]);
         const params = { from: "entry-001", digest: 3, records };
         const datagram = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "evidence", params }));
         [...fleet.listeners.values()].forEach(listener => listener(datagram, { host: "10.66.6.6", port: 7_001 }));
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -26,7 +26,6 @@
 export * from "./stages/changeStages.js";
 export * from "./stages/planStage.js";
 export * from "./targets/createClosedTargets.js";
-export * from "./targets/createCrashDetector.js";
 export * from "./targets/createForwardingConfigurationManager.js";
 export * from "./targets/createTargetHealth.js";
 export * from "./targets/createTargetList.js";
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { FeedRow } from "../../../ports/changeFeed.js";
-import type { ListedTarget } from "../../../ports/listedTarget.js";
+import type { ListedTarget, TargetRemoval } from "../../../ports/listedTarget.js";
 import type { TableObserver } from "./watchTable.js";
 
 /** The targets that the platform lists, as last received by this process. */
@@ -19,13 +19,6 @@
     onRemoved(listener: (targetId: string, removal: TargetRemoval) => void): void;
 }
 
-/** The last entry of a target that is no longer listed. */
-export interface TargetRemoval {
-    readonly target: ListedTarget;
-    /** Whether an entry of the next incarnation under the same name shows that this one has ended. */
-    readonly isRestarted: boolean;
-}
-
 /** What {@link createTargetList} needs. */
 export interface TargetListOptions {
     /** Throws if the text is not a valid target. */
--- a/packages/daisyturn/src/request/forwarding/__tests__/fingerprintCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/guardForwardedCall.test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { fingerprintCall, type RepeatedFields } from "../fingerprintCall.js";
+import { guardForwardedCall, type RepeatedFields } from "../guardForwardedCall.js";
 
 function fingerprint(changes: Partial<RepeatedFields> = {}): string {
     const fields = { method: "POST", host: "shop.example", url: "/ask/1?n=2" };
     const forwardedFields = ["X-Attempt-Id", "a1", "Authorization", "Bearer one"];
-    return fingerprintCall({ ...fields, forwardedFields, body: Buffer.from("text"), ...changes });
+    return guardForwardedCall({ ...fields, forwardedFields, body: Buffer.from("text"), ...changes }).fingerprint();
 }
 
 // Guards against attempts of one request that are not recognized as the same.
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -1,17 +1,18 @@
 import { type Clock, EventKind, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import type { GuardedCall } from "../../process/crashes/index.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
-import { fingerprintCall } from "./fingerprintCall.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import { guardForwardedCall } from "./guardForwardedCall.js";
 import type { RequestTrace } from "./requestTrace.js";
 
 /** A forwarded call that is being served, and the results of its attempts. */
 export interface CallContext {
     readonly call: ForwardedCall;
-    /** Returns the fingerprint of `call`, which is computed at the first use only. */
-    readonly fingerprint: () => string;
+    /** The call as `CrashGuard` follows it. */
+    readonly guarded: GuardedCall;
     readonly route: ForwardRoute;
     readonly service: ForwardService;
     /** Smallest target pause of the routes of the service, in milliseconds. */
@@ -38,12 +39,11 @@
 
 /** Creates the context of a call before its first attempt. */
 export function createCallContext(
-    start: Omit<CallContext, "fingerprint" | "history" | "avoid" | "attemptedTargets">,
+    start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets">,
 ): CallContext {
-    let fingerprint: string | undefined;
     return {
         ...start,
-        fingerprint: () => fingerprint ??= fingerprintCall(start.call),
+        guarded: guardForwardedCall(start.call),
         history: createFailureHistory(),
         avoid: new Set(),
         attemptedTargets: new Set(),
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -1,12 +1,11 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import type { TargetConnections } from "../../connection/target/createTargetConnections.js";
 import type { TargetProtocol } from "../../ports/forwardedCall.js";
-import type { CrashEvidence } from "../../process/crashes/index.js";
+import type { CrashGuard } from "../../process/crashes/index.js";
 import type {
     CacheEstimates,
     CallPlacement,
     ClosedTargets,
-    CrashDetector,
     EventIntervals,
     ForwardingConfigurationManager,
     ForwardingMetrics,
@@ -36,8 +35,7 @@
     readonly eventIntervals: EventIntervals;
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
-    readonly crashDetector: CrashDetector;
-    readonly crashEvidence: CrashEvidence;
+    readonly crashGuard: CrashGuard;
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
--- /dev/null
+++ b/packages/daisyturn/src/request/forwarding/guardForwardedCall.ts
@@ -0,0 +1,17 @@
+import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import { createGuardedCall, type GuardedCall } from "../../process/crashes/index.js";
+
+/** The fields that two attempts of the same request have in common. */
+export type RepeatedFields = Pick<ForwardedCall, "method" | "host" | "url" | "forwardedFields" | "body">;
+
+/** Fields that tell who the caller is. Its address does not: it may use many, and a proxy's stands for many callers. */
+const credentialFields: ReadonlySet<string> = new Set(["authorization", "cookie"]);
+
+/** Creates the guarded call of one attempt, which is identified by its caller, path and body. */
+export function guardForwardedCall({ method, host, url, forwardedFields, body }: RepeatedFields): GuardedCall {
+    const readCredentials = () =>
+        forwardedFields.filter((value, index) =>
+            index % 2 === 1 && credentialFields.has((forwardedFields[index - 1] ?? "").toLowerCase())
+        );
+    return createGuardedCall(() => [method, host, url, readCredentials()], body);
+}
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -11,9 +11,11 @@
 import { ConnectionPolicy } from "../../connection/target/createTargetConnections.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
-import { type CallCost, RunEnd, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
+import { RunEnd } from "../../process/crashes/index.js";
+import { type CallCost, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
+import { describeRunEnd } from "../describeRunEnd.js";
 import { type CallContext } from "./callContext.js";
-import { checkListed, recordAnswer } from "./checkListed.js";
+import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
 /** One attempt to have a target run a call. */
@@ -66,7 +68,7 @@
     const chunks: Buffer[] = [];
     const work = loads.begin(target.targetId, attempt.cost);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
-    const endRun = parts.crashDetector.beginRun(target, context.fingerprint);
+    const endRun = parts.crashGuard.beginRun(target, context.guarded);
     const silenceWatch = watchSilence(clock, health, context.signal, target.targetId, attempt.isRepeatable);
 
     context.trace.record(EventKind.RequestDispatched, {
@@ -130,10 +132,7 @@
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
     recordEvidence(parts, context, target.targetId, outcome, silenceWatch.isSilent());
-    if (outcome.isOk && !attempt.terms.prefillOnly && outcome.value.head.status < minErrorStatus) {
-        recordAnswer(parts, context);
-    }
-    endRun(determineRunEnd(context, outcome, silenceWatch.isSilent()));
+    endRun(determineRunEnd(context, attempt, outcome, silenceWatch.isSilent()));
     return outcome;
 }
 
@@ -210,14 +209,17 @@
     }
 }
 
-function determineRunEnd(context: CallContext, outcome: Result<TargetReply, Failure>, isSilent: boolean): RunEnd {
-    if (isSilent) {
-        return RunEnd.Broken;
-    }
-    if (outcome.isOk || outcome.error.verdict === ExecutionVerdict.NotRun) {
-        return RunEnd.Settled;
+/** A prefill alone does not show that the call runs without harm. */
+function determineRunEnd(
+    context: CallContext,
+    { terms }: CallAttempt,
+    outcome: Result<TargetReply, Failure>,
+    isSilent: boolean,
+): RunEnd {
+    if (outcome.isOk) {
+        return terms.prefillOnly || outcome.value.head.status >= minErrorStatus ? RunEnd.Settled : RunEnd.Answered;
     }
-    return context.signal.aborted ? RunEnd.Abandoned : RunEnd.Broken;
+    return isSilent ? RunEnd.Broken : describeRunEnd(outcome.error, context.signal.aborted);
 }
 
 interface SilenceWatch {
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -43,7 +43,7 @@
     end();
     const failure = answer.isErr ? addRetryTime(parts, answer.error) : undefined;
     if (failure?.reason === FailureReason.TargetFailed || failure?.reason === FailureReason.CrashesTargets) {
-        trace.addSummaryFields({ fingerprint: context.fingerprint() });
+        trace.addSummaryFields({ fingerprint: context.guarded.fingerprint() });
     }
     recordEnd(parts, trace, context, context.route.kind, failure, answer.unwrapOr(undefined));
     if (failure) {
