Keep requests that end their targets out of them in the product's own interface

What callers saw: a completion that crashes the engine that runs it ended 21 engines in 12 s, twelve of them later than the contact time after the third; a plain call 11 services, five too late. One request could end five targets by the system's own repeats. Cause: the same as in forwarded calls: attempts are not linked, and repeats within one are bounded by their number alone. Change: completions and plain calls go through the same guard; they are identified by account, service, path, prompt or body. Evidence goes to all live peers in a section of the load exchange: new records in the next round, all of them when a peer has started or its digest differs. A listed request is refused with 503 and X-Should-Retry: false, before admission and claim. An attempt that has failed at three targets is not repeated, here and in forwarded calls, since evidence comes a little later.

--- a/packages/daisyturn-daemon/src/entry/createDataPath.ts
+++ b/packages/daisyturn-daemon/src/entry/createDataPath.ts
@@ -3,8 +3,12 @@
     createCallerServer,
     createClaimManager,
     createClaimPruner,
+    createCrashEvidence,
+    createCrashGuard,
     createLoadView,
     defaultCallerLimits,
+    probeAddress,
+    shareCrashEvidence,
 } from "daisyturn";
 import type { DaemonSettings } from "../settings/daemonSettings.js";
 import { readSecret, readTlsFiles } from "../settings/readSecret.js";
@@ -16,6 +20,7 @@
 
 const firstReportsMilliseconds = 2_000;
 const loadReportIntervalMilliseconds = 250;
+const millisecondsPerSecond = 1_000;
 
 /** Creates the parts that process a caller's request. */
 export function createDataPath(settings: DaemonSettings, policies: EntryPolicies, base: Base, cell: Cell) {
@@ -65,6 +70,17 @@
         ids,
         eventLog,
     });
+    const crashEvidence = createCrashEvidence(clock, eventLog);
+    shareCrashEvidence({ evidence: crashEvidence, exchange: loadView.exchange, membership, clock });
+    const crashGuard = createCrashGuard({
+        evidence: crashEvidence,
+        probe: probeAddress,
+        isExpected: gate.isOpen,
+        // Targets keep their names over restarts. Two processes that name one end differently report it at one time.
+        nameIncarnation: targetName => `${targetName}@${Math.round(clock.wallNow() / millisecondsPerSecond)}`,
+        clock,
+        eventLog,
+    });
     const readiness = createReadiness({
         configurationManager,
         serviceGuard,
@@ -82,6 +98,7 @@
         gate,
         targets,
         claims,
+        crashGuard,
         clock,
         ids,
         eventLog,
--- a/packages/daisyturn-standins/src/engine/createEngineServer.ts
+++ b/packages/daisyturn-standins/src/engine/createEngineServer.ts
@@ -62,6 +62,7 @@
         run: () => run,
         faults,
         orders,
+        crashes: [],
         restart: downMilliseconds => void restart(downMilliseconds),
     });
     let listener = await listenHttp(settings.host, settings.port, routes);
--- a/packages/daisyturn-standins/src/engine/engineRoutes.ts
+++ b/packages/daisyturn-standins/src/engine/engineRoutes.ts
@@ -1,7 +1,8 @@
-import { type EngineOrder, type GenerateRequest, type Refusal, streamContentType } from "daisyturn";
+import { type EngineOrder, GeneratePart, type GenerateRequest, type Refusal, streamContentType } from "daisyturn";
 import { type Clock, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
+import { crashDelayMilliseconds, crashDownMilliseconds, crashMarker } from "../crashMarker.js";
 import { answerJson, answerNotFound, readBody } from "../httpAnswers.js";
 import type { RequestHandler } from "../httpListener.js";
 import type { EngineRun } from "./batch/engineRun.js";
@@ -20,11 +21,19 @@
     readonly orders: OrderRecord[];
     /** Ends the current incarnation and starts a new one after `downMilliseconds` of real time. */
     readonly restart: (downMilliseconds: number) => void;
+    /** Wall-clock times, in milliseconds, at which requests ended the engine. */
+    readonly crashes: number[];
 }
 
 /** Creates the HTTP interface of an engine stand-in. */
 export function createEngineRoutes(options: EngineRoutesOptions): RequestHandler {
-    const { clock, faults, orders } = options;
+    const { clock, faults, orders, crashes } = options;
+
+    const crash = async () => {
+        await clock.sleepUntil(clock.monotonicNow() + crashDelayMilliseconds);
+        crashes.push(clock.wallNow());
+        options.restart(crashDownMilliseconds);
+    };
 
     const generate = async (request: IncomingMessage, response: ServerResponse) => {
         const body = JSON.parse(await readBody(request)) as GenerateRequest;
@@ -38,6 +47,9 @@
             return;
         }
         connect(run, submitted.value, body.startOffset ?? 0, response);
+        if (body.part !== GeneratePart.Prefill && body.prompt.includes(crashMarker)) {
+            await crash();
+        }
     };
 
     const resume = (streamId: string, offset: number, response: ServerResponse) => {
@@ -96,6 +108,8 @@
             }
             case "usage":
                 return answerJson(response, 200, readUsage());
+            case "crashes":
+                return answerJson(response, 200, { crashes });
             case "orders":
                 return answerJson(response, 200, { orders });
             default:
--- a/packages/daisyturn-standins/src/measure/policy/policyCell.ts
+++ b/packages/daisyturn-standins/src/measure/policy/policyCell.ts
@@ -82,6 +82,7 @@
         engine: (name: string) => engines.find(engine => engine.engineId === name),
         plainService: () => undefined,
         engines: () => engines,
+        findAddress: () => undefined,
     };
 
     class DelayedNetwork extends PeerNetwork {
--- a/packages/daisyturn-standins/src/service/createServiceServer.ts
+++ b/packages/daisyturn-standins/src/service/createServiceServer.ts
@@ -2,8 +2,9 @@
 import { type Clock, FailureReason, SystemClock } from "daisyturn-utils";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
+import { crashDelayMilliseconds, crashDownMilliseconds, crashMarker } from "../crashMarker.js";
 import { answerJson, readBody, refuseNotRun } from "../httpAnswers.js";
-import { listenHttp, type StandInServer } from "../httpListener.js";
+import { listenHttp, type RequestHandler, type StandInServer } from "../httpListener.js";
 import { answerServiceCall } from "./answerServiceCall.js";
 import { countExecutions, type Execution } from "./executions.js";
 
@@ -50,6 +51,8 @@
     clock: Clock = new SystemClock(),
 ): Promise<ServiceServer> {
     const executions: Execution[] = [];
+    /** Wall-clock times, in milliseconds, at which calls ended the service. */
+    const crashes: number[] = [];
     const stopper = new AbortController();
     let faults = serviceFaultsSchema.parse(options.faults ?? {});
 
@@ -65,6 +68,17 @@
         return faults.kind;
     };
 
+    const crash = async () => {
+        await clock.sleepUntil(clock.monotonicNow() + crashDelayMilliseconds);
+        crashes.push(clock.wallNow());
+        const { hostname, port } = new URL(server.url);
+        await server.close();
+        await clock.sleepUntil(clock.monotonicNow() + crashDownMilliseconds, stopper.signal);
+        if (!stopper.signal.aborted) {
+            server = await listenHttp(hostname, Number(port), route);
+        }
+    };
+
     const serve = async (request: IncomingMessage, response: ServerResponse, url: URL) => {
         const body = await readBody(request);
         const callId = String(request.headers[callIdHeader] ?? "");
@@ -81,6 +95,10 @@
         }
         const idempotencyKey = request.headers["idempotency-key"] as string | undefined;
         executions.push({ callId, idempotencyKey, method: request.method ?? "", path: url.pathname, body });
+        if (body.includes(crashMarker)) {
+            await crash();
+            return;
+        }
         const answer = answerServiceCall(options.id, executions.length, url, body);
         switch (fault) {
             case ServiceFaultKind.ResetAfter:
@@ -97,7 +115,11 @@
         }
     };
 
-    const server = await listenHttp(options.host ?? "127.0.0.1", options.port ?? 0, async (request, response, url) => {
+    const route: RequestHandler = async (request, response, url) => {
+        if (url.pathname === "/crashes") {
+            answerJson(response, 200, { crashes });
+            return;
+        }
         if (url.pathname === "/executions") {
             answerJson(response, 200, { executions, counts: countExecutions(executions) });
             return;
@@ -108,7 +130,8 @@
             return;
         }
         await serve(request, response, url);
-    });
+    };
+    let server = await listenHttp(options.host ?? "127.0.0.1", options.port ?? 0, route);
 
     const close = async () => {
         stopper.abort();
--- a/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
+++ b/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
@@ -2,6 +2,7 @@
 import { err, ok } from "true-myth/result";
 import { Priority } from "../../../ports/engine.js";
 import type { PlainService } from "../../../ports/plainService.js";
+import { createCrashEvidence, createCrashGuard } from "../../../process/crashes/index.js";
 import type { Placement, PlacementOutcome, PlacementUsage, RoutingRequest } from "../../../process/routing/index.js";
 import type { ClaimManager } from "../../../request/claims/claimManager.js";
 import {
@@ -13,6 +14,7 @@
 } from "../../../version/configurationItems.js";
 import type { ConfigurationVersion } from "../../../version/configurationVersion.js";
 import { createVersionUsage } from "../../../version/createVersionUsage.js";
+import { ProbeResult } from "../../target/probeAddress.js";
 import type { CallerServerOptions } from "../callerServerOptions.js";
 import { createCallerServer } from "../createCallerServer.js";
 import { createScriptedEngine, type ScriptedEngine } from "./createScriptedEngine.js";
@@ -145,8 +147,16 @@
             engine: name => engines.find(engine => engine.engineId === name),
             plainService: name => plainServices.get(name),
             engines: () => engines,
+            findAddress: name => `${name}:80`,
         },
         claims: createPassThroughClaims(),
+        crashGuard: createCrashGuard({
+            evidence: createCrashEvidence(new SystemClock(), eventLog),
+            probe: () => Promise.resolve(ProbeResult.Accepted),
+            isExpected: () => true,
+            clock: new SystemClock(),
+            eventLog,
+        }),
         clock: new SystemClock(),
         ids: createIdSource("test"),
         eventLog,
--- a/packages/daisyturn/src/connection/caller/__tests__/plainCalls.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/plainCalls.test.ts
@@ -1,9 +1,11 @@
-import { type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import { type Failure, FailureReason, mayHaveRun, MemoryEventLog, notRun, SystemClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { afterEach, describe, test } from "node:test";
 import { err, ok, type Result } from "true-myth/result";
 import { PlainService, type ServiceAnswer, type ServiceCall } from "../../../ports/plainService.js";
+import { createCrashEvidence, createCrashGuard } from "../../../process/crashes/index.js";
 import { type ClaimRequest, ClaimState, unconditionalPermit } from "../../../request/claims/claimManager.js";
+import { ProbeResult } from "../../target/probeAddress.js";
 import { openRaw, readToEnd, waitUntil } from "../__fixtures__/callerRequests.js";
 import { type BenchOptions, callerKey, createCallerBench } from "../__fixtures__/createCallerBench.js";
 
@@ -64,6 +66,30 @@
         assert.equal(error.verdict, "may_have_run");
     });
 
+    // Guards against a call that ends target after target, by its own repetitions and by those of its caller.
+    test("a call under which three targets have ended is refused and not sent again", async () => {
+        const clock = new SystemClock();
+        const eventLog = new MemoryEventLog();
+        const evidence = createCrashEvidence(clock, eventLog);
+        const crashGuard = createCrashGuard({
+            evidence,
+            probe: () => Promise.resolve(ProbeResult.Refused),
+            isExpected: () => true,
+            nameIncarnation: name => `${name}@${calls.length}`,
+            clock,
+            eventLog,
+        });
+        await open([reset, reset, reset, reset], { crashGuard });
+        const last = await call("/quotes/models/2014");
+        assert.equal(last.status, 502);
+        assert.equal(calls.length, 3);
+        const refused = await call("/quotes/models/2014");
+        assert.deepEqual([refused.status, refused.headers.get("x-should-retry")], [503, "false"]);
+        assert.match(await refused.text(), /"code":"crashes_targets".*"verdict":"not_run"/);
+        assert.equal(calls.length, 3);
+        assert.equal((await call("/quotes/models/2015")).status, 201, "another call is still sent, and repeated");
+    });
+
     test("an idempotent call is retried after any failure of a target, preferring another target", async () => {
         await open([reset, confirmed]);
         assert.equal((await call("/quotes/models/2014?trim=b")).status, 201);
--- a/packages/daisyturn/src/index.ts
+++ b/packages/daisyturn/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./connection/operator/createOperatorServer.js";
 export * from "./connection/operator/operatorRoutes.js";
 export * from "./connection/peerNetworkSettings.js";
+export * from "./connection/target/probeAddress.js";
 export * from "./ports/engine.js";
 export * from "./ports/faultyTableService.js";
 export * from "./ports/http/createHttpEngine.js";
--- a/packages/daisyturn/src/process/crashes/createCrashGuard.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashGuard.ts
@@ -6,8 +6,13 @@
 export interface CrashGuard extends Pick<CrashDetector, "beginRun" | "recordRemoval"> {
     /** Returns why a request is kept out of targets; undefined if it is not. */
     findListed(call: GuardedCall): ListedCall | undefined;
+    /** Whether an attempt that has failed at a target may be sent to another one. */
+    mayRepeat(call: GuardedCall): boolean;
 }
 
+/** An attempt that has failed at this many targets is not repeated; evidence of their ends comes a little later. */
+const maxBrokenRuns = 3;
+
 /** What {@link createCrashGuard} needs. */
 export interface CrashGuardOptions extends CrashDetectorOptions {
     readonly evidence: CrashEvidence;
@@ -20,6 +25,7 @@
     const { evidence, nameIncarnation = (targetId: string) => targetId } = options;
     const detector = createCrashDetector(options);
     detector.onCrash(crash => evidence.recordCrash({ ...crash, targetId: nameIncarnation(crash.targetId) }));
+    const findListed = (call: GuardedCall) => evidence.isEmpty() ? undefined : evidence.findListed(call.fingerprint());
     return {
         beginRun: (target, call) => {
             const endRun = detector.beginRun(target, call);
@@ -31,6 +37,7 @@
             };
         },
         recordRemoval: detector.recordRemoval,
-        findListed: call => evidence.isEmpty() ? undefined : evidence.findListed(call.fingerprint()),
+        findListed,
+        mayRepeat: call => call.brokenRuns < maxBrokenRuns && findListed(call) === undefined,
     };
 }
--- a/packages/daisyturn/src/process/crashes/index.ts
+++ b/packages/daisyturn/src/process/crashes/index.ts
@@ -8,3 +8,4 @@
 export * from "./createCrashEvidence.js";
 export * from "./createCrashGuard.js";
 export * from "./guardedCall.js";
+export * from "./shareCrashEvidence.js";
--- a/packages/daisyturn/src/process/forwarding/coordination/createEvidencePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createEvidencePublisher.ts
@@ -41,6 +41,8 @@
 
 interface NewRecord {
     readonly record: CrashRecord;
+    /** Monotonic time to which the record's age refers. */
+    readonly at: number;
     /** Process that has sent the record; undefined if it is this process's own. */
     readonly source: string | undefined;
 }
@@ -55,7 +57,8 @@
     let unsent: NewRecord[] = [];
 
     evidence.onChanged((records, source) => {
-        records.forEach(record => unsent.push({ record, source }));
+        const at = clock.monotonicNow();
+        records.forEach(record => unsent.push({ record, at, source }));
         changed.raise();
     });
 
@@ -67,6 +70,11 @@
         encodeEvidence(message).forEach(datagram => send(to, datagram));
     };
 
+    const addWaitingTime = ({ record, at }: NewRecord): CrashRecord => ({
+        ...record,
+        age: record.age + Math.round(clock.monotonicNow() - at),
+    });
+
     /** Only processes that others report to relay what they receive; the others have no further receivers. */
     const publish = () => {
         const found = unsent;
@@ -81,7 +89,7 @@
             [...membersNow, ...link.listReportReceivers(), ...candidates].map(peer => [describeAddress(peer), peer]),
         );
         for (const [address, receiver] of receivers) {
-            const records = relayed.filter(({ source }) => source !== address).map(({ record }) => record);
+            const records = relayed.filter(({ source }) => source !== address).map(addWaitingTime);
             if (records.length > 0) {
                 sendNew(receiver, records);
             }
--- a/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
+++ b/packages/daisyturn/src/process/orders/__fixtures__/worldProcess.ts
@@ -129,6 +129,7 @@
             engine: name => name === engine.engineId ? engine : undefined,
             plainService: () => undefined,
             engines: () => [engine],
+            findAddress: () => undefined,
         },
         targetGate: gate,
         weightStore: createGrantingWeightStore(),
--- a/packages/daisyturn/src/process/peers/loadExchange.ts
+++ b/packages/daisyturn/src/process/peers/loadExchange.ts
@@ -8,6 +8,7 @@
     AccountUse = "account_use",
     PartnerUse = "partner_use",
     Arrivals = "arrivals",
+    CrashEvidence = "crash_evidence",
 }
 
 /** Source and receiver of one section of the exchange. */
--- a/packages/daisyturn/src/process/routing/__fixtures__/createDecisionBench.ts
+++ b/packages/daisyturn/src/process/routing/__fixtures__/createDecisionBench.ts
@@ -133,6 +133,7 @@
         engine: (name: string) => engines.find(engine => engine.engineId === name),
         plainService: () => undefined,
         engines: () => engines,
+        findAddress: () => undefined,
     };
     const processes = identities.map((self, index) => {
         const network: PeerNetwork = networks.join(self);
--- a/packages/daisyturn/src/process/targets/createTargetDirectory.ts
+++ b/packages/daisyturn/src/process/targets/createTargetDirectory.ts
@@ -10,6 +10,9 @@
     readonly createPlainService: (target: Target) => PlainService;
 }
 
+const httpPort = 80;
+const httpsPort = 443;
+
 interface Entry<Adapter> {
     readonly url: string;
     readonly adapter: Adapter;
@@ -48,7 +51,16 @@
         removeAbsent(serviceEntries, name => version.findTarget(name) !== undefined);
     });
 
-    return { engine, plainService, engines };
+    const findAddress = (targetName: string) => {
+        const target = options.configurationManager.current().findTarget(targetName);
+        return target && describeAddress(new URL(target.url));
+    };
+
+    return { engine, plainService, engines, findAddress };
+}
+
+function describeAddress({ hostname, port, protocol }: URL): string {
+    return `${hostname}:${port || (protocol === "https:" ? httpsPort : httpPort)}`;
 }
 
 function getOrCreateAdapter<Adapter>(
--- a/packages/daisyturn/src/process/targets/targetDirectory.ts
+++ b/packages/daisyturn/src/process/targets/targetDirectory.ts
@@ -6,4 +6,6 @@
     engine(targetName: string): Engine | undefined;
     plainService(targetName: string): PlainService | undefined;
     engines(): readonly Engine[];
+    /** Address (host:port) of a target, whatever its kind. */
+    findAddress(targetName: string): string | undefined;
 }
--- a/packages/daisyturn/src/request/answer/produceAnswer.ts
+++ b/packages/daisyturn/src/request/answer/produceAnswer.ts
@@ -3,6 +3,7 @@
 import { GeneratePart, type StreamEnd, type StreamTokens } from "../../ports/engine.js";
 import { type Placement, PlacementOutcome } from "../../process/routing/index.js";
 import { dispatch, type DispatchedStream, dispatchWholeInstead } from "../dispatch.js";
+import { describeRunEnd } from "../guardedRun.js";
 import { place } from "../place.js";
 import type { RequestParts } from "../requestParts.js";
 import { createFailureHistory, isTransientFailure, maxAttempts } from "../retryPolicy.js";
@@ -31,7 +32,8 @@
         }
         history.record(end.error);
         context.avoid.add(placement.value.engine);
-        const isRetryUseful = isTransientFailure(end.error) && history.attempts < maxAttempts;
+        const isRetryUseful = isTransientFailure(end.error) && history.attempts < maxAttempts
+            && parts.crashGuard.mayRepeat(context.request.guarded);
         if (!isRetryUseful || !parts.retryBudget.tryAcquire()) {
             return err(history.conclude(end.error));
         }
@@ -71,7 +73,7 @@
         offset: context.progress.offset,
     });
     try {
-        return await relayStream(parts, {
+        const end = await relayStream(parts, {
             requestId: context.request.requestId,
             engine: stream.engine,
             streamId: stream.streamId,
@@ -81,6 +83,8 @@
             signal: context.signal,
             isGenerated: true,
         });
+        stream.endRun(describeRunEnd(end.isErr ? end.error : undefined, context.signal.aborted));
+        return end;
     }
     finally {
         stream.leave();
--- a/packages/daisyturn/src/request/completion/modelRequest.ts
+++ b/packages/daisyturn/src/request/completion/modelRequest.ts
@@ -1,4 +1,5 @@
 import { hashText } from "daisyturn-utils";
+import { createGuardedCall, type GuardedCall } from "../../process/crashes/index.js";
 import type { CallerAccount, Profile } from "../../version/configurationItems.js";
 import type { ConfigurationVersion } from "../../version/configurationVersion.js";
 import type { CompletionBody } from "./parseCompletion.js";
@@ -18,6 +19,7 @@
     readonly arrivedAt: number;
     readonly firstTokenDeadline: number;
     readonly totalDeadline: number;
+    readonly guarded: GuardedCall;
 }
 
 /** Input of {@link buildModelRequest}. */
@@ -48,9 +50,19 @@
         arrivedAt,
         firstTokenDeadline: arrivedAt + profile.firstTokenLimitMilliseconds,
         totalDeadline: Math.min(source.deadline ?? Infinity, arrivedAt + profile.totalLimitMilliseconds),
+        guarded: guardModelRequest(source),
     };
 }
 
+/** A request is identified by its account and all that the engine receives of it. */
+function guardModelRequest({ account, body }: ModelRequestSource): GuardedCall {
+    const { form, serviceName, prompt, sampling, maxOutputTokens } = body;
+    return createGuardedCall(
+        () => [account.partner, account.name, form, serviceName, sampling, maxOutputTokens],
+        prompt,
+    );
+}
+
 /**
  * Computes a fingerprint of a request. The block hashes of the prompt are already known, so only the text after them is
  * hashed. They are not cryptographic, but a caller that causes a collision only damages its own answer.
--- a/packages/daisyturn/src/request/completion/serveModelRequest.ts
+++ b/packages/daisyturn/src/request/completion/serveModelRequest.ts
@@ -12,6 +12,7 @@
 import { createProgress } from "../answer/answerProgress.js";
 import { produceAnswer } from "../answer/produceAnswer.js";
 import type { CallerExchange } from "../callerExchange.js";
+import { createListedFailure } from "../listedFailure.js";
 import { startRequestLifetime } from "../requestLifetime.js";
 import type { RequestParts } from "../requestParts.js";
 import { addRetryTime } from "../retryPolicy.js";
@@ -50,6 +51,10 @@
 ): Promise<Result<StreamEnd, Failure>> {
     const { request, signal } = context;
     recordAccepted(parts, request);
+    const listed = parts.crashGuard.findListed(request.guarded);
+    if (listed) {
+        return err(createListedFailure(listed));
+    }
     const ticket = await admit(parts, request, signal);
     if (ticket.isErr) {
         return err(ticket.error);
--- a/packages/daisyturn/src/request/dispatch.ts
+++ b/packages/daisyturn/src/request/dispatch.ts
@@ -8,9 +8,11 @@
     type StreamEvent,
     StreamEventKind,
 } from "../ports/engine.js";
+import { RunEnd } from "../process/crashes/index.js";
 import type { Placement } from "../process/routing/index.js";
 import type { AnswerContext } from "./answer/answerContext.js";
 import { cancelStream } from "./answer/relayStream.js";
+import { describeRunEnd, describeRunTarget } from "./guardedRun.js";
 import type { RequestParts } from "./requestParts.js";
 
 /** A stream that an engine has accepted. */
@@ -21,6 +23,8 @@
     readonly events: AsyncIterable<StreamEvent>;
     /** Ends the count of running requests at the target. */
     leave(): void;
+    /** Records how the run ended. */
+    endRun(end: RunEnd): void;
 }
 
 /** A completed prefill, and the stream that retains its KV cache. */
@@ -94,6 +98,7 @@
     const { request, progress } = context;
     const streamId = parts.ids.next("str");
     const leave = parts.gate.enter(engineName);
+    const endRun = parts.crashGuard.beginRun(describeRunTarget(parts, engineName), request.guarded);
     placement.recordStream(engineName, streamId);
     parts.eventLog.record(EventKind.RequestDispatched, {
         request: request.requestId,
@@ -118,9 +123,10 @@
     }, context.signal);
     if (events.isErr) {
         leave();
+        endRun(describeRunEnd(events.error, context.signal.aborted));
         return err(events.error);
     }
-    return ok({ engine, streamId, part, events: events.value, leave });
+    return ok({ engine, streamId, part, events: events.value, leave, endRun });
 }
 
 /** Runs the prefill part to its end and returns the handle of its KV cache. */
@@ -134,9 +140,11 @@
     if (stream.isErr) {
         return err(stream.error);
     }
-    const { engine, streamId, events, leave } = stream.value;
+    const { engine, streamId, events, leave, endRun } = stream.value;
     const end = await readPrefillEnd(events);
     leave();
+    // A prefill alone does not show that the request runs without harm.
+    endRun(end.isErr ? describeRunEnd(end.error, context.signal.aborted) : RunEnd.Settled);
     if (end.isErr) {
         cancelStream(parts, engine, streamId);
         return err(end.error);
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -72,7 +72,8 @@
 ): boolean {
     context.history.record(failure);
     const hasTime = context.deadline - parts.clock.monotonicNow() > minRetryMilliseconds;
-    const isWorthwhile = isTransientFailure(failure) && context.history.attempts < maxTotalAttempts;
+    const isWorthwhile = isTransientFailure(failure) && context.history.attempts < maxTotalAttempts
+        && parts.crashGuard.mayRepeat(context.guarded);
     const isAllowed = isSafeToRetry(failure, isRepeatable(context.route));
     if (context.signal.aborted || !hasTime || !isWorthwhile || !isAllowed) {
         return false;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -13,7 +13,7 @@
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import { RunEnd } from "../../process/crashes/index.js";
 import { type CallCost, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
-import { describeRunEnd } from "../describeRunEnd.js";
+import { describeRunEnd } from "../guardedRun.js";
 import { type CallContext } from "./callContext.js";
 import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
--- a/packages/daisyturn/src/request/handlePlainCall.ts
+++ b/packages/daisyturn/src/request/handlePlainCall.ts
@@ -1,10 +1,12 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { ServiceAnswer, ServiceCall } from "../ports/plainService.js";
+import { createGuardedCall, type GuardedCall } from "../process/crashes/index.js";
 import type { CallerAccount, Service } from "../version/configurationItems.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { type SendPermit, unconditionalPermit } from "./claims/claimManager.js";
 import { identifyPlainService } from "./identify.js";
+import { createListedFailure } from "./listedFailure.js";
 import { type RequestHead, serveWithPinnedVersion } from "./requestHead.js";
 import { startRequestLifetime } from "./requestLifetime.js";
 import type { RequestParts } from "./requestParts.js";
@@ -22,6 +24,7 @@
     readonly account: CallerAccount;
     readonly service: Service;
     readonly call: ServiceCall;
+    readonly guarded: GuardedCall;
     readonly idempotent: boolean;
     readonly idempotencyKey?: string;
 }
@@ -40,6 +43,10 @@
     if (request.isErr) {
         return err(request.error);
     }
+    const listed = parts.crashGuard.findListed(request.value.guarded);
+    if (listed) {
+        return err(createListedFailure(listed));
+    }
     const ticket = parts.admission.admitPlainCall(request.value.account);
     if (ticket.isErr) {
         return err(ticket.error);
@@ -83,15 +90,22 @@
     if (body.isErr) {
         return err(body.error);
     }
+    const call = buildCall(parts, exchange, head, service.value, path.value, body.value);
     return ok({
         account: head.account,
         service: service.value,
-        call: buildCall(parts, exchange, head, service.value, path.value, body.value),
+        call,
+        guarded: guardPlainCall(head.account, service.value, call),
         idempotent: isIdempotentCall(service.value, exchange.method, path.value.path),
         idempotencyKey: idempotencyKey.value,
     });
 }
 
+/** A call is identified by its account, service, method, path and body. */
+function guardPlainCall(account: CallerAccount, service: Service, { method, path, body }: ServiceCall): GuardedCall {
+    return createGuardedCall(() => [account.partner, account.name, service.name, method, path], body);
+}
+
 function buildCall(
     parts: RequestParts,
     exchange: CallerExchange,
@@ -143,7 +157,7 @@
     const { account, service, idempotent, idempotencyKey } = request;
     const { requestId } = exchange;
     const send = (call: ServiceCall, permit: SendPermit) =>
-        sendCall(parts, { requestId, service, call, idempotent, permit, signal });
+        sendCall(parts, { requestId, service, call, guarded: request.guarded, idempotent, permit, signal });
     if (idempotent || idempotencyKey === undefined) {
         return send(request.call, unconditionalPermit);
     }
--- a/packages/daisyturn/src/request/requestParts.ts
+++ b/packages/daisyturn/src/request/requestParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, IdSource } from "daisyturn-utils";
 import type { Admission, RetryBudget } from "../process/admission/index.js";
 import type { FleetConfigurationManager } from "../process/configuration/index.js";
+import type { CrashGuard } from "../process/crashes/index.js";
 import type { Router } from "../process/routing/index.js";
 import type { TargetDirectory, TargetGate } from "../process/targets/index.js";
 import type { ClaimManager } from "./claims/claimManager.js";
@@ -14,6 +15,7 @@
     readonly gate: TargetGate;
     readonly targets: TargetDirectory;
     readonly claims: ClaimManager;
+    readonly crashGuard: CrashGuard;
     readonly clock: Clock;
     readonly ids: IdSource;
     readonly eventLog: EventLog;
--- a/packages/daisyturn/src/request/sendCall.ts
+++ b/packages/daisyturn/src/request/sendCall.ts
@@ -1,8 +1,10 @@
 import { EventKind, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { PlainService, ServiceAnswer, ServiceCall } from "../ports/plainService.js";
+import { type GuardedCall, RunEnd } from "../process/crashes/index.js";
 import type { Service } from "../version/configurationItems.js";
 import type { SendPermit } from "./claims/claimManager.js";
+import { describeRunEnd, describeRunTarget } from "./guardedRun.js";
 import type { RequestParts } from "./requestParts.js";
 import { createFailureHistory, isSafeToRetry, isTransientFailure, maxAttempts } from "./retryPolicy.js";
 
@@ -11,12 +13,14 @@
     readonly requestId: string;
     readonly service: Service;
     readonly call: ServiceCall;
+    readonly guarded: GuardedCall;
     readonly idempotent: boolean;
     readonly permit: SendPermit;
     readonly signal: AbortSignal;
 }
 
 const minFinalStatus = 200;
+const minErrorStatus = 500;
 const maxFinalStatus = 599;
 
 /**
@@ -46,7 +50,8 @@
         history.record(failure);
         failed.add(targetName);
         const mayRetry = !sent.signal.aborted && isSafeToRetry(failure, sent.idempotent)
-            && isTransientFailure(failure) && history.attempts < maxAttempts;
+            && isTransientFailure(failure) && history.attempts < maxAttempts
+            && parts.crashGuard.mayRepeat(sent.guarded);
         if (!mayRetry || !parts.retryBudget.tryAcquire()) {
             return err(history.conclude(failure));
         }
@@ -64,6 +69,7 @@
     call: ServiceCall,
 ): Promise<Result<ServiceAnswer, Failure>> {
     const leave = parts.gate.enter(targetName);
+    const endRun = parts.crashGuard.beginRun(describeRunTarget(parts, targetName), sent.guarded);
     parts.eventLog.record(EventKind.RequestDispatched, {
         request: sent.requestId,
         target: targetName,
@@ -71,6 +77,8 @@
     });
     try {
         const answer = await target.invoke(call, sent.signal);
+        const isError = answer.isOk && answer.value.status >= minErrorStatus;
+        endRun(isError ? RunEnd.Settled : describeRunEnd(answer.isErr ? answer.error : undefined, sent.signal.aborted));
         return answer.andThen(checkAnswer);
     }
     finally {
