--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
@@ -46,8 +46,11 @@
             until: evidenceLifetimeMilliseconds,
         });
         assert.equal(isListed(evidence, "fresh"), false);
+        await crash(["t4"]);
+        assert.equal(evidence.findListed("bad")?.until, secondMilliseconds + evidenceLifetimeMilliseconds);
         assert.deepEqual(eventLog.of(EventKind.CallListed).map(({ fields }) => fields), [
             { fingerprint: "bad", targets: "t1,t2,t3" },
+            { fingerprint: "bad", targets: "t1,t2,t3,t4" },
         ]);
     });
 
--- a/packages/daisyturn/src/process/crashes/createCrashDetector.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashDetector.ts
@@ -6,9 +6,9 @@
 
 /** How a run ended for the process that sent the call. */
 export enum RunEnd {
-    /** The target ran the call and answered. */
+    /** The target ran the call and answered, and did not end. */
     Answered = "answered",
-    /** The target did not run the call. */
+    /** The target did not run the call, or its answer does not show that the call runs without harm. */
     Settled = "settled",
     /** The connection broke, or the target fell silent. */
     Broken = "broken",
@@ -105,6 +105,9 @@
             ...runs.running,
             ...runs.unanswered.filter(run => (run.endedAt ?? Infinity) >= earliest - abandonedMilliseconds),
         ];
+        if (aboard.length === 0) {
+            return;
+        }
         const chains = new Map<string, number>();
         for (const { call, chain } of aboard) {
             const fingerprint = call.fingerprint();
--- a/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
@@ -179,10 +179,13 @@
             return undefined;
         }
         const unrefuted = [...records].filter(([, { isRefuted }]) => !isRefuted);
-        const ends = countEnds(unrefuted.map(([, record]) => record));
-        return ends < endsForListing ? undefined : {
+        if (countEnds(unrefuted.map(([, record]) => record)) < endsForListing) {
+            return undefined;
+        }
+        const latestFirst = unrefuted.map(([, { endedAt }]) => endedAt).sort((left, right) => right - left);
+        return {
             targetIds: unrefuted.map(([targetId]) => targetId),
-            until: Math.min(...unrefuted.map(([, { endedAt }]) => endedAt)) + evidenceLifetimeMilliseconds,
+            until: (latestFirst[endsForListing - 1] ?? 0) + evidenceLifetimeMilliseconds,
         };
     };
 
--- a/packages/daisyturn/src/process/forwarding/coordination/createEvidencePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createEvidencePublisher.ts
@@ -35,6 +35,8 @@
 const spreadMilliseconds = 300;
 /** Minimum interval between two answers with all records to the same process. */
 const answerMilliseconds = 100;
+/** Added to both for each record to send. */
+const millisecondsPerRecord = 1;
 const idleMilliseconds = 60_000;
 /** More processes than a fleet has; anyone who reaches the port can make up names. */
 const maxKnownPeers = 4_096;
@@ -96,6 +98,9 @@
         }
     };
 
+    /** Bounds the traffic between processes whose records differ for longer, for example by what they have dropped. */
+    const repeatDelay = () => evidence.list().length * millisecondsPerRecord;
+
     const hasSameRecords = (peerId: string, digest: number) => {
         const isSame = digest === evidence.digest();
         if (isSame) {
@@ -111,7 +116,7 @@
         const now = clock.monotonicNow();
         // A process without any records has just started. Others may be about to receive what is on its way.
         const noticedAt = differences.get(peerId) ?? (digest === 0 ? -Infinity : now);
-        const isDue = now - noticedAt >= spreadMilliseconds;
+        const isDue = now - noticedAt >= spreadMilliseconds + repeatDelay();
         if (differences.size >= maxKnownPeers) {
             differences.clear();
         }
@@ -124,7 +129,10 @@
     /** Answers a process that has sent all its records and lacks some of this one's. */
     const answer = (peerId: string, address: PeerAddress, digest: number) => {
         const now = clock.monotonicNow();
-        if (!hasSameRecords(peerId, digest) && now - (answeredAt.get(peerId) ?? -Infinity) >= answerMilliseconds) {
+        if (
+            !hasSameRecords(peerId, digest)
+            && now - (answeredAt.get(peerId) ?? -Infinity) >= answerMilliseconds + repeatDelay()
+        ) {
             answeredAt.set(peerId, now);
             sendAll(address);
         }
