--- a/packages/daisyturn/src/request/forwarding/__tests__/guardForwardedCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/guardForwardedCall.test.ts
@@ -4,13 +4,13 @@
 
 function fingerprint(changes: Partial<RepeatedFields> = {}): string {
     const fields = { method: "POST", host: "shop.example", url: "/ask/1?n=2" };
-    const forwardedFields = ["X-Attempt-Id", "a1", "Authorization", "Bearer one"];
+    const forwardedFields = ["X-Call", "a1", "Authorization", "Bearer one"];
     return guardForwardedCall({ ...fields, forwardedFields, body: Buffer.from("text"), ...changes }).fingerprint();
 }
 
 // Guards against attempts of one request that are not recognized as the same.
 test("is the same for the same caller, method, host, path and body", () => {
-    const forwardedFields = ["authorization", "Bearer one", "X-Attempt-Id", "a2", "X-Other", "authorization"];
+    const forwardedFields = ["authorization", "Bearer one", "X-Call", "a2", "X-Other", "authorization"];
     assert.equal(fingerprint(), fingerprint({ forwardedFields }));
     assert.match(fingerprint(), /^[\w-]{16}$/);
 });
