--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -10,6 +10,7 @@
     createSizeCounts,
     createSizeFairness,
     createTargetConnections,
+    createTargetLinks,
     createTargetViews,
     createWindowedRetryBudget,
     defaultSampledCalls,
@@ -56,7 +57,8 @@
     const switchedOff = settings().switchedOff ?? new Set();
     const { decodeTarget, engineOrders } = adapters;
     const views = switchOffViews(createTargetViews(decodeTarget, clock, eventLog, engineOrders), switchedOff);
-    const connections = createTargetConnections(clock);
+    const links = createTargetLinks(clock, eventLog);
+    const connections = createTargetConnections(clock, links);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
@@ -68,6 +70,7 @@
         clock,
         eventLog,
     });
+    views.targets.onRemoved((targetId, { target }) => links.forget(target.address));
     views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -59,6 +59,9 @@
     /** A target receives no new work because it is about to change its stage. */
     TargetClosed = "target_closed",
     TargetReopened = "target_reopened",
+    /** Connections of this process fail to most of the targets, so the cause is probably its own links. */
+    LinksLost = "links_lost",
+    LinksRestored = "links_restored",
     KvReleaseFailed = "kv_release_failed",
     EngineDegraded = "engine_degraded",
     EngineRecovered = "engine_recovered",
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -14,7 +14,12 @@
 }
 
 function open(address: string): TargetConnection {
-    return openTargetConnection({ address, now: () => performance.now(), onClosed: () => undefined });
+    return openTargetConnection({
+        address,
+        now: () => performance.now(),
+        onUnreachable: () => undefined,
+        onClosed: () => undefined,
+    });
 }
 
 async function exchange(connection: TargetConnection, signal = new AbortController().signal): Promise<Exchange> {
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -1,5 +1,6 @@
 import type { Clock, Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
+import type { TargetLinks } from "../../process/forwarding/index.js";
 import { openTargetConnection, type TargetConnection, type TargetSend } from "./openTargetConnection.js";
 
 /** Which open connections may be reused for a call. */
@@ -27,7 +28,10 @@
 const maxIdleConnections = 8;
 
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
-export function createTargetConnections(clock: Clock): TargetConnections {
+export function createTargetConnections(
+    clock: Clock,
+    links: Pick<TargetLinks, "recordContact" | "recordFailure">,
+): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
 
     /** Prefers the most recently used connection, which most likely still works; surplus ones idle until they close. */
@@ -50,6 +54,7 @@
         const connection = openTargetConnection({
             address,
             now: () => clock.monotonicNow(),
+            onUnreachable: reason => links.recordFailure(address, reason),
             onClosed: () => removeIdle(address, connection),
         });
         return connection;
@@ -81,6 +86,7 @@
             const connection = acquire(address, policy);
             const result = await connection.send(send);
             if (result.isOk) {
+                links.recordContact(address);
                 release(address, connection);
             }
             else {
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -37,6 +37,8 @@
     /** IP number and port. */
     readonly address: string;
     readonly now: () => number;
+    /** Called once the connection could not be opened, with the reason. */
+    readonly onUnreachable: (reason: string) => void;
     /** Called once the connection can carry no further call. */
     readonly onClosed: () => void;
 }
@@ -69,6 +71,7 @@
         const timer = setTimeout(() => opening.destroy(new Error("connect timeout")), connectTimeoutMilliseconds);
         const fail = (error: Error) => {
             clearTimeout(timer);
+            options.onUnreachable(describe(error));
             done(error, noSocket);
         };
         opening.once("error", fail);
