--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -7,18 +7,20 @@
     createForwardingConfigurationManager,
     createLeastRunningPlacement,
     createLongPrefillTimes,
+    createRelays,
     createSizeCounts,
     createSizeFairness,
     createTargetConnections,
-    createTargetLinks,
+    createTargetDialer,
     createTargetViews,
     createWindowedRetryBudget,
     defaultSampledCalls,
     type ForwardingConfigurationManager,
     type ForwardingMetrics,
     type ForwardingParts,
-    probeAddress,
+    type RegisteredPeer,
     switchOffViews,
+    type TargetLinks,
     type TargetList,
 } from "daisyturn/forwarding";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
@@ -33,6 +35,10 @@
     readonly random: Random;
     readonly eventLog: EventLog;
     readonly metrics: ForwardingMetrics;
+    /** Lists the known processes of the fleet, including this one. */
+    readonly listPeers: () => readonly RegisteredPeer[];
+    /** Requests that the list of processes be read again. */
+    readonly refreshPeers: () => void;
 }
 
 /**
@@ -42,6 +48,7 @@
 export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions"> {
     readonly configurationManager: ForwardingConfigurationManager;
     readonly targets: TargetList;
+    readonly links: TargetLinks;
     readonly crashEvidence: CrashEvidence;
 }
 
@@ -57,20 +64,27 @@
     const switchedOff = settings().switchedOff ?? new Set();
     const { decodeTarget, engineOrders } = adapters;
     const views = switchOffViews(createTargetViews(decodeTarget, clock, eventLog, engineOrders), switchedOff);
-    const links = createTargetLinks(clock, eventLog);
-    const connections = createTargetConnections(clock, links);
+    const relays = createRelays({
+        selfId: settings().processId,
+        availabilityZone,
+        listPeers: options.listPeers,
+        refreshPeers: options.refreshPeers,
+        random,
+        clock,
+    });
+    const dialer = createTargetDialer({ links: views.links, relays, localHost: settings().peers.address, clock });
+    const connections = createTargetConnections(clock, views.links, dialer);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
     const crashEvidence = createCrashEvidence(clock, eventLog);
     const crashGuard = createCrashGuard({
         evidence: crashEvidence,
-        probe: probeAddress,
+        probe: dialer.probe,
         isExpected: views.targets.isOpen,
         clock,
         eventLog,
     });
-    views.targets.onRemoved((targetId, { target }) => links.forget(target.address));
     views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -8,10 +8,10 @@
     UserError,
 } from "daisyturn-utils";
 import {
-    type ChangeFeed,
     coordinate,
     createForwardServer,
     createOverloadGuard,
+    createTunnelServer,
     decidePrompt,
     LocalDecisions,
     Mechanism,
@@ -20,9 +20,6 @@
     type RegisteredPeer,
     reportSizeCounts,
     serveForwardedCall,
-    type TableObserver,
-    watchTable,
-    type WatchTiming,
 } from "daisyturn/forwarding";
 import { randomBytes, randomInt } from "node:crypto";
 import { setMaxListeners } from "node:events";
@@ -34,6 +31,7 @@
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 import { startStageChanges } from "./startStageChanges.js";
+import { computeMaxStateAge, startTableWatches } from "./startTableWatches.js";
 
 /** A process that forwards calls to targets. */
 export interface ForwardingProcess {
@@ -51,23 +49,6 @@
 const endMarginMilliseconds = 700;
 /** Limits the removal of the peer entry, so that an unavailable store does not delay the shutdown. */
 const leaveTimeoutMilliseconds = 200;
-/**
- * A feed's call ends this long before the contact time, so that a second call can still fetch within that time what a
- * silent connection has not delivered.
- */
-const feedMarginMilliseconds = 1_200;
-const minFeedWaitMilliseconds = 500;
-/** Store state relayed by a coordinator is valid for this fraction of the time within which it must be applied. */
-const stateAgeFraction = 0.75;
-/** A coordinator's read of the store waits at most this fraction, so that relayed state never exceeds the age above. */
-const readerWaitFraction = 0.5;
-/**
- * Store answers are priced: changes of several targets are merged into one answer for up to this fraction of the time
- * within which they must be applied.
- */
-const mergeFraction = 0.25;
-/** Upper bound of the random delay before re-reading the tables and rewriting the peer entry after a store rollback. */
-const rollbackJitterMilliseconds = 400;
 const seedLimit = 0x7fffffff;
 const incarnationBytes = 6;
 
@@ -96,8 +77,9 @@
         random,
         eventLog,
         metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
+        listPeers: () => coordination.listPeers(),
+        refreshPeers: () => coordination.refreshPeers(),
     });
-    metricsServer?.observe(parts);
     const describeSelf = (): RegisteredPeer => ({
         peerId: settings.processId,
         host: settings.peers.address,
@@ -105,8 +87,6 @@
         availabilityZone: settings.availabilityZone,
         strength: settings.strength,
     });
-    /** Time from the store's acknowledgement of a change until the change must be applied. */
-    const applyLimitMilliseconds = () => Math.min(settings.drainMilliseconds, settings.configurationMilliseconds);
     const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
     const coordination = coordinate({
         self: describeSelf(),
@@ -117,7 +97,7 @@
         crashEvidence: parts.crashEvidence,
         decideLocally: request => decidePrompt(parts, request),
         findService: name => parts.configurationManager.current()?.configuration.services.get(name),
-        maxStateAgeMilliseconds: () => applyLimitMilliseconds() * stateAgeFraction,
+        maxStateAgeMilliseconds: () => computeMaxStateAge(settings),
         clock,
         eventLog,
     });
@@ -136,6 +116,16 @@
         clock,
         eventLog,
     });
+    const tunnels = createTunnelServer({
+        listen: settings.peers,
+        isRegistered: coordination.isRegistered,
+        isListed: address => parts.targets.findAt(address).length > 0,
+        isAvailable: () => !isOverloaded(),
+        links: parts.links,
+        clock,
+        eventLog,
+    });
+    metricsServer?.observe({ ...parts, tunnels });
     const background = new AbortController();
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
@@ -145,36 +135,6 @@
     const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady);
     parts.configurationManager.onChanged(table => server.setLimits(table.configuration.limits));
 
-    const startTableWatches = () => {
-        const ownWait = () => Math.max(minFeedWaitMilliseconds, settings.contactMilliseconds - feedMarginMilliseconds);
-        const readerWait = () => Math.max(minFeedWaitMilliseconds, applyLimitMilliseconds() * readerWaitFraction);
-        const timing: WatchTiming = {
-            waitMilliseconds: () => Math.min(ownWait(), coordination.isReader() ? readerWait() : Infinity),
-            mergeMilliseconds: settings.drainMilliseconds * mergeFraction,
-            rereadDelayMilliseconds: () => random.fraction() * rollbackJitterMilliseconds,
-        };
-        const refreshEntry = async () => {
-            const refreshAt = clock.monotonicNow() + random.fraction() * rollbackJitterMilliseconds;
-            await clock.sleepUntil(refreshAt, background.signal);
-            coordination.refreshEntry();
-        };
-        const watch = (name: string, feed: ChangeFeed, observer: TableObserver) =>
-            watchTable({
-                name,
-                feed,
-                observer,
-                timing,
-                clock,
-                eventLog,
-                onCall: parts.targets.recordStoreCall,
-                onRolledBack: () => void refreshEntry(),
-                relay: coordination.relayedTable(name),
-                reader: coordination.tableReader,
-            }, background.signal);
-        void watch("configuration", adapters.configurationFeed, parts.configurationManager);
-        void watch("targets", adapters.targetFeed, parts.targets);
-    };
-
     const startCoordination = () => {
         background.signal.addEventListener("abort", peerChannel.close);
         coordination.run(background.signal);
@@ -196,8 +156,18 @@
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
-        startTableWatches();
+        startTableWatches({
+            settings: () => settings,
+            adapters,
+            parts,
+            coordination,
+            clock,
+            random,
+            eventLog,
+            signal: background.signal,
+        });
         startCoordination();
+        await tunnels.start();
         await server.start();
         await readiness.start();
         await metricsServer?.start();
@@ -226,12 +196,14 @@
         isStopping = true;
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         coordination.stopAnswering();
-        await server.drain(clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds);
+        const deadline = clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds;
+        await Promise.all([server.drain(deadline), tunnels.drain(deadline)]);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
         metricsServer?.close();
         await leavePeers();
         background.abort();
+        tunnels.close();
         parts.connections.close();
         await adapters.close();
         logWriter.flush();
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -4,6 +4,8 @@
     type ForwardingParts,
     type ListenAddress,
     listenAt,
+    type TargetLinks,
+    type TunnelServer,
 } from "daisyturn/forwarding";
 import { createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
@@ -12,11 +14,17 @@
 export interface MetricsServer {
     readonly metrics: ForwardingMetrics;
     /** Registers the gauges, whose values are read at each scrape. */
-    observe(parts: Pick<ForwardingParts, "configurationManager" | "targets">): void;
+    observe(parts: ObservedParts): void;
     start(): Promise<void>;
     close(): void;
 }
 
+/** The parts from which gauges are read. */
+export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets"> {
+    readonly links: Pick<TargetLinks, "lostCount">;
+    readonly tunnels: Pick<TunnelServer, "carried">;
+}
+
 /** Upper bounds in seconds, around the target latencies of plain calls and of prompts. */
 const latencyBuckets = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
 const millisecondsPerSecond = 1_000;
@@ -52,6 +60,12 @@
         registers,
     });
 
+    const relayedSends = new Counter({
+        name: "daisyturn_relayed_sends_total",
+        help: "Sends to targets over connections that a peer carries",
+        registers,
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -64,9 +78,29 @@
         override recordSend(result: string): void {
             sends.inc({ result });
         }
+
+        override recordRelayedSend(): void {
+            relayedSends.inc();
+        }
     }
 
-    const observe = ({ configurationManager, targets }: Pick<ForwardingParts, "configurationManager" | "targets">) => {
+    const observe = ({ configurationManager, targets, links, tunnels }: ObservedParts) => {
+        new Gauge({
+            name: "daisyturn_lost_links",
+            help: "Links to targets that are lost while a peer reaches the target",
+            registers,
+            collect() {
+                this.set(links.lostCount());
+            },
+        });
+        new Gauge({
+            name: "daisyturn_carried_tunnels",
+            help: "Connections of peers to targets that this process carries",
+            registers,
+            collect() {
+                this.set(tunnels.carried());
+            },
+        });
         new Gauge({
             name: "daisyturn_configuration_version",
             help: "Version of the configuration in force; 0 before the first",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -59,8 +59,9 @@
     /** A target receives no new work because it is about to change its stage. */
     TargetClosed = "target_closed",
     TargetReopened = "target_reopened",
-    /** Connections of this process fail to most of the targets, so the cause is probably its own links. */
+    /** Connections of this process to a target fail while a peer reaches it. Logged for the first lost link. */
     LinksLost = "links_lost",
+    /** The last lost link works again. */
     LinksRestored = "links_restored",
     KvReleaseFailed = "kv_release_failed",
     EngineDegraded = "engine_degraded",
--- a/packages/daisyturn-utils/src/failure.ts
+++ b/packages/daisyturn-utils/src/failure.ts
@@ -16,6 +16,8 @@
     NoTarget = "no_target",
     TargetRefused = "target_refused",
     TargetFailed = "target_failed",
+    /** No connection to the target could be opened, and nothing shows that the target is at fault. */
+    LinkFailed = "link_failed",
     /** Several targets ended while they ran the same request. */
     CrashesTargets = "crashes_targets",
     StreamBroken = "stream_broken",
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -1,6 +1,7 @@
 import type { Clock, Failure } from "daisyturn-utils";
 import type { Result } from "true-myth/result";
 import type { TargetLinks } from "../../process/forwarding/index.js";
+import type { TargetDialer } from "./createTargetDialer.js";
 import { openTargetConnection, type TargetConnection, type TargetSend } from "./openTargetConnection.js";
 
 /** Which open connections may be reused for a call. */
@@ -30,7 +31,8 @@
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
 export function createTargetConnections(
     clock: Clock,
-    links: Pick<TargetLinks, "recordContact" | "recordFailure">,
+    links: Pick<TargetLinks, "recordContact" | "isLost" | "hasLost">,
+    dialer: Pick<TargetDialer, "dial" | "retryLink">,
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
 
@@ -39,7 +41,7 @@
         const idle = idleByAddress.get(address) ?? [];
         for (let index = idle.length - 1; index >= 0; index--) {
             const candidate = idle[index];
-            if (candidate?.isAlive() && (policy === ConnectionPolicy.Reuse || isRecentlyVerified(candidate))) {
+            if (candidate?.isAlive() && isReusable(address, candidate, policy)) {
                 idle.splice(index, 1);
                 return candidate;
             }
@@ -47,6 +49,19 @@
         return open(address);
     };
 
+    /**
+     * A connection over a lost link may have fallen silent, and a peer may close one that it carries. While any link is
+     * lost, others may be too.
+     */
+    const isReusable = (address: string, connection: TargetConnection, policy: ConnectionPolicy) => {
+        const isRelayed = connection.relayId() !== undefined;
+        if (isRelayed && !links.isLost(address)) {
+            return false;
+        }
+        const isAnyReusable = policy === ConnectionPolicy.Reuse && !isRelayed && !links.hasLost();
+        return isAnyReusable || isRecentlyVerified(connection);
+    };
+
     const isRecentlyVerified = (connection: TargetConnection) =>
         clock.monotonicNow() - (connection.lastAnsweredAt() ?? -Infinity) <= recentAnswerMilliseconds;
 
@@ -54,7 +69,7 @@
         const connection = openTargetConnection({
             address,
             now: () => clock.monotonicNow(),
-            onUnreachable: reason => links.recordFailure(address, reason),
+            dial: () => dialer.dial(address),
             onClosed: () => removeIdle(address, connection),
         });
         return connection;
@@ -84,9 +99,12 @@
     return {
         send: async (address, policy, send) => {
             const connection = acquire(address, policy);
+            dialer.retryLink(address);
             const result = await connection.send(send);
             if (result.isOk) {
-                links.recordContact(address);
+                if (connection.relayId() === undefined) {
+                    links.recordContact(address);
+                }
                 release(address, connection);
             }
             else {
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -1,9 +1,9 @@
 import { type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
-import { splitAddress } from "./splitAddress.js";
+import type { DialedConnection } from "./createTargetDialer.js";
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
@@ -19,6 +19,8 @@
     readonly sink: AnswerSink;
     /** Aborted with a `Failure` as its reason. */
     readonly signal: AbortSignal;
+    /** Called when the call is sent, with the peer that carries the connection; undefined for a direct one. */
+    readonly onStarted?: (relayId: string | undefined) => void;
 }
 
 /** A connection to a target. It carries one call at a time. */
@@ -27,6 +29,8 @@
     /** Monotonic time at which the last answer was complete; undefined before the first one. */
     lastAnsweredAt(): number | undefined;
     isAlive(): boolean;
+    /** The peer that carries the connection; undefined for a direct one, and before it is open. */
+    relayId(): string | undefined;
     /** Resolves once the answer is complete, or with a failure whose verdict says whether the call may have run. */
     send(send: TargetSend): Promise<Result<void, Failure>>;
     close(): void;
@@ -37,17 +41,11 @@
     /** IP number and port. */
     readonly address: string;
     readonly now: () => number;
-    /** Called once the connection could not be opened, with the reason. */
-    readonly onUnreachable: (reason: string) => void;
+    readonly dial: () => Promise<Result<DialedConnection, Failure>>;
     /** Called once the connection can carry no further call. */
     readonly onClosed: () => void;
 }
 
-/**
- * Round trips take a few milliseconds. A lost first packet is retransmitted only after a second, and by then another
- * target would have answered.
- */
-const connectTimeoutMilliseconds = 400;
 /**
  * Used where a target states no idle timeout. Targets state it in whole seconds, so one that states none may close an
  * idle connection within a second.
@@ -61,26 +59,22 @@
 export function openTargetConnection(options: TargetConnectionOptions): TargetConnection {
     const { now } = options;
     let socket: Socket | undefined;
+    let relayId: string | undefined;
     let isAlive = true;
     let lastAnsweredAt: number | undefined;
 
-    const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) => {
-        const [host, port] = splitAddress(options.address);
-        const opening = connect({ host, port, noDelay: true });
-        socket = opening;
-        const timer = setTimeout(() => opening.destroy(new Error("connect timeout")), connectTimeoutMilliseconds);
-        const fail = (error: Error) => {
-            clearTimeout(timer);
-            options.onUnreachable(describe(error));
-            done(error, noSocket);
-        };
-        opening.once("error", fail);
-        opening.once("connect", () => {
-            clearTimeout(timer);
-            opening.off("error", fail);
-            done(noError, opening);
+    const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) =>
+        void options.dial().then(dialed => {
+            if (dialed.isErr) {
+                done(new DialError(dialed.error), noSocket);
+                return;
+            }
+            ({ socket, relayId } = dialed.value);
+            if (!isAlive) {
+                socket.destroy();
+            }
+            done(noError, socket);
         });
-    };
 
     const client = new Client(`http://${options.address}`, {
         connect: connectSocket as never,
@@ -103,7 +97,7 @@
     client.on("disconnect", close);
     client.on("connectionError", close);
 
-    const send = ({ head, body, sink, signal }: TargetSend) =>
+    const send = ({ head, body, sink, signal, onStarted }: TargetSend) =>
         new Promise<Result<void, Failure>>(resolve => {
             let isStarted = false;
             let fault: Failure | undefined;
@@ -113,6 +107,10 @@
                 resolve(result);
             };
             const fail = (error: Error) => {
+                if (error instanceof DialError) {
+                    settle(err(fault ?? error.failure));
+                    return;
+                }
                 const build = isStarted ? mayHaveRun : notRun;
                 settle(err(fault ?? build(FailureReason.TargetFailed, `The connection failed: ${describe(error)}.`)));
             };
@@ -127,6 +125,7 @@
             const handler: Dispatcher.DispatchHandler = {
                 onRequestStart: () => {
                     isStarted = true;
+                    onStarted?.(relayId);
                 },
                 onResponseStart: (controller, status, fields) => {
                     fault = sink.onHead(status, fields as IncomingFields)
@@ -161,7 +160,21 @@
             }
         });
 
-    return { openedAt: now(), lastAnsweredAt: () => lastAnsweredAt, isAlive: () => isAlive, send, close };
+    return {
+        openedAt: now(),
+        lastAnsweredAt: () => lastAnsweredAt,
+        isAlive: () => isAlive,
+        relayId: () => relayId,
+        send,
+        close,
+    };
+}
+
+/** Passes the failure of a connection that could not be opened through undici. */
+class DialError extends Error {
+    constructor(readonly failure: Failure) {
+        super(failure.message);
+    }
 }
 
 const firstBodyStatus = 200;
--- a/packages/daisyturn/src/connection/target/probeAddress.ts
+++ b/packages/daisyturn/src/connection/target/probeAddress.ts
@@ -8,6 +8,8 @@
     Refused = "refused",
     /** No answer, or an error that does not tell whether anything listens there. */
     Unknown = "unknown",
+    /** Nothing shows whether the target or the links to it are at fault. */
+    LinkLost = "link_lost",
 }
 
 /** A connection is opened within a few milliseconds; a lost first packet is sent again after a second. */
--- /dev/null
+++ b/packages/daisyturn/src/connection/tunnel/createTunnel.ts
@@ -0,0 +1,73 @@
+import type { Clock } from "daisyturn-utils";
+import type { Socket } from "node:net";
+
+/** A connection of a peer that is carried to a target. */
+export interface Tunnel {
+    /** Starts to carry bytes. @param head bytes that the peer has already sent */
+    start(head: Buffer): void;
+    /** Whether no call is under way: the target sent the last bytes, some time ago. */
+    isIdle(): boolean;
+    close(): void;
+}
+
+/** Options of {@link createTunnel}. */
+export interface TunnelOptions {
+    readonly client: Socket;
+    readonly target: Socket;
+    readonly clock: Clock;
+    readonly onClosed: () => void;
+}
+
+/** Longer than the pauses between the events of an answer, and than peers keep an unused tunnel. */
+const idleMilliseconds = 1_000;
+/** Longer than a call lasts without a byte of its answer. */
+const silenceMilliseconds = 60_000;
+
+/** Creates a tunnel between two open connections. A side that reads slowly holds back the other. */
+export function createTunnel({ client, target, clock, onClosed }: TunnelOptions): Tunnel {
+    let isAwaitingAnswer = true;
+    let lastBytesAt = clock.monotonicNow();
+
+    const carry = (from: Socket, to: Socket) => {
+        from.on("data", chunk => {
+            isAwaitingAnswer = from === client;
+            lastBytesAt = clock.monotonicNow();
+            if (!to.write(chunk)) {
+                from.pause();
+            }
+        });
+        to.on("drain", () => from.resume());
+    };
+
+    const close = () => {
+        client.destroy();
+        target.destroy();
+        onClosed();
+    };
+    /** A broken connection must not look like one that was closed after its last byte. */
+    const reset = (other: Socket) => {
+        other.resetAndDestroy();
+        close();
+    };
+
+    return {
+        start: head => {
+            client.setNoDelay(true);
+            client.setTimeout(silenceMilliseconds, close);
+            // A peer that closes its connection has abandoned its call, so the target must see that at once.
+            client.on("end", close);
+            client.on("close", close);
+            client.on("error", () => reset(target));
+            target.on("end", () => client.end());
+            target.on("close", () => client.end());
+            target.on("error", () => reset(client));
+            carry(client, target);
+            carry(target, client);
+            if (head.length > 0) {
+                target.write(head);
+            }
+        },
+        isIdle: () => !isAwaitingAnswer && clock.monotonicNow() - lastBytesAt > idleMilliseconds,
+        close,
+    };
+}
--- a/packages/daisyturn/src/process/crashes/createCrashDetector.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashDetector.ts
@@ -153,7 +153,8 @@
     };
 
     const checkRemoved = async ({ targetId, address }: RunTarget, runs: RunsAtTarget) => {
-        if (await probe(address) !== ProbeResult.Accepted) {
+        const found = await probe(address);
+        if (found === ProbeResult.Refused || found === ProbeResult.Unknown) {
             reportRemoved(targetId, runs, "its entry has expired and it does not answer");
         }
     };
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -61,11 +61,17 @@
     /** Whether this process places prompts for its group, according to its own information. */
     isCoordinator(): boolean;
     /**
-     * Whether this process coordinates its group and its name sorts before those of all reachable coordinators of other
-     * groups.
+     * Whether this process coordinates its group, reaches the targets, and its name sorts before those of all reachable
+     * coordinators of other groups.
      */
     isFleetCoordinator(): boolean;
     run(signal: AbortSignal): void;
+    /** Lists all known processes, including this one. */
+    listPeers(): readonly RegisteredPeer[];
+    /** Whether a process of the fleet is known at a host. If not, the registry is read again. */
+    isRegistered(host: string): boolean;
+    /** Requests that the registry be read again, at most every few seconds. */
+    refreshPeers(): void;
     /** Requests that this process's registry entry be rewritten because the store may have lost it. */
     refreshEntry(): void;
     /** Informs the group that this process no longer accepts placement requests. */
@@ -74,6 +80,8 @@
 
 /** A coordinator of another group that has not sent a message for this time is presumed ended. */
 const otherCoordinatorMilliseconds = 2_500;
+/** Interval between two reads of the registry on request; each is a call to the store, which has a price. */
+const refreshIntervalMilliseconds = 5_000;
 
 /** Creates the participation of one process in its group. Nothing is sent before `run` is called. */
 export function coordinate(options: CoordinationOptions): Coordination {
@@ -93,7 +101,16 @@
     /** Monotonic time of the last message from each coordinator of another group. */
     const otherCoordinators = new Map<string, number>();
 
-    const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false };
+    const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false, isReadPending: false };
+    let nextRefreshAt = -Infinity;
+
+    const refreshPeers = () => {
+        if (clock.monotonicNow() >= nextRefreshAt) {
+            nextRefreshAt = clock.monotonicNow() + refreshIntervalMilliseconds;
+            refreshRequest.isReadPending = true;
+            refreshRequest.requested.raise();
+        }
+    };
 
     const placementServer = createPlacementServer({
         coordinatorId: self.peerId,
@@ -204,7 +221,7 @@
         isCoordinator,
         isFleetCoordinator: () => {
             const oldest = clock.monotonicNow() - otherCoordinatorMilliseconds;
-            return isCoordinator()
+            return isCoordinator() && !views.links.isCutOff()
                 && [...otherCoordinators].every(([peerId, at]) => at < oldest || peerId > self.peerId);
         },
         run: signal => {
@@ -214,6 +231,15 @@
             void statePublisher.run(signal);
             void evidencePublisher.run(signal);
         },
+        listPeers: link.listPeers,
+        isRegistered: host => {
+            const isKnown = link.listPeers().some(peer => peer.host === host) || members.hasHost(host);
+            if (!isKnown) {
+                refreshPeers();
+            }
+            return isKnown;
+        },
+        refreshPeers,
         refreshEntry: () => {
             refreshRequest.isPending = true;
             refreshRequest.requested.raise();
--- a/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
@@ -16,6 +16,8 @@
     /** Returns the process that places prompts for this one, possibly this one itself; undefined while there is none. */
     current(): RegisteredPeer | undefined;
     find(peerId: string): RegisteredPeer | undefined;
+    /** Lists all known processes, including this one. */
+    listPeers(): readonly RegisteredPeer[];
     /** Whether a process was sent load reports and has not answered in time. */
     isSilent(peer: RegisteredPeer): boolean;
     /** Whether any coordinator other than this process is reachable. */
@@ -142,6 +144,7 @@
         },
         listReportReceivers,
         current,
+        listPeers: () => peers,
         find: peerId => peers.find(peer => peer.peerId === peerId),
         isSilent,
         hasContact: () => ranking.some(peer => !isSelf(peer) && hasContactWith(peer)),
--- a/packages/daisyturn/src/process/forwarding/coordination/createMembers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createMembers.ts
@@ -8,6 +8,8 @@
     list(): readonly PeerAddress[];
     /** Whether a process reports to this one from the given host. */
     has(peerId: string, host: string): boolean;
+    /** Whether any process reports to this one from the given host. */
+    hasHost(host: string): boolean;
     /** Whether all members have had enough time to report. */
     isComplete(): boolean;
 }
@@ -49,6 +51,7 @@
             return [...members.values()].map(({ address }) => address);
         },
         has: (peerId, host) => members.get(peerId)?.address.host === host,
+        hasHost: host => [...members.values()].some(({ address }) => address.host === host),
         isComplete: () => since !== undefined && clock.monotonicNow() - since >= completeMilliseconds,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
@@ -13,10 +13,13 @@
     readonly eventLog: EventLog;
 }
 
-/** A request to rewrite this process's registry entry; pending until the next refresh starts. */
+/** A request to read the registry; pending until the next refresh starts. */
 export interface EntryRefreshRequest {
     readonly requested: Signal;
+    /** The store may have lost this process's entry, and those of others. */
     isPending: boolean;
+    /** The list of processes may be outdated. */
+    isReadPending: boolean;
 }
 
 /** Interval until other processes are found, while no coordinator is reachable, and after a failure. */
@@ -51,6 +54,7 @@
 
     /** @returns the time until the next refresh, in milliseconds */
     const refresh = async (): Promise<number> => {
+        refreshRequest.isReadPending = false;
         if (refreshRequest.isPending) {
             refreshRequest.isPending = false;
             retainUnlistedUntil = clock.monotonicNow() + unlistedGraceMilliseconds;
@@ -77,10 +81,11 @@
     };
 
     while (!signal.aborted) {
-        const isRefreshDue = mustRefresh || refreshRequest.isPending || found.length === 0 || link.isCandidate()
+        const isRefreshDue = mustRefresh || refreshRequest.isPending || refreshRequest.isReadPending
+            || found.length === 0 || link.isCandidate()
             || !link.hasContact();
         const interval = isRefreshDue ? await refresh() : checkMilliseconds;
-        if (!refreshRequest.isPending) {
+        if (!refreshRequest.isPending && !refreshRequest.isReadPending) {
             await refreshRequest.requested.wait(clock, clock.monotonicNow() + interval, signal);
         }
     }
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -24,10 +24,13 @@
     abstract recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void;
     /** Records one send to a target by its result: `answered`, or the reason for its failure. */
     abstract recordSend(result: string): void;
+    /** Records one send over a connection that a peer carries. */
+    abstract recordRelayedSend(): void;
 }
 
 /** Discards all counts. */
 export class NoForwardingMetrics extends ForwardingMetrics {
     override recordCall(): void {}
     override recordSend(): void {}
+    override recordRelayedSend(): void {}
 }
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -17,6 +17,7 @@
 export * from "./limits/createSizeFairness.js";
 export * from "./limits/createWindowedRetryBudget.js";
 export * from "./limits/measureSize.js";
+export * from "./links/createRelays.js";
 export * from "./links/createTargetLinks.js";
 export * from "./placement/callPlacement.js";
 export * from "./placement/createCallPlacement.js";
--- a/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
@@ -1,69 +1,216 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 
-/** The links from this process to the targets, by address (host:port), as its own connections show them. */
+/** Ways by which a connection to a target is to be opened. */
+export enum DialPlan {
+    /** Directly, and by way of a peer only if that fails or takes long. */
+    Direct = "direct",
+    /** By way of a peer. */
+    Relay = "relay",
+    /** Both at once, to find out whether the lost link works again. */
+    Both = "both",
+    /** By none: all have failed just before, so that waiting for another attempt would only delay the caller. */
+    None = "none",
+}
+
+/**
+ * The links from this process to the targets, by address (host:port). A link is lost if connections over it fail while
+ * a peer reaches the target.
+ */
 export interface TargetLinks {
-    /** Records that a connection was opened, or that a complete answer arrived over one. */
+    /** Plans how a connection is opened. After `Both`, the lost link is not tried again for a while. */
+    planDial(address: string): DialPlan;
+    /** Records that a connection was opened directly, or that a complete answer arrived over a direct one. */
     recordContact(address: string): void;
-    /** Records that a connection could not be opened. */
-    recordFailure(address: string, reason: string): void;
-    /** Whether connections fail to most of the targets that this process has recently connected to. */
+    /** Records that a direct connection could not be opened. */
+    recordFailure(address: string, failure: LinkFailure): void;
+    /** Records that a peer reaches a target to which direct connections fail. */
+    recordLost(address: string): void;
+    /** Records that peers that reach other targets can't reach this one either. */
+    recordTargetFault(address: string): void;
+    /** Records that neither this process nor a peer could open a connection, without an answer of the target. */
+    recordUnanswered(address: string): void;
+    isLost(address: string): boolean;
+    hasLost(): boolean;
+    lostCount(): number;
+    /** Whether the links to most of the targets that this process has recently connected to are lost. */
     isCutOff(): boolean;
-    forget(address: string): void;
+    /** The last failure to open a direct connection, if it is recent and nothing has been received since. */
+    recentFailure(address: string): LinkFailure | undefined;
+    /** Whether a failure to reach a target shows that the target is at fault, since the links to others work. */
+    canJudge(address: string): boolean;
+    /** Registers a listener that is called once a link is lost. */
+    onLost(listener: (address: string) => void): void;
+}
+
+/** Why a direct connection could not be opened. */
+export interface LinkFailure {
+    /** Whether something answered that nothing listens at the address; else there was no answer or another error. */
+    readonly isRefused: boolean;
+    /** Error code, or a short text. */
+    readonly message: string;
 }
 
 interface LinkState {
     /** Monotonic times. */
     contactAt: number;
     failedAt: number;
+    lostUntil: number;
+    /** Time at which a lost link is tried again. */
+    retryAt: number;
+    /** Until then, connections fail at once. */
+    unansweredUntil: number;
+    failure?: LinkFailure;
 }
 
 /** Older outcomes no longer show whether a link works. */
 const memoryMilliseconds = 3_000;
-/** With fewer failing links, the targets may be at fault. */
-const minFailingLinks = 2;
+/** After this time without an attempt, a lost link counts as working until the next one. */
+const lostMilliseconds = 10_000;
+/** Interval between two attempts on a lost link, while calls need it. */
+const retryIntervalMilliseconds = 500;
+/** Interval between attempts on all lost links, so that a process that has lost hundreds sends few. */
+const retrySpacingMilliseconds = 50;
+/** A target that nothing reaches is tried again after this time; its callers are refused until then. */
+const unansweredMilliseconds = 500;
+/** A process judges a target only if it reached another one within this time. */
+const judgementMilliseconds = 1_000;
+/** States beyond this number are removed once they are outdated. */
+const maxStates = 4_096;
 
 /** Creates the record of one process. */
 export function createTargetLinks(clock: Clock, eventLog: EventLog): TargetLinks {
     const states = new Map<string, LinkState>();
-    let wasCutOff = false;
+    const lostListeners: ((address: string) => void)[] = [];
+    let reportedLost = 0;
+    let nextRetryAt = -Infinity;
+
+    const removeOutdated = () => {
+        const oldest = clock.monotonicNow() - lostMilliseconds;
+        states.forEach(({ contactAt, failedAt, lostUntil }, address) => {
+            if (Math.max(contactAt, failedAt) < oldest && lostUntil < clock.monotonicNow()) {
+                states.delete(address);
+            }
+        });
+    };
 
     const find = (address: string): LinkState => {
-        const known = states.get(address) ?? { contactAt: -Infinity, failedAt: -Infinity };
-        states.set(address, known);
+        let known = states.get(address);
+        if (!known) {
+            if (states.size >= maxStates) {
+                removeOutdated();
+            }
+            known = {
+                contactAt: -Infinity,
+                failedAt: -Infinity,
+                lostUntil: -Infinity,
+                retryAt: -Infinity,
+                unansweredUntil: -Infinity,
+            };
+            states.set(address, known);
+        }
         return known;
     };
 
-    const count = () => {
+    const isStateLost = (state: LinkState | undefined) => state !== undefined && state.lostUntil > clock.monotonicNow();
+
+    const lostCount = () => [...states.values()].filter(isStateLost).length;
+
+    /** Cheap while no link is lost, since it is asked for each call. */
+    const hasLost = () => reportedLost > 0 && lostCount() > 0;
+
+    const countWorking = () => {
         const oldest = clock.monotonicNow() - memoryMilliseconds;
-        const recent = [...states.values()].filter(({ contactAt, failedAt }) => Math.max(contactAt, failedAt) > oldest);
-        const failing = recent.filter(({ contactAt, failedAt }) => failedAt > contactAt).length;
-        return { failing, working: recent.length - failing };
+        return [...states.values()].filter(state => !isStateLost(state) && state.contactAt > oldest).length;
     };
 
-    const isCutOff = () => {
-        const { failing, working } = count();
-        return failing >= minFailingLinks && failing > working;
+    /** Reports that the first link is lost and that the last one is back, not each link. */
+    const reportChange = (reason?: string) => {
+        const lost = lostCount();
+        if ((lost > 0) !== (reportedLost > 0)) {
+            const kind = lost > 0 ? EventKind.LinksLost : EventKind.LinksRestored;
+            eventLog.record(kind, { lost, working: countWorking(), reason });
+        }
+        reportedLost = lost;
     };
 
-    const reportChange = (reason?: string) => {
-        if (isCutOff() !== wasCutOff) {
-            wasCutOff = !wasCutOff;
-            eventLog.record(wasCutOff ? EventKind.LinksLost : EventKind.LinksRestored, { ...count(), reason });
+    const planLostDial = (state: LinkState): DialPlan => {
+        const now = clock.monotonicNow();
+        if (state.retryAt > now || nextRetryAt > now) {
+            return DialPlan.Relay;
         }
+        state.retryAt = now + retryIntervalMilliseconds;
+        nextRetryAt = now + retrySpacingMilliseconds;
+        return DialPlan.Both;
     };
 
     return {
+        planDial: address => {
+            const state = states.get(address);
+            if (!state) {
+                return DialPlan.Direct;
+            }
+            if (state.unansweredUntil > clock.monotonicNow()) {
+                return DialPlan.None;
+            }
+            if (state.unansweredUntil > -Infinity) {
+                // One connection shows whether the target answers again; the others need not wait for that.
+                state.unansweredUntil = clock.monotonicNow() + unansweredMilliseconds;
+            }
+            return isStateLost(state) ? planLostDial(state) : DialPlan.Direct;
+        },
         recordContact: address => {
-            find(address).contactAt = clock.monotonicNow();
-            if (wasCutOff) {
+            const state = find(address);
+            const wasLost = isStateLost(state);
+            state.contactAt = clock.monotonicNow();
+            state.unansweredUntil = -Infinity;
+            if (wasLost) {
+                state.lostUntil = -Infinity;
+                // The other links are probably back too, and each is tried by the next call that needs it.
+                states.forEach(other => other.retryAt = -Infinity);
+                nextRetryAt = -Infinity;
+            }
+            if (wasLost || reportedLost > 0) {
                 reportChange();
             }
         },
-        recordFailure: (address, reason) => {
-            find(address).failedAt = clock.monotonicNow();
-            reportChange(reason);
+        recordFailure: (address, failure) => {
+            const state = find(address);
+            state.failedAt = clock.monotonicNow();
+            state.failure = failure;
+        },
+        recordLost: address => {
+            const state = find(address);
+            const wasLost = isStateLost(state);
+            state.lostUntil = clock.monotonicNow() + lostMilliseconds;
+            state.unansweredUntil = -Infinity;
+            if (!wasLost) {
+                state.retryAt = clock.monotonicNow() + retryIntervalMilliseconds;
+                lostListeners.forEach(listener => listener(address));
+                reportChange(state.failure?.message);
+            }
+        },
+        recordTargetFault: address => {
+            find(address).failedAt = -Infinity;
+        },
+        recordUnanswered: address => {
+            find(address).unansweredUntil = clock.monotonicNow() + unansweredMilliseconds;
+        },
+        isLost: address => isStateLost(states.get(address)),
+        hasLost,
+        lostCount,
+        isCutOff: () => hasLost() && lostCount() > countWorking(),
+        recentFailure: address => {
+            const state = states.get(address);
+            const oldest = Math.max(state?.contactAt ?? -Infinity, clock.monotonicNow() - retryIntervalMilliseconds);
+            return state && state.failedAt > oldest ? state.failure : undefined;
+        },
+        canJudge: address => {
+            const oldest = clock.monotonicNow() - judgementMilliseconds;
+            const others = [...states].filter(([other]) => other !== address).map(([, state]) => state);
+            const isFailing = ({ failedAt, contactAt }: LinkState) => failedAt > oldest && failedAt > contactAt;
+            return others.some(({ contactAt }) => contactAt > oldest)
+                && !others.some(state => isStateLost(state) || isFailing(state));
         },
-        isCutOff,
-        forget: address => states.delete(address),
+        onLost: listener => lostListeners.push(listener),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -1,5 +1,6 @@
 import { type Clock, createDecayingRate, type DecayingRate, EventKind, type EventLog } from "daisyturn-utils";
 import { EngineActivity } from "../../../ports/engineOrders.js";
+import { createFailureReports } from "./createFailureReports.js";
 import { type ActivityQuery, createSilenceDetector } from "./createSilenceDetector.js";
 
 /** What the outcome of a call shows about its target's health. */
@@ -10,6 +11,8 @@
     AnsweredError = "answered_error",
     /** No connection could be made. */
     Unreachable = "unreachable",
+    /** No connection could be made, and nothing shows that the target is at fault. */
+    LinkFailed = "link_failed",
     /** The connection broke, or the answer was malformed. */
     Broken = "broken",
     /** Calls wait and the target does not work on them, as reported by `SilenceDetector`. */
@@ -47,6 +50,8 @@
      * load.
      */
     selectTrusted<Target extends { readonly targetId: string; }>(targets: readonly Target[]): readonly Target[];
+    /** Withdraws what was concluded from failures over a link that turns out to be lost. */
+    recordLinkLost(targetId: string): void;
     forget(targetId: string): void;
 }
 
@@ -76,9 +81,6 @@
 const maxErrorFractionExcess = 0.22;
 const errorSuspicionMilliseconds = 2_000;
 
-/** How long a report stays valid after it is received; longer than the interval between reports. */
-const reportValidityMilliseconds = 2_500;
-
 /** Creates the health view of one process. */
 export function createTargetHealth(
     clock: Clock,
@@ -87,9 +89,7 @@
 ): TargetHealth {
     const silence = createSilenceDetector(clock, eventLog, queryActivity);
     const states = new Map<string, HealthState>();
-    /** Monotonic expiry times of reports by target, from members of the same group and from other groups. */
-    const peerReportExpiry = new Map<string, number>();
-    const groupReportExpiry = new Map<string, number>();
+    const reports = createFailureReports(clock);
 
     const find = (targetId: string): HealthState => {
         let state = states.get(targetId);
@@ -156,6 +156,11 @@
         else if (evidence === TargetEvidence.AnsweredError) {
             state.errors.add(1, now);
         }
+        else if (evidence === TargetEvidence.LinkFailed) {
+            if (state.suspectUntil <= now) {
+                suspect(targetId, state, firstSuspicionMilliseconds, evidence);
+            }
+        }
         else {
             recordFailure(targetId, state, evidence);
         }
@@ -216,9 +221,6 @@
     const isFailingLocally = (targetId: string) =>
         (states.get(targetId)?.failures ?? 0) > 0 || silence.isSilent(targetId);
 
-    const isReported = (expiry: ReadonlyMap<string, number>, targetId: string) =>
-        (expiry.get(targetId) ?? -Infinity) > clock.monotonicNow();
-
     const listOwnFailing = () => [...states.keys()].filter(isFailingLocally);
 
     return {
@@ -231,24 +233,23 @@
         },
         checkSilence: silence.check,
         isSilent: silence.isSilent,
-        isFailing: targetId =>
-            isFailingLocally(targetId) || isReported(peerReportExpiry, targetId)
-            || isReported(groupReportExpiry, targetId),
+        isFailing: targetId => isFailingLocally(targetId) || reports.isReported(targetId),
         listOwnFailing,
-        listGroupFailing: () => {
-            const reported = [...peerReportExpiry.keys()].filter(targetId => isReported(peerReportExpiry, targetId));
-            return [...new Set([...listOwnFailing(), ...reported])];
-        },
-        recordFailing: (targetIds, isGroup) => {
-            const expiry = isGroup ? groupReportExpiry : peerReportExpiry;
-            expiry.forEach((expiresAt, targetId) => expiresAt <= clock.monotonicNow() && expiry.delete(targetId));
-            targetIds.forEach(targetId => expiry.set(targetId, clock.monotonicNow() + reportValidityMilliseconds));
-        },
+        listGroupFailing: () => [...new Set([...listOwnFailing(), ...reports.listByMembers()])],
+        recordFailing: reports.record,
         selectTrusted: targets => {
             suspectFailing(targets.map(target => target.targetId));
             const trusted = targets.filter(target => acceptsWork(target.targetId));
             return trusted.length * 2 >= targets.length ? trusted : targets;
         },
+        recordLinkLost: targetId => {
+            const state = states.get(targetId);
+            if (state) {
+                state.failures = 0;
+                state.isOnTrial = false;
+                state.suspectUntil = -Infinity;
+            }
+        },
         forget: targetId => {
             states.delete(targetId);
             silence.forget(targetId);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -11,6 +11,8 @@
     isOpen(targetId: string): boolean;
     /** A listed target, leaving or not. */
     find(targetId: string): ListedTarget | undefined;
+    /** Identifiers of the listed targets at an address (host:port), leaving or not. */
+    findAt(address: string): readonly string[];
     /** Whether the list has been read at least once. */
     isKnown(): boolean;
     /** Records each call to the store, so that entries that expire because of an outage are recognized. */
@@ -49,12 +51,15 @@
     const unreadable = new Set<string>();
     const removedListeners: ((targetId: string, removal: TargetRemoval) => void)[] = [];
     let openByService = new Map<string, ListedTarget[]>();
+    let idsByAddress = new Map<string, string[]>();
     let isKnown = false;
     let lastFailureAt = -Infinity;
 
     const index = () => {
         openByService = new Map();
+        idsByAddress = new Map();
         for (const target of targets.values()) {
+            idsByAddress.set(target.address, [...idsByAddress.get(target.address) ?? [], target.targetId]);
             if (!target.isLeaving) {
                 const group = openByService.get(target.service) ?? [];
                 group.push(target);
@@ -162,6 +167,10 @@
             return targets.get(targetId)?.isLeaving === false;
         },
         find: targetId => targets.get(targetId),
+        findAt: address => {
+            forgetExpired();
+            return idsByAddress.get(address) ?? [];
+        },
         isKnown: () => isKnown,
         recordStoreCall: isAnswered => {
             if (!isAnswered) {
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import { EngineActivity, type EngineOrders } from "../../../ports/engineOrders.js";
+import { createTargetLinks, type TargetLinks } from "../links/createTargetLinks.js";
 import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
 import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
 import { createTargetList, type TargetList, type TargetListOptions } from "../targets/createTargetList.js";
@@ -13,6 +14,7 @@
 /** The state and the estimates that one process has of the targets. */
 export interface TargetViews {
     readonly targets: TargetList;
+    readonly links: TargetLinks;
     readonly loads: TargetLoads;
     readonly health: TargetHealth;
     readonly caches: CacheEstimates;
@@ -43,11 +45,14 @@
         return target && engineOrders ? await engineOrders.checkActivity(target, deadline) : EngineActivity.NoAnswer;
     };
     const health = createTargetHealth(clock, eventLog, queryActivity);
+    const links = createTargetLinks(clock, eventLog);
+    links.onLost(address => targets.findAt(address).forEach(health.recordLinkLost));
     const caches = createCacheEstimates(clock);
     const slowdowns = createSlowdownEstimates();
     targets.onRemoved(targetId => [loads, health, caches, slowdowns].forEach(view => view.forget(targetId)));
     return {
         targets,
+        links,
         loads,
         health,
         caches,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -18,6 +18,7 @@
     SizeFairness,
     SlowdownEstimates,
     TargetHealth,
+    TargetLinks,
     TargetList,
     TargetLoads,
     WindowedRetryBudget,
@@ -27,6 +28,7 @@
 export interface ForwardingParts {
     readonly configurationManager: Pick<ForwardingConfigurationManager, "current">;
     readonly targets: TargetList;
+    readonly links: Pick<TargetLinks, "isLost">;
     readonly loads: TargetLoads;
     readonly health: TargetHealth;
     readonly caches: CacheEstimates;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -44,6 +44,8 @@
 const maxCollectedBytes = 16 * 1024 * 1024;
 /** Interval of the checks for a silent target, and the time without bytes that a check requires. */
 const silenceCheckIntervalMilliseconds = 350;
+/** Time without bytes after which a call that may be repeated is not left on a lost link. */
+const lostLinkMilliseconds = 1_000;
 
 /** Sends a call, updates the load and health of the target, and assigns a verdict to each failure. */
 export async function sendToTarget(
@@ -69,7 +71,16 @@
     const work = loads.begin(target.targetId, attempt.cost);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
     const endRun = parts.crashGuard.beginRun(target, context.guarded);
-    const silenceWatch = watchSilence(clock, health, context.signal, target.targetId, attempt.isRepeatable);
+    const route: SendRoute = { isLinkLost: () => !route.relayId && parts.links.isLost(target.address) };
+    const silenceWatch = watchSilence({
+        clock,
+        health,
+        callSignal: context.signal,
+        targetId: target.targetId,
+        isRepeatable: attempt.isRepeatable,
+        isLinkLost: route.isLinkLost,
+        endWait: wait.end,
+    });
 
     context.trace.record(EventKind.RequestDispatched, {
         target: target.targetId,
@@ -94,6 +105,14 @@
             }),
             body: context.call.body.length > 0 ? context.call.body : undefined,
             signal: silenceWatch.signal,
+            onStarted: relayId => {
+                route.relayId = relayId;
+                if (relayId !== undefined) {
+                    // The silence of a peer is not that of the target.
+                    wait.end();
+                    parts.metrics.recordRelayedSend();
+                }
+            },
             sink: {
                 onHead: (status, fields) => {
                     const head = protocol.readHead(status, fields);
@@ -122,7 +141,7 @@
         },
     );
     silenceWatch.end();
-    recordSend(parts, context, attempt, reply.head, result);
+    recordSend(parts, context, attempt, route, reply.head, result);
     work.end();
     wait.end();
     const outcome = determineResult(
@@ -131,11 +150,19 @@
         Buffer.concat(chunks),
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
-    recordEvidence(parts, context, target.targetId, outcome, silenceWatch.isSilent());
+    recordEvidence(parts, context, attempt, route, outcome, silenceWatch.isSilent());
     endRun(determineRunEnd(context, attempt, outcome, silenceWatch.isSilent()));
     return outcome;
 }
 
+/** The connection over which a call is sent. */
+interface SendRoute {
+    /** The peer that carries the connection; undefined for a direct one, and before the call is sent. */
+    relayId?: string;
+    /** Whether the connection is a direct one over a link that is lost. */
+    readonly isLinkLost: () => boolean;
+}
+
 /** An answer is valid only if it names the call and, if it is a success for the caller, is signed by its target. */
 function checkOrigin(context: CallContext, attempt: CallAttempt, head: ReplyHead): Failure | undefined {
     if (head.callId !== context.call.callId) {
@@ -155,12 +182,14 @@
     parts: ForwardingParts,
     context: CallContext,
     { target }: CallAttempt,
+    { relayId }: SendRoute,
     head: ReplyHead | undefined,
     result: Result<void, Failure>,
 ): void {
     parts.metrics.recordSend(result.isErr ? result.error.reason : head?.isNotRun ? "not_run" : "answered");
     context.trace.record(EventKind.TargetAnswered, {
         target: target.targetId,
+        relay: relayId,
         status: head?.status,
         isNotRun: head?.isNotRun,
         load: head?.load && `${head.load.running}+${head.load.waiting}/${head.load.slots}`,
@@ -192,11 +221,19 @@
 function recordEvidence(
     parts: ForwardingParts,
     context: CallContext,
-    targetId: string,
+    { target: { targetId } }: CallAttempt,
+    route: SendRoute,
     outcome: Result<TargetReply, Failure>,
     isSilent: boolean,
 ): void {
-    if (isSilent) {
+    if (outcome.isErr && outcome.error.reason === FailureReason.LinkFailed) {
+        parts.health.record(targetId, TargetEvidence.LinkFailed);
+    }
+    else if (outcome.isErr && (route.relayId !== undefined || route.isLinkLost())) {
+        // The connection may have broken on its way to the target.
+        return;
+    }
+    else if (isSilent) {
         parts.health.record(targetId, TargetEvidence.Silent);
     }
     else if (outcome.isOk) {
@@ -230,26 +267,48 @@
     end(): void;
 }
 
-/** Aborts an attempt together with its call and, if it may be repeated, once its target has fallen silent. */
-function watchSilence(
-    clock: Clock,
-    health: TargetHealth,
-    callSignal: AbortSignal,
-    targetId: string,
-    isRepeatable: boolean,
-): SilenceWatch {
+/** What {@link watchSilence} needs. */
+interface SilenceWatchOptions {
+    readonly clock: Clock;
+    readonly health: TargetHealth;
+    readonly callSignal: AbortSignal;
+    readonly targetId: string;
+    readonly isRepeatable: boolean;
+    /** Whether the call was sent over a link that is lost. */
+    readonly isLinkLost: () => boolean;
+    /** Ends the record of the call's wait for its target. */
+    readonly endWait: () => void;
+}
+
+/**
+ * Aborts an attempt together with its call and, if it may be repeated, once its target has fallen silent or the link to
+ * it is lost.
+ */
+function watchSilence(options: SilenceWatchOptions): SilenceWatch {
+    const { clock, health, callSignal, targetId, isRepeatable } = options;
     const controller = new AbortController();
     const abortWithCall = () => controller.abort(callSignal.reason);
     let isSilent = false;
     let lastReceivedAt = clock.monotonicNow();
+    const hasWaited = (milliseconds: number) => clock.monotonicNow() - lastReceivedAt > milliseconds;
     const check = () => {
+        if (options.isLinkLost()) {
+            options.endWait();
+            if (isRepeatable && hasWaited(lostLinkMilliseconds)) {
+                controller.abort(mayHaveRun(FailureReason.TargetFailed, "The link to the target is lost."));
+            }
+            return;
+        }
+        if (!isRepeatable) {
+            return;
+        }
         health.checkSilence(targetId);
-        if (health.isSilent(targetId) && clock.monotonicNow() - lastReceivedAt > silenceCheckIntervalMilliseconds) {
+        if (health.isSilent(targetId) && hasWaited(silenceCheckIntervalMilliseconds)) {
             isSilent = true;
             controller.abort(mayHaveRun(FailureReason.TargetFailed, "The target has fallen silent."));
         }
     };
-    const timer = isRepeatable ? setInterval(check, silenceCheckIntervalMilliseconds) : undefined;
+    const timer = setInterval(check, silenceCheckIntervalMilliseconds);
     callSignal.addEventListener("abort", abortWithCall, { once: true });
     return {
         signal: controller.signal,
--- a/packages/daisyturn/src/request/retryPolicy.ts
+++ b/packages/daisyturn/src/request/retryPolicy.ts
@@ -12,6 +12,7 @@
     FailureReason.NoTarget,
     FailureReason.TargetRefused,
     FailureReason.TargetFailed,
+    FailureReason.LinkFailed,
     FailureReason.StreamBroken,
     FailureReason.OutOfService,
     FailureReason.StoreUnavailable,
