Let another process change stages while the coordinator is cut off, and choose peers for large fleets

It now says so in its messages: in a fleet of one group the next process in the ranking acts for it, else the coordinators of the other groups pass over it. Prompts are still placed where the load of the group is known.

Peers: three of the own zone are asked before those of other zones, since a whole zone may be cut off, and a peer that opened a connection is asked first for five seconds.

--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -94,6 +94,16 @@
         }
         idle.push(connection);
         idleByAddress.set(address, idle);
+        if (connection.relayId() !== undefined) {
+            setTimeout(() => closeUnlessUsed(address, connection), recentAnswerMilliseconds).unref();
+        }
+    };
+
+    /** A connection that a peer carries is not reused later, and the peer must not carry it in vain. */
+    const closeUnlessUsed = (address: string, connection: TargetConnection) => {
+        if (idleByAddress.get(address)?.includes(connection) && !isRecentlyVerified(connection)) {
+            connection.close();
+        }
     };
 
     return {
--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -69,8 +69,8 @@
         found !== ProbeResult.LinkLost || !relays.hasPeers() || (!links.isLost(address) && links.canJudge(address));
 
     const createFailure = (address: string, direct: LinkFailure | undefined, found: ProbeResult): Failure => {
-        if (direct && !direct.isRefused) {
-            links.recordUnanswered(address);
+        if (direct) {
+            links.recordNoWay(address, direct.isRefused);
         }
         const message = direct?.message ?? "no peer reaches the target";
         if (isTargetFault(address, found)) {
--- /dev/null
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -0,0 +1,193 @@
+import { FailureReason, SystemClock } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type RawTarget, startRawTarget } from "../../target/__fixtures__/rawTarget.js";
+import type { DialedConnection } from "../../target/createTargetDialer.js";
+import { ProbeResult } from "../../target/probeAddress.js";
+import { type BenchRelay, createBenchDialer, LinkFault, startRelay } from "../__fixtures__/createTunnelBench.js";
+
+const request = "GET / HTTP/1.1\r\n\r\n";
+const unusedAddress = "127.0.0.1:9";
+
+async function withRelays(
+    count: number,
+    run: (target: RawTarget, relays: readonly BenchRelay[]) => Promise<void>,
+): Promise<void> {
+    const target = await startRawTarget(socket => void socket.write("answer"));
+    const relays = await Promise.all(Array.from({ length: count }, (value, index) => startRelay(`peer-${index}`)));
+    try {
+        await run(target, relays);
+    }
+    finally {
+        relays.forEach(({ server }) => server.close());
+        await target.close();
+    }
+}
+
+async function ask({ socket }: DialedConnection): Promise<string> {
+    socket.write(request);
+    const [answer] = await once(socket, "data") as [Buffer];
+    return answer.toString();
+}
+
+async function dialOpen(dialer: ReturnType<typeof createBenchDialer>["dialer"], address: string) {
+    const dialed = await dialer.dial(address);
+    assert.ok(dialed.isOk, dialed.isErr ? dialed.error.message : undefined);
+    return dialed.value;
+}
+
+async function waitForClose(socket: Socket): Promise<void> {
+    if (!socket.destroyed) {
+        await once(socket, "close");
+    }
+}
+
+// Guards against a process that serves nothing while its links fail, though its peers reach the targets.
+for (const fault of Object.values(LinkFault)) {
+    test(`a target is reached by way of a peer while the own link fails (${fault}), and directly afterwards`, () =>
+        withRelays(2, async (target, relays) => {
+            const { dialer, links, state } = createBenchDialer(relays);
+            state.fault = fault;
+            const first = await dialOpen(dialer, target.address);
+            assert.equal(await ask(first), "answer");
+            assert.match(first.relayId ?? "", /^peer-/);
+            await sleep(fault === LinkFault.Hanging ? 400 : 0);
+            assert.equal(links.isLost(target.address), true);
+            const startedAt = performance.now();
+            const second = await dialOpen(dialer, target.address);
+            assert.equal(await ask(second), "answer");
+            assert.ok(performance.now() - startedAt < 100, "does not wait for the lost link");
+            state.fault = undefined;
+            await sleep(510);
+            const third = await dialOpen(dialer, target.address);
+            assert.equal(third.relayId === undefined || !links.isLost(target.address), true);
+            assert.equal((await dialOpen(dialer, target.address)).relayId, undefined);
+        }));
+}
+
+test("a working link is used directly, and no peer is asked", () =>
+    withRelays(1, async (target, relays) => {
+        const { dialer } = createBenchDialer(relays);
+        const dialed = await dialOpen(dialer, target.address);
+        assert.equal(dialed.relayId, undefined);
+        assert.equal(target.connections.length, 1);
+        assert.equal(relays[0]?.server.carried(), 0);
+    }));
+
+// Guards against link faults that are charged to targets, and against callers that wait where no way is left.
+test("where no process reaches a target and none can judge it, the link has failed, and further calls fail at once", () =>
+    withRelays(2, async (target, relays) => {
+        const { dialer, state } = createBenchDialer(relays);
+        state.fault = LinkFault.Hanging;
+        relays.forEach(relay => relay.isAvailable = false);
+        const dialed = await dialer.dial(target.address);
+        assert.equal(dialed.isErr && dialed.error.reason, FailureReason.LinkFailed);
+        const startedAt = performance.now();
+        const again = await dialer.dial(target.address);
+        assert.equal(again.isErr && again.error.reason, FailureReason.LinkFailed);
+        assert.ok(performance.now() - startedAt < 50);
+    }));
+
+test("a target that also refuses peers which reach other targets has failed itself", () =>
+    withRelays(2, async (target, relays) => {
+        const { dialer, links } = createBenchDialer(relays);
+        relays.forEach(relay => relay.links.recordContact(target.address));
+        const dialed = await dialer.dial(unusedAddress);
+        assert.equal(dialed.isErr && dialed.error.reason, FailureReason.TargetFailed);
+        assert.equal(links.isLost(unusedAddress), false);
+    }));
+
+// Guards against crash evidence that a cut process makes out of its own refused connections.
+test("a refused port counts as a crash only if peers that reach other targets confirm it", () =>
+    withRelays(2, async (target, relays) => {
+        const { dialer } = createBenchDialer(relays);
+        assert.equal(await dialer.probe(target.address), ProbeResult.Accepted);
+        assert.equal(await dialer.probe(unusedAddress), ProbeResult.LinkLost, "no peer has reached a target lately");
+        await sleep(1_000);
+        relays.forEach(relay => relay.links.recordContact(target.address));
+        assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused);
+    }));
+
+// Guards against an open proxy: only processes of the fleet, only to listed targets.
+test("a peer refuses unknown processes, addresses that are not listed, and requests that are no tunnels", () =>
+    withRelays(1, async (target, relays) => {
+        const { dialer, localHost, state } = createBenchDialer(relays);
+        const [relay] = relays;
+        assert.ok(relay);
+        state.fault = LinkFault.Refused;
+        relay.addresses = ["127.0.0.1:1"];
+        assert.equal((await dialer.dial(target.address)).isErr, true);
+        await sleep(1_010);
+        relay.addresses = undefined;
+        relay.hosts = ["127.0.0.1"];
+        assert.equal((await dialer.dial(target.address)).isErr, true);
+        await sleep(1_010);
+        relay.hosts = [localHost];
+        assert.equal((await dialer.dial(target.address)).isOk, true);
+        assert.equal((await fetch(`http://${relay.peer.host}:${relay.peer.port}/`)).status, 403);
+    }));
+
+// Guards against chains of peers.
+test("a peer whose own link to the target is lost does not pass the connection on", () =>
+    withRelays(1, async (target, relays) => {
+        const { dialer, state } = createBenchDialer(relays);
+        state.fault = LinkFault.Refused;
+        relays[0]?.links.recordLost(target.address);
+        const dialed = await dialer.dial(target.address);
+        assert.equal(dialed.isErr && dialed.error.reason, FailureReason.LinkFailed);
+        assert.equal(target.connections.length, 0);
+    }));
+
+test("another peer is asked if one is gone", () =>
+    withRelays(3, async (target, relays) => {
+        const { dialer, state } = createBenchDialer(relays);
+        state.fault = LinkFault.Refused;
+        relays.slice(0, 2).forEach(({ server }) => server.close());
+        assert.equal((await dialOpen(dialer, target.address)).relayId, "peer-2");
+    }));
+
+// Guards against cancelled calls on which targets work on, and against resets that look like ends.
+test("closes and resets pass through a tunnel at once, in both directions", () =>
+    withRelays(1, async (target, relays) => {
+        const { dialer, state } = createBenchDialer(relays);
+        state.fault = LinkFault.Refused;
+        const closed = await dialOpen(dialer, target.address);
+        await ask(closed);
+        closed.socket.destroy();
+        assert.ok(target.connections[0]);
+        await waitForClose(target.connections[0]);
+
+        const reset = await dialOpen(dialer, target.address);
+        await ask(reset);
+        const failed = once(reset.socket, "error");
+        target.connections[1]?.resetAndDestroy();
+        const [error] = await failed as [Error & { code?: string; }];
+        assert.equal(error.code, "ECONNRESET");
+        await sleep(20);
+        assert.equal(relays[0]?.server.carried(), 0);
+    }));
+
+// Guards against calls that break off because a peer that carries them stops.
+test("a peer that stops finishes the call that it carries, closes idle tunnels and takes no more", () =>
+    withRelays(1, async (target, relays) => {
+        const { dialer, state } = createBenchDialer(relays);
+        const [relay] = relays;
+        assert.ok(relay);
+        state.fault = LinkFault.Refused;
+        const busy = await dialOpen(dialer, target.address);
+        const idle = await dialOpen(dialer, target.address);
+        await ask(idle);
+        busy.socket.write("GET / HTTP/1.1\r\n");
+        const drained = relay.server.drain(new SystemClock().monotonicNow() + 5_000);
+        await waitForClose(idle.socket.resume());
+        assert.equal(busy.socket.destroyed, false);
+        assert.equal((await dialer.dial(target.address)).isErr, true);
+        busy.socket.write("\r\n");
+        const [answer] = await once(busy.socket, "data") as [Buffer];
+        assert.equal(answer.toString(), "answer");
+        await drained;
+        await waitForClose(busy.socket.resume());
+    }));
--- a/packages/daisyturn/src/connection/tunnel/openThroughPeers.ts
+++ b/packages/daisyturn/src/connection/tunnel/openThroughPeers.ts
@@ -78,6 +78,7 @@
                     return;
                 }
                 if (opened.isOk) {
+                    relays.recordOpened(peerId, address);
                     finish(ok({ socket: opened.value, relayId: peerId }));
                     return;
                 }
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -4,6 +4,7 @@
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
+import { createExpiringSet, type ExpiringSet } from "../links/createExpiringSet.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
@@ -61,8 +62,9 @@
     /** Whether this process places prompts for its group, according to its own information. */
     isCoordinator(): boolean;
     /**
-     * Whether this process coordinates its group, reaches the targets, and its name sorts before those of all reachable
-     * coordinators of other groups.
+     * Whether this process is the one that acts for the whole fleet: it reaches the targets and coordinates its group,
+     * and its name sorts before those of all such coordinators of other groups. In a fleet of one group, the next process
+     * in the ranking stands in for a coordinator that is cut off from most targets.
      */
     isFleetCoordinator(): boolean;
     run(signal: AbortSignal): void;
@@ -97,9 +99,11 @@
     const loadPublisher = createLoadPublisher({ ...shared, views, sizeFairness, lastReceived: client.lastReceived });
     const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views });
     const evidencePublisher = createEvidencePublisher({ ...shared, members });
-    const statePublisher = createStatePublisher({ ...shared, members, reader, closed, maxStateAgeMilliseconds });
-    /** Monotonic time of the last message from each coordinator of another group. */
-    const otherCoordinators = new Map<string, number>();
+    const { links } = views;
+    const statePublisher = createStatePublisher({ ...shared, members, reader, closed, links, maxStateAgeMilliseconds });
+    /** Coordinators of other groups, and those of this group whose links to most targets are lost. */
+    const otherCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
+    const cutOffCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
 
     const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false, isReadPending: false };
     let nextRefreshAt = -Infinity;
@@ -141,13 +145,16 @@
         listDistrusted,
     });
 
+    const recordPresence = (present: ExpiringSet, peerId: string, isPresent: boolean) =>
+        isPresent ? present.add(peerId) : present.delete(peerId);
+
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
         evidencePublisher.compareDigest(message.from, from, message.evidence);
         closed.applyRemote(message.closed);
         health.recordFailing(message.failing, message.isGroup);
         message.kept.forEach(([targetId, partId, tokens]) => caches.recordRemote(targetId, partId, tokens));
         if (message.isGroup) {
-            otherCoordinators.set(message.from, clock.monotonicNow());
+            recordPresence(otherCoordinators, message.from, message.isCutOff !== true);
             loads.recordGroup(message.from, message.work, message.pause);
             demand.recordGroup(message.from, message.demand, message.pause);
             return;
@@ -168,6 +175,7 @@
     const applyState = (state: CoordinatorState, from: PeerAddress) => {
         evidencePublisher.compareDigest(state.from, from, state.evidence);
         link.recordContact(state.from, state.isAnswering);
+        recordPresence(cutOffCoordinators, state.from, state.isCutOff === true);
         link.addPeers(state.candidates);
         closed.applyRemote(state.closed);
         tables.applyState(state);
@@ -205,6 +213,12 @@
 
     const isCoordinator = () => link.current()?.peerId === self.peerId;
 
+    /** Whether this process is next in the ranking after a coordinator that is cut off from most targets. */
+    const isStandIn = () => {
+        const coordinator = link.current();
+        return coordinator !== undefined && link.isCandidate() && cutOffCoordinators.has(coordinator.peerId);
+    };
+
     channel.onDatagram((datagram, from) => {
         const notification = parseNotification(datagram);
         if (notification) {
@@ -220,9 +234,9 @@
         closingReportInterval: () => groupReportMilliseconds,
         isCoordinator,
         isFleetCoordinator: () => {
-            const oldest = clock.monotonicNow() - otherCoordinatorMilliseconds;
-            return isCoordinator() && !views.links.isCutOff()
-                && [...otherCoordinators].every(([peerId, at]) => at < oldest || peerId > self.peerId);
+            const others = otherCoordinators.list();
+            const isFirst = isCoordinator() && others.every(peerId => peerId > self.peerId);
+            return (isFirst || (others.length === 0 && isStandIn())) && !links.isCutOff();
         },
         run: signal => {
             void watchPeers({ self, registry: options.registry, link, refreshRequest, clock, eventLog }, signal);
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -8,7 +8,7 @@
 /** What {@link createGroupLoadPublisher} needs. */
 export interface GroupLoadPublisherOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed">;
+    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "links">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
     readonly evidence: Pick<CrashEvidence, "digest">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
@@ -30,7 +30,7 @@
 export function createGroupLoadPublisher(
     { selfId, views, link, evidence, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
-    const { loads, health, caches, demand, closed } = views;
+    const { loads, health, caches, demand, closed, links } = views;
     let kept: LoadMessage["kept"][number][] = [];
     const changed = createSignal();
     let wasBusy = false;
@@ -44,6 +44,7 @@
         from: selfId,
         pause: idleMilliseconds,
         isGroup: true,
+        isCutOff: links.isCutOff(),
         placed: 0,
         work: loads.listGroup(),
         demand: demand.listGroup().map(([service, rate]) => [service, Math.round(rate)] as const),
--- a/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
@@ -1,5 +1,6 @@
 import { type Clock, createSignal } from "daisyturn-utils";
 import type { CrashEvidence } from "../../crashes/index.js";
+import type { TargetLinks } from "../links/createTargetLinks.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import type { Members } from "./createMembers.js";
@@ -15,6 +16,7 @@
     readonly reader: TableReader;
     readonly closed: ClosedTargets;
     readonly evidence: Pick<CrashEvidence, "digest">;
+    readonly links: Pick<TargetLinks, "isCutOff">;
     /** Members use a state report of a table for up to this time after the store last answered. */
     readonly maxStateAgeMilliseconds: () => number;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
@@ -42,7 +44,7 @@
 const maxRowsBytes = 16_384;
 
 export function createStatePublisher(options: StatePublisherOptions): StatePublisher {
-    const { selfId, members, link, reader, closed, evidence, send, clock } = options;
+    const { selfId, members, link, reader, closed, evidence, links, send, clock } = options;
     const changed = createSignal();
     let isStopping = false;
     closed.onChanged(changed.raise);
@@ -51,6 +53,7 @@
         encodeCoordinatorState({
             from: selfId,
             isAnswering: members.isComplete() && !isStopping,
+            isCutOff: links.isCutOff(),
             tables: link.isCandidate() ? reader.listStates() : [],
             closed: closed.listKnown(),
             candidates: link.listCandidates(),
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -8,6 +8,7 @@
     from: "entry-1",
     pause: 120,
     isGroup: false,
+    isCutOff: true,
     placed: 7,
     work: [{ targetId: "i-1", calls: 3, work: 40, deferredWork: 0, tokens: 900 }],
     kept: [["i-1", "part", 600]],
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -16,6 +16,7 @@
     readList,
     readName,
     readOptionalAmount,
+    readOptionalFlag,
     readOrUndefined,
 } from "./notification.js";
 
@@ -29,6 +30,8 @@
     readonly pause: number;
     /** Whether the message covers all processes of the sender's group. */
     readonly isGroup: boolean;
+    /** Whether the sender's links to most targets are lost; absent if its version does not send it. */
+    readonly isCutOff?: boolean;
     /**
      * Number of the last placement that the sender received from the receiver; `work` includes it and all earlier ones.
      */
@@ -92,6 +95,7 @@
         from: readName(params["from"]),
         pause: readAmount(params["pause"], maxPauseMilliseconds),
         isGroup: params["isGroup"] === true,
+        isCutOff: readOptionalFlag(params["isCutOff"]),
         placed: readAmount(params["placed"]),
         work: readList<WorkEntry>(params["work"], [isName, isLoad, isLoad, isLoad, isLoad]).map(decodeWork),
         kept: readList(params["kept"], [isName, isName, isLoad]),
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/notification.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/notification.ts
@@ -65,6 +65,11 @@
     return value === undefined ? undefined : readAmount(value);
 }
 
+/** @returns undefined if the value is not a boolean, for instance because an earlier version does not send it */
+export function readOptionalFlag(value: unknown): boolean | undefined {
+    return typeof value === "boolean" ? value : undefined;
+}
+
 /**
  * Returns the entries of a list whose fields all pass their checks.
  *
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -11,6 +11,7 @@
     readList,
     readName,
     readOptionalAmount,
+    readOptionalFlag,
     readOrUndefined,
 } from "./notification.js";
 
@@ -32,6 +33,8 @@
     readonly from: string;
     /** Whether the coordinator knows the load of its group and accepts placement requests. */
     readonly isAnswering: boolean;
+    /** Whether its links to most targets are lost, so that another process changes the stages of engines. */
+    readonly isCutOff?: boolean;
     readonly tables: readonly TableState[];
     readonly closed: readonly ClosingList[];
     /** The first processes in the ranking of the group's coordinators. */
@@ -101,6 +104,7 @@
     return {
         from: readName(params["from"]),
         isAnswering: params["isAnswering"] === true,
+        isCutOff: readOptionalFlag(params["isCutOff"]),
         tables: tables.map(([table, changedVersion, version, age, era = 0]) => ({
             table,
             era,
--- a/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
+++ b/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
@@ -76,12 +76,12 @@
 // Guards against callers that wait for targets that nothing reaches.
 test("a target that nothing reaches is tried by one connection each half second, and the others fail at once", async () => {
     const { clock, links } = createLinks();
-    links.recordUnanswered(first);
+    links.recordNoWay(first, false);
     assert.equal(links.planDial(first), DialPlan.None);
     await clock.advance(501);
     assert.deepEqual([1, 2, 3].map(() => links.planDial(first)), [DialPlan.Direct, DialPlan.None, DialPlan.None]);
-    links.recordContact(first);
-    assert.equal(links.planDial(first), DialPlan.Direct);
+    links.recordNoWay(first, true);
+    assert.deepEqual([1, 2].map(() => links.planDial(first)), [DialPlan.Direct, DialPlan.Direct]);
 });
 
 // Guards against a process with lost links that reports targets as being at fault.
--- a/packages/daisyturn/src/process/forwarding/links/createRelays.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createRelays.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
+import { createExpiringSet } from "./createExpiringSet.js";
 
 /** The peers by way of which this process can reach targets. */
 export interface Relays {
@@ -7,6 +8,7 @@
     list(address: string): readonly RegisteredPeer[];
     /** Whether any other process is known. */
     hasPeers(): boolean;
+    recordOpened(peerId: string, address: string): void;
     /** Records that a peer did not open a connection to an address. */
     recordRefused(peerId: string, address: string): void;
     /** Records that a peer could not be reached. */
@@ -26,43 +28,60 @@
 
 /** A peer that was not available is not asked again for this long. */
 const avoidMilliseconds = 1_000;
-/** Entries beyond this number are removed once they have expired. */
-const maxAvoided = 4_096;
+/** A peer that has opened a connection is asked first for this long; then the choice is made anew. */
+const preferMilliseconds = 5_000;
+/** Peers of the own zone that are asked before those of others, since the whole zone may be cut off. */
+const zonePeersFirst = 3;
 
 /** Creates the choice of one process. */
 export function createRelays(options: RelaysOptions): Relays {
     const { selfId, availabilityZone, random, clock } = options;
-    /** Monotonic expiry time by peer, or by peer and address. */
-    const avoided = new Map<string, number>();
+    /** Unavailable peers, alone or with an address. */
+    const avoided = createExpiringSet(clock, avoidMilliseconds);
+    /** Peers with an address to which they have opened connections. */
+    const preferred = createExpiringSet(clock, preferMilliseconds);
 
-    const avoid = (key: string) => {
-        const now = clock.monotonicNow();
-        if (avoided.size >= maxAvoided) {
-            avoided.forEach((expiresAt, known) => expiresAt <= now && avoided.delete(known));
-        }
-        avoided.set(key, now + avoidMilliseconds);
-    };
-    const isAvoided = (key: string) => (avoided.get(key) ?? -Infinity) > clock.monotonicNow();
     const nameRoute = (peerId: string, address: string) => `${peerId} ${address}`;
     const listOthers = () => options.listPeers().filter(({ peerId }) => peerId !== selfId);
 
     return {
         list: address => {
             const available = listOthers().filter(({ peerId }) =>
-                !isAvoided(peerId) && !isAvoided(nameRoute(peerId, address))
+                !avoided.has(peerId) && !avoided.has(nameRoute(peerId, address))
             );
             if (available.length === 0) {
                 options.refreshPeers();
             }
-            // Traffic between availability zones has a price. Among peers of a zone, a random order spreads the load.
-            return available
-                .map(peer => ({ peer, isRemote: Number(peer.availabilityZone !== availabilityZone) }))
-                .map(entry => ({ ...entry, order: random.fraction() }))
-                .sort((left, right) => left.isRemote - right.isRemote || left.order - right.order)
-                .map(({ peer }) => peer);
+            // The random order spreads the load. Traffic between availability zones has a price.
+            const shuffled = shuffle(available, random);
+            const isPreferred = ({ peerId }: RegisteredPeer) => preferred.has(nameRoute(peerId, address));
+            const inZone = shuffled.filter(peer => peer.availabilityZone === availabilityZone && !isPreferred(peer));
+            const remote = shuffled.filter(peer => peer.availabilityZone !== availabilityZone && !isPreferred(peer));
+            return [
+                ...shuffled.filter(isPreferred),
+                ...inZone.slice(0, zonePeersFirst),
+                ...remote,
+                ...inZone.slice(zonePeersFirst),
+            ];
         },
         hasPeers: () => listOthers().length > 0,
-        recordRefused: (peerId, address) => avoid(nameRoute(peerId, address)),
-        recordUnreachable: peerId => avoid(peerId),
+        recordOpened: (peerId, address) => {
+            const route = nameRoute(peerId, address);
+            if (!preferred.has(route)) {
+                preferred.add(route);
+            }
+        },
+        recordRefused: (peerId, address) => {
+            avoided.add(nameRoute(peerId, address));
+            preferred.delete(nameRoute(peerId, address));
+        },
+        recordUnreachable: peerId => avoided.add(peerId),
     };
 }
+
+function shuffle<Item>(items: readonly Item[], random: Random): Item[] {
+    return items
+        .map(item => ({ item, order: random.fraction() }))
+        .sort((left, right) => left.order - right.order)
+        .map(({ item }) => item);
+}
--- a/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
@@ -27,8 +27,11 @@
     recordLost(address: string): void;
     /** Records that peers that reach other targets can't reach this one either. */
     recordTargetFault(address: string): void;
-    /** Records that neither this process nor a peer could open a connection, without an answer of the target. */
-    recordUnanswered(address: string): void;
+    /**
+     * Records that neither this process nor a peer could open a connection. Unless the target refused it, others fail at
+     * once for a while.
+     */
+    recordNoWay(address: string, isRefused: boolean): void;
     isLost(address: string): boolean;
     hasLost(): boolean;
     lostCount(): number;
@@ -192,8 +195,8 @@
         recordTargetFault: address => {
             find(address).failedAt = -Infinity;
         },
-        recordUnanswered: address => {
-            find(address).unansweredUntil = clock.monotonicNow() + unansweredMilliseconds;
+        recordNoWay: (address, isRefused) => {
+            find(address).unansweredUntil = isRefused ? -Infinity : clock.monotonicNow() + unansweredMilliseconds;
         },
         isLost: address => isStateLost(states.get(address)),
         hasLost,
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetHealth.ts
@@ -242,14 +242,7 @@
             const trusted = targets.filter(target => acceptsWork(target.targetId));
             return trusted.length * 2 >= targets.length ? trusted : targets;
         },
-        recordLinkLost: targetId => {
-            const state = states.get(targetId);
-            if (state) {
-                state.failures = 0;
-                state.isOnTrial = false;
-                state.suspectUntil = -Infinity;
-            }
-        },
+        recordLinkLost: targetId => states.delete(targetId),
         forget: targetId => {
             states.delete(targetId);
             silence.forget(targetId);
