Confirm crashes by peers also while the own link is lost, and by contact with another target

A cut entry's direct probe hangs, and its result was preferred to that of the peers, which were refused; and a peer that had two targets down at once judged neither of them, since each counted as a failing link for the other.

A peer's finding now counts whatever the own probe found. A process judges a target if it has reached another one directly within 150 ms, and else connects to another one first.

--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { DialPlan, type LinkFailure, type Relays, type TargetLinks } from "../../process/forwarding/index.js";
 import { openThroughPeers } from "../tunnel/openThroughPeers.js";
+import { createReachCheck } from "./createReachCheck.js";
 import { openSocket } from "./openSocket.js";
 import { probeAddress, ProbeResult } from "./probeAddress.js";
 
@@ -50,6 +51,8 @@
 export function createTargetDialer(options: TargetDialerOptions): TargetDialer {
     const { links, relays, localHost, clock, open = openSocket } = options;
 
+    const reachesOthers = createReachCheck(links, clock, open);
+
     const openDirect = async (address: string, deadline: number): Promise<Result<DialedConnection, LinkFailure>> => {
         const opened = await open(address, { deadline, clock });
         if (opened.isOk) {
@@ -66,7 +69,7 @@
 
     /** Whether the target, and not a link, is at fault for a failure, by what peers found or by the other links. */
     const isTargetFault = (address: string, found: ProbeResult) =>
-        found !== ProbeResult.LinkLost || !relays.hasPeers() || (!links.isLost(address) && links.canJudge(address));
+        found !== ProbeResult.LinkLost || !relays.hasPeers() || (!links.isLost(address) && links.hasContact(address));
 
     const createFailure = (address: string, direct: LinkFailure | undefined, found: ProbeResult): Failure => {
         if (direct) {
@@ -74,7 +77,6 @@
         }
         const message = direct?.message ?? "no peer reaches the target";
         if (isTargetFault(address, found)) {
-            links.recordTargetFault(address);
             return notRun(FailureReason.TargetFailed, `The connection failed: ${message}.`);
         }
         return notRun(FailureReason.LinkFailed, `No way to the target was found: ${message}.`);
@@ -121,8 +123,8 @@
     };
 
     const probe = async (address: string): Promise<ProbeResult> => {
-        const isLinkLost = links.isLost(address) || links.isCutOff();
-        const found = await probeAddress(address);
+        const isLost = links.isLost(address);
+        const found = isLost ? ProbeResult.LinkLost : await probeAddress(address);
         if (found === ProbeResult.Accepted || !relays.hasPeers()) {
             return found;
         }
@@ -133,10 +135,10 @@
             return ProbeResult.Accepted;
         }
         if (relayed.error.found !== ProbeResult.LinkLost) {
-            return found === ProbeResult.Refused ? relayed.error.found : found;
+            return relayed.error.found;
         }
         // Peers don't connect to a target that is no longer listed.
-        return isLinkLost || !links.canJudge(address) ? ProbeResult.LinkLost : found;
+        return !isLost && await reachesOthers(address) ? found : ProbeResult.LinkLost;
     };
 
     return {
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -11,6 +11,7 @@
 
 const request = "GET / HTTP/1.1\r\n\r\n";
 const unusedAddress = "127.0.0.1:9";
+const closedAddress = "127.0.0.1:13";
 
 async function withRelays(
     count: number,
@@ -103,12 +104,17 @@
 // Guards against crash evidence that a cut process makes out of its own refused connections.
 test("a refused port counts as a crash only if peers that reach other targets confirm it", () =>
     withRelays(2, async (target, relays) => {
-        const { dialer } = createBenchDialer(relays);
+        const { dialer, links } = createBenchDialer(relays);
         assert.equal(await dialer.probe(target.address), ProbeResult.Accepted);
-        assert.equal(await dialer.probe(unusedAddress), ProbeResult.LinkLost, "no peer has reached a target lately");
-        await sleep(1_000);
         relays.forEach(relay => relay.links.recordContact(target.address));
-        assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused);
+        await sleep(200);
+        assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "the peers try another target");
+        links.recordLost(unusedAddress);
+        assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "also while the own link is lost");
+        await sleep(1_000);
+        relays.forEach(relay => relay.links.recordContact(closedAddress));
+        relays.forEach(relay => relay.links.recordLost(target.address));
+        assert.equal(await dialer.probe(unusedAddress), ProbeResult.LinkLost, "the peers reach no other target");
     }));
 
 // Guards against an open proxy: only processes of the fleet, only to listed targets.
--- a/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
@@ -2,9 +2,11 @@
 import { createServer, type IncomingMessage, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { err, type Result } from "true-myth/result";
 import type { LinkFailure, TargetLinks } from "../../process/forwarding/index.js";
 import type { ListenAddress } from "../caller/callerServerOptions.js";
 import { listenAt } from "../listenAt.js";
+import { createReachCheck } from "../target/createReachCheck.js";
 import { openSocket } from "../target/openSocket.js";
 import { createTunnel, type Tunnel } from "./createTunnel.js";
 import { TunnelAnswer } from "./tunnelAnswer.js";
@@ -31,7 +33,7 @@
     readonly isListed: (address: string) => boolean;
     /** Whether this process has processor time for the tunnels of others. */
     readonly isAvailable: () => boolean;
-    readonly links: Pick<TargetLinks, "isLost" | "canJudge" | "recentFailure" | "recordContact" | "recordFailure">;
+    readonly links: TargetLinks;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -47,6 +49,7 @@
 /** Creates the server. Only processes of the fleet may use it, and only for listed targets. */
 export function createTunnelServer(options: TunnelServerOptions): TunnelServer {
     const { links, clock, eventLog } = options;
+    const reachesOthers = createReachCheck(links, clock);
     const tunnels = new Set<Tunnel>();
     const opening = new Set<Duplex>();
     let isStopping = false;
@@ -56,22 +59,24 @@
             return TunnelAnswer.Forbidden;
         }
         const isFull = tunnels.size + opening.size >= maxTunnels;
-        if (isStopping || isFull || !options.isAvailable() || links.isLost(address)) {
-            return TunnelAnswer.Unavailable;
-        }
-        const failure = links.recentFailure(address);
-        return failure ? describeFailure(address, failure) : TunnelAnswer.Open;
+        return isStopping || isFull || !options.isAvailable() || links.isLost(address)
+            ? TunnelAnswer.Unavailable
+            : TunnelAnswer.Open;
     };
 
-    const describeFailure = (address: string, { isRefused }: LinkFailure): TunnelAnswer => {
-        if (!links.canJudge(address)) {
+    const describeFailure = async (address: string, { isRefused }: LinkFailure): Promise<TunnelAnswer> => {
+        if (!await reachesOthers(address)) {
             return TunnelAnswer.Unavailable;
         }
         return isRefused ? TunnelAnswer.TargetRefused : TunnelAnswer.TargetUnanswered;
     };
 
     /** Connects to the target directly, never by way of another peer. */
-    const connectTo = async (address: string, signal: AbortSignal) => {
+    const connectTo = async (address: string, signal: AbortSignal): Promise<Result<Socket, LinkFailure>> => {
+        const known = links.recentFailure(address);
+        if (known) {
+            return err(known);
+        }
         const deadline = clock.monotonicNow() + connectTimeoutMilliseconds;
         const opened = await openSocket(address, { deadline, clock, signal });
         if (opened.isOk) {
@@ -98,7 +103,7 @@
         opening.delete(client);
         client.off("close", leave);
         if (opened.isErr) {
-            answer(client, describeFailure(address, opened.error));
+            answer(client, await describeFailure(address, opened.error));
             return;
         }
         if (client.destroyed || isStopping) {
--- a/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
+++ b/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
@@ -85,18 +85,18 @@
 });
 
 // Guards against a process with lost links that reports targets as being at fault.
-test("a process judges a target only while it reaches another one and no link to others fails", async () => {
+test("a process has contact with other targets only for a moment after it has reached one directly", async () => {
     const setup = createLinks();
     const { clock, links } = setup;
-    assert.equal(links.canJudge(first), false);
+    assert.equal(links.hasContact(first), false);
+    links.recordContact(first);
+    links.recordContact(third);
+    await clock.advance(10);
     links.recordContact(second);
-    assert.equal(links.canJudge(first), true);
-    links.recordFailure(third, timeout);
-    assert.equal(links.canJudge(first), false);
-    links.recordTargetFault(third);
-    assert.equal(links.canJudge(first), true);
+    assert.equal(links.hasContact(first), true);
+    assert.deepEqual(links.listOthers(first), [second, third]);
     loseLink(setup, third);
-    assert.equal(links.canJudge(first), false);
-    await clock.advance(1_001);
-    assert.equal(links.canJudge(third), false);
+    assert.deepEqual(links.listOthers(first), [second]);
+    await clock.advance(151);
+    assert.equal(links.hasContact(first), false);
 });
--- a/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
@@ -25,8 +25,6 @@
     recordFailure(address: string, failure: LinkFailure): void;
     /** Records that a peer reaches a target to which direct connections fail. */
     recordLost(address: string): void;
-    /** Records that peers that reach other targets can't reach this one either. */
-    recordTargetFault(address: string): void;
     /**
      * Records that neither this process nor a peer could open a connection. Unless the target refused it, others fail at
      * once for a while.
@@ -39,8 +37,10 @@
     isCutOff(): boolean;
     /** The last failure to open a direct connection, if it is recent and nothing has been received since. */
     recentFailure(address: string): LinkFailure | undefined;
-    /** Whether a failure to reach a target shows that the target is at fault, since the links to others work. */
-    canJudge(address: string): boolean;
+    /** Whether another target than the one at an address has just been reached directly. */
+    hasContact(address: string): boolean;
+    /** Lists other addresses whose links are not known to fail, the ones with the latest contact first. */
+    listOthers(address: string): readonly string[];
     /** Registers a listener that is called once a link is lost. */
     onLost(listener: (address: string) => void): void;
 }
@@ -75,8 +75,8 @@
 const retrySpacingMilliseconds = 50;
 /** A target that nothing reaches is tried again after this time; its callers are refused until then. */
 const unansweredMilliseconds = 500;
-/** A process judges a target only if it reached another one within this time. */
-const judgementMilliseconds = 1_000;
+/** A contact shows that links still work for this long. */
+const contactMilliseconds = 150;
 /** States beyond this number are removed once they are outdated. */
 const maxStates = 4_096;
 
@@ -192,9 +192,6 @@
                 reportChange(state.failure?.message);
             }
         },
-        recordTargetFault: address => {
-            find(address).failedAt = -Infinity;
-        },
         recordNoWay: (address, isRefused) => {
             find(address).unansweredUntil = isRefused ? -Infinity : clock.monotonicNow() + unansweredMilliseconds;
         },
@@ -207,13 +204,17 @@
             const oldest = Math.max(state?.contactAt ?? -Infinity, clock.monotonicNow() - retryIntervalMilliseconds);
             return state && state.failedAt > oldest ? state.failure : undefined;
         },
-        canJudge: address => {
-            const oldest = clock.monotonicNow() - judgementMilliseconds;
-            const others = [...states].filter(([other]) => other !== address).map(([, state]) => state);
-            const isFailing = ({ failedAt, contactAt }: LinkState) => failedAt > oldest && failedAt > contactAt;
-            return others.some(({ contactAt }) => contactAt > oldest)
-                && !others.some(state => isStateLost(state) || isFailing(state));
+        hasContact: address => {
+            const oldest = clock.monotonicNow() - contactMilliseconds;
+            return [...states].some(([other, { contactAt }]) => other !== address && contactAt > oldest);
         },
+        listOthers: address =>
+            [...states]
+                .filter(([other, state]) =>
+                    other !== address && state.contactAt > state.failedAt && !isStateLost(state)
+                )
+                .sort(([, left], [, right]) => right.contactAt - left.contactAt)
+                .map(([other]) => other),
         onLost: listener => lostListeners.push(listener),
     };
 }
