Confirm crashes without delay, by contact after the failure

They had been aboard three crashes within a quarter of a second, and an answer refutes only records that exist already; a crash was recorded 200 ms late, since peers whose links are cut at the same moment had to be given time to notice. A peer now judges a target only if it has reached another one since the failure, and connects to another one for that if need be, so that no delay is needed.

--- a/packages/daisyturn/src/connection/target/createReachCheck.ts
+++ b/packages/daisyturn/src/connection/target/createReachCheck.ts
@@ -12,9 +12,9 @@
 /** More than one, because a single target may have failed too. */
 const maxProbedTargets = 2;
 
-/** Creates the check of one process. It connects to other targets only if none has sent anything just before. */
+/** Creates the check of one process. It connects to other targets only if none has been reached since the failure. */
 export function createReachCheck(
-    links: Pick<TargetLinks, "hasContact" | "listOthers" | "recordContact" | "recordFailure">,
+    links: Pick<TargetLinks, "hasContactSinceFailure" | "listOthers" | "recordContact" | "recordFailure">,
     clock: Clock,
     open: typeof openSocket = openSocket,
 ): ReachCheck {
@@ -30,7 +30,7 @@
     };
 
     return async address => {
-        if (links.hasContact(address)) {
+        if (links.hasContactSinceFailure(address)) {
             return true;
         }
         const others = links.listOthers(address).slice(0, maxProbedTargets);
--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -44,8 +44,6 @@
 const connectTimeoutMilliseconds = 400;
 /** Longer than a few round trips between regions. */
 const relayDelayMilliseconds = 100;
-/** Peers whose links are cut at the same moment notice that within this time. */
-const confirmDelayMilliseconds = 200;
 
 /** Creates the dialer of one process. */
 export function createTargetDialer(options: TargetDialerOptions): TargetDialer {
@@ -69,7 +67,8 @@
 
     /** Whether the target, and not a link, is at fault for a failure, by what peers found or by the other links. */
     const isTargetFault = (address: string, found: ProbeResult) =>
-        found !== ProbeResult.LinkLost || !relays.hasPeers() || (!links.isLost(address) && links.hasContact(address));
+        found !== ProbeResult.LinkLost || !relays.hasPeers()
+        || (!links.isLost(address) && links.hasContactSinceFailure(address));
 
     const createFailure = (address: string, direct: LinkFailure | undefined, found: ProbeResult): Failure => {
         if (direct) {
@@ -128,7 +127,6 @@
         if (found === ProbeResult.Accepted || !relays.hasPeers()) {
             return found;
         }
-        await clock.sleepUntil(clock.monotonicNow() + confirmDelayMilliseconds);
         const relayed = await openRelayed(address, clock.monotonicNow() + connectTimeoutMilliseconds);
         if (relayed.isOk) {
             relayed.value.socket.destroy();
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -107,11 +107,10 @@
         const { dialer, links } = createBenchDialer(relays);
         assert.equal(await dialer.probe(target.address), ProbeResult.Accepted);
         relays.forEach(relay => relay.links.recordContact(target.address));
-        await sleep(200);
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "the peers try another target");
         links.recordLost(unusedAddress);
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "also while the own link is lost");
-        await sleep(1_000);
+        await sleep(1_010);
         relays.forEach(relay => relay.links.recordContact(closedAddress));
         relays.forEach(relay => relay.links.recordLost(target.address));
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.LinkLost, "the peers reach no other target");
--- a/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
+++ b/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
@@ -84,19 +84,19 @@
     assert.deepEqual([1, 2].map(() => links.planDial(first)), [DialPlan.Direct, DialPlan.Direct]);
 });
 
-// Guards against a process with lost links that reports targets as being at fault.
-test("a process has contact with other targets only for a moment after it has reached one directly", async () => {
+// Guards against a process that takes a failure of its own links for one of a target.
+test("only contact with another target after a failure shows that the links work", async () => {
     const setup = createLinks();
     const { clock, links } = setup;
-    assert.equal(links.hasContact(first), false);
-    links.recordContact(first);
     links.recordContact(third);
     await clock.advance(10);
     links.recordContact(second);
-    assert.equal(links.hasContact(first), true);
+    links.recordFailure(first, timeout);
+    assert.equal(links.hasContactSinceFailure(first), false);
     assert.deepEqual(links.listOthers(first), [second, third]);
     loseLink(setup, third);
     assert.deepEqual(links.listOthers(first), [second]);
-    await clock.advance(151);
-    assert.equal(links.hasContact(first), false);
+    await clock.advance(1);
+    links.recordContact(second);
+    assert.equal(links.hasContactSinceFailure(first), true);
 });
--- a/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
@@ -37,8 +37,8 @@
     isCutOff(): boolean;
     /** The last failure to open a direct connection, if it is recent and nothing has been received since. */
     recentFailure(address: string): LinkFailure | undefined;
-    /** Whether another target than the one at an address has just been reached directly. */
-    hasContact(address: string): boolean;
+    /** Whether another target has been reached directly since the last failure to reach the one at an address. */
+    hasContactSinceFailure(address: string): boolean;
     /** Lists other addresses whose links are not known to fail, the ones with the latest contact first. */
     listOthers(address: string): readonly string[];
     /** Registers a listener that is called once a link is lost. */
@@ -75,8 +75,6 @@
 const retrySpacingMilliseconds = 50;
 /** A target that nothing reaches is tried again after this time; its callers are refused until then. */
 const unansweredMilliseconds = 500;
-/** A contact shows that links still work for this long. */
-const contactMilliseconds = 150;
 /** States beyond this number are removed once they are outdated. */
 const maxStates = 4_096;
 
@@ -204,9 +202,9 @@
             const oldest = Math.max(state?.contactAt ?? -Infinity, clock.monotonicNow() - retryIntervalMilliseconds);
             return state && state.failedAt > oldest ? state.failure : undefined;
         },
-        hasContact: address => {
-            const oldest = clock.monotonicNow() - contactMilliseconds;
-            return [...states].some(([other, { contactAt }]) => other !== address && contactAt > oldest);
+        hasContactSinceFailure: address => {
+            const failedAt = states.get(address)?.failedAt ?? Infinity;
+            return [...states].some(([other, { contactAt }]) => other !== address && contactAt > failedAt);
         },
         listOthers: address =>
             [...states]
