Keep a lost link lost while older connections over it still answer

Found in review: where new connections never open and older ones live on, each answer over an older one marked the link as restored, so that the next call waited 100 ms for a connection that never opened, and a cut peer judged targets by such answers. Only a connection that opens shows now that a link works; answers only count for the number of working links. A crash probe records its own failure, so that contact before it does not count, and a connection that opened while the process was busy is not taken for a timeout.

--- a/packages/daisyturn/src/connection/target/createReachCheck.ts
+++ b/packages/daisyturn/src/connection/target/createReachCheck.ts
@@ -14,7 +14,7 @@
 
 /** Creates the check of one process. It connects to other targets only if none has been reached since the failure. */
 export function createReachCheck(
-    links: Pick<TargetLinks, "hasContactSinceFailure" | "listOthers" | "recordContact" | "recordFailure">,
+    links: Pick<TargetLinks, "hasOpenedSinceFailure" | "listOthers" | "recordOpened" | "recordFailure">,
     clock: Clock,
     open: typeof openSocket = openSocket,
 ): ReachCheck {
@@ -24,13 +24,13 @@
             links.recordFailure(address, opened.error);
             return false;
         }
-        links.recordContact(address);
+        links.recordOpened(address);
         opened.value.destroy();
         return true;
     };
 
     return async address => {
-        if (links.hasContactSinceFailure(address)) {
+        if (links.hasOpenedSinceFailure(address)) {
             return true;
         }
         const others = links.listOthers(address).slice(0, maxProbedTargets);
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -31,7 +31,7 @@
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
 export function createTargetConnections(
     clock: Clock,
-    links: Pick<TargetLinks, "recordContact" | "isLost" | "hasLost">,
+    links: Pick<TargetLinks, "recordAnswered" | "isLost" | "hasLost">,
     dialer: Pick<TargetDialer, "dial" | "retryLink">,
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
@@ -113,7 +113,7 @@
             const result = await connection.send(send);
             if (result.isOk) {
                 if (connection.relayId() === undefined) {
-                    links.recordContact(address);
+                    links.recordAnswered(address);
                 }
                 release(address, connection);
             }
--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -54,7 +54,7 @@
     const openDirect = async (address: string, deadline: number): Promise<Result<DialedConnection, LinkFailure>> => {
         const opened = await open(address, { deadline, clock });
         if (opened.isOk) {
-            links.recordContact(address);
+            links.recordOpened(address);
         }
         else {
             links.recordFailure(address, opened.error);
@@ -68,7 +68,7 @@
     /** Whether the target, and not a link, is at fault for a failure, by what peers found or by the other links. */
     const isTargetFault = (address: string, found: ProbeResult) =>
         found !== ProbeResult.LinkLost || !relays.hasPeers()
-        || (!links.isLost(address) && links.hasContactSinceFailure(address));
+        || (!links.isLost(address) && links.hasOpenedSinceFailure(address));
 
     const createFailure = (address: string, direct: LinkFailure | undefined, found: ProbeResult): Failure => {
         if (direct) {
@@ -127,6 +127,7 @@
         if (found === ProbeResult.Accepted || !relays.hasPeers()) {
             return found;
         }
+        links.recordFailure(address, { isRefused: found === ProbeResult.Refused, message: found });
         const relayed = await openRelayed(address, clock.monotonicNow() + connectTimeoutMilliseconds);
         if (relayed.isOk) {
             relayed.value.socket.destroy();
--- a/packages/daisyturn/src/connection/target/openSocket.ts
+++ b/packages/daisyturn/src/connection/target/openSocket.ts
@@ -19,14 +19,19 @@
 ): Promise<Result<Socket, LinkFailure>> {
     const [host, port] = splitAddress(address);
     return new Promise(resolve => {
+        let isSettled = false;
         const socket = connect({ host, port, noDelay: true });
         const finish = (result: Result<Socket, LinkFailure>) => {
+            isSettled = true;
             clearTimeout(timer);
             socket.off("error", handleError);
             signal?.removeEventListener("abort", abandon);
             resolve(result);
         };
         const abort = (message: string) => {
+            if (isSettled) {
+                return;
+            }
             finish(err({ isRefused: false, message }));
             socket.once("error", () => undefined);
             socket.destroy();
@@ -34,7 +39,9 @@
         const abandon = () => abort("abandoned");
         const handleError = (error: Error & { code?: string; }) =>
             finish(err({ isRefused: error.code === "ECONNREFUSED", message: error.code ?? error.message }));
-        const timer = setTimeout(() => abort("connect timeout"), Math.max(0, deadline - clock.monotonicNow()));
+        // Where the process was busy, a connection that is already open is noticed before the timeout takes effect.
+        const expire = () => setImmediate(() => abort("connect timeout"));
+        const timer = setTimeout(expire, Math.max(0, deadline - clock.monotonicNow()));
         socket.once("error", handleError);
         socket.once("connect", () => finish(ok(socket)));
         if (signal?.aborted) {
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -95,7 +95,7 @@
 test("a target that also refuses peers which reach other targets has failed itself", () =>
     withRelays(2, async (target, relays) => {
         const { dialer, links } = createBenchDialer(relays);
-        relays.forEach(relay => relay.links.recordContact(target.address));
+        relays.forEach(relay => relay.links.recordOpened(target.address));
         const dialed = await dialer.dial(unusedAddress);
         assert.equal(dialed.isErr && dialed.error.reason, FailureReason.TargetFailed);
         assert.equal(links.isLost(unusedAddress), false);
@@ -106,12 +106,12 @@
     withRelays(2, async (target, relays) => {
         const { dialer, links } = createBenchDialer(relays);
         assert.equal(await dialer.probe(target.address), ProbeResult.Accepted);
-        relays.forEach(relay => relay.links.recordContact(target.address));
+        relays.forEach(relay => relay.links.recordOpened(target.address));
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "the peers try another target");
         links.recordLost(unusedAddress);
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.Refused, "also while the own link is lost");
         await sleep(1_010);
-        relays.forEach(relay => relay.links.recordContact(closedAddress));
+        relays.forEach(relay => relay.links.recordOpened(closedAddress));
         relays.forEach(relay => relay.links.recordLost(target.address));
         assert.equal(await dialer.probe(unusedAddress), ProbeResult.LinkLost, "the peers reach no other target");
     }));
--- a/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
@@ -80,7 +80,7 @@
         const deadline = clock.monotonicNow() + connectTimeoutMilliseconds;
         const opened = await openSocket(address, { deadline, clock, signal });
         if (opened.isOk) {
-            links.recordContact(address);
+            links.recordOpened(address);
         }
         else if (!signal.aborted) {
             links.recordFailure(address, opened.error);
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/actingCoordinator.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/actingCoordinator.test.ts
@@ -18,7 +18,7 @@
     assert.equal(listActing(fleet).length, 1);
     assert.ok(standIn && standIn !== coordinator);
     assert.equal(coordinator.coordination.isCoordinator(), true, "it still places prompts");
-    coordinator.links.recordContact("10.9.0.0:80");
+    coordinator.links.recordOpened("10.9.0.0:80");
     await fleet.clock.advance(600);
     assert.deepEqual(listActing(fleet), [coordinator]);
     await fleet.stop();
--- a/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
+++ b/packages/daisyturn/src/process/forwarding/links/__tests__/createTargetLinks.test.ts
@@ -23,14 +23,14 @@
 test("the first lost link and the return of the last one are logged, with the numbers of links", async () => {
     const setup = createLinks();
     const { clock, eventLog, links } = setup;
-    links.recordContact(third);
+    links.recordOpened(third);
     loseLink(setup, first);
     loseLink(setup, second);
     assert.equal(links.isCutOff(), true);
     await clock.advance(10);
-    links.recordContact(first);
+    links.recordOpened(first);
     assert.equal(links.isCutOff(), false);
-    links.recordContact(second);
+    links.recordOpened(second);
     const logged = eventLog.events.map(({ kind, fields }) => ({
         kind,
         lost: fields["lost"],
@@ -42,6 +42,18 @@
     ]);
 });
 
+// Guards against calls that wait for connections that never open while older ones still answer.
+test("an answer over an open connection does not show that a lost link is back", () => {
+    const setup = createLinks();
+    const { links } = setup;
+    loseLink(setup, first);
+    links.recordAnswered(first);
+    assert.equal(links.isLost(first), true);
+    assert.equal(links.planDial(first), DialPlan.Relay);
+    links.recordAnswered(second);
+    assert.equal(links.isCutOff(), false, "the link to another target works");
+});
+
 test("failures that no peer contradicts are not taken for a lost link", () => {
     const { eventLog, links } = createLinks();
     links.recordFailure(first, timeout);
@@ -61,7 +73,7 @@
     assert.deepEqual([first, second].map(links.planDial), [DialPlan.Both, DialPlan.Relay]);
     await clock.advance(50);
     assert.deepEqual([first, second].map(links.planDial), [DialPlan.Relay, DialPlan.Both]);
-    links.recordContact(first);
+    links.recordOpened(first);
     assert.deepEqual([first, second, third].map(links.planDial), [DialPlan.Direct, DialPlan.Both, DialPlan.Relay]);
 });
 
@@ -85,18 +97,18 @@
 });
 
 // Guards against a process that takes a failure of its own links for one of a target.
-test("only contact with another target after a failure shows that the links work", async () => {
+test("only a connection to another target after a failure shows that the links work", async () => {
     const setup = createLinks();
     const { clock, links } = setup;
-    links.recordContact(third);
+    links.recordOpened(third);
     await clock.advance(10);
-    links.recordContact(second);
+    links.recordOpened(second);
     links.recordFailure(first, timeout);
-    assert.equal(links.hasContactSinceFailure(first), false);
+    assert.equal(links.hasOpenedSinceFailure(first), false);
     assert.deepEqual(links.listOthers(first), [second, third]);
     loseLink(setup, third);
     assert.deepEqual(links.listOthers(first), [second]);
     await clock.advance(1);
-    links.recordContact(second);
-    assert.equal(links.hasContactSinceFailure(first), true);
+    links.recordOpened(second);
+    assert.equal(links.hasOpenedSinceFailure(first), true);
 });
--- a/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createTargetLinks.ts
@@ -19,8 +19,10 @@
 export interface TargetLinks {
     /** Plans how a connection is opened. After `Both`, the lost link is not tried again for a while. */
     planDial(address: string): DialPlan;
-    /** Records that a connection was opened directly, or that a complete answer arrived over a direct one. */
-    recordContact(address: string): void;
+    /** Records that a connection was opened directly. */
+    recordOpened(address: string): void;
+    /** Records an answer over a direct connection. New connections may fail all the same, so a lost link stays lost. */
+    recordAnswered(address: string): void;
     /** Records that a direct connection could not be opened. */
     recordFailure(address: string, failure: LinkFailure): void;
     /** Records that a peer reaches a target to which direct connections fail. */
@@ -35,11 +37,11 @@
     lostCount(): number;
     /** Whether the links to most of the targets that this process has recently connected to are lost. */
     isCutOff(): boolean;
-    /** The last failure to open a direct connection, if it is recent and nothing has been received since. */
+    /** The last failure to open a direct connection, if it is recent and none has been opened since. */
     recentFailure(address: string): LinkFailure | undefined;
-    /** Whether another target has been reached directly since the last failure to reach the one at an address. */
-    hasContactSinceFailure(address: string): boolean;
-    /** Lists other addresses whose links are not known to fail, the ones with the latest contact first. */
+    /** Whether a connection to another target was opened directly since the last failure at an address. */
+    hasOpenedSinceFailure(address: string): boolean;
+    /** Lists other addresses whose links are not known to fail, the ones opened last first. */
     listOthers(address: string): readonly string[];
     /** Registers a listener that is called once a link is lost. */
     onLost(listener: (address: string) => void): void;
@@ -55,7 +57,8 @@
 
 interface LinkState {
     /** Monotonic times. */
-    contactAt: number;
+    openedAt: number;
+    answeredAt: number;
     failedAt: number;
     lostUntil: number;
     /** Time at which a lost link is tried again. */
@@ -87,8 +90,8 @@
 
     const removeOutdated = () => {
         const oldest = clock.monotonicNow() - lostMilliseconds;
-        states.forEach(({ contactAt, failedAt, lostUntil }, address) => {
-            if (Math.max(contactAt, failedAt) < oldest && lostUntil < clock.monotonicNow()) {
+        states.forEach(({ openedAt, answeredAt, failedAt, lostUntil }, address) => {
+            if (Math.max(openedAt, answeredAt, failedAt) < oldest && lostUntil < clock.monotonicNow()) {
                 states.delete(address);
             }
         });
@@ -101,7 +104,8 @@
                 removeOutdated();
             }
             known = {
-                contactAt: -Infinity,
+                openedAt: -Infinity,
+                answeredAt: -Infinity,
                 failedAt: -Infinity,
                 lostUntil: -Infinity,
                 retryAt: -Infinity,
@@ -121,7 +125,9 @@
 
     const countWorking = () => {
         const oldest = clock.monotonicNow() - memoryMilliseconds;
-        return [...states.values()].filter(state => !isStateLost(state) && state.contactAt > oldest).length;
+        const isWorking = (state: LinkState) =>
+            !isStateLost(state) && Math.max(state.openedAt, state.answeredAt) > oldest;
+        return [...states.values()].filter(isWorking).length;
     };
 
     /** Reports that the first link is lost and that the last one is back, not each link. */
@@ -159,10 +165,10 @@
             }
             return isStateLost(state) ? planLostDial(state) : DialPlan.Direct;
         },
-        recordContact: address => {
+        recordOpened: address => {
             const state = find(address);
             const wasLost = isStateLost(state);
-            state.contactAt = clock.monotonicNow();
+            state.openedAt = clock.monotonicNow();
             state.unansweredUntil = -Infinity;
             if (wasLost) {
                 state.lostUntil = -Infinity;
@@ -174,6 +180,9 @@
                 reportChange();
             }
         },
+        recordAnswered: address => {
+            find(address).answeredAt = clock.monotonicNow();
+        },
         recordFailure: (address, failure) => {
             const state = find(address);
             state.failedAt = clock.monotonicNow();
@@ -199,19 +208,17 @@
         isCutOff: () => hasLost() && lostCount() > countWorking(),
         recentFailure: address => {
             const state = states.get(address);
-            const oldest = Math.max(state?.contactAt ?? -Infinity, clock.monotonicNow() - retryIntervalMilliseconds);
+            const oldest = Math.max(state?.openedAt ?? -Infinity, clock.monotonicNow() - retryIntervalMilliseconds);
             return state && state.failedAt > oldest ? state.failure : undefined;
         },
-        hasContactSinceFailure: address => {
+        hasOpenedSinceFailure: address => {
             const failedAt = states.get(address)?.failedAt ?? Infinity;
-            return [...states].some(([other, { contactAt }]) => other !== address && contactAt > failedAt);
+            return [...states].some(([other, { openedAt }]) => other !== address && openedAt > failedAt);
         },
         listOthers: address =>
             [...states]
-                .filter(([other, state]) =>
-                    other !== address && state.contactAt > state.failedAt && !isStateLost(state)
-                )
-                .sort(([, left], [, right]) => right.contactAt - left.contactAt)
+                .filter(([other, state]) => other !== address && state.openedAt > state.failedAt && !isStateLost(state))
+                .sort(([, left], [, right]) => right.openedAt - left.openedAt)
                 .map(([other]) => other),
         onLost: listener => lostListeners.push(listener),
     };
