Count answers that come before the evidence of a target's end

An answer refuted only records that existed already; now that peers confirm an end, the record comes some tens of milliseconds later, and answers in between were lost. A process remembers its answers of the last two seconds (at most 256), and hashes them only when a record comes that may concern them.

Without the change the first test of createCrashGuard fails, with it both pass.

--- a/packages/daisyturn/src/process/crashes/createCrashGuard.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashGuard.ts
@@ -1,5 +1,6 @@
 import { type CrashDetector, type CrashDetectorOptions, createCrashDetector, RunEnd } from "./createCrashDetector.js";
 import type { CrashEvidence, ListedCall } from "./createCrashEvidence.js";
+import { createRecentAnswers } from "./createRecentAnswers.js";
 import type { GuardedCall } from "./guardedCall.js";
 
 /** Keeps requests that end their targets out of them. */
@@ -24,14 +25,25 @@
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
     const { evidence, nameIncarnation = (targetId: string) => targetId } = options;
     const detector = createCrashDetector(options);
+    const recentAnswers = createRecentAnswers(options.clock);
+    evidence.onChanged(records => {
+        for (const { fingerprint, age, isRefuted } of records) {
+            if (!isRefuted && recentAnswers.includes(fingerprint, options.clock.monotonicNow() - age)) {
+                evidence.recordAnswer(fingerprint);
+            }
+        }
+    });
     detector.onCrash(crash => evidence.recordCrash({ ...crash, targetId: nameIncarnation(crash.targetId) }));
     const findListed = (call: GuardedCall) => evidence.isEmpty() ? undefined : evidence.findListed(call.fingerprint());
     return {
         beginRun: (target, call) => {
             const endRun = detector.beginRun(target, call);
             return end => {
-                if (end === RunEnd.Answered && !evidence.isEmpty()) {
-                    evidence.recordAnswer(call.fingerprint());
+                if (end === RunEnd.Answered) {
+                    recentAnswers.add(call);
+                    if (!evidence.isEmpty()) {
+                        evidence.recordAnswer(call.fingerprint());
+                    }
                 }
                 endRun(end);
             };
