Leave calls on a lost link for two seconds before they are repeated

Found in review: older connections may still work over a lost link, and a prompt that waits for its prefill sends nothing for over a second; it was then prefilled again elsewhere.

--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -44,8 +44,11 @@
 const maxCollectedBytes = 16 * 1024 * 1024;
 /** Interval of the checks for a silent target, and the time without bytes that a check requires. */
 const silenceCheckIntervalMilliseconds = 350;
-/** Time without bytes after which a call that may be repeated is not left on a lost link. */
-const lostLinkMilliseconds = 1_000;
+/**
+ * Time without bytes after which a call that may be repeated is not left on a lost link. Older connections may still work
+ * over it, and prompts wait for their prefill.
+ */
+const lostLinkMilliseconds = 2_000;
 
 /** Sends a call, updates the load and health of the target, and assigns a verdict to each failure. */
 export async function sendToTarget(
