--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -30,6 +30,8 @@
     readonly prompt?: PromptDescription;
     /** Identifier of the last event that the caller received of an answer that is to be continued. */
     readonly lastEventId?: string;
+    /** `callId` of the attempt that brought the first event of the stream that this call resumes. */
+    readonly resumedCallId?: string;
     /** Fields to forward to targets, without connection-specific fields and those that only the system sets. */
     readonly forwardedFields: HeaderFields;
 }
--- a/packages/daisyturn/src/ports/listedTarget.ts
+++ b/packages/daisyturn/src/ports/listedTarget.ts
@@ -22,6 +22,11 @@
     readonly slots: number;
     /** Whether the target is leaving and accepts no new work. */
     readonly isLeaving: boolean;
+    /**
+     * Version of the target's software; versions have no order. What two versions write does not fit together. Empty if
+     * the target does not report one.
+     */
+    readonly softwareVersion: string;
     /** Absent if the target runs both stages or is not an engine. */
     readonly stage?: EngineStage;
 }
--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
@@ -20,6 +20,7 @@
         availabilityZone: "zone-a",
         slots: 8,
         isLeaving: false,
+        softwareVersion: "v1",
         ...changes,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
+++ b/packages/daisyturn/src/process/forwarding/__fixtures__/placementBench.ts
@@ -77,6 +77,7 @@
         availabilityZone: `zone-${index % 3}`,
         slots: 24,
         isLeaving: false,
+        softwareVersion: "v1",
         stage,
     }));
     views.targets.replace(listed.map(target => ({ key: target.targetId, version: 1, text: JSON.stringify(target) })));
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -169,6 +169,7 @@
             availabilityZone: `zone-${index % zones}`,
             slots: 24,
             isLeaving: false,
+            softwareVersion: "v1",
             stage: Math.floor(index / zones) % 2 === 0 ? EngineStage.Prefill : EngineStage.Decode,
         };
         return { key: target.targetId, version: 1, text: JSON.stringify(target) };
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/groupEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/groupEngines.test.ts
@@ -14,6 +14,7 @@
         availabilityZone: `zone-${index % 3}`,
         slots: 24,
         isLeaving: false,
+        softwareVersion: "v1",
         stage,
     });
     return [
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -41,6 +41,7 @@
                 availabilityZone: "z",
                 slots: 8,
                 isLeaving: false,
+                softwareVersion: "v1",
                 stage,
             }),
         }]);
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -24,6 +24,7 @@
         availabilityZone: "z",
         slots: 4,
         isLeaving,
+        softwareVersion: "v1",
     };
     return { key: name, version: 1, text: JSON.stringify(target) };
 }
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -139,6 +139,7 @@
                 service: target.service,
                 address: target.address,
                 leaving: target.isLeaving,
+                softwareVersion: target.softwareVersion,
                 stage: target.stage,
             });
         }
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -88,6 +88,7 @@
     context.trace.record(EventKind.RequestDispatched, {
         target: target.targetId,
         address: target.address,
+        softwareVersion: target.softwareVersion,
         part: describePart(attempt),
         remaining: Math.round(context.deadline - clock.monotonicNow()),
         calls: Math.round(loads.calls(target.targetId)),
