--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -10,9 +10,11 @@
     createRelays,
     createSizeCounts,
     createSizeFairness,
+    createStreamOrigins,
     createTargetConnections,
     createTargetDialer,
     createTargetViews,
+    createVersionHistory,
     createWindowedRetryBudget,
     defaultSampledCalls,
     type ForwardingConfigurationManager,
@@ -22,6 +24,7 @@
     switchOffViews,
     type TargetLinks,
     type TargetList,
+    type VersionHistory,
 } from "daisyturn/forwarding";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import { type ForwardingSettings, PlacementPolicy } from "./forwardingSettings.js";
@@ -42,14 +45,15 @@
 }
 
 /**
- * The parts of one process without `decisions`, which are made together with the processes of its group, and with the
+ * The parts of one process without `decisions` and `findOrigin`, which need the processes of its group, and with the
  * observers of the tables.
  */
-export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions"> {
+export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions" | "findOrigin"> {
     readonly configurationManager: ForwardingConfigurationManager;
     readonly targets: TargetList;
     readonly links: TargetLinks;
     readonly crashEvidence: CrashEvidence;
+    readonly versions: VersionHistory;
 }
 
 /** Creates the parts that a forwarded call passes through. */
@@ -86,6 +90,8 @@
         eventLog,
     });
     views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
+    const origins = createStreamOrigins(clock);
+    const versions = createVersionHistory(views.targets, clock);
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
@@ -101,6 +107,8 @@
         sizeFairness,
         crashEvidence,
         crashGuard,
+        origins,
+        versions,
         longPrefillTimes: createLongPrefillTimes(),
         switchedOff,
         sampledCalls,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -95,6 +95,8 @@
         views: parts,
         sizeFairness: parts.sizeFairness,
         crashEvidence: parts.crashEvidence,
+        origins: parts.origins,
+        versions: parts.versions,
         decideLocally: request => decidePrompt(parts, request),
         findService: name => parts.configurationManager.current()?.configuration.services.get(name),
         maxStateAgeMilliseconds: () => computeMaxStateAge(settings),
@@ -105,7 +107,7 @@
     const decisions = isOn(Mechanism.PeerMessages)
         ? coordination.decisions
         : new LocalDecisions(parts);
-    const servingParts = { ...parts, decisions };
+    const servingParts = { ...parts, decisions, findOrigin: coordination.findOrigin };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const server = createForwardServer({
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -66,6 +66,13 @@
         registers,
     });
 
+    const resumptions = new Counter({
+        name: "daisyturn_resumptions_total",
+        help: "Calls that resume a stream, by whether a target may go on with it",
+        labelNames: ["result"],
+        registers,
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -79,6 +86,10 @@
             sends.inc({ result });
         }
 
+        override recordResumption(result: string): void {
+            resumptions.inc({ result });
+        }
+
         override recordRelayedSend(): void {
             relayedSends.inc();
         }
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -17,6 +17,7 @@
     RequestDispatched = "request_dispatched",
     RequestFirstToken = "request_first_token",
     RequestRetried = "request_retried",
+    /** A caller resumes a stream, at the software version that began it. */
     RequestResumed = "request_resumed",
     RequestAnswered = "request_answered",
     RequestFailed = "request_failed",
--- a/packages/daisyturn-utils/src/failure.ts
+++ b/packages/daisyturn-utils/src/failure.ts
@@ -14,6 +14,8 @@
     DeadlineUnreachable = "deadline_unreachable",
     DeadlinePassed = "deadline_passed",
     NoTarget = "no_target",
+    /** No process knows which software version began the stream that the request resumes. */
+    UnknownOrigin = "unknown_origin",
     TargetRefused = "target_refused",
     TargetFailed = "target_failed",
     /** No connection to the target could be opened, and nothing shows that the target is at fault. */
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -19,6 +19,7 @@
 export * from "./process/crashes/index.js";
 export * from "./process/forwarding/index.js";
 export * from "./process/lease/index.js";
+export * from "./process/origins/index.js";
 export type { ProcessIdentity } from "./process/peers/index.js";
 export * from "./process/store/index.js";
 export * from "./request/forwarding/forwardingParts.js";
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -3,6 +3,7 @@
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../../ports/peerRegistry.js";
 import { createCrashEvidence } from "../../../crashes/index.js";
+import { createStreamOrigins, createVersionHistory } from "../../../origins/index.js";
 import { engineService } from "../../__fixtures__/placementBench.js";
 import { createLongPrefillTimes } from "../../limits/createLongPrefillTimes.js";
 import { createSizeFairness } from "../../limits/createSizeFairness.js";
@@ -79,6 +80,8 @@
         views.targets.replace(createEngines(zones, enginesPerZone));
         const sizeFairness = createSizeFairness();
         const crashEvidence = createCrashEvidence(clock, eventLog);
+        const origins = createStreamOrigins(clock);
+        const versions = createVersionHistory(views.targets, clock);
         const switchedOff = new Set<never>();
         const placement = createCallPlacement({
             ...views,
@@ -94,6 +97,8 @@
             views,
             sizeFairness,
             crashEvidence,
+            origins,
+            versions,
             decideLocally: request => decidePrompt({ placement, longPrefillTimes, switchedOff }, request),
             findService: () => engineService,
             maxStateAgeMilliseconds: () => maxStateAgeMilliseconds,
@@ -103,7 +108,16 @@
         const ended = new AbortController();
         stop.signal.addEventListener("abort", () => ended.abort());
         coordination.run(ended.signal);
-        return { self, ...views, coordination, eventLog, sizeFairness, crashEvidence, end: () => ended.abort() };
+        return {
+            self,
+            ...views,
+            coordination,
+            eventLog,
+            sizeFairness,
+            crashEvidence,
+            origins,
+            end: () => ended.abort(),
+        };
     };
 
     const processes = peers.map(start);
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -1,8 +1,9 @@
-import { type Clock, createSignal, type EventLog } from "daisyturn-utils";
+import type { Clock, EventLog } from "daisyturn-utils";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { CrashEvidence } from "../../crashes/index.js";
+import type { StreamOrigins, VersionHistory } from "../../origins/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import { createExpiringSet, type ExpiringSet } from "../links/createExpiringSet.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
@@ -23,8 +24,9 @@
 import { type Notification, parseNotification } from "./messages/notification.js";
 import { encodePlacementAnswer, readPlacementAnswer, readPlacementRequest } from "./messages/placementMessages.js";
 import { type CoordinatorState, readCoordinatorState, readRowsMessage } from "./messages/tableMessages.js";
+import { createOriginPublisher, type OriginPublisher } from "./origins/createOriginPublisher.js";
 import type { DatagramChannel, PeerAddress } from "./peerChannel.js";
-import { type EntryRefreshRequest, watchPeers } from "./watchPeers.js";
+import { createRefreshRequest, watchPeers } from "./watchPeers.js";
 
 /** What {@link coordinate} needs. */
 export interface CoordinationOptions {
@@ -34,6 +36,8 @@
     readonly views: TargetViews;
     readonly sizeFairness: SizeFairness;
     readonly crashEvidence: CrashEvidence;
+    readonly origins: StreamOrigins;
+    readonly versions: VersionHistory;
     /** Decides with the information of this process alone. */
     readonly decideLocally: (request: DecisionRequest) => PromptDecision | undefined;
     readonly findService: (name: string) => ForwardService | undefined;
@@ -51,6 +55,8 @@
  */
 export interface Coordination {
     readonly decisions: PromptDecisions;
+    /** Finds which targets may go on with a stream, by asking other processes if this one does not know. */
+    readonly findOrigin: OriginPublisher["find"];
     /** Returns a table as relayed by coordinators. */
     relayedTable(name: string): RelayedTable;
     /** Receives what this process reads from the store itself, to relay it to the processes that it coordinates. */
@@ -82,8 +88,6 @@
 
 /** A coordinator of another group that has not sent a message for this time is presumed ended. */
 const otherCoordinatorMilliseconds = 2_500;
-/** Interval between two reads of the registry on request; each is a call to the store, which has a price. */
-const refreshIntervalMilliseconds = 5_000;
 
 /** Creates the participation of one process in its group. Nothing is sent before `run` is called. */
 export function coordinate(options: CoordinationOptions): Coordination {
@@ -105,16 +109,17 @@
     const otherCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
     const cutOffCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
 
-    const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false, isReadPending: false };
-    let nextRefreshAt = -Infinity;
+    const { refreshRequest, refreshPeers, refreshEntry } = createRefreshRequest(clock);
 
-    const refreshPeers = () => {
-        if (clock.monotonicNow() >= nextRefreshAt) {
-            nextRefreshAt = clock.monotonicNow() + refreshIntervalMilliseconds;
-            refreshRequest.isReadPending = true;
-            refreshRequest.requested.raise();
-        }
-    };
+    const originPublisher = createOriginPublisher({
+        self,
+        origins: options.origins,
+        versions: options.versions,
+        listPeers: link.listPeers,
+        refreshPeers,
+        send,
+        clock,
+    });
 
     const placementServer = createPlacementServer({
         coordinatorId: self.peerId,
@@ -185,6 +190,7 @@
     const isRegistered = (peerId: string, { host }: PeerAddress) => link.find(peerId)?.host === host;
 
     const handleNotification = (notification: Notification, from: PeerAddress) => {
+        originPublisher.receive(notification, from);
         const request = readPlacementRequest(notification);
         const answer = readPlacementAnswer(notification);
         const load = readLoadMessage(notification);
@@ -228,6 +234,7 @@
 
     return {
         decisions,
+        findOrigin: originPublisher.find,
         relayedTable: tables.find,
         tableReader: reader,
         isReader: link.isCandidate,
@@ -254,10 +261,10 @@
             return isKnown;
         },
         refreshPeers,
-        refreshEntry: () => {
-            refreshRequest.isPending = true;
-            refreshRequest.requested.raise();
+        refreshEntry,
+        stopAnswering: () => {
+            statePublisher.stopAnswering();
+            originPublisher.handOver();
         },
-        stopAnswering: statePublisher.stopAnswering,
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
@@ -32,7 +32,8 @@
         const coordinator = link.current();
         if (coordinator && coordinator.peerId !== selfId) {
             const answer = await client.request(coordinator, this.describeQuery(request));
-            const decision = answer && readDecision(answer, request.patience, findTarget);
+            const decision = answer
+                && readDecision(answer, request.patience, request.demand.softwareVersion, findTarget);
             if (decision) {
                 return decision;
             }
@@ -47,7 +48,8 @@
     }
 
     private describeQuery({ route, demand, patience }: DecisionRequest): PlacementQuery {
-        const { service, prompt, bodyBytes, avoid, isWholeOnly, aim, pauseAim, availabilityZone } = demand;
+        const { service, prompt, bodyBytes, avoid, softwareVersion, isWholeOnly, aim, pauseAim, availabilityZone } =
+            demand;
         return {
             availabilityZone,
             service: service.name,
@@ -55,9 +57,11 @@
             prompt,
             bodyBytes,
             avoid: [...avoid, ...this.options.listDistrusted(service.name)],
+            softwareVersion,
             isWholeOnly,
             aim,
             pauseAim,
+            mayDefer: demand.mayDefer,
             patience,
         };
     }
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementServer.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementServer.ts
@@ -51,7 +51,7 @@
             ...request,
             service: options.findService(request.service) ?? { name: request.service },
             avoid: new Set(request.avoid),
-            mayDefer: true,
+            mayDefer: request.mayDefer ?? true,
         },
         patience: request.patience,
         isUnderserved: () => sizeFairness.isUnderserved(request.route, measureSize(request.prompt)),
@@ -142,10 +142,14 @@
     };
 }
 
-/** Converts an answer to a decision. Returns undefined if this process does not know one of its targets. */
+/**
+ * Converts an answer to a decision. Returns undefined if this process does not know one of its targets, or if their
+ * software versions do not fit, because the sender's version does not regard them.
+ */
 export function readDecision(
     answer: PlacementAnswer,
     patience: number,
+    softwareVersion: string | undefined,
     findTarget: (targetId: string) => ListedTarget | undefined,
 ): PromptDecision | undefined {
     const readStep = (step: PlacementStep): PlacedStep | undefined => {
@@ -158,6 +162,11 @@
     if (!decode || (answer.prefill && !prefill)) {
         return undefined;
     }
+    const engines = [decode.target, prefill?.target, decode.fetchFrom, prefill?.fetchFrom].filter(engine => engine);
+    const requiredVersion = softwareVersion ?? decode.target.softwareVersion;
+    if (engines.some(engine => engine?.softwareVersion !== requiredVersion)) {
+        return undefined;
+    }
     const { firstEvent, soonestEvent, reading, isDeferred, isOwed } = answer;
     const placement = { prefill, decode, firstEvent, soonestEvent, prefillMilliseconds: reading, isDeferred };
     return {
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
@@ -8,6 +8,7 @@
     readList,
     readName,
     readOptionalAmount,
+    readOptionalFlag,
     readOrUndefined,
 } from "./notification.js";
 
@@ -23,6 +24,10 @@
     readonly bodyBytes: number;
     /** Targets that have failed the call or that the sender does not trust. */
     readonly avoid: readonly string[];
+    /** `softwareVersion` of `TargetRestriction`; a receiver of an earlier version ignores it. */
+    readonly softwareVersion?: string;
+    /** Whether the prompt may be deferred; absent if the sender's version does not send it. */
+    readonly mayDefer?: boolean;
     /** Whether one engine must do both prefill and decode. */
     readonly isWholeOnly: boolean;
     /** Target latency of the first event, in remaining milliseconds; negative once it is late. */
@@ -98,6 +103,8 @@
         prompt: readPrompt(params["prompt"] as Record<string, unknown>),
         bodyBytes: readAmount(params["bodyBytes"]),
         avoid: readNames(params["avoid"]),
+        softwareVersion: readOptionalVersion(params["softwareVersion"]),
+        mayDefer: readOptionalFlag(params["mayDefer"]),
         isWholeOnly: params["isWholeOnly"] === true,
         aim: readSigned(params["aim"]),
         pauseAim: readAmount(params["pauseAim"]),
@@ -147,6 +154,11 @@
     };
 }
 
+/** @throws if the value is defined but not a version, which may be empty */
+function readOptionalVersion(value: unknown): string | undefined {
+    return value === undefined || value === "" ? value : readName(value);
+}
+
 function readNames(value: unknown): string[] {
     if (!Array.isArray(value)) {
         throw new Error("not an array");
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -0,0 +1,213 @@
+import type { Clock } from "daisyturn-utils";
+import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
+import type { StreamOrigin, StreamOrigins, VersionHistory } from "../../../origins/index.js";
+import type { Notification } from "../messages/notification.js";
+import {
+    encodeOriginQuery,
+    encodeOrigins,
+    encodeUnknownOrigin,
+    type OriginQuery,
+    readOriginQuery,
+    readOrigins,
+    readUnknownOrigin,
+    type UnknownOriginMessage,
+} from "../messages/originMessages.js";
+import type { PeerAddress } from "../peerChannel.js";
+import { selectReplicas } from "./selectReplicas.js";
+
+/** What {@link createOriginPublisher} needs. */
+export interface OriginPublisherOptions {
+    readonly self: RegisteredPeer;
+    readonly origins: StreamOrigins;
+    readonly versions: VersionHistory;
+    /** Lists all known processes, including this one. */
+    readonly listPeers: () => readonly RegisteredPeer[];
+    /** Requests that the list of processes be read again. */
+    readonly refreshPeers: () => void;
+    readonly send: (to: PeerAddress, datagram: Buffer) => void;
+    readonly clock: Clock;
+}
+
+/** Which targets may go on with a stream. */
+export interface FoundOrigin extends Pick<StreamOrigin, "service" | "softwareVersion"> {
+    /** The process that has the record; absent if no process has it, but the service has had only one version. */
+    readonly knownBy?: string;
+}
+
+/**
+ * Keeps the origins of this process's streams at replicas, so that they outlast it, and finds those of others. While all
+ * targets of a service have one software version, nothing is sent.
+ */
+export interface OriginPublisher {
+    /** Finds the origin of a stream that is to go on at a service; undefined if no process knows it. */
+    find(streamId: string, service: string): Promise<FoundOrigin | undefined>;
+    receive(notification: Notification, from: PeerAddress): void;
+    /** Sends all origins to their replicas, because this process ends. */
+    handOver(): void;
+}
+
+/** Several times what an answer from another zone takes; a process that is paused or gone does not answer. */
+const answerTimeoutMilliseconds = 40;
+/** In small fleets, all processes are asked at once. */
+const maxFirstQueries = 16;
+/** Bounds the datagrams of one lookup. */
+const maxQueries = 256;
+/** Bounds the memory for origins that have not been sent; a few seconds' worth. */
+const maxUnsent = 1_024;
+
+interface Lookup {
+    /** Processes that have not answered yet. */
+    readonly pending: Set<string>;
+    readonly soleVersions: Set<string>;
+    source?: string;
+    /** Called once an answer has arrived or none is pending. */
+    settle: () => void;
+}
+
+/** Creates the publisher of one process. */
+export function createOriginPublisher(options: OriginPublisherOptions): OriginPublisher {
+    const { self, origins, versions, send, clock } = options;
+    const lookups = new Map<string, Set<Lookup>>();
+    let unsent: StreamOrigin[] = [];
+
+    const listOthers = () => options.listPeers().filter(({ peerId }) => peerId !== self.peerId);
+
+    const describe = (origin: StreamOrigin) => ({ ...origin, remaining: origin.deadline - clock.monotonicNow() });
+
+    const sendTo = (peer: PeerAddress, sent: readonly StreamOrigin[]) =>
+        encodeOrigins({ from: self.peerId, origins: sent.map(describe) }).forEach(datagram => send(peer, datagram));
+
+    const publish = (published: readonly StreamOrigin[], peers: readonly RegisteredPeer[]) => {
+        const byReplica = new Map<RegisteredPeer, StreamOrigin[]>();
+        for (const origin of published.filter(({ deadline }) => deadline > clock.monotonicNow())) {
+            for (const replica of selectReplicas(origin.streamId, peers)) {
+                byReplica.set(replica, [...byReplica.get(replica) ?? [], origin]);
+            }
+        }
+        byReplica.forEach((sent, replica) => replica.peerId !== self.peerId && sendTo(replica, sent));
+    };
+
+    origins.onRecorded(origin => {
+        unsent.push(origin);
+        if (versions.findSole(origin.service) === undefined) {
+            publish(unsent, options.listPeers());
+            unsent = [];
+        }
+        else if (unsent.length > maxUnsent) {
+            unsent = unsent.slice(-maxUnsent / 2);
+        }
+    });
+
+    const ask = async (peers: readonly RegisteredPeer[], streamId: string, service: string): Promise<Lookup> => {
+        const settled = new AbortController();
+        const lookup: Lookup = {
+            pending: new Set(peers.map(({ peerId }) => peerId)),
+            soleVersions: new Set(),
+            settle: () => settled.abort(),
+        };
+        const group = lookups.get(streamId) ?? new Set();
+        lookups.set(streamId, group.add(lookup));
+        const query = encodeOriginQuery({ from: self.peerId, streamId, service });
+        peers.forEach(peer => send(peer, query));
+        if (peers.length > 0) {
+            await clock.sleepUntil(clock.monotonicNow() + answerTimeoutMilliseconds, settled.signal);
+        }
+        group.delete(lookup);
+        if (group.size === 0) {
+            lookups.delete(streamId);
+        }
+        return lookup;
+    };
+
+    const describeFound = (streamId: string, knownBy: string): FoundOrigin | undefined => {
+        const origin = origins.find(streamId);
+        return origin && { service: origin.service, softwareVersion: origin.softwareVersion, knownBy };
+    };
+
+    /** The sole version that others claim, unless this process knows of another one. */
+    const describeSole = (service: string, claimed: ReadonlySet<string>): FoundOrigin | undefined => {
+        const known = new Set([...claimed, ...versions.list(service)]);
+        const [softwareVersion] = known;
+        return claimed.size > 0 && known.size === 1 && softwareVersion !== undefined
+            ? { service, softwareVersion }
+            : undefined;
+    };
+
+    const find = async (streamId: string, service: string): Promise<FoundOrigin | undefined> => {
+        const own = describeFound(streamId, self.peerId);
+        const soleVersion = versions.findSole(service);
+        if (own || soleVersion !== undefined) {
+            return own ?? describeSole(service, new Set([soleVersion ?? ""]));
+        }
+        const others = listOthers();
+        const first = others.length <= maxFirstQueries ? others : selectReplicas(streamId, others);
+        const rest = others.filter(peer => !first.includes(peer)).slice(0, maxQueries);
+        const claimed = new Set<string>();
+        for (const peers of [first, rest]) {
+            const lookup = await ask(peers, streamId, service);
+            const found = describeFound(streamId, lookup.source ?? self.peerId);
+            if (found) {
+                return found;
+            }
+            lookup.soleVersions.forEach(version => claimed.add(version));
+        }
+        options.refreshPeers();
+        return describeSole(service, claimed);
+    };
+
+    const answer = ({ streamId, service }: OriginQuery, from: PeerAddress) => {
+        const origin = origins.find(streamId);
+        if (origin) {
+            sendTo(from, [origin]);
+            return;
+        }
+        const soleVersion = versions.findSole(service);
+        send(from, encodeUnknownOrigin({ from: self.peerId, streamId, soleVersion }));
+    };
+
+    const recordUnknown = ({ from, streamId, soleVersion }: UnknownOriginMessage) =>
+        lookups.get(streamId)?.forEach(lookup => {
+            lookup.pending.delete(from);
+            if (soleVersion !== undefined) {
+                lookup.soleVersions.add(soleVersion);
+            }
+            if (lookup.pending.size === 0) {
+                lookup.settle();
+            }
+        });
+
+    /** Messages of processes that are not in the registry are not accepted. */
+    const isRegistered = (peerId: string, { host }: PeerAddress) => {
+        const isKnown = options.listPeers().some(peer => peer.peerId === peerId && peer.host === host);
+        if (!isKnown) {
+            options.refreshPeers();
+        }
+        return isKnown;
+    };
+
+    return {
+        find,
+        receive: (notification, from) => {
+            const received = readOrigins(notification);
+            const query = readOriginQuery(notification);
+            const unknown = readUnknownOrigin(notification);
+            if (query && isRegistered(query.from, from)) {
+                answer(query, from);
+            }
+            if (unknown && isRegistered(unknown.from, from)) {
+                recordUnknown(unknown);
+            }
+            if (received && isRegistered(received.from, from)) {
+                const now = clock.monotonicNow();
+                received.origins.forEach(({ remaining, ...origin }) => {
+                    origins.recordRemote({ ...origin, deadline: now + remaining });
+                    lookups.get(origin.streamId)?.forEach(lookup => {
+                        lookup.source = received.from;
+                        lookup.settle();
+                    });
+                });
+            }
+        },
+        handOver: () => publish(origins.list(), listOthers()),
+    };
+}
--- a/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
@@ -1,4 +1,4 @@
-import { type Clock, EventKind, type EventLog, type Signal } from "daisyturn-utils";
+import { type Clock, createSignal, EventKind, type EventLog, type Signal } from "daisyturn-utils";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 
@@ -22,6 +22,8 @@
     isReadPending: boolean;
 }
 
+/** Interval between two reads of the registry on request; each is a call to the store, which has a price. */
+const refreshIntervalMilliseconds = 5_000;
 /** Interval until other processes are found, while no coordinator is reachable, and after a failure. */
 const searchMilliseconds = 1_000;
 /** Interval at which coordinators look for each other; each refresh is a call to the store, which has a price. */
@@ -32,6 +34,26 @@
 /** Unlisted peers are retained this long after a store rollback, so that they have time to rewrite their entries. */
 const unlistedGraceMilliseconds = 2_500;
 
+/** Creates a request that is not pending, and the functions that make it. */
+export function createRefreshRequest(clock: Clock) {
+    const refreshRequest: EntryRefreshRequest = { requested: createSignal(), isPending: false, isReadPending: false };
+    let nextRefreshAt = -Infinity;
+    return {
+        refreshRequest,
+        refreshPeers: () => {
+            if (clock.monotonicNow() >= nextRefreshAt) {
+                nextRefreshAt = clock.monotonicNow() + refreshIntervalMilliseconds;
+                refreshRequest.isReadPending = true;
+                refreshRequest.requested.raise();
+            }
+        },
+        refreshEntry: () => {
+            refreshRequest.isPending = true;
+            refreshRequest.requested.raise();
+        },
+    };
+}
+
 /**
  * Registers this process in the fleet's registry and watches the registry for other processes, until the signal is
  * aborted. A process that has contact with a coordinator receives the next candidates from it, and no longer reads the
--- a/packages/daisyturn/src/process/forwarding/experiments/__tests__/mechanisms.test.ts
+++ b/packages/daisyturn/src/process/forwarding/experiments/__tests__/mechanisms.test.ts
@@ -31,7 +31,7 @@
     [Mechanism.ZonePreference, "a plain call stays in its zone while the loads are equal", createBench => {
         const seeds = Array.from({ length: 20 }, (...[, index]) => index);
         return seeds.every(seed => {
-            const target = createBench(seed).placement.placePlain(engineService.name, new Set());
+            const target = createBench(seed).placement.placePlain(engineService.name, { avoid: new Set() });
             return target?.availabilityZone === "zone-0";
         });
     }],
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -26,6 +26,8 @@
     abstract recordSend(result: string): void;
     /** Records one send over a connection that a peer carries. */
     abstract recordRelayedSend(): void;
+    /** Records one call that resumes a stream: `placed`, or the reason why no target may go on with the stream. */
+    abstract recordResumption(result: string): void;
 }
 
 /** Discards all counts. */
@@ -33,4 +35,5 @@
     override recordCall(): void {}
     override recordSend(): void {}
     override recordRelayedSend(): void {}
+    override recordResumption(): void {}
 }
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/createCallPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createCallPlacement.test.ts
@@ -184,7 +184,7 @@
 describe("placement of plain calls", () => {
     it("prefers the process's availability zone until its target is fuller than another", () => {
         const { placement, loads } = createPlacementBench([undefined, undefined, undefined]);
-        const place = () => placement.placePlain(engineService.name, new Set())?.targetId;
+        const place = () => placement.placePlain(engineService.name, { avoid: new Set() })?.targetId;
         assert.equal(place(), "i-0");
         for (let call = 0; call < 12; call++) {
             loads.begin("i-0", { work: 0, isDeferred: false, tokens: 0 });
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/createLeastRunningPlacement.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/createLeastRunningPlacement.test.ts
@@ -47,6 +47,6 @@
 test("places nothing at targets that failed the call or are closed", () => {
     const { placement, closed, clock } = createBench();
     closed.close("i-4", clock.monotonicNow() + 1_000);
-    assert.equal(placement.placePlain("engines", new Set(["i-0", "i-1", "i-2"]))?.targetId, "i-3");
-    assert.equal(placement.placePlain("engines", new Set(["i-0", "i-1", "i-2", "i-3"])), undefined);
+    assert.equal(placement.placePlain("engines", { avoid: new Set(["i-0", "i-1", "i-2"]) })?.targetId, "i-3");
+    assert.equal(placement.placePlain("engines", { avoid: new Set(["i-0", "i-1", "i-2", "i-3"]) }), undefined);
 });
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -35,13 +35,19 @@
     readonly isDeferred: boolean;
 }
 
+/** Which targets of a service may serve a call. */
+export interface TargetRestriction {
+    /** Ids of the targets that failed the call. */
+    readonly avoid: ReadonlySet<string>;
+    /** The only software version that may go on with the call's stream; undefined while the stream has not begun. */
+    readonly softwareVersion?: string;
+}
+
 /** A prompt that is to be placed. */
-export interface PromptRequirements {
+export interface PromptRequirements extends TargetRestriction {
     readonly service: ForwardService;
     readonly prompt: PromptDescription;
     readonly bodyBytes: number;
-    /** Ids of the targets that failed the call. */
-    readonly avoid: ReadonlySet<string>;
     /** Whether one engine has to prefill and decode the prompt. */
     readonly isWholeOnly: boolean;
     /** Milliseconds within which the first event is on time. */
@@ -56,8 +62,11 @@
 
 /** Chooses targets for calls. */
 export abstract class CallPlacement {
-    abstract placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined;
-    /** Chooses the placement of a prompt; undefined if no engine can serve it. */
+    abstract placePlain(service: string, restriction: TargetRestriction): ListedTarget | undefined;
+    /**
+     * Chooses the placement of a prompt; undefined if no engine can serve it. All its engines have the same software
+     * version, because the KV cache of one does not fit another.
+     */
     abstract placePrompt(demand: PromptRequirements): PromptPlacement | undefined;
 }
 
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -3,12 +3,19 @@
 import type { EngineTraits } from "../../../version/forwarding/forwardingConfiguration.js";
 import { Mechanism } from "../experiments/mechanism.js";
 import type { TargetViews } from "../views/createTargetViews.js";
-import { CallPlacement, type PlacedStep, type PromptPlacement, type PromptRequirements } from "./callPlacement.js";
+import {
+    CallPlacement,
+    type PlacedStep,
+    type PromptPlacement,
+    type PromptRequirements,
+    type TargetRestriction,
+} from "./callPlacement.js";
 import { createStepCosts } from "./createStepCosts.js";
 import { createStepEstimates, type StepEstimates } from "./createStepEstimates.js";
 import { decodeEngineFactor } from "./estimatePrefill.js";
 import { findMinBy } from "./findMinBy.js";
 import { type EngineGroups, groupEngines } from "./groupEngines.js";
+import { groupByVersion, listUsableTargets } from "./listUsableTargets.js";
 
 /** What {@link createCallPlacement} needs. */
 export interface CallPlacementOptions extends TargetViews {
@@ -28,16 +35,16 @@
  * an overload would make every answer late; with deferral, only the answers that exceed the engines' capacity are late.
  */
 export function createCallPlacement(options: CallPlacementOptions): CallPlacement {
-    const { targets, health, closed, switchedOff } = options;
+    const { health, switchedOff } = options;
     const isOn = (mechanism: Mechanism) => !switchedOff.has(mechanism);
     const costs = createStepCosts(options);
 
-    const listOpen = (service: string) => targets.open(service).filter(target => !closed.isClosed(target.targetId));
-
-    const listUsable = (service: string, avoid: ReadonlySet<string>): readonly ListedTarget[] => {
-        const trusted = health.selectTrusted(listOpen(service));
-        const untried = trusted.filter(target => !avoid.has(target.targetId));
-        return untried.length > 0 ? untried : listOpen(service).filter(target => !avoid.has(target.targetId));
+    /** Lists trusted targets, or all usable ones if none is trusted. */
+    const listPreferred = (service: string, restriction: TargetRestriction): readonly ListedTarget[] => {
+        const trusted = new Set(health.selectTrusted(listUsableTargets(options, service, { avoid: new Set() })));
+        const usable = listUsableTargets(options, service, restriction);
+        const preferred = usable.filter(target => trusted.has(target));
+        return preferred.length > 0 ? preferred : usable;
     };
 
     const placeSplit = (
@@ -103,21 +110,30 @@
         return split && (!whole || split.cost < whole.cost) ? split : whole;
     };
 
-    const placePrompt = (demand: PromptRequirements): PromptPlacement | undefined => {
-        const usable = listUsable(demand.service.name, demand.avoid);
+    const createPromptCase = (demand: PromptRequirements, usable: readonly ListedTarget[]): PromptCase => {
         const groups = groupEngines(usable, demand.prompt, demand.availabilityZone);
         const engines = isOn(Mechanism.Homes)
             ? groups
             : { ...groups, preferredPrefillEngine: undefined, preferredDecodeEngine: undefined };
-        const promptCase = { demand, engines, estimates: createStepEstimates(options, demand, usable) };
-        const undeferred = findCheapest(promptCase, false);
+        return { demand, engines, estimates: createStepEstimates(options, demand, usable) };
+    };
+
+    const placePrompt = (demand: PromptRequirements): PromptPlacement | undefined => {
+        const promptCases = groupByVersion(listPreferred(demand.service.name, demand))
+            .map(usable => createPromptCase(demand, usable));
+        const findCheapestOf = (isDeferred: boolean) =>
+            findMinBy(
+                promptCases.flatMap(promptCase => findCheapest(promptCase, isDeferred) ?? []),
+                placement => placement.cost,
+            );
+        const undeferred = findCheapestOf(false);
         const isLate = undeferred !== undefined && undeferred.firstEvent > demand.aim;
-        return isLate && demand.mayDefer && isOn(Mechanism.Deferral) ? findCheapest(promptCase, true) : undeferred;
+        return isLate && demand.mayDefer && isOn(Mechanism.Deferral) ? findCheapestOf(true) : undeferred;
     };
 
     class EstimatedPlacement extends CallPlacement {
-        override placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined {
-            return findMinBy(listUsable(service, avoid), costs.plain);
+        override placePlain(service: string, restriction: TargetRestriction): ListedTarget | undefined {
+            return findMinBy(listPreferred(service, restriction), costs.plain);
         }
 
         override placePrompt = placePrompt;
@@ -125,7 +141,7 @@
     return new EstimatedPlacement();
 }
 
-/** A prompt with the engines that may serve it. */
+/** A prompt with the engines of one software version that may serve it. */
 interface PromptCase {
     readonly demand: PromptRequirements;
     readonly engines: EngineGroups;
--- a/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -3,9 +3,16 @@
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { TargetList } from "../targets/createTargetList.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
-import { CallPlacement, type PlacedStep, type PromptPlacement, type PromptRequirements } from "./callPlacement.js";
+import {
+    CallPlacement,
+    type PlacedStep,
+    type PromptPlacement,
+    type PromptRequirements,
+    type TargetRestriction,
+} from "./callPlacement.js";
 import { findMinBy } from "./findMinBy.js";
 import { groupEngines } from "./groupEngines.js";
+import { listUsableTargets } from "./listUsableTargets.js";
 
 /** What {@link createLeastRunningPlacement} needs. */
 export interface LeastRunningPlacementOptions {
@@ -25,12 +32,9 @@
  * and defers no call.
  */
 export function createLeastRunningPlacement(options: LeastRunningPlacementOptions): CallPlacement {
-    const { targets, loads, closed } = options;
+    const { loads } = options;
     const callsAt = (target: ListedTarget) => loads.calls(target.targetId);
 
-    const listUsable = (service: string, avoid: ReadonlySet<string>) =>
-        targets.open(service).filter(target => !closed.isClosed(target.targetId) && !avoid.has(target.targetId));
-
     const findPrefillEngine = (
         engines: readonly ListedTarget[],
         prompt: PromptDescription,
@@ -45,16 +49,17 @@
     };
 
     class LeastRunningPlacement extends CallPlacement {
-        override placePlain(service: string, avoid: ReadonlySet<string>): ListedTarget | undefined {
-            return findMinBy(listUsable(service, avoid), callsAt);
+        override placePlain(service: string, restriction: TargetRestriction): ListedTarget | undefined {
+            return findMinBy(listUsableTargets(options, service, restriction), callsAt);
         }
 
         override placePrompt(demand: PromptRequirements): PromptPlacement | undefined {
-            const { service, prompt, avoid, isWholeOnly, availabilityZone } = demand;
-            const engines = listUsable(service.name, avoid);
+            const { service, prompt, isWholeOnly, availabilityZone } = demand;
+            const engines = listUsableTargets(options, service.name, demand);
             const decode = findMinBy(engines.filter(engine => engine.stage !== EngineStage.Prefill), callsAt);
             const isSplit = !isWholeOnly && prompt.promptTokens > minSplitTokens;
-            const prefill = isSplit ? findPrefillEngine(engines, prompt, availabilityZone) : undefined;
+            const sameVersion = engines.filter(engine => engine.softwareVersion === decode?.softwareVersion);
+            const prefill = isSplit ? findPrefillEngine(sameVersion, prompt, availabilityZone) : undefined;
             return decode && {
                 decode: createStep(decode),
                 prefill: prefill && createStep(prefill),
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/placement/listUsableTargets.ts
@@ -0,0 +1,33 @@
+import type { ListedTarget } from "../../../ports/listedTarget.js";
+import type { ClosedTargets } from "../targets/createClosedTargets.js";
+import type { TargetList } from "../targets/createTargetList.js";
+import type { TargetRestriction } from "./callPlacement.js";
+
+/** The parts of {@link listUsableTargets}. */
+export interface UsableTargetsParts {
+    readonly targets: Pick<TargetList, "open">;
+    readonly closed: Pick<ClosedTargets, "isClosed">;
+}
+
+/** Lists the targets of a service that may serve a call. Every choice of a target starts from this list. */
+export function listUsableTargets(
+    { targets, closed }: UsableTargetsParts,
+    service: string,
+    { avoid, softwareVersion }: TargetRestriction,
+): readonly ListedTarget[] {
+    return targets.open(service).filter(target =>
+        !closed.isClosed(target.targetId) && !avoid.has(target.targetId)
+        && (softwareVersion === undefined || target.softwareVersion === softwareVersion)
+    );
+}
+
+/** Groups engines by their software version. */
+export function groupByVersion(engines: readonly ListedTarget[]): readonly (readonly ListedTarget[])[] {
+    const groups = new Map<string, ListedTarget[]>();
+    for (const engine of engines) {
+        const group = groups.get(engine.softwareVersion) ?? [];
+        group.push(engine);
+        groups.set(engine.softwareVersion, group);
+    }
+    return [...groups.values()];
+}
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -7,6 +7,8 @@
 export interface TargetList extends TableObserver {
     /** Targets of a service that accept new work. */
     open(service: string): readonly ListedTarget[];
+    /** Targets of a service, leaving or not. */
+    list(service: string): readonly ListedTarget[];
     /** Whether a target still accepts new work; checked again right before each send. */
     isOpen(targetId: string): boolean;
     /** A listed target, leaving or not. */
@@ -51,21 +53,23 @@
     const unreadable = new Set<string>();
     const removedListeners: ((targetId: string, removal: TargetRemoval) => void)[] = [];
     let openByService = new Map<string, ListedTarget[]>();
+    let listedByService = new Map<string, ListedTarget[]>();
     let idsByAddress = new Map<string, string[]>();
     let isKnown = false;
     let lastFailureAt = -Infinity;
 
     const index = () => {
-        openByService = new Map();
+        listedByService = new Map();
         idsByAddress = new Map();
         for (const target of targets.values()) {
             idsByAddress.set(target.address, [...idsByAddress.get(target.address) ?? [], target.targetId]);
-            if (!target.isLeaving) {
-                const group = openByService.get(target.service) ?? [];
-                group.push(target);
-                openByService.set(target.service, group);
-            }
+            const group = listedByService.get(target.service) ?? [];
+            group.push(target);
+            listedByService.set(target.service, group);
         }
+        openByService = new Map(
+            [...listedByService].map(([service, group]) => [service, group.filter(target => !target.isLeaving)]),
+        );
     };
 
     const remove = (key: string, storeFailedAt = lastFailureAt) => {
@@ -163,6 +167,10 @@
             forgetExpired();
             return openByService.get(service) ?? [];
         },
+        list: service => {
+            forgetExpired();
+            return listedByService.get(service) ?? [];
+        },
         isOpen: targetId => {
             forgetExpired();
             return targets.get(targetId)?.isLeaving === false;
--- /dev/null
+++ b/packages/daisyturn/src/process/origins/createVersionHistory.ts
@@ -0,0 +1,55 @@
+import type { Clock } from "daisyturn-utils";
+import type { TargetList } from "../forwarding/targets/createTargetList.js";
+
+/** The software versions of the targets that may have begun the streams that are open now. */
+export interface VersionHistory {
+    /** Lists the software versions that targets of a service have now or had a while ago. */
+    list(service: string): readonly string[];
+    /**
+     * Returns the software version of all targets that may have begun an open stream of a service. Undefined if there
+     * are several, and as long as this process does not know the targets that were listed before its start.
+     */
+    findSole(service: string): string | undefined;
+}
+
+/** Callers do not resume streams that began longer ago. */
+const maxStreamMilliseconds = 60_000;
+
+/** Creates the history, which begins at the first list of targets that this process receives. */
+export function createVersionHistory(
+    targets: Pick<TargetList, "isKnown" | "list" | "onRemoved">,
+    clock: Clock,
+): VersionHistory {
+    /** Monotonic time at which the last target of a version was removed, by service and version. */
+    const removedAt = new Map<string, Map<string, number>>();
+    let knownSince: number | undefined;
+
+    targets.onRemoved((targetId, { target: { service, softwareVersion } }) => {
+        const versions = removedAt.get(service) ?? new Map<string, number>();
+        removedAt.set(service, versions.set(softwareVersion, clock.monotonicNow()));
+    });
+
+    const removeOld = (service: string, oldest: number) => {
+        const versions = removedAt.get(service);
+        versions?.forEach((at, version) => at < oldest && versions.delete(version));
+    };
+
+    const list = (service: string) => {
+        removeOld(service, clock.monotonicNow() - maxStreamMilliseconds);
+        const listed = targets.list(service).map(({ softwareVersion }) => softwareVersion);
+        return [...new Set([...listed, ...removedAt.get(service)?.keys() ?? []])];
+    };
+
+    return {
+        list,
+        findSole: service => {
+            if (!targets.isKnown()) {
+                return undefined;
+            }
+            const now = clock.monotonicNow();
+            knownSince ??= now;
+            const versions = list(service);
+            return now - knownSince >= maxStreamMilliseconds && versions.length === 1 ? versions[0] : undefined;
+        },
+    };
+}
--- /dev/null
+++ b/packages/daisyturn/src/process/origins/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Origins of streams: which software version began a stream, so that no other one goes on with it.
+ *
+ * @module
+ */
+
+export * from "./createStreamOrigins.js";
+export * from "./createVersionHistory.js";
--- a/packages/daisyturn/src/request/answer/answer.ts
+++ b/packages/daisyturn/src/request/answer/answer.ts
@@ -24,6 +24,7 @@
     [FailureReason.Overloaded]: 503,
     [FailureReason.DeadlineUnreachable]: 503,
     [FailureReason.NoTarget]: 503,
+    [FailureReason.UnknownOrigin]: 503,
     [FailureReason.LinkFailed]: 503,
     [FailureReason.TargetRefused]: 503,
     [FailureReason.StoreUnavailable]: 503,
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -35,7 +35,7 @@
     for (let round = 0; round < 200; round++) {
         const text = [1, 2, 3, 4].map(event).join("");
         const { exchange, written, counts } = createRecorder();
-        const relay = createEventRelay(exchange);
+        const relay = createEventRelay(exchange, () => undefined);
         for (let at = 0; at < text.length;) {
             const next = Math.min(text.length, at + 1 + random.integerBelow(12));
             relay.write(200, [], Buffer.from(text.slice(at, next)));
@@ -51,7 +51,7 @@
 
 test("the incomplete event of a broken stream is discarded before another target continues", () => {
     const { exchange, written } = createRecorder();
-    const relay = createEventRelay(exchange);
+    const relay = createEventRelay(exchange, () => undefined);
     relay.write(200, [], Buffer.from(`${event(1)}id: 2\nda`));
     assert.equal(relay.lastEventId(), "1");
     relay.discardPartialEvent();
@@ -61,7 +61,7 @@
 
 test("the head is sent with the first complete event or at the end, not earlier", () => {
     const { exchange, counts } = createRecorder();
-    const relay = createEventRelay(exchange);
+    const relay = createEventRelay(exchange, () => undefined);
     relay.write(200, [], Buffer.from("id: 1"));
     assert.equal(relay.hasStarted(), false);
     relay.end(200, []);
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -16,7 +16,8 @@
 export type AdmissionParts = Pick<ForwardingParts, "decisions" | "clock" | "switchedOff" | "availabilityZone">;
 
 /** The context of a call that is to be admitted. */
-export interface AdmissionContext extends CallTiming, Pick<CallContext, "service" | "avoid" | "pauseAim" | "trace"> {
+export interface AdmissionContext
+    extends CallTiming, Pick<CallContext, "service" | "avoid" | "softwareVersion" | "pauseAim" | "trace"> {
     readonly call: Pick<ForwardedCall, "arrivedAt" | "body">;
     readonly route: CallTiming["route"] & Pick<CallContext["route"], "name">;
 }
@@ -27,7 +28,7 @@
     readonly account: TrackedPrompt;
     /** Whether prefill and decode must run at one engine. */
     readonly isWholeOnly: boolean;
-    /** Whether the caller has already received events. Such a call is not refused by a forecast. */
+    /** Whether the caller has already received events. Such a call is neither refused by a forecast nor deferred. */
     readonly hasStarted: boolean;
 }
 
@@ -57,7 +58,7 @@
 function buildDecisionRequest(
     parts: AdmissionParts,
     context: AdmissionContext,
-    { prompt, isWholeOnly, account }: AdmissionTerms,
+    { prompt, isWholeOnly, account, hasStarted }: AdmissionTerms,
 ): DecisionRequest {
     const now = parts.clock.monotonicNow();
     return {
@@ -67,10 +68,11 @@
             prompt,
             bodyBytes: context.call.body.length,
             avoid: context.avoid,
+            softwareVersion: context.softwareVersion,
             isWholeOnly,
             pauseAim: context.pauseAim,
             aim: context.call.arrivedAt + context.route.latencyAimMilliseconds * plannedAimFraction - now,
-            mayDefer: true,
+            mayDefer: !hasStarted,
             availabilityZone: parts.availabilityZone,
         },
         patience: computeAbandonmentTime(context) - now,
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -1,6 +1,7 @@
 import { type Clock, EventKind, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../ports/listedTarget.js";
 import type { GuardedCall } from "../../process/crashes/index.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
@@ -28,6 +29,12 @@
     readonly avoid: Set<string>;
     /** Targets to which this call was sent to be run. Prefills are not counted. */
     readonly attemptedTargets: Set<string>;
+    /** Whether the call resumes a stream. Such a call is neither refused by a forecast nor deferred. */
+    readonly isResumption: boolean;
+    /** The only software version that may go on with the stream; undefined while the stream has not begun. */
+    softwareVersion?: string;
+    /** The target to which the call was last sent to be run. */
+    target?: ListedTarget;
 }
 
 /** Bounds all attempts of a call, including those that never reached a target and therefore cost no retry budget. */
@@ -39,7 +46,7 @@
 
 /** Creates the context of a call before its first attempt. */
 export function createCallContext(
-    start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets">,
+    start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets" | "target">,
 ): CallContext {
     return {
         ...start,
@@ -92,8 +99,12 @@
 }
 
 /** Creates the failure of a call for which no target is open. */
-export function createNoTargetFailure(context: Pick<CallContext, "service">, clock: Clock): Failure {
-    const message = `No target of service ${context.service.name} is open.`;
+export function createNoTargetFailure(
+    { service, softwareVersion }: Pick<CallContext, "service" | "softwareVersion">,
+    clock: Clock,
+): Failure {
+    const which = softwareVersion === undefined ? "" : " with the software version that began the stream";
+    const message = `No target of service ${service.name}${which} is open.`;
     return notRun(FailureReason.NoTarget, message, clock.wallNow() + noTargetRetryDelayMilliseconds);
 }
 
--- a/packages/daisyturn/src/request/forwarding/eventRelay.ts
+++ b/packages/daisyturn/src/request/forwarding/eventRelay.ts
@@ -18,13 +18,17 @@
 const eventEnd = Buffer.from("\n\n");
 const idField = /^id: ?(.*)$/gm;
 
-/** Creates the relay of one answer. */
-export function createEventRelay(exchange: ForwardExchange): EventRelay {
+/**
+ * Creates the relay of one answer.
+ * @param onStart called before the first byte is sent to the caller
+ */
+export function createEventRelay(exchange: ForwardExchange, onStart: () => void): EventRelay {
     let partial: Buffer | undefined;
     let lastEventId: string | undefined;
 
     const forward = (status: number, fields: HeaderFields, events: Buffer) => {
         if (!exchange.isHeadSent()) {
+            onStart();
             exchange.begin(status, fields);
         }
         exchange.write(events);
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -9,6 +9,7 @@
     EventIntervals,
     ForwardingConfigurationManager,
     ForwardingMetrics,
+    FoundOrigin,
     LongPrefillTimes,
     Mechanism,
     PrefillDemand,
@@ -23,6 +24,7 @@
     TargetLoads,
     WindowedRetryBudget,
 } from "../../process/forwarding/index.js";
+import type { StreamOrigins } from "../../process/origins/index.js";
 
 /** The parts of the process that serving a forwarded call uses. */
 export interface ForwardingParts {
@@ -38,6 +40,9 @@
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
     readonly crashGuard: CrashGuard;
+    readonly origins: StreamOrigins;
+    /** Finds which targets may go on with a stream that is resumed at a service; undefined if no process knows. */
+    readonly findOrigin: (streamId: string, service: string) => Promise<FoundOrigin | undefined>;
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
--- a/packages/daisyturn/src/request/forwarding/guardForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/guardForwardedCall.ts
@@ -1,4 +1,4 @@
-import type { ForwardedCall } from "../../ports/forwardedCall.js";
+import type { ForwardedCall, HeaderFields } from "../../ports/forwardedCall.js";
 import { createGuardedCall, type GuardedCall } from "../../process/crashes/index.js";
 
 /** The fields that two attempts of the same request have in common. */
@@ -9,9 +9,12 @@
 
 /** Creates the guarded call of one attempt, which is identified by its caller, path and body. */
 export function guardForwardedCall({ method, host, url, forwardedFields, body }: RepeatedFields): GuardedCall {
-    const readCredentials = () =>
-        forwardedFields.filter((value, index) =>
-            index % 2 === 1 && credentialFields.has((forwardedFields[index - 1] ?? "").toLowerCase())
-        );
-    return createGuardedCall(() => [method, host, url, readCredentials()], body);
+    return createGuardedCall(() => [method, host, url, readCredentials(forwardedFields)], body);
+}
+
+/** Returns the values of the fields that tell who the caller is. */
+export function readCredentials(forwardedFields: HeaderFields): readonly string[] {
+    return forwardedFields.filter((value, index) =>
+        index % 2 === 1 && credentialFields.has((forwardedFields[index - 1] ?? "").toLowerCase())
+    );
 }
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -14,6 +14,7 @@
 } from "./callContext.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import { recordOrigin } from "./resumption/recordOrigin.js";
 import { sendToTarget } from "./sendToTarget.js";
 
 const minErrorStatus = 500;
@@ -25,9 +26,11 @@
  * relayed as they arrive.
  */
 export async function runPlainCall(parts: ForwardingParts, context: CallContext): Promise<Result<CallAnswer, Failure>> {
-    const relay = context.route.kind === CallKind.Stream ? createEventRelay(context.exchange) : undefined;
+    const relay = context.route.kind === CallKind.Stream
+        ? createEventRelay(context.exchange, () => recordOrigin(parts, context))
+        : undefined;
     for (;;) {
-        const target = parts.placement.placePlain(context.service.name, context.avoid);
+        const target = parts.placement.placePlain(context.service.name, context);
         if (!target) {
             return err(createFinalFailure(context, createNoTargetFailure(context, parts.clock)));
         }
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -22,6 +22,7 @@
 } from "./callContext.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import { recordOrigin } from "./resumption/recordOrigin.js";
 import { sendToTarget } from "./sendToTarget.js";
 
 /** After this many attempts with a separate prefill, the prompt is prefilled by the engine that decodes it. */
@@ -61,7 +62,7 @@
     prompt: PromptDescription,
     account: TrackedPrompt,
 ): Promise<Result<CallAnswer, Failure>> {
-    const relay = createEventRelay(context.exchange);
+    const relay = createEventRelay(context.exchange, () => recordOrigin(parts, context));
     let prefills = 0;
     for (;;) {
         const isWholeOnly = prefills >= maxPrefills;
@@ -69,7 +70,7 @@
             prompt,
             account,
             isWholeOnly,
-            hasStarted: relay.hasStarted(),
+            hasStarted: relay.hasStarted() || context.isResumption,
         });
         if (admitted.isErr) {
             return err(createFinalFailure(context, admitted.error));
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -65,10 +65,17 @@
     if (!parts.targets.isOpen(target.targetId) || parts.closed.isClosed(target.targetId)) {
         return err(notRun(FailureReason.NoTarget, "The chosen target has just stopped taking new work."));
     }
+    const { softwareVersion } = context;
+    if (softwareVersion !== undefined && target.softwareVersion !== softwareVersion) {
+        return err(notRun(FailureReason.NoTarget, "The chosen target's software version did not begin the stream."));
+    }
     const listed = checkListed(parts, context);
     if (listed.isErr) {
         return err(listed.error);
     }
+    if (!attempt.terms.prefillOnly) {
+        context.target = target;
+    }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const chunks: Buffer[] = [];
     const work = loads.begin(target.targetId, attempt.cost);
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -3,13 +3,13 @@
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import { CallOutcome, measureSize } from "../../process/forwarding/index.js";
-import { chooseService } from "../../version/forwarding/createRouteTable.js";
 import { startRequestLifetime } from "../requestLifetime.js";
 import { type CallContext, createCallContext } from "./callContext.js";
 import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { refuseCall } from "./refuseCall.js";
 import { createRequestTrace, type RequestTrace } from "./requestTrace.js";
+import { findDestination, isResumption } from "./resumption/resumeCall.js";
 import { runPlainCall } from "./runPlainCall.js";
 import { runPromptCall } from "./runPromptCall.js";
 import type { TargetReply } from "./sendToTarget.js";
@@ -33,7 +33,7 @@
     const { callId, arrivedAt } = call;
     const now = () => clock.monotonicNow();
     const trace = createRequestTrace({ eventLog, sampledCalls, callId, arrivedAt, now });
-    const started = startCall(parts, call, exchange, trace);
+    const started = await startCall(parts, call, exchange, trace);
     if (started.isErr) {
         recordEnd(parts, trace, undefined, "unrouted", started.error);
         refuseCall(exchange, started.error, parts.clock);
@@ -58,12 +58,12 @@
 }
 
 /** Creates the context of a call. The configuration that is active at its arrival applies until its end. */
-function startCall(
+async function startCall(
     parts: ForwardingParts,
     call: ForwardedCall,
     exchange: ForwardExchange,
     trace: RequestTrace,
-): Result<{ context: CallContext; end: () => void; }, Failure> {
+): Promise<Result<{ context: CallContext; end: () => void; }, Failure>> {
     const table = parts.configurationManager.current();
     if (!table) {
         const retryAt = parts.clock.wallNow() + noConfigurationRetryDelayMilliseconds;
@@ -71,10 +71,14 @@
     }
     const path = call.url.split("?", 1)[0] ?? call.url;
     const route = table.find(call.host, path);
-    const serviceName = route && chooseService(route, call.callId);
-    if (!route || serviceName === undefined) {
+    const destination = route ? await findDestination(parts, route, call, trace) : ok(undefined);
+    if (destination.isErr) {
+        return err(destination.error);
+    }
+    if (!route || !destination.value) {
         return err(notRun(FailureReason.NotFound, "No route takes this host and path."));
     }
+    const { service: serviceName, softwareVersion } = destination.value;
     const service = table.configuration.services.get(serviceName) ?? { name: serviceName };
     const pauseAim = table.minPauseAim(serviceName);
     const deadline = Math.min(call.deadline, call.arrivedAt + route.timeoutMilliseconds);
@@ -104,6 +108,8 @@
             signal: lifetime.signal,
             deadline,
             trace,
+            isResumption: isResumption(route, call),
+            softwareVersion,
         }),
         end: lifetime.end,
     });
