Keep answers of the own interface at the software version that began them

Change: a placement tells the software version of its engines (as their state reports it); once a token is delivered, only that version goes on. The resume ticket carries it (tickets without it stay valid); prefill and decode are chosen within one version. Result: two new tests of the router and two lines in the tests of continued and resumed answers; seen failing with the restriction taken out of listTiers and groupByVersion.

--- a/packages/daisyturn-standins/src/bench/naivePolicies.ts
+++ b/packages/daisyturn-standins/src/bench/naivePolicies.ts
@@ -76,6 +76,7 @@
     const ignore = () => undefined;
     return {
         engine,
+        softwareVersion: "",
         prefillEngine,
         expectedFirstTokenAt: 0,
         recordStream: ignore,
--- a/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
+++ b/packages/daisyturn/src/connection/caller/__fixtures__/createCallerBench.ts
@@ -206,6 +206,7 @@
     const placement: Placement = {
         prefillEngine,
         engine: chosen.engineId,
+        softwareVersion: request.softwareVersion ?? "v1",
         expectedFirstTokenAt: request.firstTokenDeadline,
         recordStream: (engine, streamId) => record.streams.push({ engine, streamId }),
         recordPrefilled: usage => {
--- a/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
@@ -82,6 +82,7 @@
         assert.equal(moved?.startOffset, 3);
         assert.equal(moved?.precedingText, answerText(3));
         assert.deepEqual(placements[1]?.request.avoid, ["engine-1"]);
+        assert.deepEqual(placements.map(({ request }) => request.softwareVersion), [undefined, "v1"]);
         assert.deepEqual(placements.map(record => record.outcome), [
             PlacementOutcome.Failed,
             PlacementOutcome.Completed,
--- a/packages/daisyturn/src/connection/caller/__tests__/resumedAnswers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/resumedAnswers.test.ts
@@ -102,6 +102,7 @@
         const resumed = readStream((await resume(token, { request })).text);
         assert.equal(answerText(3) + resumed.text, answerText(8));
         assert.equal(engines[1].received[0]?.startOffset, 3);
+        assert.deepEqual(second.placements.map(({ request }) => request.softwareVersion), ["v1"]);
         assert.match(Buffer.from(resumed.resumeToken ?? "", "base64url").toString(), /"engine":"engine-2"/);
     });
 
--- a/packages/daisyturn/src/process/routing/__fixtures__/createDecisionBench.ts
+++ b/packages/daisyturn/src/process/routing/__fixtures__/createDecisionBench.ts
@@ -37,6 +37,7 @@
     events: CacheEvent[] = [];
     isSilent = false;
     models: readonly string[] = ["large"];
+    softwareVersion = "1";
 
     constructor(override readonly engineId: string, public report: LoadReport) {
         super();
@@ -54,7 +55,7 @@
 
     override readState(): Promise<Result<EngineState, Failure>> {
         const { engineId, incarnation, role, phase, runningStreams, queuedRequests } = this.report;
-        const rest = { draining: false, models: this.models, adapters: [], version: "1" };
+        const rest = { draining: false, models: this.models, adapters: [], version: this.softwareVersion };
         const state = { engineId, incarnation, role, phase, runningStreams, queuedRequests, ...rest };
         return Promise.resolve(this.isSilent ? err(refused) : ok(state));
     }
--- a/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
+++ b/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
@@ -41,6 +41,38 @@
         bench.stop();
     });
 
+    // Guards against answers that go on at another software version than the one that began them.
+    test("an answer goes on only at the software version that began it, and is refused if no engine has it", async () => {
+        const reports = [createReport("old"), createReport("new")];
+        const bench = await createDecisionBench({ reports });
+        bench.engines[1]!.softwareVersion = "2";
+        await bench.clock.advance(5_500);
+        for (const [softwareVersion, engine] of [["1", "old"], ["2", "new"]] as const) {
+            const placed = place(bench, { requestId: `req-${softwareVersion}`, softwareVersion });
+            assert.deepEqual([placed.engine, placed.softwareVersion], [engine, softwareVersion]);
+        }
+        const request = createRoutingRequest(bench.clock.wallNow(), { requestId: "req-3", softwareVersion: "3" });
+        const refused = bench.processes[0]!.router.place(request);
+        assert.ok(refused.isErr);
+        assert.equal(refused.error.reason, FailureReason.NoTarget);
+        bench.stop();
+    });
+
+    // Guards against a KV cache that an engine of another software version has computed.
+    test("prefill and decode run at one software version", async () => {
+        const reports = [
+            createReport("prefill-1", { role: EngineRole.Prefill, queuedPrefillTokens: 9_000 }),
+            createReport("prefill-2", { role: EngineRole.Prefill }),
+            createReport("decode-1", { role: EngineRole.Decode }),
+        ];
+        const bench = await createDecisionBench({ reports });
+        bench.engines[1]!.softwareVersion = "2";
+        await bench.clock.advance(5_500);
+        const { prefillEngine, engine } = place(bench);
+        assert.deepEqual([prefillEngine, engine], ["prefill-1", "decode-1"]);
+        bench.stop();
+    });
+
     test("an engine that no longer reports is not used", async () => {
         const reports = [createReport("silent"), createReport("busy", { queuedPrefillTokens: 9_000 })];
         const bench = await createDecisionBench({ reports });
--- a/packages/daisyturn/src/process/routing/createPlacement.ts
+++ b/packages/daisyturn/src/process/routing/createPlacement.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "daisyturn-utils";
 import type { EngineHealth } from "../health/index.js";
 import type { CacheMatch, EngineLoad, LoadView, OutputLengths, SentWorkHandle, TransferRate } from "../load/index.js";
+import { findSoftwareVersion } from "./engineFilter.js";
 import type { PlacementOption } from "./placementCost.js";
 import { tokensPerBlock } from "./placementCost.js";
 import { type Placement, PlacementOutcome, type PlacementUsage, type RoutingRequest } from "./router.js";
@@ -144,6 +145,7 @@
     const placement: Placement = {
         prefillEngine: option.prefill?.engineId,
         engine: option.decode.engineId,
+        softwareVersion: findSoftwareVersion(option.decode),
         expectedFirstTokenAt: clock.wallNow() + option.firstToken,
         recordStream: (engine, streamId) => {
             loads.filter(load => load.engineId === engine).forEach(load => handles.get(load)?.setStreamId(streamId));
--- a/packages/daisyturn/src/process/routing/createRouter.ts
+++ b/packages/daisyturn/src/process/routing/createRouter.ts
@@ -12,7 +12,7 @@
 import type { TargetGate } from "../targets/index.js";
 import { createPlacement, type PlacementParts } from "./createPlacement.js";
 import { type EngineChoice, findCheapest, SampledChoice } from "./engineChoice.js";
-import { canServe, isComplete } from "./engineFilter.js";
+import { canServe, findSoftwareVersion, groupByVersion, isComplete } from "./engineFilter.js";
 import { createOverdueWatch } from "./overdueWatch.js";
 import type { PlacementOption } from "./placementCost.js";
 import { listPlacementOptions } from "./placementOptions.js";
@@ -90,7 +90,11 @@
 
     /** Lists sets of engines by preference; engines that failed or are ejected are used only if no others are left. */
     const listTiers = (request: RoutingRequest): EngineLoad[][] => {
-        const capable = loadView.loads().filter(load => canServe(load, request.profile, configurationManager));
+        const { profile, softwareVersion } = request;
+        const capable = loadView.loads().filter(load =>
+            canServe(load, profile, configurationManager)
+            && (softwareVersion === undefined || findSoftwareVersion(load) === softwareVersion)
+        );
         const untried = capable.filter(load => !request.avoid.includes(load.engineId));
         const healthy = untried.filter(load => health.acceptsWork(load.engineId));
         return [healthy, untried, capable].filter(isComplete);
@@ -120,7 +124,10 @@
     const pickOption = (request: RoutingRequest, pick: Pick): PickedOption | undefined => {
         const match = loadView.caches.match(request.promptBlocks);
         for (const engines of listTiers(request)) {
-            const candidates = listPlacementOptions(request, engines, match, transfer, options.random, clock.wallNow());
+            // Prefill and decode run at one software version, because the KV cache of one does not fit another.
+            const candidates = groupByVersion(engines).filter(isComplete).flatMap(group =>
+                listPlacementOptions(request, group, match, transfer, options.random, clock.wallNow())
+            );
             const option = pickOpen(candidates, match, pick);
             if (option) {
                 return { option, match };
@@ -186,7 +193,11 @@
         }
         const { prefill, decode } = reserved.option;
         const engines = [prefill, decode].flatMap(load => load?.engineId ?? []);
-        if (engines.some(engineId => !gate.isOpen(engineId) || request.avoid.includes(engineId))) {
+        const { softwareVersion } = request;
+        const isOtherVersion = softwareVersion !== undefined && findSoftwareVersion(decode) !== softwareVersion;
+        if (
+            isOtherVersion || engines.some(engineId => !gate.isOpen(engineId) || request.avoid.includes(engineId))
+        ) {
             cancelReservation(request.requestId);
             return undefined;
         }
--- a/packages/daisyturn/src/process/routing/engineFilter.ts
+++ b/packages/daisyturn/src/process/routing/engineFilter.ts
@@ -15,6 +15,23 @@
     return hasModel && hasAdapter;
 }
 
+/** Returns the software version of an engine; empty if it has not reported one. */
+export function findSoftwareVersion(load: EngineLoad): string {
+    return load.state()?.version ?? "";
+}
+
+/** Groups engines by their software version. */
+export function groupByVersion(engines: readonly EngineLoad[]): readonly (readonly EngineLoad[])[] {
+    const groups = new Map<string, EngineLoad[]>();
+    for (const load of engines) {
+        const version = findSoftwareVersion(load);
+        const group = groups.get(version) ?? [];
+        group.push(load);
+        groups.set(version, group);
+    }
+    return [...groups.values()];
+}
+
 export function isMixed(load: EngineLoad): boolean {
     return load.role() === EngineRole.Mixed;
 }
--- a/packages/daisyturn/src/process/routing/router.ts
+++ b/packages/daisyturn/src/process/routing/router.ts
@@ -15,6 +15,8 @@
     readonly totalDeadline: number;
     /** Engines on which this request has failed; used again only if no other engine is available. */
     readonly avoid: readonly string[];
+    /** The only software version that may go on with the answer; undefined while no token has been delivered. */
+    readonly softwareVersion?: string;
 }
 
 /** How the part of a request that was sent to an engine ended, as seen by that engine. */
@@ -38,6 +40,8 @@
     /** The prefill engine if prefill and decode run on two engines. */
     readonly prefillEngine?: string;
     readonly engine: string;
+    /** Software version of the engines; empty if they do not report one. */
+    readonly softwareVersion: string;
     /** Wall-clock time in milliseconds. */
     readonly expectedFirstTokenAt: number;
     /** Records the id of a stream immediately before it is sent to an engine; load reports list streams by this id. */
--- a/packages/daisyturn/src/request/admit.ts
+++ b/packages/daisyturn/src/request/admit.ts
@@ -9,13 +9,19 @@
 export function admit(
     parts: RequestParts,
     request: ModelRequest,
+    softwareVersion: string | undefined,
     signal: AbortSignal,
 ): Promise<Result<AdmissionTicket, Failure>> {
-    return parts.admission.admitModelRequest(request.account, buildRoutingRequest(request, []), signal);
+    const routingRequest = buildRoutingRequest(request, [], softwareVersion);
+    return parts.admission.admitModelRequest(request.account, routingRequest, signal);
 }
 
 /** Builds the description of a request for routing and admission. */
-export function buildRoutingRequest(request: ModelRequest, avoid: readonly string[]): RoutingRequest {
+export function buildRoutingRequest(
+    request: ModelRequest,
+    avoid: readonly string[],
+    softwareVersion?: string,
+): RoutingRequest {
     return {
         requestId: request.requestId,
         partner: request.account.partner,
@@ -26,5 +32,6 @@
         firstTokenDeadline: request.firstTokenDeadline,
         totalDeadline: request.totalDeadline,
         avoid,
+        softwareVersion,
     };
 }
--- a/packages/daisyturn/src/request/answer/answerChannel.ts
+++ b/packages/daisyturn/src/request/answer/answerChannel.ts
@@ -11,6 +11,8 @@
     readonly streamId: string;
     /** Number of tokens delivered before this stream started. */
     readonly offset: number;
+    /** Software version of the engine; empty if it does not report one. */
+    readonly softwareVersion: string;
 }
 
 /** Sends one completion to the caller, streamed or as one answer. */
--- a/packages/daisyturn/src/request/answer/produceAnswer.ts
+++ b/packages/daisyturn/src/request/answer/produceAnswer.ts
@@ -18,7 +18,7 @@
 export async function produceAnswer(parts: RequestParts, context: AnswerContext): Promise<Result<StreamEnd, Failure>> {
     const history = createFailureHistory();
     for (;;) {
-        const placement = place(parts, context.request, [...context.avoid]);
+        const placement = place(parts, context.request, [...context.avoid], context.softwareVersion);
         if (placement.isErr) {
             return err(history.conclude(placement.error));
         }
@@ -71,6 +71,7 @@
         engine: stream.engine.engineId,
         streamId: stream.streamId,
         offset: context.progress.offset,
+        softwareVersion: placement.softwareVersion,
     });
     try {
         const end = await relayStream(parts, {
@@ -96,6 +97,7 @@
     return (tokens: StreamTokens) => {
         if (isFirst) {
             isFirst = false;
+            context.softwareVersion ??= placement.softwareVersion;
             placement.recordFirstToken();
             recordFirstToken(parts, context, placement, tokens);
         }
--- a/packages/daisyturn/src/request/completion/serveModelRequest.ts
+++ b/packages/daisyturn/src/request/completion/serveModelRequest.ts
@@ -55,7 +55,7 @@
     if (listed) {
         return err(createListedFailure(listed));
     }
-    const ticket = await admit(parts, request, signal);
+    const ticket = await admit(parts, request, context.softwareVersion, signal);
     if (ticket.isErr) {
         return err(ticket.error);
     }
--- a/packages/daisyturn/src/request/resumption/continueAnswer.ts
+++ b/packages/daisyturn/src/request/resumption/continueAnswer.ts
@@ -112,7 +112,14 @@
         const message = "The engine has the answer no longer and its rest would not fit; ask anew from the start.";
         return Promise.resolve(err(mayHaveRun(FailureReason.StreamBroken, message)));
     }
-    return admitAndProduce(parts, { request, channel, progress, avoid: new Set([ticket.engine]), signal });
+    return admitAndProduce(parts, {
+        request,
+        channel,
+        progress,
+        avoid: new Set([ticket.engine]),
+        softwareVersion: ticket.softwareVersion,
+        signal,
+    });
 }
 
 function isDeterministic(sampling: Sampling | undefined): boolean {
--- a/packages/daisyturn/src/request/resumption/resumeToken.ts
+++ b/packages/daisyturn/src/request/resumption/resumeToken.ts
@@ -21,6 +21,8 @@
     streamId: z.string(),
     /** Number of tokens delivered before this stream started; the stream does not contain them. */
     offset: z.int().min(0),
+    /** Software version of the engine; absent in tickets of earlier versions of this program. */
+    softwareVersion: z.string().optional(),
     /** Wall-clock time, in milliseconds, from which the ticket is refused. */
     expiresAt: z.number(),
 });
