Make the test of prefill and decode at one version see the fault

Change: eight placements in place of one, so that load would send one to the prefill engine of the other version.

--- a/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
+++ b/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
@@ -61,15 +61,17 @@
     // Guards against a KV cache that an engine of another software version has computed.
     test("prefill and decode run at one software version", async () => {
         const reports = [
-            createReport("prefill-1", { role: EngineRole.Prefill, queuedPrefillTokens: 9_000 }),
+            createReport("prefill-1", { role: EngineRole.Prefill }),
             createReport("prefill-2", { role: EngineRole.Prefill }),
             createReport("decode-1", { role: EngineRole.Decode }),
         ];
         const bench = await createDecisionBench({ reports });
         bench.engines[1]!.softwareVersion = "2";
         await bench.clock.advance(5_500);
-        const { prefillEngine, engine } = place(bench);
-        assert.deepEqual([prefillEngine, engine], ["prefill-1", "decode-1"]);
+        for (let number = 1; number <= 8; number++) {
+            const { prefillEngine, engine } = place(bench, { requestId: `req-${number}` });
+            assert.deepEqual([prefillEngine, engine], ["prefill-1", "decode-1"]);
+        }
         bench.stop();
     });
 
