Keep an engine that decodes for each software version

Cause: prefill and decode run at one software version now, and a stream goes on only at its version; the planner counted stages over all versions, so a version could be left with prefill engines alone: its streams could not go on, and nobody used those engines.

--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -29,7 +29,7 @@
     const { targets, closed } = views;
     const reads = new Map<string, number>();
     const sent: (StageOrder & { readonly wasClosed: boolean; readonly at: number; })[] = [];
-    const list = (targetId: string, stage: EngineStage) =>
+    const list = (targetId: string, stage: EngineStage, softwareVersion = "v1") =>
         targets.change([{
             key: targetId,
             version: 1,
@@ -41,7 +41,7 @@
                 availabilityZone: "z",
                 slots: 8,
                 isLeaving: false,
-                softwareVersion: "v1",
+                softwareVersion,
                 stage,
             }),
         }]);
@@ -161,6 +161,25 @@
     await end();
 });
 
+// Guards against streams that can't go on and prefill engines that nobody uses, since no engine of their software
+// version decodes.
+test("one engine of a software version of which none decodes is moved to decode", async () => {
+    const { clock, sent, list, end } = createScene({ readers: 2, decoders: 5 });
+    list("p8", EngineStage.Prefill, "v2");
+    list("p9", EngineStage.Prefill, "v2");
+    await clock.advance(6_000);
+    assert.deepEqual(sent.map(({ target, stage }) => [target.softwareVersion, stage]), [["v2", EngineStage.Decode]]);
+    await end();
+});
+
+test("the only engine that decodes for its software version keeps its stage, and the others take their turn", async () => {
+    const { sent, list, demandPrefill, end } = createScene({ readers: 3, decoders: 1 });
+    ["d6", "d7", "d8", "d9"].forEach(targetId => list(targetId, EngineStage.Decode, "v2"));
+    await demandPrefill(12, 4_000);
+    assert.deepEqual(sent.map(({ target, stage }) => [target.softwareVersion, stage]), [["v2", EngineStage.Prefill]]);
+    await end();
+});
+
 test("no order is sent without the lease or by a process that is not the planner", async () => {
     for (const options of [{ isLeaseHeld: () => false }, { isPlanner: false }]) {
         const { clock, sent, end } = createScene({ readers: 3, decoders: 0, ...options });
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -10,6 +10,7 @@
 import { createLostEngines } from "./createLostEngines.js";
 import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
 import { countDecodeEnginesNeeded, minDecodeEngines, planStage } from "./planStage.js";
+import { findVersionWithoutDecoder, listMovableEngines } from "./versionStages.js";
 
 /** What {@link changeStages} needs. */
 export interface ChangeStagesOptions {
@@ -41,6 +42,8 @@
 const roundsForPrefill = 4;
 /** Used without an engine of a stage or at the minimum of decode engines, where each second of delay loses answers. */
 const roundsWhenMissing = 2;
+/** Used while all engines of a software version prefill. In a release, the next one to start may decode. */
+const roundsWithoutDecoder = 4;
 /** Returning an engine to decode gains little and costs seconds of its time, so prefill demand must be low for long. */
 const roundsForDecode = 40;
 const callTimeoutMilliseconds = 1_000;
@@ -111,8 +114,10 @@
         };
         // A single remaining engine can answer prompts only if it decodes.
         const isLastPrefillEngine = hasLostEngines && engines.length === 1 && view.readers === 1;
+        const isChanging = ({ targetId }: ListedTarget) => changing.has(targetId);
+        const versionWithoutDecoder = engines.length > 1 ? findVersionWithoutDecoder(engines, isChanging) : undefined;
         const plannedStage = engines.length > 1 ? planStage(view) : undefined;
-        const stage = isLastPrefillEngine ? EngineStage.Decode : plannedStage;
+        const stage = isLastPrefillEngine || versionWithoutDecoder ? EngineStage.Decode : plannedStage;
         const known = needs.get(service);
         if (!stage) {
             needs.delete(service);
@@ -122,12 +127,14 @@
         needs.set(service, { stage, rounds });
         const isAtChangeLimit =
             countChanging(engines) >= findChangeLimit(engines, view.readers === 0 || view.decoders === 0);
-        if (rounds < findRoundsNeeded(stage, view.readers, view.decoders, hasLostEngines) || isAtChangeLimit) {
+        const maxRounds = versionWithoutDecoder ? roundsWithoutDecoder : Infinity;
+        const roundsNeeded = findRoundsNeeded(stage, view.readers, view.decoders, hasLostEngines);
+        if (rounds < Math.min(roundsNeeded, maxRounds) || isAtChangeLimit) {
             return;
         }
         requireLease();
         const lease = leaseManager.current();
-        const target = chooseTarget(engines, stage);
+        const target = chooseTarget(versionWithoutDecoder ?? engines, stage);
         if (lease && target) {
             eventLog.record(EventKind.RolePlanned, { target: target.targetId, stage, ...view });
             void change(target, stage, lease, view.decoders === 0);
@@ -154,14 +161,18 @@
     const countChanging = (engines: readonly ListedTarget[]) =>
         engines.filter(engine => (changing.get(engine.targetId) ?? 0) > clock.monotonicNow()).length;
 
-    /** The engine of the other stage with the fewest calls in progress; engines with failing calls come last. */
-    const chooseTarget = (engines: readonly ListedTarget[], stage: EngineStage) =>
-        engines
-            .filter(engine => engine.stage !== stage && !changing.has(engine.targetId))
-            .sort((left, right) =>
-                Number(health.isFailing(left.targetId)) - Number(health.isFailing(right.targetId))
-                || loads.calls(left.targetId) - loads.calls(right.targetId)
-            )[0];
+    /**
+     * The engine of the other stage with the fewest calls in progress, of the software version that needs it most;
+     * engines with failing calls come last.
+     */
+    const chooseTarget = (engines: readonly ListedTarget[], stage: EngineStage) => {
+        const movable = listMovableEngines(engines, stage).filter(engine => !changing.has(engine.targetId));
+        const working = movable.filter(engine => !health.isFailing(engine.targetId));
+        const candidates = working.length > 0 ? working : movable;
+        return candidates
+            .filter(engine => engine.softwareVersion === candidates[0]?.softwareVersion)
+            .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
+    };
 
     /** @param receivesNoWork whether no new work can reach the target, so that the closing wait is skipped */
     const change = async (target: ListedTarget, stage: EngineStage, lease: Lease, receivesNoWork: boolean) => {
