--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -33,9 +33,14 @@
 
 /**
  * Creates processes that receive each other's datagrams after a millisecond, unless the test cuts a link, and engines
- * in each zone.
+ * in each zone, which have the software versions in turn.
  */
-export function createFleet(count: number, zones = 1, enginesPerZone = 4) {
+export function createFleet(
+    count: number,
+    zones = 1,
+    enginesPerZone = 4,
+    softwareVersions: readonly string[] = ["v1"],
+) {
     const clock = new FakeClock();
     const listeners = new Map<number, (datagram: Buffer, from: PeerAddress) => void>();
     const registered = new Map<string, RegisteredPeer>();
@@ -77,7 +82,7 @@
         }
         const eventLog = new MemoryEventLog();
         const views = createTargetViews((...[, text]) => JSON.parse(text) as ListedTarget, clock, eventLog);
-        views.targets.replace(createEngines(zones, enginesPerZone));
+        views.targets.replace(createEngines(zones, enginesPerZone, softwareVersions));
         const sizeFairness = createSizeFairness();
         const crashEvidence = createCrashEvidence(clock, eventLog);
         const origins = createStreamOrigins(clock);
@@ -173,7 +178,7 @@
     sent.farBytes += datagram.length;
 }
 
-function createEngines(zones: number, perZone: number) {
+function createEngines(zones: number, perZone: number, softwareVersions: readonly string[]) {
     return Array.from({ length: zones * perZone }, (value, index) => {
         const target: ListedTarget = {
             targetId: `i-${index}`,
@@ -183,7 +188,7 @@
             availabilityZone: `zone-${index % zones}`,
             slots: 24,
             isLeaving: false,
-            softwareVersion: "v1",
+            softwareVersion: softwareVersions[index % softwareVersions.length] ?? "",
             stage: Math.floor(index / zones) % 2 === 0 ? EngineStage.Prefill : EngineStage.Decode,
         };
         return { key: target.targetId, version: 1, text: JSON.stringify(target) };
