Bound what must be known of earlier targets by how long callers wait, and ask twice

Nobody can know the origin of a stream that is not named; but a process vouched for a sole version only after a minute. An answer within 40 ms is also too short where processes are busy. Change: the history reaches back as far as the longest time for which callers may resume their streams (10 s at least); processes that have not answered within 75 ms are asked once more; request_resumed names the stream and what the caller named.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -91,7 +91,7 @@
     });
     views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
     const origins = createStreamOrigins(clock);
-    const versions = createVersionHistory(views.targets, clock);
+    const versions = createVersionHistory(views.targets, origins, clock);
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget(clock, () => settings().retries);
     return {
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -86,7 +86,7 @@
         const sizeFairness = createSizeFairness();
         const crashEvidence = createCrashEvidence(clock, eventLog);
         const origins = createStreamOrigins(clock);
-        const versions = createVersionHistory(views.targets, clock);
+        const versions = createVersionHistory(views.targets, origins, clock);
         const switchedOff = new Set<never>();
         const placement = createCallPlacement({
             ...views,
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -46,8 +46,11 @@
     handOver(): void;
 }
 
-/** Several times what an answer from another zone takes; a process that is paused or gone does not answer. */
-const answerTimeoutMilliseconds = 40;
+/**
+ * Time for the answers to a query, also from processes that are busy for a moment. The processes that have not answered
+ * by then, because a datagram was lost or they are gone, are asked once more.
+ */
+const answerTimeoutMilliseconds = 75;
 /** In small fleets, all processes are asked at once. */
 const maxFirstQueries = 16;
 /** Bounds the datagrams of one lookup. */
@@ -141,15 +144,20 @@
         }
         const others = listOthers();
         const first = others.length <= maxFirstQueries ? others : selectReplicas(streamId, others);
-        const rest = others.filter(peer => !first.includes(peer)).slice(0, maxQueries);
         const claimed = new Set<string>();
-        for (const peers of [first, rest]) {
-            const lookup = await ask(peers, streamId, service);
-            const found = describeFound(streamId, lookup.source ?? self.peerId);
+        let asked: ReadonlySet<string> = new Set();
+        for (const peers of [first, others.slice(0, maxQueries)]) {
+            const { pending, soleVersions, source } = await ask(
+                peers.filter(({ peerId }) => !asked.has(peerId)),
+                streamId,
+                service,
+            );
+            const found = describeFound(streamId, source ?? self.peerId);
             if (found) {
                 return found;
             }
-            lookup.soleVersions.forEach(version => claimed.add(version));
+            soleVersions.forEach(version => claimed.add(version));
+            asked = new Set(peers.map(({ peerId }) => peerId).filter(peerId => !pending.has(peerId)));
         }
         options.refreshPeers();
         return describeSole(service, claimed);
--- a/packages/daisyturn/src/process/origins/createStreamOrigins.ts
+++ b/packages/daisyturn/src/process/origins/createStreamOrigins.ts
@@ -18,6 +18,8 @@
     recordRemote(origin: StreamOrigin): void;
     find(streamId: string): StreamOrigin | undefined;
     list(): readonly StreamOrigin[];
+    /** The longest time, in milliseconds, for which the caller of a stream may still resume it after its first event. */
+    longestLifetime(): number;
     /** Registers a listener for the origins of this process's own streams. */
     onRecorded(listener: (origin: StreamOrigin) => void): void;
 }
@@ -35,6 +37,7 @@
     const origins = new Map<string, StreamOrigin>();
     const listeners: ((origin: StreamOrigin) => void)[] = [];
     let nextSweepAt = -Infinity;
+    let longestLifetime = minOriginLifetimeMilliseconds;
 
     const removeExpired = (now: number) => {
         if (now >= nextSweepAt) {
@@ -50,6 +53,7 @@
         const known = origins.get(origin.streamId);
         const deadline = Math.max(origin.deadline, known?.deadline ?? -Infinity, now + minOriginLifetimeMilliseconds);
         const limited = Math.min(deadline, now + maxOriginLifetimeMilliseconds);
+        longestLifetime = Math.max(longestLifetime, limited - now);
         const merged = { ...origin, ...known, deadline: limited };
         origins.set(origin.streamId, merged);
         if (origins.size > maxOrigins) {
@@ -73,6 +77,7 @@
             const now = clock.monotonicNow();
             return [...origins.values()].filter(({ deadline }) => deadline > now);
         },
+        longestLifetime: () => longestLifetime,
         onRecorded: listener => void listeners.push(listener),
     };
 }
--- a/packages/daisyturn/src/process/origins/createVersionHistory.ts
+++ b/packages/daisyturn/src/process/origins/createVersionHistory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import type { TargetList } from "../forwarding/targets/createTargetList.js";
+import type { StreamOrigins } from "./createStreamOrigins.js";
 
 /** The software versions of the targets that may have begun the streams that are open now. */
 export interface VersionHistory {
@@ -12,12 +13,13 @@
     findSole(service: string): string | undefined;
 }
 
-/** Callers do not resume streams that began longer ago. */
-const maxStreamMilliseconds = 60_000;
-
-/** Creates the history, which begins at the first list of targets that this process receives. */
+/**
+ * Creates the history, which begins at the first list of targets that this process receives. It reaches back as far as
+ * the longest time for which callers resume their streams.
+ */
 export function createVersionHistory(
     targets: Pick<TargetList, "isKnown" | "list" | "onRemoved">,
+    origins: Pick<StreamOrigins, "longestLifetime">,
     clock: Clock,
 ): VersionHistory {
     /** Monotonic time at which the last target of a version was removed, by service and version. */
@@ -35,7 +37,7 @@
     };
 
     const list = (service: string) => {
-        removeOld(service, clock.monotonicNow() - maxStreamMilliseconds);
+        removeOld(service, clock.monotonicNow() - origins.longestLifetime());
         const listed = targets.list(service).map(({ softwareVersion }) => softwareVersion);
         return [...new Set([...listed, ...removedAt.get(service)?.keys() ?? []])];
     };
@@ -49,7 +51,7 @@
             const now = clock.monotonicNow();
             knownSince ??= now;
             const versions = list(service);
-            return now - knownSince >= maxStreamMilliseconds && versions.length === 1 ? versions[0] : undefined;
+            return now - knownSince >= origins.longestLifetime() && versions.length === 1 ? versions[0] : undefined;
         },
     };
 }
--- a/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
@@ -21,6 +21,9 @@
 /** A stream whose service no longer serves the route goes on only if the operators move the route back. */
 const movedRouteRetryDelayMilliseconds = 1_500;
 
+/** Callers choose the identifiers. */
+const maxLoggedIdLength = 80;
+
 /** Whether a call resumes a stream of which its caller has events. */
 export function isResumption(route: ForwardRoute, { lastEventId, resumedCallId }: ForwardedCall): boolean {
     return route.kind === CallKind.Stream && route.isResumable
@@ -41,10 +44,14 @@
     if (service === undefined || !isResumption(route, call)) {
         return ok(service === undefined ? undefined : { service });
     }
-    const origin = await parts.findOrigin(identifyStream(call), service);
+    const streamId = identifyStream(call);
+    const origin = await parts.findOrigin(streamId, service);
     const destination = checkOrigin(parts, route, origin);
     parts.metrics.recordResumption(destination.isOk ? "placed" : destination.error.reason);
     trace.record(EventKind.RequestResumed, {
+        resumes: call.resumedCallId?.slice(0, maxLoggedIdLength),
+        lastEvent: call.lastEventId?.slice(0, maxLoggedIdLength),
+        stream: streamId,
         service: origin?.service,
         softwareVersion: origin?.softwareVersion,
         knownBy: origin?.knownBy,
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -20,8 +20,6 @@
 const noConfigurationRetryDelayMilliseconds = 300;
 const overloadRetryDelayMilliseconds = 250;
 const minErrorStatus = 500;
-/** Callers choose the identifiers. */
-const maxLoggedIdLength = 80;
 
 /** Serves one forwarded call: finds its route, sends it to targets, and answers or refuses it. */
 export async function serveForwardedCall(
@@ -90,8 +88,6 @@
         generation: table.configuration.version,
         remaining: Math.round(deadline - parts.clock.monotonicNow()),
         tokens: call.prompt?.promptTokens,
-        resumes: call.resumedCallId?.slice(0, maxLoggedIdLength),
-        lastEvent: call.lastEventId?.slice(0, maxLoggedIdLength),
     });
     trace.addSummaryFields({
         route: route.name,
