Reach targets by way of a peer on the own interface while the own link to them is lost

Change: the dialer takes the way in which peers are asked. On the platform that stays HTTP CONNECT; on the own interface the bytes go in messages over the connections whose peers have proved the cell's secret, 64 KB at most each, the next one once the last is taken, so a slow reader holds back its sender. The crash guard's probe asks peers. Orders to engines have direct connections of their own, since bytes in transit at a peer could outlast the proof that their sender has ended. A process that stops carries what is under way to its end.

--- a/packages/daisyturn-daemon/src/entry/createCell.ts
+++ b/packages/daisyturn-daemon/src/entry/createCell.ts
@@ -6,10 +6,16 @@
     createOrderCommands,
     createOrderRecords,
     createPeerNetwork,
+    createPeerTunnels,
+    createRelays,
     createServiceGuard,
     createStoreClient,
+    createTargetDialer,
     createTargetGate,
+    createTargetLinks,
     createVmWatch,
+    type Membership,
+    type ProcessIdentity,
     type VmWatch,
 } from "daisyturn";
 import { type DaemonSettings } from "../settings/daemonSettings.js";
@@ -85,8 +91,24 @@
 
 /** Creates the targets and the gate that determines whether they may receive new work. */
 function createTargets(base: Base, coordination: Coordination) {
-    const vmWatch = createVmWatch({ vmList: base.platform.vmList, clock: base.clock });
-    const targets = createHttpTargets(coordination.configurationManager, base.clock);
+    const { clock, eventLog } = base;
+    const vmWatch = createVmWatch({ vmList: base.platform.vmList, clock });
+    const links = createTargetLinks(clock, eventLog);
+    const tunnels = createPeerTunnels({
+        network: coordination.network,
+        links,
+        isListed: address => listAddresses().includes(address),
+        clock,
+    });
+    const dialer = createTargetDialer({
+        links,
+        relays: createCellRelays(base, coordination.membership),
+        openTunnel: tunnels.open,
+        clock,
+    });
+    const targets = createHttpTargets(coordination.configurationManager, clock, dialer.dial);
+    const listAddresses = () =>
+        coordination.configurationManager.current().targets.map(({ name }) => targets.findAddress(name));
     const gate = createTargetGate({
         configurationManager: coordination.configurationManager,
         peerNetwork: coordination.network,
@@ -94,7 +116,24 @@
         isVmLeaving: target => isOnLeavingVm(vmWatch, target.url),
         isInService: () => coordination.serviceGuard.isInService(),
     });
-    return { vmWatch, targets, gate };
+    return { vmWatch, targets, gate, tunnels, probe: dialer.probe };
+}
+
+/** Creates the choice of members that reach targets to which the own links are lost. */
+function createCellRelays({ self, random, clock }: Base, membership: Membership) {
+    const describePeer = ({ processId, availabilityZone, peerAddress }: ProcessIdentity) => {
+        const { hostname: host, port } = new URL(`tcp://${peerAddress}`);
+        return { peerId: processId, host, port: Number(port), availabilityZone, strength: 1 };
+    };
+    return createRelays({
+        selfId: self.processId,
+        availabilityZone: self.availabilityZone,
+        listPeers: () => membership.livePeers().map(describePeer),
+        // The members are known from their heartbeats.
+        refreshPeers: () => undefined,
+        random,
+        clock,
+    });
 }
 
 /** The VM list names a VM by its IP address, or by address and port where several processes share one (in tests). */
--- a/packages/daisyturn-daemon/src/entry/createDataPath.ts
+++ b/packages/daisyturn-daemon/src/entry/createDataPath.ts
@@ -7,7 +7,6 @@
     createCrashGuard,
     createLoadView,
     defaultCallerLimits,
-    probeAddress,
     shareCrashEvidence,
 } from "daisyturn";
 import type { DaemonSettings } from "../settings/daemonSettings.js";
@@ -74,7 +73,7 @@
     shareCrashEvidence({ evidence: crashEvidence, exchange: loadView.exchange, membership, clock });
     const crashGuard = createCrashGuard({
         evidence: crashEvidence,
-        probe: probeAddress,
+        probe: cell.probe,
         isExpected: gate.isOpen,
         // Targets keep their names over restarts. Two processes that name one end differently report it at one time.
         nameIncarnation: targetName => `${targetName}@${Math.round(clock.wallNow() / millisecondsPerSecond)}`,
--- a/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
@@ -72,7 +72,8 @@
     };
 
     const stop = async () => {
-        await data.callerServer.drain(base.clock.monotonicNow() + settings.callers.drainMilliseconds);
+        const drainDeadline = base.clock.monotonicNow() + settings.callers.drainMilliseconds;
+        await Promise.all([data.callerServer.drain(drainDeadline), cell.tunnels.drain(drainDeadline)]);
         // Peers take leaving the cell as proof that this process sends nothing more, so claims are drained first.
         await data.claims.drain(base.clock.monotonicNow() + claimDrainMilliseconds);
         await operatorServer?.close();
--- a/packages/daisyturn-daemon/src/entry/createPlatform.ts
+++ b/packages/daisyturn-daemon/src/entry/createPlatform.ts
@@ -8,6 +8,7 @@
     createTargetDirectory,
     createTargetDispatcher,
     type TableService,
+    type TargetDial,
     type TargetDirectory,
     type VmList,
     type WeightStore,
@@ -33,12 +34,21 @@
     return { tableService: tables.tableService, vmList: vms.vmList, weightStore: weights.weightStore, close };
 }
 
-/** Creates the target directory. Its adapters share one connection pool. */
-export function createHttpTargets(configurationManager: ConfigurationManager, clock: Clock): TargetDirectory {
-    const dispatcher = createTargetDispatcher();
+/**
+ * Creates the target directory. Its adapters share one connection pool; orders to engines have another one, whose
+ * connections are always direct.
+ * @param dial opens the connections that may lead by way of other processes
+ */
+export function createHttpTargets(
+    configurationManager: ConfigurationManager,
+    clock: Clock,
+    dial: TargetDial,
+): TargetDirectory {
+    const dispatcher = createTargetDispatcher(dial);
+    const orderDispatcher = createTargetDispatcher();
     return createTargetDirectory({
         configurationManager,
-        createEngine: target => createHttpEngine({ engineId: target.name, url: target.url, clock, dispatcher }),
+        createEngine: ({ name, url }) => createHttpEngine({ engineId: name, url, clock, dispatcher, orderDispatcher }),
         createPlainService: target =>
             createHttpPlainService({ targetId: target.name, url: target.url, clock, dispatcher }),
     });
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -5,6 +5,7 @@
     createCrashEvidence,
     createCrashGuard,
     createForwardingConfigurationManager,
+    createHttpTunnels,
     createLeastRunningPlacement,
     createLongPrefillTimes,
     createRelays,
@@ -76,7 +77,8 @@
         random,
         clock,
     });
-    const dialer = createTargetDialer({ links: views.links, relays, localHost: settings().peers.address, clock });
+    const openTunnel = createHttpTunnels(settings().peers.address);
+    const dialer = createTargetDialer({ links: views.links, relays, openTunnel, clock });
     const connections = createTargetConnections(clock, views.links, dialer);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -1,25 +1,29 @@
 import { type Clock, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "true-myth/result";
 import { DialPlan, type LinkFailure, type Relays, type TargetLinks } from "../../process/forwarding/index.js";
-import { openThroughPeers } from "../tunnel/openThroughPeers.js";
+import { openThroughPeers, type OpenTunnel } from "../tunnel/openThroughPeers.js";
 import { createReachCheck } from "./createReachCheck.js";
 import { openSocket } from "./openSocket.js";
 import { probeAddress, ProbeResult } from "./probeAddress.js";
 
 /** An open connection to a target. */
-export interface DialedConnection {
-    readonly socket: Socket;
+export interface DialedConnection<Stream extends Duplex = Socket> {
+    readonly socket: Stream;
     /** The peer that carries the connection; undefined for a direct one. */
     readonly relayId?: string;
 }
 
-/** Opens connections to targets: directly, or by way of a peer where the link of this process is lost. */
-export interface TargetDialer {
+/**
+ * Opens connections to targets: directly, or by way of a peer where the link of this process is lost. `Stream` is the
+ * type of what peers carry.
+ */
+export interface TargetDialer<Stream extends Duplex = Socket> {
     /**
      * @returns a failure with reason `LinkFailed` if nothing shows that the target is at fault, and else `TargetFailed`
      */
-    dial(address: string): Promise<Result<DialedConnection, Failure>>;
+    dial(address: string): Promise<Result<DialedConnection<Stream | Socket>, Failure>>;
     /** Tries a lost link again, if that is due. */
     retryLink(address: string): void;
     /** Finds out whether anything listens at an address. A refusal must be confirmed by peers, if there are any. */
@@ -27,11 +31,10 @@
 }
 
 /** What {@link createTargetDialer} needs. */
-export interface TargetDialerOptions {
+export interface TargetDialerOptions<Stream extends Duplex = Socket> {
     readonly links: TargetLinks;
     readonly relays: Relays;
-    /** Registered host of this process. */
-    readonly localHost: string;
+    readonly openTunnel: OpenTunnel<Stream>;
     readonly clock: Clock;
     /** Replaces direct connections in tests. */
     readonly open?: typeof openSocket;
@@ -46,8 +49,10 @@
 const relayDelayMilliseconds = 100;
 
 /** Creates the dialer of one process. */
-export function createTargetDialer(options: TargetDialerOptions): TargetDialer {
-    const { links, relays, localHost, clock, open = openSocket } = options;
+export function createTargetDialer<Stream extends Duplex = Socket>(
+    options: TargetDialerOptions<Stream>,
+): TargetDialer<Stream> {
+    const { links, relays, openTunnel, clock, open = openSocket } = options;
 
     const reachesOthers = createReachCheck(links, clock, open);
 
@@ -63,7 +68,7 @@
     };
 
     const openRelayed = (address: string, deadline: number, signal?: AbortSignal) =>
-        openThroughPeers({ relays, localHost, address, deadline, clock, signal });
+        openThroughPeers({ relays, openTunnel, address, deadline, clock, signal });
 
     /** Whether the target, and not a link, is at fault for a failure, by what peers found or by the other links. */
     const isTargetFault = (address: string, found: ProbeResult) =>
@@ -86,10 +91,12 @@
         address: string,
         deadline: number,
         direct?: Promise<Result<DialedConnection, LinkFailure>>,
-    ): Promise<Result<DialedConnection, Failure>> => {
+    ): Promise<Result<DialedConnection<Stream | Socket>, Failure>> => {
         const controller = new AbortController();
         const relayed = openRelayed(address, deadline, controller.signal);
-        const attempts = direct ? [direct, relayed] : [relayed];
+        const attempts: readonly Promise<Result<DialedConnection<Stream | Socket>, unknown>>[] = direct
+            ? [direct, relayed]
+            : [relayed];
         const first = await findFirstOpened(attempts);
         if (!first) {
             const found = (await relayed).match({ Ok: () => ProbeResult.Accepted, Err: failure => failure.found });
@@ -105,7 +112,7 @@
         return ok(first);
     };
 
-    const dial = async (address: string): Promise<Result<DialedConnection, Failure>> => {
+    const dial = async (address: string): Promise<Result<DialedConnection<Stream | Socket>, Failure>> => {
         const plan = links.planDial(address);
         if (plan === DialPlan.None) {
             return err(notRun(FailureReason.LinkFailed, "No way to the target was found a moment ago."));
@@ -159,16 +166,16 @@
 }
 
 /** Returns the connection that is opened first; undefined once all attempts have failed. */
-async function findFirstOpened(
-    attempts: readonly Promise<Result<DialedConnection, unknown>>[],
-): Promise<DialedConnection | undefined> {
+async function findFirstOpened<Connection>(
+    attempts: readonly Promise<Result<Connection, unknown>>[],
+): Promise<Connection | undefined> {
     const opened = attempts.map(async attempt => (await attempt).unwrapOrElse(() => Promise.reject(notOpened)));
     return Promise.any(opened).catch(() => undefined);
 }
 
 const notOpened = new Error("not opened");
 
-function closeUnused(opened: Result<DialedConnection, unknown>, used: DialedConnection): void {
+function closeUnused(opened: Result<DialedConnection<Duplex>, unknown>, used: DialedConnection<Duplex>): void {
     if (opened.isOk && opened.value !== used) {
         opened.value.socket.destroy();
     }
--- a/packages/daisyturn/src/connection/tunnel/__fixtures__/createTunnelBench.ts
+++ b/packages/daisyturn/src/connection/tunnel/__fixtures__/createTunnelBench.ts
@@ -12,6 +12,7 @@
 import { createTargetDialer } from "../../target/createTargetDialer.js";
 import { openSocket } from "../../target/openSocket.js";
 import { createTunnelServer, type TunnelServer } from "../createTunnelServer.js";
+import { createHttpTunnels } from "../openTunnel.js";
 
 /** How the links of a process to targets fail. */
 export enum LinkFault {
@@ -73,7 +74,7 @@
             random: createSeededRandom(1),
             clock,
         }),
-        localHost,
+        openTunnel: createHttpTunnels(localHost),
         clock,
         open: async (address, options) => {
             if (!state.fault) {
--- a/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
@@ -2,12 +2,10 @@
 import { createServer, type IncomingMessage, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { err, type Result } from "true-myth/result";
-import type { LinkFailure, TargetLinks } from "../../process/forwarding/index.js";
+import type { TargetLinks } from "../../process/forwarding/index.js";
 import type { ListenAddress } from "../caller/callerServerOptions.js";
 import { listenAt } from "../listenAt.js";
-import { createReachCheck } from "../target/createReachCheck.js";
-import { openSocket } from "../target/openSocket.js";
+import { createPeerConnector } from "./createPeerConnector.js";
 import { createTunnel, type Tunnel } from "./createTunnel.js";
 import { TunnelAnswer } from "./tunnelAnswer.js";
 
@@ -38,8 +36,6 @@
     readonly eventLog: EventLog;
 }
 
-/** Shorter than a peer waits for its tunnel, so that it learns what this process found. */
-const connectTimeoutMilliseconds = 200;
 /** Bounds the memory for bytes in transit, and leaves most file descriptors to the process's own connections. */
 const maxTunnels = 512;
 /** Time that a peer has to send its request. */
@@ -49,7 +45,7 @@
 /** Creates the server. Only processes of the fleet may use it, and only for listed targets. */
 export function createTunnelServer(options: TunnelServerOptions): TunnelServer {
     const { links, clock, eventLog } = options;
-    const reachesOthers = createReachCheck(links, clock);
+    const connectForPeer = createPeerConnector(links, clock);
     const tunnels = new Set<Tunnel>();
     const opening = new Set<Duplex>();
     let isStopping = false;
@@ -64,30 +60,6 @@
             : TunnelAnswer.Open;
     };
 
-    const describeFailure = async (address: string, { isRefused }: LinkFailure): Promise<TunnelAnswer> => {
-        if (!await reachesOthers(address)) {
-            return TunnelAnswer.Unavailable;
-        }
-        return isRefused ? TunnelAnswer.TargetRefused : TunnelAnswer.TargetUnanswered;
-    };
-
-    /** Connects to the target directly, never by way of another peer. */
-    const connectTo = async (address: string, signal: AbortSignal): Promise<Result<Socket, LinkFailure>> => {
-        const known = links.recentFailure(address);
-        if (known) {
-            return err(known);
-        }
-        const deadline = clock.monotonicNow() + connectTimeoutMilliseconds;
-        const opened = await openSocket(address, { deadline, clock, signal });
-        if (opened.isOk) {
-            links.recordOpened(address);
-        }
-        else if (!signal.aborted) {
-            links.recordFailure(address, opened.error);
-        }
-        return opened;
-    };
-
     const accept = async (address: string, client: Duplex, head: Buffer) => {
         const { remoteAddress } = client as Socket;
         const checked = check(remoteAddress, address);
@@ -99,11 +71,11 @@
         const leave = () => left.abort();
         client.once("close", leave);
         opening.add(client);
-        const opened = await connectTo(address, left.signal);
+        const opened = await connectForPeer(address, left.signal);
         opening.delete(client);
         client.off("close", leave);
         if (opened.isErr) {
-            answer(client, await describeFailure(address, opened.error));
+            answer(client, opened.error);
             return;
         }
         if (client.destroyed || isStopping) {
--- a/packages/daisyturn/src/connection/tunnel/openThroughPeers.ts
+++ b/packages/daisyturn/src/connection/tunnel/openThroughPeers.ts
@@ -1,17 +1,28 @@
 import type { Clock } from "daisyturn-utils";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "true-myth/result";
+import type { RegisteredPeer } from "../../ports/peerRegistry.js";
 import type { Relays } from "../../process/forwarding/index.js";
 import { ProbeResult } from "../target/probeAddress.js";
-import { openTunnel } from "./openTunnel.js";
 import { TunnelAnswer } from "./tunnelAnswer.js";
 
 /** A connection to a target that a peer carries. */
-export interface RelayedConnection {
-    readonly socket: Socket;
+export interface RelayedConnection<Stream extends Duplex> {
+    readonly socket: Stream;
     readonly relayId: string;
 }
 
+/**
+ * Opens a connection to a target (host:port) by way of a peer.
+ * @param signal aborts the attempt; an open connection is not affected
+ * @returns a stream that carries the target's bytes; or the answer of the peer, undefined if it could not be reached
+ */
+export type OpenTunnel<Stream extends Duplex> = (
+    peer: RegisteredPeer,
+    address: string,
+    signal: AbortSignal,
+) => Promise<Result<Stream, TunnelAnswer | undefined>>;
+
 /** Why no peer opened a connection. */
 export interface RelayFailure {
     /** What peers that reach other targets found at this one; `LinkLost` if none of them could tell. */
@@ -19,9 +30,9 @@
 }
 
 /** Options of {@link openThroughPeers}. */
-export interface OpenThroughPeersOptions {
+export interface OpenThroughPeersOptions<Stream extends Duplex> {
     readonly relays: Relays;
-    readonly localHost: string;
+    readonly openTunnel: OpenTunnel<Stream>;
     /** Address of the target (host:port). */
     readonly address: string;
     /** Monotonic time. */
@@ -38,10 +49,10 @@
 const findingsNeeded = 2;
 
 /** Asks peers, one after the other, to open a connection to a target. The first one that is opened is used. */
-export function openThroughPeers(
-    options: OpenThroughPeersOptions,
-): Promise<Result<RelayedConnection, RelayFailure>> {
-    const { relays, localHost, address, deadline, clock, signal } = options;
+export function openThroughPeers<Stream extends Duplex>(
+    options: OpenThroughPeersOptions<Stream>,
+): Promise<Result<RelayedConnection<Stream>, RelayFailure>> {
+    const { relays, openTunnel, address, deadline, clock, signal } = options;
     const peers = relays.list(address).slice(0, maxPeers);
     const attempts = new AbortController();
     const findings: ProbeResult[] = [];
@@ -50,7 +61,7 @@
     let nextPeer: NodeJS.Timeout | undefined;
 
     return new Promise(resolve => {
-        const finish = (result: Result<RelayedConnection, RelayFailure>) => {
+        const finish = (result: Result<RelayedConnection<Stream>, RelayFailure>) => {
             clearTimeout(nextPeer);
             clearTimeout(limit);
             signal?.removeEventListener("abort", fail);
@@ -71,7 +82,7 @@
             const { peerId } = peer;
             waiting.add(peerId);
             nextPeer = setTimeout(ask, nextPeerMilliseconds);
-            void openTunnel({ peer, localHost, address, signal: attempts.signal }).then(opened => {
+            void openTunnel(peer, address, attempts.signal).then(opened => {
                 waiting.delete(peerId);
                 if (attempts.signal.aborted) {
                     opened.map(socket => socket.destroy());
--- a/packages/daisyturn/src/connection/tunnel/openTunnel.ts
+++ b/packages/daisyturn/src/connection/tunnel/openTunnel.ts
@@ -2,26 +2,22 @@
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "true-myth/result";
 import type { PeerAddress } from "../../process/forwarding/index.js";
+import type { OpenTunnel } from "./openThroughPeers.js";
 import { readTunnelAnswer, TunnelAnswer } from "./tunnelAnswer.js";
 
-/** Options of {@link openTunnel}. */
-export interface OpenTunnelOptions {
-    /** Address at which the peer takes tunnels. */
-    readonly peer: PeerAddress;
-    /** Registered host of this process, by which the peer recognizes it. */
-    readonly localHost: string;
-    /** Address of the target (host:port). */
-    readonly address: string;
-    /** Aborts the attempt; an open tunnel is not affected. */
-    readonly signal: AbortSignal;
-}
-
 /**
- * Opens a connection to a target by way of a peer.
- * @returns a socket that carries the target's bytes; or the answer of the peer, undefined if it could not be reached
+ * Creates the function that opens tunnels by HTTP CONNECT to the peers' TCP ports.
+ * @param localHost registered host of this process, by which peers recognize it
  */
-export function openTunnel(
-    { peer, localHost, address, signal }: OpenTunnelOptions,
+export function createHttpTunnels(localHost: string): OpenTunnel<Socket> {
+    return (peer, address, signal) => openTunnel(localHost, peer, address, signal);
+}
+
+function openTunnel(
+    localHost: string,
+    peer: PeerAddress,
+    address: string,
+    signal: AbortSignal,
 ): Promise<Result<Socket, TunnelAnswer | undefined>> {
     return new Promise(resolve => {
         const outgoing = request({
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -7,6 +7,7 @@
 export * from "./connection/target/createTargetDialer.js";
 export * from "./connection/target/probeAddress.js";
 export * from "./connection/tunnel/createTunnelServer.js";
+export { createHttpTunnels } from "./connection/tunnel/openTunnel.js";
 export * from "./ports/changeFeed.js";
 export * from "./ports/engineOrders.js";
 export * from "./ports/forwardedCall.js";
--- a/packages/daisyturn/src/ports/http/createHttpEngine.ts
+++ b/packages/daisyturn/src/ports/http/createHttpEngine.ts
@@ -1,5 +1,6 @@
 import { type Clock, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import Result from "true-myth/result";
+import type { Dispatcher } from "undici";
 import type { z } from "zod";
 import {
     type CacheEventPage,
@@ -39,6 +40,11 @@
 /** Options of the adapter to one engine. */
 export interface HttpEngineOptions extends TargetHttpOptions {
     readonly engineId: string;
+    /**
+     * Connection pool for orders, which must not pass through other processes: there, their bytes could outlast the proof
+     * that this process has ended. `dispatcher` if absent.
+     */
+    readonly orderDispatcher?: Dispatcher;
     /** Maximum wait for the engine to accept a request. */
     readonly acceptMilliseconds?: number;
     /** Maximum time without data on an accepted stream. The engine sends a waiting line more often than this. */
@@ -52,6 +58,9 @@
 export function createHttpEngine(options: HttpEngineOptions): Engine {
     const { clock, engineId } = options;
     const client = createTargetHttpClient(options);
+    const orderClient = options.orderDispatcher
+        ? createTargetHttpClient({ ...options, dispatcher: options.orderDispatcher })
+        : client;
     const silenceLimitMilliseconds = options.silenceMilliseconds ?? defaultSilenceMilliseconds;
     const acceptMilliseconds = options.acceptMilliseconds ?? defaultAcceptMilliseconds;
     const cancelMilliseconds = options.cancelMilliseconds ?? defaultCancelMilliseconds;
@@ -62,8 +71,9 @@
         request: TargetRequest,
         deadline: number,
         schema: z.ZodType<T>,
+        sender = client,
     ): Promise<Result<T, Failure>> => {
-        const answer = await client.exchange(request, createOperation({ clock, deadline }), maxShortAnswerBytes);
+        const answer = await sender.exchange(request, createOperation({ clock, deadline }), maxShortAnswerBytes);
         if (answer.isErr) {
             return Result.err(answer.error);
         }
@@ -164,7 +174,12 @@
         }
 
         override async order(order: EngineOrder, deadline: number): Promise<Result<OrderAnswer, Failure>> {
-            const answer = await exchangeJson(jsonRequest("POST", "/order", order), deadline, orderAnswerSchema);
+            const answer = await exchangeJson(
+                jsonRequest("POST", "/order", order),
+                deadline,
+                orderAnswerSchema,
+                orderClient,
+            );
             if (answer.isErr) {
                 return Result.err(answer.error);
             }
--- a/packages/daisyturn/src/process/peers/peerNetwork.ts
+++ b/packages/daisyturn/src/process/peers/peerNetwork.ts
@@ -31,6 +31,11 @@
     ReleaseEngine = "release_engine",
     /** Queries the state of a claim from its owner. */
     AskClaim = "ask_claim",
+    /** Asks to carry a connection to a target, because the sender's own link to it is lost. */
+    OpenTunnel = "open_tunnel",
+    /** Carries bytes of such a connection; answered once they are passed on. */
+    SendThroughTunnel = "send_through_tunnel",
+    CloseTunnel = "close_tunnel",
 }
 
 /** Presumed state of a member. */
