Count the software versions that all processes know before a sole one is taken for the origin

Cause: found in review. A process that has followed the targets for long enough took the one version that it knew without asking. One that is late, for instance since its link to the store is cut, does not know of a new version yet, and would have continued streams of the new version at the old one. Change: a call that resumes is looked up at the peers in any case; those that do not know the stream answer with the versions that they know, and the sole one counts only if nobody knows another.

--- a/packages/daisyturn/src/process/forwarding/coordination/messages/originMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/originMessages.ts
@@ -28,7 +28,7 @@
 export interface OriginQuery {
     readonly from: string;
     readonly streamId: string;
-    /** The service whose sole software version the receiver adds to its answer, if it does not know the stream. */
+    /** The service whose software versions the receiver adds to its answer, if it does not know the stream. */
     readonly service: string;
 }
 
@@ -36,8 +36,10 @@
 export interface UnknownOriginMessage {
     readonly from: string;
     readonly streamId: string;
-    /** `VersionHistory.findSole` of the sender. */
-    readonly soleVersion?: string;
+    /** `VersionHistory.list` of the sender. */
+    readonly versions: readonly string[];
+    /** `VersionHistory.isComplete` of the sender. */
+    readonly isComplete: boolean;
 }
 
 export const originsMethod = "origins";
@@ -101,16 +103,24 @@
 
 /** Decodes a message. Returns undefined if a field is missing or invalid. */
 export function readUnknownOrigin({ method, params }: Notification): UnknownOriginMessage | undefined {
-    const { soleVersion } = params;
     return method === unknownOriginMethod
         ? readOrUndefined(() => ({
             from: readName(params["from"]),
             streamId: readName(params["streamId"]),
-            ...(isVersion(soleVersion) && { soleVersion }),
+            versions: readVersions(params["versions"]),
+            isComplete: params["isComplete"] === true,
         }))
         : undefined;
 }
 
+/** @throws if the value is not a list of versions */
+function readVersions(value: unknown): string[] {
+    if (!Array.isArray(value) || !value.every(isVersion)) {
+        throw new Error("not a list of versions");
+    }
+    return value;
+}
+
 /** A software version may be empty. */
 function isVersion(value: unknown): value is string {
     return value === "" || isName(value);
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -61,7 +61,9 @@
 interface Lookup {
     /** Processes that have not answered yet. */
     readonly pending: Set<string>;
-    readonly soleVersions: Set<string>;
+    /** What the processes that do not know the stream know of the service's software versions. */
+    readonly unknown: UnknownOriginMessage[];
+    /** The process that has answered with the origin. */
     source?: string;
     /** Called once an answer has arrived or none is pending. */
     settle: () => void;
@@ -90,9 +92,20 @@
         byReplica.forEach((sent, replica) => replica.peerId !== self.peerId && sendTo(replica, sent));
     };
 
+    /**
+     * Returns the software version of all targets that may have begun a stream of a service; undefined if this process
+     * or one that has answered knows several, or none knows the targets of long enough ago.
+     */
+    const findSole = (service: string, answers: readonly UnknownOriginMessage[]): string | undefined => {
+        const known = new Set([...versions.list(service), ...answers.flatMap(answer => answer.versions)]);
+        const isComplete = versions.isComplete() || answers.some(answer => answer.isComplete);
+        const [sole] = known;
+        return isComplete && known.size === 1 ? sole : undefined;
+    };
+
     origins.onRecorded(origin => {
         unsent.push(origin);
-        if (versions.findSole(origin.service) === undefined) {
+        if (findSole(origin.service, []) === undefined) {
             publish(unsent, options.listPeers());
             unsent = [];
         }
@@ -105,7 +118,7 @@
         const settled = new AbortController();
         const lookup: Lookup = {
             pending: new Set(peers.map(({ peerId }) => peerId)),
-            soleVersions: new Set(),
+            unknown: [],
             settle: () => settled.abort(),
         };
         const group = lookups.get(streamId) ?? new Set();
@@ -127,40 +140,28 @@
         return origin && { service: origin.service, softwareVersion: origin.softwareVersion, knownBy };
     };
 
-    /** The sole version that others claim, unless this process knows of another one. */
-    const describeSole = (service: string, claimed: ReadonlySet<string>): FoundOrigin | undefined => {
-        const known = new Set([...claimed, ...versions.list(service)]);
-        const [softwareVersion] = known;
-        return claimed.size > 0 && known.size === 1 && softwareVersion !== undefined
-            ? { service, softwareVersion }
-            : undefined;
-    };
-
     const find = async (streamId: string, service: string): Promise<FoundOrigin | undefined> => {
         const own = describeFound(streamId, self.peerId);
-        const soleVersion = versions.findSole(service);
-        if (own || soleVersion !== undefined) {
-            return own ?? describeSole(service, new Set([soleVersion ?? ""]));
+        if (own) {
+            return own;
         }
         const others = listOthers();
         const first = others.length <= maxFirstQueries ? others : selectReplicas(streamId, others);
-        const claimed = new Set<string>();
-        let asked: ReadonlySet<string> = new Set();
+        const answers: UnknownOriginMessage[] = [];
+        let answered: ReadonlySet<string> = new Set();
         for (const peers of [first, others.slice(0, maxQueries)]) {
-            const { pending, soleVersions, source } = await ask(
-                peers.filter(({ peerId }) => !asked.has(peerId)),
-                streamId,
-                service,
-            );
+            const asked = peers.filter(({ peerId }) => !answered.has(peerId));
+            const { pending, unknown, source } = await ask(asked, streamId, service);
             const found = describeFound(streamId, source ?? self.peerId);
             if (found) {
                 return found;
             }
-            soleVersions.forEach(version => claimed.add(version));
-            asked = new Set(peers.map(({ peerId }) => peerId).filter(peerId => !pending.has(peerId)));
+            answers.push(...unknown);
+            answered = new Set(peers.map(({ peerId }) => peerId).filter(peerId => !pending.has(peerId)));
         }
         options.refreshPeers();
-        return describeSole(service, claimed);
+        const softwareVersion = findSole(service, answers);
+        return softwareVersion === undefined ? undefined : { service, softwareVersion };
     };
 
     const answer = ({ streamId, service }: OriginQuery, from: PeerAddress) => {
@@ -169,16 +170,14 @@
             sendTo(from, [origin]);
             return;
         }
-        const soleVersion = versions.findSole(service);
-        send(from, encodeUnknownOrigin({ from: self.peerId, streamId, soleVersion }));
+        const known = { versions: versions.list(service), isComplete: versions.isComplete() };
+        send(from, encodeUnknownOrigin({ from: self.peerId, streamId, ...known }));
     };
 
-    const recordUnknown = ({ from, streamId, soleVersion }: UnknownOriginMessage) =>
-        lookups.get(streamId)?.forEach(lookup => {
-            lookup.pending.delete(from);
-            if (soleVersion !== undefined) {
-                lookup.soleVersions.add(soleVersion);
-            }
+    const recordUnknown = (message: UnknownOriginMessage) =>
+        lookups.get(message.streamId)?.forEach(lookup => {
+            lookup.pending.delete(message.from);
+            lookup.unknown.push(message);
             if (lookup.pending.size === 0) {
                 lookup.settle();
             }
