Say continue for a stream that has begun, and count refused resumptions under their kind

Cause: the new texts said "go on with" beside continue and resume; and a call refused for its stream's origin was counted as unrouted. Change: one word; daisyturn_calls_total counts such a call as a stream.

--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -68,7 +68,7 @@
 
     const resumptions = new Counter({
         name: "daisyturn_resumptions_total",
-        help: "Calls that resume a stream, by whether a target may go on with it",
+        help: "Calls that resume a stream, by whether a target may continue it",
         labelNames: ["result"],
         registers,
     });
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishOrigins.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishOrigins.test.ts
@@ -113,7 +113,7 @@
         await fleet.stop();
     });
 
-    it("cost no datagram while all targets have one software version, which goes on with every stream", async () => {
+    it("cost no datagram while all targets have one software version, which continues every stream", async () => {
         const fleet = createFleet(4);
         await fleet.clock.advance(settleMilliseconds);
         await find(fleet, 0, "early");
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -55,7 +55,7 @@
  */
 export interface Coordination {
     readonly decisions: PromptDecisions;
-    /** Finds which targets may go on with a stream, by asking other processes if this one does not know. */
+    /** Finds which targets may continue a stream, by asking other processes if this one does not know. */
     readonly findOrigin: OriginPublisher["find"];
     /** Returns a table as relayed by coordinators. */
     relayedTable(name: string): RelayedTable;
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -28,7 +28,7 @@
     readonly clock: Clock;
 }
 
-/** Which targets may go on with a stream. */
+/** Which targets may continue a stream. */
 export interface FoundOrigin extends Pick<StreamOrigin, "service" | "softwareVersion"> {
     /** The process that has the record; absent if no process has it, but the service has had only one version. */
     readonly knownBy?: string;
@@ -39,7 +39,7 @@
  * targets of a service have one software version, nothing is sent.
  */
 export interface OriginPublisher {
-    /** Finds the origin of a stream that is to go on at a service; undefined if no process knows it. */
+    /** Finds the origin of a stream that is to be continued at a service; undefined if no process knows it. */
     find(streamId: string, service: string): Promise<FoundOrigin | undefined>;
     receive(notification: Notification, from: PeerAddress): void;
     /** Sends all origins to their replicas, because this process ends. */
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -26,7 +26,7 @@
     abstract recordSend(result: string): void;
     /** Records one send over a connection that a peer carries. */
     abstract recordRelayedSend(): void;
-    /** Records one call that resumes a stream: `placed`, or the reason why no target may go on with the stream. */
+    /** Records one call that resumes a stream: `placed`, or the reason why no target may continue the stream. */
     abstract recordResumption(result: string): void;
 }
 
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/softwareVersions.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/softwareVersions.test.ts
@@ -47,7 +47,7 @@
         }
     });
 
-    it("goes on with a stream at the version that began it, and nowhere if that has no engine", () => {
+    it("continues a stream at the version that began it, and nowhere if that has no engine", () => {
         const { placement, targets, loads, closed } = createVersionedBench(mixedEngines);
         const policies = [placement, createLeastRunningPlacement({ targets, loads, closed })];
         for (const policy of policies) {
--- a/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/callPlacement.ts
@@ -39,7 +39,7 @@
 export interface TargetRestriction {
     /** Ids of the targets that failed the call. */
     readonly avoid: ReadonlySet<string>;
-    /** The only software version that may go on with the call's stream; undefined while the stream has not begun. */
+    /** The only software version that may continue the call's stream; undefined while the stream has not begun. */
     readonly softwareVersion?: string;
 }
 
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/changeStages.test.ts
@@ -161,7 +161,7 @@
     await end();
 });
 
-// Guards against streams that can't go on and prefill engines that nobody uses, since no engine of their software
+// Guards against streams that can't be continued and prefill engines that nobody uses, since no engine of their software
 // version decodes.
 test("one engine of a software version of which none decodes is moved to decode", async () => {
     const { clock, sent, list, end } = createScene({ readers: 2, decoders: 5 });
--- a/packages/daisyturn/src/process/forwarding/stages/versionStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/versionStages.ts
@@ -3,7 +3,7 @@
 
 /**
  * Returns the engines of the first software version that all prefill, if there is one and none of them is changing. The
- * streams of this version can't go on, and its prefills are of no use to other versions.
+ * streams of this version can't be continued, and its prefills are of no use to other versions.
  */
 export function findVersionWithoutDecoder(
     engines: readonly ListedTarget[],
--- a/packages/daisyturn/src/process/origins/createStreamOrigins.ts
+++ b/packages/daisyturn/src/process/origins/createStreamOrigins.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 
-/** Which targets may go on with a stream that has begun. */
+/** Which targets may continue a stream that has begun. */
 export interface StreamOrigin {
     /** Identifies the stream, the same for all calls that resume it. */
     readonly streamId: string;
--- a/packages/daisyturn/src/process/origins/index.ts
+++ b/packages/daisyturn/src/process/origins/index.ts
@@ -1,5 +1,5 @@
 /**
- * Origins of streams: which software version began a stream, so that no other one goes on with it.
+ * Origins of streams: which software version began a stream, so that no other one continues it.
  *
  * @module
  */
--- a/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
+++ b/packages/daisyturn/src/process/routing/__tests__/createRouter.test.ts
@@ -41,8 +41,8 @@
         bench.stop();
     });
 
-    // Guards against answers that go on at another software version than the one that began them.
-    test("an answer goes on only at the software version that began it, and is refused if no engine has it", async () => {
+    // Guards against answers that are continued at another software version than the one that began them.
+    test("an answer is continued only at the software version that began it, and is refused if no engine has it", async () => {
         const reports = [createReport("old"), createReport("new")];
         const bench = await createDecisionBench({ reports });
         bench.engines[1]!.softwareVersion = "2";
--- a/packages/daisyturn/src/process/routing/router.ts
+++ b/packages/daisyturn/src/process/routing/router.ts
@@ -15,7 +15,7 @@
     readonly totalDeadline: number;
     /** Engines on which this request has failed; used again only if no other engine is available. */
     readonly avoid: readonly string[];
-    /** The only software version that may go on with the answer; undefined while no token has been delivered. */
+    /** The only software version that may continue the answer; undefined while no token has been delivered. */
     readonly softwareVersion?: string;
 }
 
--- a/packages/daisyturn/src/request/answer/answerContext.ts
+++ b/packages/daisyturn/src/request/answer/answerContext.ts
@@ -9,7 +9,7 @@
     readonly progress: AnswerProgress;
     /** Engines that failed this request. */
     readonly avoid: Set<string>;
-    /** The only software version that may go on with the answer; undefined while no token has been delivered. */
+    /** The only software version that may continue the answer; undefined while no token has been delivered. */
     softwareVersion?: string;
     /** Aborted, with a Failure as its reason, when the answer is no longer needed. */
     readonly signal: AbortSignal;
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -31,7 +31,7 @@
     readonly attemptedTargets: Set<string>;
     /** Whether the call resumes a stream. Such a call is neither refused by a forecast nor deferred. */
     readonly isResumption: boolean;
-    /** The only software version that may go on with the stream; undefined while the stream has not begun. */
+    /** The only software version that may continue the stream; undefined while the stream has not begun. */
     softwareVersion?: string;
     /** The target to which the call was last sent to be run. */
     target?: ListedTarget;
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -41,7 +41,7 @@
     readonly closed: ClosedTargets;
     readonly crashGuard: CrashGuard;
     readonly origins: StreamOrigins;
-    /** Finds which targets may go on with a stream that is resumed at a service; undefined if no process knows. */
+    /** Finds which targets may continue a stream that is resumed at a service; undefined if no process knows. */
     readonly findOrigin: (streamId: string, service: string) => Promise<FoundOrigin | undefined>;
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
--- a/packages/daisyturn/src/request/forwarding/resumption/__tests__/resumeCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/__tests__/resumeCall.test.ts
@@ -89,7 +89,7 @@
         assert.equal((await choose({ origin })).reason, FailureReason.NoTarget);
     });
 
-    it("goes on at the sole version of a service only if the route leads to no other service", async () => {
+    it("is continued at the sole version of a service only if the route leads to no other service", async () => {
         const origin = { service: "engines", softwareVersion: "v1" };
         assert.deepEqual((await choose({ origin })).destination, { service: "engines", softwareVersion: "v1" });
         assert.equal((await choose({ origin, route: split })).reason, FailureReason.UnknownOrigin);
--- a/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
@@ -18,7 +18,7 @@
 
 /** By then, another process may have answered that did not answer now. */
 const unknownOriginRetryDelayMilliseconds = 200;
-/** A stream whose service no longer serves the route goes on only if the operators move the route back. */
+/** A stream whose service no longer serves the route is continued only if the operators move the route back. */
 const movedRouteRetryDelayMilliseconds = 1_500;
 
 /** Callers choose the identifiers. */
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -3,6 +3,7 @@
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import { CallOutcome, measureSize } from "../../process/forwarding/index.js";
+import { CallKind } from "../../version/forwarding/forwardingConfiguration.js";
 import { startRequestLifetime } from "../requestLifetime.js";
 import { type CallContext, createCallContext } from "./callContext.js";
 import { checkListed } from "./checkListed.js";
@@ -33,7 +34,9 @@
     const trace = createRequestTrace({ eventLog, sampledCalls, callId, arrivedAt, now });
     const started = await startCall(parts, call, exchange, trace);
     if (started.isErr) {
-        recordEnd(parts, trace, undefined, "unrouted", started.error);
+        const isRouted = started.error.reason === FailureReason.UnknownOrigin
+            || started.error.reason === FailureReason.NoTarget;
+        recordEnd(parts, trace, undefined, isRouted ? CallKind.Stream : "unrouted", started.error);
         refuseCall(exchange, started.error, parts.clock);
         return;
     }
--- a/packages/daisyturn/src/request/place.ts
+++ b/packages/daisyturn/src/request/place.ts
@@ -7,7 +7,7 @@
 
 /**
  * Chooses the engines for a request, and avoids those that have failed it before.
- * @param softwareVersion the only one that may go on with an answer that has begun
+ * @param softwareVersion the only one that may continue an answer that has begun
  */
 export function place(
     parts: RequestParts,
