Count arrivals and repeats by service, part and result

The logs could not tell the hypotheses apart: request_retried is logged for failed or sampled calls only, a denied retry left no line, and a retry was taken for one arrival. Now each process counts what reaches targets, by effect: a line arrivals_repeated every two seconds where something was repeated or denied, the counters daisyturn_requests_total, daisyturn_arrivals_total and daisyturn_retries_total, and retry_denied in the trace of a call. No decision changes. The watch over silent targets moves to a file of its own.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import {
     type CrashEvidence,
+    createArrivalCounts,
     createCallPlacement,
     createCrashEvidence,
     createCrashGuard,
@@ -105,6 +106,7 @@
         connections,
         protocol: adapters.targetProtocol,
         metrics,
+        arrivalCounts: createArrivalCounts(),
         sizeCounts: createSizeCounts(),
         sizeFairness,
         crashEvidence,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -18,6 +18,7 @@
     NoForwardingMetrics,
     openDatagramChannel,
     type RegisteredPeer,
+    reportArrivals,
     reportSizeCounts,
     serveForwardedCall,
 } from "daisyturn/forwarding";
@@ -157,6 +158,7 @@
     const start = async () => {
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
+        void reportArrivals({ arrivalCounts: parts.arrivalCounts, clock, eventLog }, background.signal);
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
         startTableWatches({
             settings: () => settings,
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,4 +1,5 @@
 import {
+    type Arrival,
     type CallOutcome,
     ForwardingMetrics,
     type ForwardingParts,
@@ -60,6 +61,25 @@
         registers,
     });
 
+    const requests = new Counter({
+        name: "daisyturn_requests_total",
+        help: "Calls of callers by service",
+        labelNames: ["service"],
+        registers,
+    });
+    const arrivals = new Counter({
+        name: "daisyturn_arrivals_total",
+        help: "Sends that reached a target, or may have, by whether the fleet's retry budget counts them",
+        labelNames: ["service", "part", "result", "repeat"],
+        registers,
+    });
+    const retries = new Counter({
+        name: "daisyturn_retries_total",
+        help: "Retries that the retry budget of the fleet allowed or denied",
+        labelNames: ["service", "result"],
+        registers,
+    });
+
     const relayedSends = new Counter({
         name: "daisyturn_relayed_sends_total",
         help: "Sends to targets over connections that a peer carries",
@@ -86,6 +106,18 @@
             sends.inc({ result });
         }
 
+        override recordRequest(service: string): void {
+            requests.inc({ service });
+        }
+
+        override recordArrival({ service, part, result, isRepeat }: Arrival): void {
+            arrivals.inc({ service, part, result, repeat: String(isRepeat) });
+        }
+
+        override recordRetry(service: string, isAcquired: boolean): void {
+            retries.inc({ service, result: isAcquired ? "acquired" : "denied" });
+        }
+
         override recordResumption(result: string): void {
             resumptions.inc({ result });
         }
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -17,6 +17,8 @@
     RequestDispatched = "request_dispatched",
     RequestFirstToken = "request_first_token",
     RequestRetried = "request_retried",
+    /** The retry budget had no retry for a call that was worth one. */
+    RetryDenied = "retry_denied",
     /** A caller resumes a stream, at the software version that began it. */
     RequestResumed = "request_resumed",
     RequestAnswered = "request_answered",
@@ -28,6 +30,8 @@
     ClaimSettled = "claim_settled",
     /** Number of prompts of each size served since the previous event of this kind. */
     PromptsBySize = "prompts_by_size",
+    /** Arrivals at a service beyond the first of each call, and retries, since the previous event of this kind. */
+    ArrivalsRepeated = "arrivals_repeated",
     ConfigurationAccepted = "configuration_accepted",
     ConfigurationRejected = "configuration_rejected",
     ConfigurationInForce = "configuration_in_force",
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -1,3 +1,5 @@
+import type { Arrival } from "./limits/createArrivalCounts.js";
+
 /** How a call ended. Used as a metric label, so the number of values is kept small. */
 export enum CallOutcome {
     OnTime = "on_time",
@@ -24,6 +26,11 @@
     abstract recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void;
     /** Records one send to a target by its result: `answered`, or the reason for its failure. */
     abstract recordSend(result: string): void;
+    /** Records one call of a caller for a service. */
+    abstract recordRequest(service: string): void;
+    abstract recordArrival(arrival: Arrival): void;
+    /** Records one retry that the retry budget of the fleet allowed or denied. */
+    abstract recordRetry(service: string, isAcquired: boolean): void;
     /** Records one send over a connection that a peer carries. */
     abstract recordRelayedSend(): void;
     /** Records one call that resumes a stream: `placed`, or the reason why no target may continue the stream. */
@@ -34,6 +41,9 @@
 export class NoForwardingMetrics extends ForwardingMetrics {
     override recordCall(): void {}
     override recordSend(): void {}
+    override recordRequest(): void {}
+    override recordArrival(): void {}
+    override recordRetry(): void {}
     override recordRelayedSend(): void {}
     override recordResumption(): void {}
 }
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -5,6 +5,7 @@
 import type { GuardedCall } from "../../process/crashes/index.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
+import { type CallArrivals, createCallArrivals } from "./callArrivals.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { guardForwardedCall } from "./guardForwardedCall.js";
 import type { RequestTrace } from "./requestTrace.js";
@@ -29,6 +30,7 @@
     readonly avoid: Set<string>;
     /** Targets to which this call was sent to be run. Prefills are not counted. */
     readonly attemptedTargets: Set<string>;
+    readonly arrivals: CallArrivals;
     /** Whether the call resumes a stream. Such a call is neither refused by a forecast nor deferred. */
     readonly isResumption: boolean;
     /** The only software version that may continue the stream; undefined while the stream has not begun. */
@@ -46,7 +48,7 @@
 
 /** Creates the context of a call before its first attempt. */
 export function createCallContext(
-    start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets" | "target">,
+    start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets" | "arrivals" | "target">,
 ): CallContext {
     return {
         ...start,
@@ -54,6 +56,7 @@
         history: createFailureHistory(),
         avoid: new Set(),
         attemptedTargets: new Set(),
+        arrivals: createCallArrivals(),
     };
 }
 
@@ -86,7 +89,7 @@
         return false;
     }
     const hasUsedAllAttempts = isReached && context.attemptedTargets.size >= context.route.maxAttempts;
-    if (hasUsedAllAttempts || (isReached && !parts.budget.tryAcquire(context.service.name))) {
+    if (hasUsedAllAttempts || (isReached && !acquireFromBudget(parts, context))) {
         return false;
     }
     context.trace.record(EventKind.RequestRetried, {
@@ -98,6 +101,19 @@
     return true;
 }
 
+function acquireFromBudget(
+    { budget, arrivalCounts, metrics }: ForwardingParts,
+    { service, trace, history }: CallContext,
+): boolean {
+    const isAcquired = budget.tryAcquire(service.name);
+    arrivalCounts.recordRetry(service.name, isAcquired);
+    metrics.recordRetry(service.name, isAcquired);
+    if (!isAcquired) {
+        trace.record(EventKind.RetryDenied, { service: service.name, attempts: history.attempts });
+    }
+    return isAcquired;
+}
+
 /** Creates the failure of a call for which no target is open. */
 export function createNoTargetFailure(
     { service, softwareVersion }: Pick<CallContext, "service" | "softwareVersion">,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -3,6 +3,7 @@
 import type { TargetProtocol } from "../../ports/forwardedCall.js";
 import type { CrashGuard } from "../../process/crashes/index.js";
 import type {
+    ArrivalCounts,
     CacheEstimates,
     CallPlacement,
     ClosedTargets,
@@ -49,6 +50,7 @@
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
+    readonly arrivalCounts: ArrivalCounts;
     readonly sizeCounts: SizeCounts;
     readonly sizeFairness: SizeFairness;
     readonly longPrefillTimes: LongPrefillTimes;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -1,22 +1,15 @@
-import {
-    type Clock,
-    EventKind,
-    ExecutionVerdict,
-    type Failure,
-    FailureReason,
-    mayHaveRun,
-    notRun,
-} from "daisyturn-utils";
+import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionPolicy } from "../../connection/target/createTargetConnections.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import { RunEnd } from "../../process/crashes/index.js";
-import { type CallCost, TargetEvidence, type TargetHealth } from "../../process/forwarding/index.js";
+import { ArrivalResult, type CallCost, SendPart, TargetEvidence } from "../../process/forwarding/index.js";
 import { describeRunEnd } from "../guardedRun.js";
 import { type CallContext } from "./callContext.js";
 import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import { watchSilence } from "./watchSilence.js";
 
 /** One attempt to have a target run a call. */
 export interface CallAttempt {
@@ -42,14 +35,6 @@
 const minFailureStatus = 300;
 /** Largest answer that is collected before it is sent to the caller. */
 const maxCollectedBytes = 16 * 1024 * 1024;
-/** Interval of the checks for a silent target, and the time without bytes that a check requires. */
-const silenceCheckIntervalMilliseconds = 350;
-/**
- * Time without bytes after which a call that may be repeated is not left on a lost link. Older connections may still work
- * over it, and prompts wait for their prefill.
- */
-const lostLinkMilliseconds = 2_000;
-
 /** Sends a call, updates the load and health of the target, and assigns a verdict to each failure. */
 export async function sendToTarget(
     parts: ForwardingParts,
@@ -81,7 +66,10 @@
     const work = loads.begin(target.targetId, attempt.cost);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
     const endRun = parts.crashGuard.beginRun(target, context.guarded);
-    const route: SendRoute = { isLinkLost: () => !route.relayId && parts.links.isLost(target.address) };
+    const route: SendRoute = {
+        isStarted: false,
+        isLinkLost: () => !route.relayId && parts.links.isLost(target.address),
+    };
     const silenceWatch = watchSilence({
         clock,
         health,
@@ -117,6 +105,7 @@
             body: context.call.body.length > 0 ? context.call.body : undefined,
             signal: silenceWatch.signal,
             onStarted: relayId => {
+                route.isStarted = true;
                 route.relayId = relayId;
                 if (relayId !== undefined) {
                     // The silence of a peer is not that of the target.
@@ -161,6 +150,9 @@
         Buffer.concat(chunks),
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
+    if (route.isStarted) {
+        recordArrival(parts, context, attempt, outcome);
+    }
     recordEvidence(parts, context, attempt, route, outcome, silenceWatch.isSilent());
     endRun(determineRunEnd(context, attempt, outcome, silenceWatch.isSilent()));
     return outcome;
@@ -168,6 +160,8 @@
 
 /** The connection over which a call is sent. */
 interface SendRoute {
+    /** Whether the call was sent, so that it may have reached the target. */
+    isStarted: boolean;
     /** The peer that carries the connection; undefined for a direct one, and before the call is sent. */
     relayId?: string;
     /** Whether the connection is a direct one over a link that is lost. */
@@ -185,8 +179,30 @@
         : undefined;
 }
 
-function describePart({ terms }: CallAttempt): string {
-    return terms.prefillOnly ? "prefill" : terms.kvSource ? "decode" : "whole";
+function describePart({ terms }: CallAttempt): SendPart {
+    return terms.prefillOnly ? SendPart.Prefill : terms.kvSource ? SendPart.Decode : SendPart.Whole;
+}
+
+function recordArrival(
+    { arrivalCounts, metrics }: ForwardingParts,
+    { service, arrivals }: CallContext,
+    attempt: CallAttempt,
+    outcome: Result<TargetReply, Failure>,
+): void {
+    const part = describePart(attempt);
+    const result = describeArrival(attempt, outcome);
+    const arrival = { service: service.name, part, result, isRepeat: arrivals.record(part, result) };
+    arrivalCounts.recordArrival(arrival);
+    metrics.recordArrival(arrival);
+}
+
+/** An engine that answers a prefill with a failure has not accepted it. */
+function describeArrival({ terms }: CallAttempt, outcome: Result<TargetReply, Failure>): ArrivalResult {
+    if (outcome.isErr) {
+        return outcome.error.reason === FailureReason.TargetRefused ? ArrivalResult.Refused : ArrivalResult.Broken;
+    }
+    const isFailedPrefill = terms.prefillOnly && outcome.value.head.status >= minFailureStatus;
+    return isFailedPrefill ? ArrivalResult.Refused : ArrivalResult.Answered;
 }
 
 function recordSend(
@@ -269,67 +285,3 @@
     }
     return isSilent ? RunEnd.Broken : describeRunEnd(outcome.error, context.signal.aborted);
 }
-
-interface SilenceWatch {
-    readonly signal: AbortSignal;
-    recordBytesReceived(): void;
-    /** Whether the attempt was aborted because its target had fallen silent. */
-    isSilent(): boolean;
-    end(): void;
-}
-
-/** What {@link watchSilence} needs. */
-interface SilenceWatchOptions {
-    readonly clock: Clock;
-    readonly health: TargetHealth;
-    readonly callSignal: AbortSignal;
-    readonly targetId: string;
-    readonly isRepeatable: boolean;
-    /** Whether the call was sent over a link that is lost. */
-    readonly isLinkLost: () => boolean;
-    /** Ends the record of the call's wait for its target. */
-    readonly endWait: () => void;
-}
-
-/**
- * Aborts an attempt together with its call and, if it may be repeated, once its target has fallen silent or the link to
- * it is lost.
- */
-function watchSilence(options: SilenceWatchOptions): SilenceWatch {
-    const { clock, health, callSignal, targetId, isRepeatable } = options;
-    const controller = new AbortController();
-    const abortWithCall = () => controller.abort(callSignal.reason);
-    let isSilent = false;
-    let lastReceivedAt = clock.monotonicNow();
-    const hasWaited = (milliseconds: number) => clock.monotonicNow() - lastReceivedAt > milliseconds;
-    const check = () => {
-        if (options.isLinkLost()) {
-            options.endWait();
-            if (isRepeatable && hasWaited(lostLinkMilliseconds)) {
-                controller.abort(mayHaveRun(FailureReason.TargetFailed, "The link to the target is lost."));
-            }
-            return;
-        }
-        if (!isRepeatable) {
-            return;
-        }
-        health.checkSilence(targetId);
-        if (health.isSilent(targetId) && hasWaited(silenceCheckIntervalMilliseconds)) {
-            isSilent = true;
-            controller.abort(mayHaveRun(FailureReason.TargetFailed, "The target has fallen silent."));
-        }
-    };
-    const timer = setInterval(check, silenceCheckIntervalMilliseconds);
-    callSignal.addEventListener("abort", abortWithCall, { once: true });
-    return {
-        signal: controller.signal,
-        recordBytesReceived: () => {
-            lastReceivedAt = clock.monotonicNow();
-        },
-        isSilent: () => isSilent,
-        end: () => {
-            clearInterval(timer);
-            callSignal.removeEventListener("abort", abortWithCall);
-        },
-    };
-}
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -41,7 +41,7 @@
         return;
     }
     const { context, end } = started.value;
-    parts.budget.recordRequest(context.service.name);
+    recordRequest(parts, context.service.name);
     const answer = await runCall(parts, context);
     end();
     const failure = answer.isErr ? addRetryTime(parts, answer.error) : undefined;
@@ -126,6 +126,12 @@
     return answer.map(({ isRelayed, reply }) => isRelayed ? undefined : reply);
 }
 
+function recordRequest({ budget, arrivalCounts, metrics }: ForwardingParts, service: string): void {
+    budget.recordRequest(service);
+    arrivalCounts.recordRequest(service);
+    metrics.recordRequest(service);
+}
+
 /** Adds a short retry time to a failure that has none, if the request has not run. */
 function addRetryTime(parts: ForwardingParts, failure: Failure): Failure {
     const isUnchanged = failure.retryAt !== undefined || failure.verdict !== ExecutionVerdict.NotRun;
