--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -5,10 +5,10 @@
 import type { GuardedCall } from "../../process/crashes/index.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
-import { type CallArrivals, createCallArrivals } from "./callArrivals.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { guardForwardedCall } from "./guardForwardedCall.js";
 import type { RequestTrace } from "./requestTrace.js";
+import { type CallArrivals, createCallArrivals } from "./retries/callArrivals.js";
 
 /** A forwarded call that is being served, and the results of its attempts. */
 export interface CallContext {
--- a/packages/daisyturn/src/request/forwarding/__tests__/callArrivals.test.ts
+++ b/packages/daisyturn/src/request/forwarding/retries/__tests__/callArrivals.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ArrivalResult, SendPart } from "../../../process/forwarding/index.js";
+import { ArrivalResult, SendPart } from "../../../../process/forwarding/index.js";
 import { createCallArrivals } from "../callArrivals.js";
 
 const { Prefill, Decode, Whole } = SendPart;
--- a/packages/daisyturn/src/request/forwarding/callArrivals.ts
+++ b/packages/daisyturn/src/request/forwarding/retries/callArrivals.ts
@@ -1,4 +1,4 @@
-import { ArrivalResult, SendPart } from "../../process/forwarding/index.js";
+import { ArrivalResult, SendPart } from "../../../process/forwarding/index.js";
 
 /** The arrivals of one call at targets, as the retry budget of the fleet counts them. */
 export interface CallArrivals {
