Share the saved retries of the own interface among the processes

Each process of the own interface started with 100 saved retries of its own: 900 at 9 processes, 6,800 at 68, 19,500 at 195, and as many again after a restart of all. And the whole request that follows a failed prefill or import was sent without a retry. Now the hundred are the fleet's, divided by the live members, and that send takes a retry like any other.

No slack rule binds the own interface; a restarted process still has a full share, and leases do not reach it.

--- a/packages/daisyturn-daemon/src/entry/createDataPath.ts
+++ b/packages/daisyturn-daemon/src/entry/createDataPath.ts
@@ -103,6 +103,7 @@
         eventLog,
         isReady: readiness.isReady,
         resumeKeys: settings.resumption.keys.map(readSecret),
+        countProcesses: () => membership.livePeers().length + 1,
         limits: {
             ...defaultCallerLimits,
             maxBodyBytes: settings.callers.maximumBodyBytes,
--- a/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/continuedAnswers.test.ts
@@ -257,4 +257,12 @@
             await server.stop();
         }
     });
+
+    // Guards against sends that the retry budget does not count.
+    test("the decode engine does not run the whole request once the retry budget is used up", async () => {
+        const { engines, url } = await open({ prefillEngine: "engine-2", retries: { fraction: 0, maxSaved: 0 } });
+        engines[1].script = [failAtOnce];
+        assert.equal((await postCompletion(url, {})).status, 502);
+        assert.equal(engines[0].received.length, 0);
+    });
 });
--- a/packages/daisyturn/src/connection/caller/callerServerOptions.ts
+++ b/packages/daisyturn/src/connection/caller/callerServerOptions.ts
@@ -67,4 +67,6 @@
     /** Keys of the resume tokens, identical on all entry processes. The first one signs; all are accepted. */
     readonly resumeKeys: readonly string[];
     readonly retries?: RetryBudgetOptions;
+    /** Returns the number of processes that share the retries, including this one; 1 if absent. */
+    readonly countProcesses?: () => number;
 }
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -37,7 +37,7 @@
     const limits = { ...defaultCallerLimits, ...options.limits };
     const parts: RequestParts = {
         ...options,
-        retryBudget: createRetryBudget(options.retries ?? defaultRetryBudget),
+        retryBudget: createRetryBudget(options.retries ?? defaultRetryBudget, options.countProcesses ?? (() => 1)),
         resumeTokens: createResumeTokens(options.resumeKeys, clock),
     };
     const running = new Set<HttpExchange>();
--- a/packages/daisyturn/src/process/admission/createRetryBudget.ts
+++ b/packages/daisyturn/src/process/admission/createRetryBudget.ts
@@ -1,12 +1,15 @@
-/** Limits of the retries of one process. */
+/** Limits of the retries of all processes together. */
 export interface RetryBudgetOptions {
     /** Retries earned by each request. */
     readonly fraction: number;
-    /** Maximum number of accumulated retries. It must cover the interrupted streams of one failing engine. */
+    /**
+     * Maximum number of accumulated retries, of all processes together. It must cover the interrupted streams of one
+     * failing engine.
+     */
     readonly maxSaved: number;
 }
 
-/** Limits the retries of the process to a fraction of its requests, so that retries can't amplify an overload. */
+/** Limits the retries of a process to its part of those of the fleet, so that retries can't amplify an overload. */
 export interface RetryBudget {
     /** Records an admitted request. */
     recordRequest(): void;
@@ -17,14 +20,19 @@
 /** Used if the settings specify no limits. */
 export const defaultRetryBudget: RetryBudgetOptions = { fraction: 0.2, maxSaved: 100 };
 
-/** Creates the budget of one process, which starts full. */
-export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
+/**
+ * Creates the budget of one process, which starts with a full share.
+ * @param countProcesses returns the number of processes in the fleet, including this one
+ */
+export function createRetryBudget(options: RetryBudgetOptions, countProcesses: () => number): RetryBudget {
+    const share = () => options.maxSaved / countProcesses();
     let saved = options.maxSaved;
     return {
         recordRequest: () => {
-            saved = Math.min(options.maxSaved, saved + options.fraction);
+            saved = Math.min(share(), saved + options.fraction);
         },
         tryAcquire: () => {
+            saved = Math.min(share(), saved);
             if (saved < 1) {
                 return false;
             }
--- a/packages/daisyturn/src/request/dispatch.ts
+++ b/packages/daisyturn/src/request/dispatch.ts
@@ -66,13 +66,19 @@
     return context.signal.aborted ? decoded : dispatchWholeInstead(parts, context, placement, decoded.error);
 }
 
-/** Sends the whole request to the decode engine, after separate prefill and decode have failed. */
-export function dispatchWholeInstead(
+/**
+ * Sends the whole request to the decode engine, after separate prefill and decode have failed. Fails with the cause if the
+ * retry budget is used up.
+ */
+export async function dispatchWholeInstead(
     parts: RequestParts,
     context: AnswerContext,
     placement: Placement,
     cause: Failure,
 ): Promise<Result<DispatchedStream, Failure>> {
+    if (!parts.retryBudget.tryAcquire()) {
+        return err(cause);
+    }
     parts.eventLog.record(EventKind.RequestRetried, {
         request: context.request.requestId,
         engine: placement.engine,
