Keep repeats within one budget of the fleet

Targets got up to 1.7 times the repeats that the fleet may add: a retry was counted once and arrived twice (prefill and decode), two decaying rates let nearly twice the amount through, and each process had three free sends where the slack is one amount.

The unit is now the arrival (CallArrivals): a retry acquires what it sends at most, and gives back what was not sent. The window is exact (createRetryWindow): every sliding window, half of the ratio for its own requests and half for those of the window before it. The amount is the fleet's: each process has the ratio of its own requests and a share of the slack by the number of processes, which coordinators announce in the messages that they send anyway; contractParams.budgetSlack is read. Processes lease what they have left to those that are short (createRetryLeases), and count it as sent first, so that ends, pauses, cuts and two coordinators can lose repeats and never add any. Nothing is sent on the calm path. A retry is placed whole unless half of the budget is left.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -42,15 +42,18 @@
     readonly metrics: ForwardingMetrics;
     /** Lists the known processes of the fleet, including this one. */
     readonly listPeers: () => readonly RegisteredPeer[];
+    /** Number of processes in the fleet; undefined if it is not known. */
+    readonly countProcesses: () => number | undefined;
     /** Requests that the list of processes be read again. */
     readonly refreshPeers: () => void;
 }
 
 /**
- * The parts of one process without `decisions` and `findOrigin`, which need the processes of its group, and with the
- * observers of the tables.
+ * The parts of one process without those that need the other processes of the fleet, and with the observers of the
+ * tables.
  */
-export interface ForwardingProcessParts extends Omit<ForwardingParts, "decisions" | "findOrigin"> {
+export interface ForwardingProcessParts
+    extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease"> {
     readonly configurationManager: ForwardingConfigurationManager;
     readonly targets: TargetList;
     readonly links: TargetLinks;
@@ -96,7 +99,11 @@
     const origins = createStreamOrigins(clock);
     const versions = createVersionHistory(views.targets, origins, clock);
     const sizeFairness = createSizeFairness();
-    const budget = createWindowedRetryBudget(clock, () => settings().retries);
+    const budget = createWindowedRetryBudget({
+        allowance: () => settings().retries,
+        countProcesses: options.countProcesses,
+        clock,
+    });
     return {
         ...views,
         configurationManager,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -80,6 +80,7 @@
         metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
         listPeers: () => coordination.listPeers(),
         refreshPeers: () => coordination.refreshPeers(),
+        countProcesses: () => coordination.countProcesses(),
     });
     const describeSelf = (): RegisteredPeer => ({
         peerId: settings.processId,
@@ -90,14 +91,12 @@
     });
     const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
     const coordination = coordinate({
+        ...parts,
         self: describeSelf(),
         registry: adapters.peerRegistry,
         channel: peerChannel.channel,
         views: parts,
-        sizeFairness: parts.sizeFairness,
-        crashEvidence: parts.crashEvidence,
-        origins: parts.origins,
-        versions: parts.versions,
+        random,
         decideLocally: request => decidePrompt(parts, request),
         findService: name => parts.configurationManager.current()?.configuration.services.get(name),
         maxStateAgeMilliseconds: () => computeMaxStateAge(settings),
@@ -108,7 +107,8 @@
     const decisions = isOn(Mechanism.PeerMessages)
         ? coordination.decisions
         : new LocalDecisions(parts);
-    const servingParts = { ...parts, decisions, findOrigin: coordination.findOrigin };
+    const { findOrigin, requestRetryLease } = coordination;
+    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const server = createForwardServer({
@@ -158,7 +158,10 @@
     const start = async () => {
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
-        void reportArrivals({ arrivalCounts: parts.arrivalCounts, clock, eventLog }, background.signal);
+        void reportArrivals(
+            { arrivalCounts: parts.arrivalCounts, budget: parts.budget, clock, eventLog },
+            background.signal,
+        );
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
         startTableWatches({
             settings: () => settings,
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -21,7 +21,7 @@
 }
 
 /** The parts from which gauges are read. */
-export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets"> {
+export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly tunnels: Pick<TunnelServer, "carried">;
 }
@@ -127,7 +127,18 @@
         }
     }
 
-    const observe = ({ configurationManager, targets, links, tunnels }: ObservedParts) => {
+    const observe = ({ configurationManager, targets, budget, links, tunnels }: ObservedParts) => {
+        new Gauge({
+            name: "daisyturn_retry_budget_left",
+            help: "Repeats that this process may send now without leases, by service",
+            labelNames: ["service"],
+            registers,
+            collect() {
+                this.reset();
+                const services = configurationManager.current()?.configuration.services.keys() ?? [];
+                [...services].forEach(service => this.set({ service }, budget.status(service).left));
+            },
+        });
         new Gauge({
             name: "daisyturn_lost_links",
             help: "Links to targets that are lost while a peer reaches the target",
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -1,4 +1,4 @@
-import type { Clock, EventLog } from "daisyturn-utils";
+import type { Clock, EventLog, Random } from "daisyturn-utils";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { PeerRegistry, RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
@@ -7,6 +7,7 @@
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import { createExpiringSet, type ExpiringSet } from "../links/createExpiringSet.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
+import type { WindowedRetryBudget } from "../retries/createWindowedRetryBudget.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
 import { createCoordinatorLink } from "./createCoordinatorLink.js";
@@ -26,6 +27,7 @@
 import { type CoordinatorState, readCoordinatorState, readRowsMessage } from "./messages/tableMessages.js";
 import { createOriginPublisher, type OriginPublisher } from "./origins/createOriginPublisher.js";
 import type { DatagramChannel, PeerAddress } from "./peerChannel.js";
+import { createRetryLeases, type RetryLeases } from "./retries/createRetryLeases.js";
 import { createRefreshRequest, watchPeers } from "./watchPeers.js";
 
 /** What {@link coordinate} needs. */
@@ -38,6 +40,8 @@
     readonly crashEvidence: CrashEvidence;
     readonly origins: StreamOrigins;
     readonly versions: VersionHistory;
+    readonly budget: Pick<WindowedRetryBudget, "lend" | "addLease">;
+    readonly random: Random;
     /** Decides with the information of this process alone. */
     readonly decideLocally: (request: DecisionRequest) => PromptDecision | undefined;
     readonly findService: (name: string) => ForwardService | undefined;
@@ -57,6 +61,10 @@
     readonly decisions: PromptDecisions;
     /** Finds which targets may continue a stream, by asking other processes if this one does not know. */
     readonly findOrigin: OriginPublisher["find"];
+    /** Asks other processes to lease repeats of the retry budget to this one. */
+    readonly requestRetryLease: RetryLeases["request"];
+    /** Number of processes in the fleet; undefined while this process has not read the registry. */
+    countProcesses(): number | undefined;
     /** Returns a table as relayed by coordinators. */
     relayedTable(name: string): RelayedTable;
     /** Receives what this process reads from the store itself, to relay it to the processes that it coordinates. */
@@ -111,16 +119,23 @@
 
     const { refreshRequest, refreshPeers, refreshEntry } = createRefreshRequest(clock);
 
+    const exchange = { self, listPeers: link.listPeers, refreshPeers, send, clock };
     const originPublisher = createOriginPublisher({
-        self,
+        ...exchange,
         origins: options.origins,
         versions: options.versions,
-        listPeers: link.listPeers,
-        refreshPeers,
-        send,
-        clock,
     });
 
+    /** The contents of the store are accepted only from processes in its registry, at their registered address. */
+    const isRegistered = (peerId: string, { host }: PeerAddress) => link.find(peerId)?.host === host;
+
+    /** Processes that joined later may be known only by their load reports. */
+    const isKnownPeer = (peerId: string, from: PeerAddress) =>
+        isRegistered(peerId, from) || members.has(peerId, from.host);
+
+    const { budget, random } = options;
+    const retryLeases = createRetryLeases({ ...exchange, budget, random, isRegistered: isKnownPeer });
+
     const placementServer = createPlacementServer({
         coordinatorId: self.peerId,
         decide: request => {
@@ -134,12 +149,6 @@
         clock,
     });
 
-    const listDistrusted = (service: string): readonly string[] => {
-        const open: readonly ListedTarget[] = targets.open(service);
-        const trusted = new Set(health.selectTrusted(open));
-        return open.filter(target => !trusted.has(target)).map(target => target.targetId);
-    };
-
     const decisions = new CoordinatedDecisions({
         selfId: self.peerId,
         link,
@@ -147,12 +156,9 @@
         decideLocally: options.decideLocally,
         caches,
         findTarget: targets.find,
-        listDistrusted,
+        listDistrusted: service => listDistrusted(views, service),
     });
 
-    const recordPresence = (present: ExpiringSet, peerId: string, isPresent: boolean) =>
-        isPresent ? present.add(peerId) : present.delete(peerId);
-
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
         evidencePublisher.compareDigest(message.from, from, message.evidence);
         closed.applyRemote(message.closed);
@@ -179,18 +185,16 @@
 
     const applyState = (state: CoordinatorState, from: PeerAddress) => {
         evidencePublisher.compareDigest(state.from, from, state.evidence);
-        link.recordContact(state.from, state.isAnswering);
+        link.recordContact(state.from, state.isAnswering, state.processes);
         recordPresence(cutOffCoordinators, state.from, state.isCutOff === true);
         link.addPeers(state.candidates);
         closed.applyRemote(state.closed);
         tables.applyState(state);
     };
 
-    /** The contents of the store are accepted only from processes in its registry, at their registered address. */
-    const isRegistered = (peerId: string, { host }: PeerAddress) => link.find(peerId)?.host === host;
-
     const handleNotification = (notification: Notification, from: PeerAddress) => {
         originPublisher.receive(notification, from);
+        retryLeases.receive(notification, from);
         const request = readPlacementRequest(notification);
         const answer = readPlacementAnswer(notification);
         const load = readLoadMessage(notification);
@@ -212,7 +216,7 @@
         if (rows && isRegistered(rows.from, from)) {
             tables.applyRows(rows);
         }
-        if (evidence && (isRegistered(evidence.from, from) || members.has(evidence.from, from.host))) {
+        if (evidence && isKnownPeer(evidence.from, from)) {
             evidencePublisher.receive(evidence, from);
         }
     };
@@ -235,6 +239,8 @@
     return {
         decisions,
         findOrigin: originPublisher.find,
+        requestRetryLease: retryLeases.request,
+        countProcesses: link.countProcesses,
         relayedTable: tables.find,
         tableReader: reader,
         isReader: link.isCandidate,
@@ -268,3 +274,19 @@
         },
     };
 }
+
+/** Lists the open targets of a service that are not trusted. */
+function listDistrusted({ targets, health }: TargetViews, service: string): readonly string[] {
+    const open: readonly ListedTarget[] = targets.open(service);
+    const trusted = new Set(health.selectTrusted(open));
+    return open.filter(target => !trusted.has(target)).map(target => target.targetId);
+}
+
+function recordPresence(present: ExpiringSet, peerId: string, isPresent: boolean): void {
+    if (isPresent) {
+        present.add(peerId);
+    }
+    else {
+        present.delete(peerId);
+    }
+}
--- a/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
@@ -18,6 +18,13 @@
     find(peerId: string): RegisteredPeer | undefined;
     /** Lists all known processes, including this one. */
     listPeers(): readonly RegisteredPeer[];
+    /**
+     * Returns the number of processes in the fleet: as a coordinator has announced it or, if this process is a candidate
+     * or reaches none, from its own list. Undefined before the registry was read.
+     */
+    countProcesses(): number | undefined;
+    /** Returns the length of this process's own list; undefined before the registry was read. */
+    countListed(): number | undefined;
     /** Whether a process was sent load reports and has not answered in time. */
     isSilent(peer: RegisteredPeer): boolean;
     /** Whether any coordinator other than this process is reachable. */
@@ -28,8 +35,11 @@
     listCandidates(): readonly RegisteredPeer[];
     /** Lists the first processes in the ranking of each other group. */
     listOtherCandidates(): readonly RegisteredPeer[];
-    /** Records a state message of a coordinator, and whether it accepts placement requests. */
-    recordContact(peerId: string, isAnswering: boolean): void;
+    /**
+     * Records a state message of a coordinator, and whether it accepts placement requests.
+     * @param processes the number of processes that it knows; undefined if it does not know or send it
+     */
+    recordContact(peerId: string, isAnswering: boolean, processes?: number): void;
     recordAnswer(peerId: string): void;
     /** Records a placement request that was not answered in time. */
     recordTimeout(peerId: string): void;
@@ -60,6 +70,7 @@
     /** Monotonic time of the first unanswered message to the process. */
     unansweredSince: number | undefined;
     isAnswering: boolean;
+    processes: number | undefined;
     timeouts: number;
     suspectUntil: number;
 }
@@ -69,6 +80,7 @@
     let peers: readonly RegisteredPeer[] = [];
     let ranking: readonly RegisteredPeer[] = [];
     let currentId: string | undefined;
+    let isListed = false;
 
     const find = (peerId: string): CoordinatorHealth => {
         let known = health.get(peerId);
@@ -77,6 +89,7 @@
                 lastContactAt: -Infinity,
                 unansweredSince: undefined,
                 isAnswering: false,
+                processes: undefined,
                 timeouts: 0,
                 suspectUntil: -Infinity,
             };
@@ -133,10 +146,33 @@
         return found;
     };
 
+    const isCandidate = () => {
+        const ahead = ranking.filter(peer => isSelf(peer) || !isSilent(peer));
+        return ahead.slice(0, coordinatorsPerGroup).some(isSelf);
+    };
+
+    const countListed = () => isListed ? peers.length : undefined;
+
+    /** Candidates read the registry regularly. The others read it at their start, when it may still be incomplete. */
+    const countProcesses = () => {
+        const announced = ranking
+            .filter(peer => !isSelf(peer) && hasContactWith(peer))
+            .map(peer => find(peer.peerId).processes ?? 0);
+        const most = Math.max(0, ...announced);
+        if (most > 0 && !isCandidate()) {
+            return most;
+        }
+        return countListed();
+    };
+
     setPeers([]);
     return {
-        setPeers,
+        setPeers: found => {
+            isListed = true;
+            setPeers(found);
+        },
         addPeers: found => {
+            isListed ||= found.length > 0;
             const known = new Set(peers.map(peer => peer.peerId));
             if (found.some(peer => !known.has(peer.peerId))) {
                 setPeers([...peers, ...found.filter(peer => !known.has(peer.peerId))]);
@@ -146,12 +182,11 @@
         current,
         listPeers: () => peers,
         find: peerId => peers.find(peer => peer.peerId === peerId),
+        countProcesses,
+        countListed,
         isSilent,
         hasContact: () => ranking.some(peer => !isSelf(peer) && hasContactWith(peer)),
-        isCandidate: () => {
-            const ahead = ranking.filter(peer => isSelf(peer) || !isSilent(peer));
-            return ahead.slice(0, coordinatorsPerGroup).some(isSelf);
-        },
+        isCandidate,
         listCandidates: () => ranking.slice(0, announcedCandidates),
         listOtherCandidates: () => {
             const own = new Set(ranking.map(peer => peer.peerId));
@@ -161,11 +196,12 @@
                 rankCoordinators(others.filter(peer => peer.availabilityZone === zone)).slice(0, coordinatorsPerGroup)
             );
         },
-        recordContact: (peerId, isAnswering) => {
+        recordContact: (peerId, isAnswering, processes) => {
             const known = find(peerId);
             known.lastContactAt = clock.monotonicNow();
             known.unansweredSince = undefined;
             known.isAnswering = isAnswering;
+            known.processes = processes;
         },
         recordAnswer: peerId => {
             find(peerId).timeouts = 0;
--- a/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
@@ -12,7 +12,7 @@
 export interface StatePublisherOptions {
     readonly selfId: string;
     readonly members: Members;
-    readonly link: Pick<CoordinatorLink, "isCandidate" | "listCandidates">;
+    readonly link: Pick<CoordinatorLink, "isCandidate" | "listCandidates" | "countListed">;
     readonly reader: TableReader;
     readonly closed: ClosedTargets;
     readonly evidence: Pick<CrashEvidence, "digest">;
@@ -58,6 +58,7 @@
             closed: closed.listKnown(),
             candidates: link.listCandidates(),
             evidence: evidence.digest(),
+            processes: link.countListed(),
         });
 
     const publishAll = () => {
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -41,6 +41,8 @@
     readonly candidates: readonly RegisteredPeer[];
     /** `CrashEvidence.digest` of the sender; absent if its version does not send it. */
     readonly evidence?: number;
+    /** Number of processes in the fleet as the coordinator knows; absent if its version does not send it. */
+    readonly processes?: number;
 }
 
 /** Rows of a table that changed after `afterVersion` of the store, up to `version`. */
@@ -121,6 +123,7 @@
             strength,
         })),
         evidence: readOptionalAmount(params["evidence"]),
+        processes: readOptionalAmount(params["processes"]),
     };
 }
 
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -1,11 +1,10 @@
-import { type Clock, EventKind, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
+import { type Clock, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import type { GuardedCall } from "../../process/crashes/index.js";
 import { CallKind, type ForwardRoute, type ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
-import { createFailureHistory, type FailureHistory, isSafeToRetry, isTransientFailure } from "../retryPolicy.js";
-import type { ForwardingParts } from "./forwardingParts.js";
+import { createFailureHistory, type FailureHistory } from "../retryPolicy.js";
 import { guardForwardedCall } from "./guardForwardedCall.js";
 import type { RequestTrace } from "./requestTrace.js";
 import { type CallArrivals, createCallArrivals } from "./retries/callArrivals.js";
@@ -39,13 +38,8 @@
     target?: ListedTarget;
 }
 
-/** Bounds all attempts of a call, including those that never reached a target and therefore cost no retry budget. */
-const maxTotalAttempts = 4;
 /** A target that restarts, or an engine that takes over the stage of another, needs a few seconds. */
 const noTargetRetryDelayMilliseconds = 1_500;
-/** With less time left than this, another attempt would only add load. */
-const minRetryMilliseconds = 30;
-
 /** Creates the context of a call before its first attempt. */
 export function createCallContext(
     start: Omit<CallContext, "guarded" | "history" | "avoid" | "attemptedTargets" | "arrivals" | "target">,
@@ -70,50 +64,6 @@
     return context.history.conclude(context.signal.aborted ? context.signal.reason as Failure : last);
 }
 
-/**
- * Records a failed attempt and acquires a retry, within the route's limit and the fleet's retry budget.
- * @param isReached whether the call was sent to the target; a connection that could not be opened costs no budget
- */
-export function tryAcquireRetry(
-    parts: ForwardingParts,
-    context: CallContext,
-    failure: Failure,
-    isReached: boolean,
-): boolean {
-    context.history.record(failure);
-    const hasTime = context.deadline - parts.clock.monotonicNow() > minRetryMilliseconds;
-    const isWorthwhile = isTransientFailure(failure) && context.history.attempts < maxTotalAttempts
-        && parts.crashGuard.mayRepeat(context.guarded);
-    const isAllowed = isSafeToRetry(failure, isRepeatable(context.route));
-    if (context.signal.aborted || !hasTime || !isWorthwhile || !isAllowed) {
-        return false;
-    }
-    const hasUsedAllAttempts = isReached && context.attemptedTargets.size >= context.route.maxAttempts;
-    if (hasUsedAllAttempts || (isReached && !acquireFromBudget(parts, context))) {
-        return false;
-    }
-    context.trace.record(EventKind.RequestRetried, {
-        reason: failure.reason,
-        verdict: failure.verdict,
-        attempts: context.history.attempts,
-        cause: failure.message,
-    });
-    return true;
-}
-
-function acquireFromBudget(
-    { budget, arrivalCounts, metrics }: ForwardingParts,
-    { service, trace, history }: CallContext,
-): boolean {
-    const isAcquired = budget.tryAcquire(service.name);
-    arrivalCounts.recordRetry(service.name, isAcquired);
-    metrics.recordRetry(service.name, isAcquired);
-    if (!isAcquired) {
-        trace.record(EventKind.RetryDenied, { service: service.name, attempts: history.attempts });
-    }
-    return isAcquired;
-}
-
 /** Creates the failure of a call for which no target is open. */
 export function createNoTargetFailure(
     { service, softwareVersion }: Pick<CallContext, "service" | "softwareVersion">,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -47,6 +47,8 @@
     readonly placement: CallPlacement;
     readonly decisions: PromptDecisions;
     readonly budget: WindowedRetryBudget;
+    /** Asks other processes to lease repeats for a service to this one; resolves whether any has before the deadline. */
+    readonly requestRetryLease: (service: string, deadline: number) => Promise<boolean>;
     readonly connections: TargetConnections;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -10,11 +10,11 @@
     createNoTargetFailure,
     hasReachedTarget,
     isRepeatable,
-    tryAcquireRetry,
 } from "./callContext.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { recordOrigin } from "./resumption/recordOrigin.js";
+import { acquireRetry } from "./retries/acquireRetry.js";
 import { sendToTarget } from "./sendToTarget.js";
 
 const minErrorStatus = 500;
@@ -45,7 +45,7 @@
         if (isReached) {
             context.attemptedTargets.add(target.targetId);
         }
-        if (!tryAcquireRetry(parts, context, failure, isReached)) {
+        if (!await acquireRetry(parts, context, { failure, isReached, mayPrefill: false })) {
             return answer.isOk ? answer : err(createFinalFailure(context, failure));
         }
     }
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -13,16 +13,11 @@
 } from "../../process/forwarding/index.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { type CallAnswer, finishStream } from "./callAnswer.js";
-import {
-    type CallContext,
-    createFinalFailure,
-    hasReachedTarget,
-    isRepeatable,
-    tryAcquireRetry,
-} from "./callContext.js";
+import { type CallContext, createFinalFailure, hasReachedTarget, isRepeatable } from "./callContext.js";
 import { createEventRelay, type EventRelay } from "./eventRelay.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { recordOrigin } from "./resumption/recordOrigin.js";
+import { acquireRetry } from "./retries/acquireRetry.js";
 import { sendToTarget } from "./sendToTarget.js";
 
 /** After this many attempts with a separate prefill, the prompt is prefilled by the engine that decodes it. */
@@ -65,7 +60,7 @@
     const relay = createEventRelay(context.exchange, () => recordOrigin(parts, context));
     let prefills = 0;
     for (;;) {
-        const isWholeOnly = prefills >= maxPrefills;
+        const isWholeOnly = prefills >= maxPrefills || !context.arrivals.mayPrefill();
         const admitted = await admitPrompt(parts, context, {
             prompt,
             account,
@@ -77,6 +72,7 @@
         }
         const placement = admitted.value;
         prefills += placement.prefill ? 1 : 0;
+        context.arrivals.keepFor(placement.prefill !== undefined);
         parts.demand.record(context.service.name, placement.prefillMilliseconds);
         const answer = await executePlacement(parts, context, prompt, placement, relay);
         if (answer.isOk) {
@@ -84,7 +80,12 @@
         }
         const { target, failure, retryFailure } = answer.error;
         context.avoid.add(target.targetId);
-        if (!tryAcquireRetry(parts, context, retryFailure, hasReachedTarget(failure))) {
+        const attempt = {
+            failure: retryFailure,
+            isReached: hasReachedTarget(failure),
+            mayPrefill: prefills < maxPrefills,
+        };
+        if (!await acquireRetry(parts, context, attempt)) {
             return err(createFinalFailure(context, failure));
         }
     }
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -9,6 +9,7 @@
 import { type CallContext } from "./callContext.js";
 import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import type { BegunArrival } from "./retries/callArrivals.js";
 import { watchSilence } from "./watchSilence.js";
 
 /** One attempt to have a target run a call. */
@@ -58,6 +59,10 @@
     if (listed.isErr) {
         return err(listed.error);
     }
+    const arrival = context.arrivals.begin(describePart(attempt));
+    if (!arrival) {
+        return err(notRun(FailureReason.Overloaded, "The lease of the retry has ended."));
+    }
     if (!attempt.terms.prefillOnly) {
         context.target = target;
     }
@@ -116,6 +121,7 @@
             sink: {
                 onHead: (status, fields) => {
                     const head = protocol.readHead(status, fields);
+                    arrival.markAnswered();
                     health.recordBytesReceived(target.targetId);
                     if (head.load) {
                         loads.recordReport(target.targetId, head.load);
@@ -150,9 +156,7 @@
         Buffer.concat(chunks),
         reply.bytes > maxCollectedBytes && !attempt.onChunk,
     );
-    if (route.isStarted) {
-        recordArrival(parts, context, attempt, outcome);
-    }
+    endArrival(parts, context, attempt, arrival, route.isStarted ? outcome : undefined);
     recordEvidence(parts, context, attempt, route, outcome, silenceWatch.isSilent());
     endRun(determineRunEnd(context, attempt, outcome, silenceWatch.isSilent()));
     return outcome;
@@ -183,17 +187,21 @@
     return terms.prefillOnly ? SendPart.Prefill : terms.kvSource ? SendPart.Decode : SendPart.Whole;
 }
 
-function recordArrival(
+/** @param outcome undefined if nothing was sent to the target */
+function endArrival(
     { arrivalCounts, metrics }: ForwardingParts,
-    { service, arrivals }: CallContext,
+    { service }: CallContext,
     attempt: CallAttempt,
-    outcome: Result<TargetReply, Failure>,
+    begun: BegunArrival,
+    outcome: Result<TargetReply, Failure> | undefined,
 ): void {
-    const part = describePart(attempt);
-    const result = describeArrival(attempt, outcome);
-    const arrival = { service: service.name, part, result, isRepeat: arrivals.record(part, result) };
-    arrivalCounts.recordArrival(arrival);
-    metrics.recordArrival(arrival);
+    const result = outcome && describeArrival(attempt, outcome);
+    const isRepeat = begun.end(result);
+    if (result) {
+        const arrival = { service: service.name, part: describePart(attempt), result, isRepeat };
+        arrivalCounts.recordArrival(arrival);
+        metrics.recordArrival(arrival);
+    }
 }
 
 /** An engine that answers a prefill with a failure has not accepted it. */
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -43,6 +43,7 @@
     const { context, end } = started.value;
     recordRequest(parts, context.service.name);
     const answer = await runCall(parts, context);
+    context.arrivals.end();
     end();
     const failure = answer.isErr ? addRetryTime(parts, answer.error) : undefined;
     if (failure?.reason === FailureReason.TargetFailed || failure?.reason === FailureReason.CrashesTargets) {
