Count the grace time of expired entries from the first answer after an outage

Cause: a process keeps targets whose entries expired for 2.2 s after its last failed call to the store. The next call comes up to 1.2 s later, and later still under load, so the outage may have ended a second or more after that call, and targets that re-register within two seconds counted as removed. The time is now counted from the first answer after a failure, at the process that reads the store and at those it relays to.

createTargetList.test, new, fails without the change (isOpen false 2 s after the first answer).

--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -21,7 +21,9 @@
     position: StorePosition;
     /** Monotonic time of the store's last answer. */
     answeredAt: number;
+    /** Monotonic time of the store's last failure, or of the first answer after it: an outage may have lasted until then. */
     failedAt: number;
+    isFailing: boolean;
 }
 
 export function createTableReader(clock: Clock): TableReader {
@@ -31,7 +33,13 @@
     const find = (table: string): KnownTable => {
         let known = tables.get(table);
         if (!known) {
-            known = { changedVersion: 0, position: { era: 0, version: 0 }, answeredAt: -Infinity, failedAt: -Infinity };
+            known = {
+                changedVersion: 0,
+                position: { era: 0, version: 0 },
+                answeredAt: -Infinity,
+                failedAt: -Infinity,
+                isFailing: false,
+            };
             tables.set(table, known);
         }
         return known;
@@ -58,6 +66,10 @@
             }
             const known = find(table);
             known.answeredAt = clock.monotonicNow();
+            if (known.isFailing) {
+                known.isFailing = false;
+                known.failedAt = known.answeredAt;
+            }
             if (page.isHistoryLost) {
                 return;
             }
@@ -70,7 +82,9 @@
             }
         },
         recordFailure: table => {
-            find(table).failedAt = clock.monotonicNow();
+            const known = find(table);
+            known.failedAt = clock.monotonicNow();
+            known.isFailing = true;
         },
         listStates: () => {
             const now = clock.monotonicNow();
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -49,6 +49,22 @@
     assert.equal(list.isOpen("b"), true);
 });
 
+// Guards against targets that count as removed before they could be listed again, because the time for that is counted from
+// the last failed call, which may be more than a second before the end of the outage.
+test("the grace time of an expired entry begins with the first answer after an outage", async () => {
+    const { list, clock } = createBench();
+    list.replace([row("a")]);
+    list.recordStoreCall(false);
+    await clock.advance(1_200);
+    list.recordStoreCall(true);
+    list.change([removed("a")]);
+    await clock.advance(2_000);
+    list.recordStoreCall(true);
+    assert.equal(list.isOpen("a"), true);
+    await clock.advance(200);
+    assert.equal(list.isOpen("a"), false);
+});
+
 test("an entry that expired in an outage remains valid for the grace time after it", async () => {
     const { list, clock, removedTargets } = createBench();
     list.replace([row("a"), row("b")]);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -56,7 +56,9 @@
     let listedByService = new Map<string, ListedTarget[]>();
     let idsByAddress = new Map<string, string[]>();
     let isKnown = false;
-    let lastFailureAt = -Infinity;
+    /** Latest monotonic time at which an outage may have lasted: the first answer after a failed call. */
+    let lastOutageAt = -Infinity;
+    let isAnswering = true;
 
     const index = () => {
         listedByService = new Map();
@@ -72,7 +74,7 @@
         );
     };
 
-    const remove = (key: string, storeFailedAt = lastFailureAt) => {
+    const remove = (key: string, storeFailedAt = lastOutageAt) => {
         unreadable.delete(key);
         const graceEnd = storeFailedAt + expiryGraceMilliseconds;
         if (graceEnd > clock.monotonicNow()) {
@@ -182,9 +184,10 @@
         },
         isKnown: () => isKnown,
         recordStoreCall: isAnswered => {
-            if (!isAnswered) {
-                lastFailureAt = clock.monotonicNow();
+            if (!isAnswered || !isAnswering) {
+                lastOutageAt = clock.monotonicNow();
             }
+            isAnswering = isAnswered;
         },
         onRemoved: listener => removedListeners.push(listener),
         replace: (rows, isAfterRollback = false) => {
