--- a/packages/daisyturn/src/process/forwarding/coordination/retries/__tests__/retryLeases.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/retries/__tests__/retryLeases.test.ts
@@ -2,6 +2,8 @@
 import { describe, it } from "node:test";
 import { findExcess } from "../../../retries/__fixtures__/countRepeats.js";
 import type { RetryAllowance } from "../../../retries/createWindowedRetryBudget.js";
+import { parseNotification } from "../../messages/notification.js";
+import { encodeRetryLease } from "../../messages/retryMessages.js";
 import { createRetryFleet, type RetryFleet, service } from "../__fixtures__/createRetryFleet.js";
 
 /** Sizes of fleets, and the slack of each. */
@@ -138,4 +140,20 @@
         }
         assert.deepEqual(ends, [15, 40]);
     });
+
+    it("adds a lease once, also if its datagram arrives twice", async () => {
+        const fleet = createRetryFleet({ seed: 11, processes: 2, allowance: createAllowance(58) });
+        await fleet.run(23_000, () => calm);
+        const [borrower, lender] = fleet.places;
+        assert.ok(borrower && lender);
+        const request = borrower.leases.request(service, fleet.clock.monotonicNow() + 1_000);
+        await fleet.clock.advance(41);
+        assert.equal(await request, true);
+        const leased = borrower.budget.status(service).leased;
+        const datagram = encodeRetryLease({ from: lender.peer.peerId, requestId: 1, count: leased });
+        const notification = parseNotification(datagram);
+        assert.ok(notification && leased > 0);
+        borrower.leases.receive(notification, lender.peer);
+        assert.equal(borrower.budget.status(service).leased, leased);
+    });
 });
