--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -30,7 +30,7 @@
 type Link = (from: RegisteredPeer, to: RegisteredPeer) => boolean;
 
 /** The retry budget of the fleets. */
-export const retryAllowance: RetryAllowance = { ratio: 0.2, windowMilliseconds: 10_000, slack: 176 };
+const retryAllowance: RetryAllowance = { ratio: 0.2, windowMilliseconds: 10_000, slack: 176 };
 export const maxStateAgeMilliseconds = 1_500;
 const portOffset = 7_000;
 
--- a/packages/daisyturn/src/process/forwarding/retries/createRetryWindow.ts
+++ b/packages/daisyturn/src/process/forwarding/retries/createRetryWindow.ts
@@ -4,9 +4,9 @@
 /**
  * The repeats that this process may add to the requests for one service, in every sliding window.
  *
- * A window counts the requests of two window lengths, each for half of the ratio: its own, and those of the length before
- * it. The sum of all processes is then at most the ratio times the requests of the one of both that has more, also while
- * the load falls. After a steady time, half of the ratio may be spent at once, and the whole ratio in every window.
+ * A window counts its own requests and those of the window before it, each for half of the ratio. Over all processes, that
+ * is at most the ratio times the requests of the busier of the two windows, also while the load falls. After a steady time,
+ * half of the ratio may be spent at once, and the whole ratio in every window.
  */
 export interface RetryWindow {
     recordRequest(): void;
