Log which parts the prompts at a target that ended share

Cause: a line for a target that ended names the requests aboard, so logs can't tell a part that ends targets from engines that end for their own reason. Change: target_ended lists the parts that most of its calls share, with their number. Result: a test reads the line; no decision uses it yet.

--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
@@ -25,8 +25,8 @@
     };
 }
 
-function createCall(name: string): GuardedCall {
-    return { fingerprint: () => name, brokenRuns: 0 };
+function createCall(name: string, parts: readonly string[] = []): GuardedCall {
+    return { fingerprint: () => name, partFingerprints: () => parts, brokenRuns: 0 };
 }
 
 function namesOf({ calls }: RecordedCrash): string[] {
@@ -52,14 +52,14 @@
     detector.onCrash(crash => crashes.push(crash));
     return Object.assign(scene, {
         detector,
-        begin: (name: string) => detector.beginRun(scene.listed, createCall(name)),
+        begin: (name: string, parts?: readonly string[]) => detector.beginRun(scene.listed, createCall(name, parts)),
     });
 }
 
 // Guards against a crash of which only the calls whose connections broke first are known.
 test("reports all calls that ran at a target whose port refuses connections, once", async () => {
     const { clock, crashes, begin, eventLog } = createScene();
-    const [endFirst, endAbandoned, endAnswered] = ["first", "abandoned", "answered"].map(begin);
+    const [endFirst, endAbandoned, endAnswered] = ["first", "abandoned", "answered"].map(name => begin(name));
     begin("running");
     endAnswered?.(RunEnd.Answered);
     endAbandoned?.(RunEnd.Abandoned);
@@ -71,11 +71,21 @@
     assert.equal(eventLog.of(EventKind.TargetEnded).length, 1);
 });
 
+// Guards against logs that don't tell what the requests at a target that ended have in common.
+test("logs which parts the prompts at a target that ended share, the most common ones first", async () => {
+    const { clock, begin, eventLog } = createScene();
+    begin("a", ["part:own", "part:first"]);
+    begin("b", ["part:first"])(RunEnd.Broken);
+    await clock.advance(settleMilliseconds);
+    const [ended] = eventLog.of(EventKind.TargetEnded);
+    assert.equal(ended?.fields["parts"], "part:first=2,part:own=1");
+});
+
 // Guards against evidence from cut links and single broken answers.
 test("does not take a broken connection for a crash while the port accepts connections", async () => {
     const scene = createScene();
     scene.port = ProbeResult.Accepted;
-    ["a", "b", "c"].map(scene.begin).forEach(end => end(RunEnd.Broken));
+    ["a", "b", "c"].map(name => scene.begin(name)).forEach(end => end(RunEnd.Broken));
     await scene.clock.advance(settleMilliseconds);
     assert.deepEqual(scene.crashes, []);
     assert.equal(scene.probes, 2);
--- a/packages/daisyturn/src/process/crashes/createCrashDetector.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashDetector.ts
@@ -50,6 +50,7 @@
 const maxProbes = 2;
 /** Limits the length of a log line. */
 const maxLoggedCalls = 12;
+const maxLoggedParts = 12;
 
 interface Run {
     readonly call: GuardedCall;
@@ -120,6 +121,7 @@
             reason,
             calls: aboard.length,
             fingerprints: calls.slice(0, maxLoggedCalls).map(({ fingerprint }) => fingerprint).join(),
+            parts: describeParts(aboard.map(({ call }) => call)),
         });
         listeners.forEach(listener => listener({ targetId, endedAt, uncertainty: endedAt - earliest, calls }));
     };
@@ -201,3 +203,13 @@
         onCrash: listener => void listeners.push(listener),
     };
 }
+
+/** Lists the parts that most calls share, with the number of calls that have them; undefined if none has any. */
+function describeParts(calls: readonly GuardedCall[]): string | undefined {
+    const counts = new Map<string, number>();
+    for (const fingerprint of calls.flatMap(call => call.partFingerprints())) {
+        counts.set(fingerprint, (counts.get(fingerprint) ?? 0) + 1);
+    }
+    const mostShared = [...counts].sort(([, left], [, right]) => right - left).slice(0, maxLoggedParts);
+    return mostShared.length > 0 ? mostShared.map(([part, count]) => `${part}=${count}`).join() : undefined;
+}
--- a/packages/daisyturn/src/request/forwarding/__tests__/guardForwardedCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/guardForwardedCall.test.ts
@@ -28,3 +28,15 @@
     ];
     assert.equal(new Set([fingerprint(), ...others]).size, others.length + 1);
 });
+
+// Guards against the last part, which is the request's own, and against long identifiers in messages to other processes.
+test("has a fingerprint for each part of the prompt but the last, whoever sends it", () => {
+    const longId = "f".repeat(300);
+    const parts = ["aa", "bb", "aa", longId, "own"].map(partId => ({ partId, tokens: 10 }));
+    const prompt = { model: "m", promptTokens: 50, maxOutputTokens: 5, expectedOutputTokens: 5, parts };
+    const fields = { method: "POST", host: "shop.example", url: "/ask/1", forwardedFields: [], body: Buffer.from("") };
+    const [first, second, long, ...others] = guardForwardedCall({ ...fields, prompt }).partFingerprints();
+    assert.deepEqual([first, second, others], ["part:aa", "part:bb", []]);
+    assert.match(long ?? "", /^part:[\w-]{16}$/);
+    assert.deepEqual(guardForwardedCall(fields).partFingerprints(), []);
+});
