Keep prompts with a part that ends engines out of them

Cause: only whole requests were suspects. Prompts that share a part have different bodies, so each had a fingerprint of its own, which collected one end and never three. The class: blame tied to the identity of one request while the cause is something that requests share.

Change: a part (never the last) is a suspect like a request, with the same records, messages and listing. A record says how deep the suspect stands in its prompt and whether it had been answered before. selectCulprits blames the suspect with the most ends and, of several, the most specific one, each end once: after three ends, after five if it was answered before or a more specific one explains two of them. An answer, at any process, refutes; neither a prefill nor an error does. A listed suspect stays listed for as long as requests with it come; floods drop what was aboard one end only. Silent targets: an end lies between the last bytes and 0.5 s of silence, and all records of a target say when that was; before, three ends that were 0.5 s apart counted as one for as long as entries take to expire.

--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -56,8 +56,10 @@
     TargetAnswered = "target_answered",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
-    /** A request is kept out of targets, because several of them ended while they ran it. */
+    /** A request, or a part of prompts, is kept out of targets, because several of them ended while they ran it. */
     CallListed = "call_listed",
+    /** It is no longer kept out, since it was answered or another one explains the ends. */
+    CallUnlisted = "call_unlisted",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashDetector.test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import { ProbeResult } from "../../../connection/target/probeAddress.js";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
-import { createCrashDetector, RunEnd } from "../createCrashDetector.js";
-import type { RecordedCrash } from "../createCrashEvidence.js";
+import { requestDepth } from "../crashRecord.js";
+import { createCrashDetector, type DetectedCrash, RunEnd } from "../createCrashDetector.js";
 import type { GuardedCall } from "../guardedCall.js";
 
 const probeMilliseconds = 3;
@@ -29,15 +29,15 @@
     return { fingerprint: () => name, partFingerprints: () => parts, brokenRuns: 0 };
 }
 
-function namesOf({ calls }: RecordedCrash): string[] {
-    return calls.map(({ fingerprint }) => fingerprint);
+function namesOf({ suspects }: DetectedCrash): string[] {
+    return suspects.map(({ fingerprint }) => fingerprint);
 }
 
 /** A detector whose probes find what `scene.port` says, and the crashes that it reports. */
 function createScene() {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
-    const crashes: RecordedCrash[] = [];
+    const crashes: DetectedCrash[] = [];
     const scene = { clock, eventLog, crashes, port: ProbeResult.Refused, listed: createTarget(), probes: 0 };
     const detector = createCrashDetector({
         probe: async () => {
@@ -152,8 +152,8 @@
         scene.detector.beginRun(scene.listed, call)(RunEnd.Broken);
         await scene.clock.advance(settleMilliseconds);
     }
-    assert.deepEqual(scene.crashes.flatMap(({ calls }) => calls), [
-        { fingerprint: "a", chain: 1 },
-        { fingerprint: "a", chain: 2 },
+    assert.deepEqual(scene.crashes.flatMap(({ suspects }) => suspects), [
+        { fingerprint: "a", chain: 1, depth: requestDepth },
+        { fingerprint: "a", chain: 2, depth: requestDepth },
     ]);
 });
--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashEvidence.test.ts
@@ -1,12 +1,8 @@
 import { createSeededRandom, EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-    type CrashEvidence,
-    type CrashRecord,
-    createCrashEvidence,
-    evidenceLifetimeMilliseconds,
-} from "../createCrashEvidence.js";
+import { type CrashRecord, evidenceLifetimeMilliseconds, requestDepth } from "../crashRecord.js";
+import { type CrashEvidence, createCrashEvidence } from "../createCrashEvidence.js";
 
 const secondMilliseconds = 1_000;
 
@@ -18,8 +14,13 @@
     const evidence = createCrashEvidence(clock, eventLog);
     const record = (targetId: string, endedAt: number, fingerprints: readonly string[], changes: Changes = {}) => {
         const { uncertainty = 0, chain = 1 } = changes;
-        const calls = fingerprints.map(fingerprint => ({ fingerprint, chain }));
-        evidence.recordCrash({ targetId, endedAt, uncertainty, calls });
+        const suspects = fingerprints.map(fingerprint => ({
+            fingerprint,
+            chain,
+            depth: requestDepth,
+            wasAnswered: false,
+        }));
+        evidence.recordCrash({ targetId, endedAt, uncertainty, suspects });
     };
     /** Records that targets ended one second after the other while these calls ran there. */
     const crash = async (targetIds: readonly string[], fingerprints: readonly string[] = ["bad"]) => {
@@ -42,6 +43,7 @@
         assert.equal(isListed(evidence), false);
         await crash(["t3"], ["bad", "fresh"]);
         assert.deepEqual(evidence.findListed("bad"), {
+            fingerprint: "bad",
             targetIds: ["t1", "t2", "t3"],
             until: evidenceLifetimeMilliseconds,
         });
@@ -186,7 +188,16 @@
         await crash(["t1", "t1"]);
         const records = evidence.list();
         evidence.recordRemote(records, "peer");
-        const other = { fingerprint: "bad", targetId: "t2", age: 5, uncertainty: 0, chain: 1, isRefuted: false };
+        const end = {
+            age: 5,
+            uncertainty: 0,
+            chain: 1,
+            isRefuted: false,
+            depth: requestDepth,
+            wasAnswered: false,
+            idle: 5,
+        };
+        const other = { ...end, fingerprint: "bad", targetId: "t2" };
         evidence.recordRemote([...records, other], "peer");
         evidence.recordAnswer("bad");
         evidence.recordAnswer("bad");
--- a/packages/daisyturn/src/process/crashes/__tests__/shareCrashEvidence.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/shareCrashEvidence.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ExchangePart, ProcessIdentity } from "../../peers/index.js";
+import { requestDepth } from "../crashRecord.js";
 import { createCrashEvidence } from "../createCrashEvidence.js";
 import { shareCrashEvidence } from "../shareCrashEvidence.js";
 
@@ -43,7 +44,7 @@
             targetId,
             endedAt: clock.monotonicNow(),
             uncertainty: 0,
-            calls: [{ fingerprint: "bad", chain: 1 }],
+            suspects: [{ fingerprint: "bad", chain: 1, depth: requestDepth, wasAnswered: false }],
         });
     const countAware = () => processes.filter(({ evidence }) => evidence.findListed("bad")).length;
     return { processes, exchange, restart, crash, countAware };
--- a/packages/daisyturn/src/process/crashes/createCrashDetector.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashDetector.ts
@@ -1,6 +1,7 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import { ProbeResult } from "../../connection/target/probeAddress.js";
 import type { ListedTarget, TargetRemoval } from "../../ports/listedTarget.js";
+import { requestDepth } from "./crashRecord.js";
 import type { RecordedCrash } from "./createCrashEvidence.js";
 import type { GuardedCall } from "./guardedCall.js";
 
@@ -23,12 +24,17 @@
 export interface CrashDetector {
     /** Records that a call is sent to a target. The returned function records how the run ended. */
     beginRun(target: RunTarget, call: GuardedCall): (end: RunEnd) => void;
+    /** Records that bytes of an answer were received from a target, which had not ended by then. */
+    recordBytesReceived(targetId: string): void;
     /** Records that a target is no longer listed. */
     recordRemoval(removal: TargetRemoval): void;
     /** Registers a listener that is called once for each target that ended while calls of this process ran there. */
-    onCrash(listener: (crash: RecordedCrash) => void): void;
+    onCrash(listener: (crash: DetectedCrash) => void): void;
 }
 
+/** The end of a target, and what ran there. */
+export type DetectedCrash = Omit<RecordedCrash, "suspects"> & { readonly suspects: readonly SuspectAboard[]; };
+
 /** What {@link createCrashDetector} needs. */
 export interface CrashDetectorOptions {
     readonly probe: (address: string) => Promise<ProbeResult>;
@@ -45,6 +51,8 @@
 const abandonedMilliseconds = 500;
 /** An entry expires within this time after its target has ended. */
 const entryExpiryMilliseconds = 5_000;
+/** A target that works sends something within this time to the calls that wait for it. */
+const silenceMilliseconds = 500;
 /** A target closes its connections and its port at almost the same time, so a port that accepts is probed once more. */
 const probeIntervalMilliseconds = 200;
 const maxProbes = 2;
@@ -65,8 +73,8 @@
     readonly running: Set<Run>;
     /** Runs that were not answered, oldest first. */
     unanswered: Run[];
-    /** Monotonic time of the last answer. */
-    lastAnsweredAt?: number;
+    /** Monotonic time at which the last answer was complete or the last bytes were received. */
+    lastReceivedAt?: number;
     isProbing: boolean;
     /** Set once the crash is reported; runs that begin later belong to the next start of a target of this name. */
     hasCrashed: boolean;
@@ -79,7 +87,7 @@
  */
 export function createCrashDetector({ probe, isExpected, clock, eventLog }: CrashDetectorOptions): CrashDetector {
     const targets = new Map<string, RunsAtTarget>();
-    const listeners: ((crash: RecordedCrash) => void)[] = [];
+    const listeners: ((crash: DetectedCrash) => void)[] = [];
 
     const find = (targetId: string): RunsAtTarget => {
         let runs = targets.get(targetId);
@@ -109,21 +117,17 @@
         if (aboard.length === 0) {
             return;
         }
-        const chains = new Map<string, number>();
-        for (const { call, chain } of aboard) {
-            const fingerprint = call.fingerprint();
-            chains.set(fingerprint, Math.max(chain, chains.get(fingerprint) ?? 0));
-        }
-        const calls = [...chains].map(([fingerprint, chain]) => ({ fingerprint, chain }));
+        const suspects = listSuspects(aboard);
         runs.unanswered = [];
         eventLog.record(EventKind.TargetEnded, {
             target: targetId,
             reason,
             calls: aboard.length,
-            fingerprints: calls.slice(0, maxLoggedCalls).map(({ fingerprint }) => fingerprint).join(),
+            fingerprints: suspects.filter(({ depth }) => depth === requestDepth).slice(0, maxLoggedCalls)
+                .map(({ fingerprint }) => fingerprint).join(),
             parts: describeParts(aboard.map(({ call }) => call)),
         });
-        listeners.forEach(listener => listener({ targetId, endedAt, uncertainty: endedAt - earliest, calls }));
+        listeners.forEach(listener => listener({ targetId, endedAt, uncertainty: endedAt - earliest, suspects }));
     };
 
     /** Probes a target whose connection broke, unless it is leaving and therefore ends as planned. */
@@ -147,11 +151,13 @@
         runs.isProbing = false;
     };
 
-    /** Nothing tells when a target ended that falls silent, except that it did so after its last answer. */
+    /** A target that falls silent ended after its last bytes and, if calls waited for others, soon after it had them. */
     const reportRemoved = (targetId: string, runs: RunsAtTarget, reason: string) => {
         const starts = [...runs.running, ...runs.unanswered].map(run => run.startedAt);
         const now = clock.monotonicNow();
-        reportCrash(targetId, runs, runs.lastAnsweredAt ?? Math.min(now, ...starts), now, reason);
+        const earliest = runs.lastReceivedAt ?? Math.min(now, ...starts);
+        const waitingSince = Math.max(earliest, Math.min(now, ...starts));
+        reportCrash(targetId, runs, earliest, Math.min(now, waitingSince + silenceMilliseconds), reason);
     };
 
     const checkRemoved = async ({ targetId, address }: RunTarget, runs: RunsAtTarget) => {
@@ -169,7 +175,7 @@
             return end => {
                 runs.running.delete(run);
                 if (end === RunEnd.Answered) {
-                    runs.lastAnsweredAt = clock.monotonicNow();
+                    runs.lastReceivedAt = clock.monotonicNow();
                 }
                 if (end === RunEnd.Settled || end === RunEnd.Answered) {
                     return;
@@ -183,6 +189,12 @@
                 }
             };
         },
+        recordBytesReceived: targetId => {
+            const runs = targets.get(targetId);
+            if (runs) {
+                runs.lastReceivedAt = clock.monotonicNow();
+            }
+        },
         recordRemoval: ({ target, isRestarted }) => {
             const runs = targets.get(target.targetId);
             targets.delete(target.targetId);
@@ -204,6 +216,31 @@
     };
 }
 
+/** Bounds the records of one call; the deepest parts, which the fewest other requests have, are kept. */
+const maxParts = 32;
+
+/** What ran at a target. It is known only later whether its parts were answered before. */
+type SuspectAboard = Omit<RecordedCrash["suspects"][number], "wasAnswered">;
+
+/** Lists the requests and their parts, each once. */
+function listSuspects(runs: readonly Run[]): SuspectAboard[] {
+    const suspects = new Map<string, SuspectAboard>();
+    const add = (fingerprint: string, depth: number, chain: number) => {
+        const known = suspects.get(fingerprint);
+        suspects.set(fingerprint, {
+            fingerprint,
+            depth: Math.max(depth, known?.depth ?? 0),
+            chain: Math.max(chain, known?.chain ?? 0),
+        });
+    };
+    for (const { call, chain } of runs) {
+        add(call.fingerprint(), requestDepth, chain);
+        [...call.partFingerprints().entries()].slice(-maxParts)
+            .forEach(([index, fingerprint]) => add(fingerprint, Math.min(index, requestDepth - 1), chain));
+    }
+    return [...suspects.values()];
+}
+
 /** Lists the parts that most calls share, with the number of calls that have them; undefined if none has any. */
 function describeParts(calls: readonly GuardedCall[]): string | undefined {
     const counts = new Map<string, number>();
--- a/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
@@ -1,51 +1,43 @@
-import { type Clock, EventKind, type EventLog, hashTextTo32Bits } from "daisyturn-utils";
-
-/** One piece of evidence: a target ended while it ran a call. */
-export interface CrashRecord {
-    /** Identifies a request, the same for all its attempts. */
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import { type CrashRecord, evidenceLifetimeMilliseconds, type KnownRecord, requestDepth } from "./crashRecord.js";
+import { createRecordSet, refusalIntervalMilliseconds } from "./createRecordSet.js";
+import { dropLeastTelling } from "./dropLeastTelling.js";
+import { endsForListing, selectCulprits, type Suspect } from "./selectCulprits.js";
+
+/** A request or a part that is kept out of targets, because several of them ended while they ran it. */
+export interface ListedSuspect {
     readonly fingerprint: string;
-    /** Identifies one incarnation of the target. */
-    readonly targetId: string;
-    /** Milliseconds since the target had ended. */
-    readonly age: number;
-    /** Milliseconds by which it may have ended earlier. */
-    readonly uncertainty: number;
-    /**
-     * How many targets had failed the same attempt by then, with this one. An attempt runs at one target after the
-     * other, so those ends are not simultaneous, however close they are.
-     */
-    readonly chain: number;
-    /** Whether the same request has been answered since, which shows that it does not end its targets. */
-    readonly isRefuted: boolean;
-}
-
-/** A request that is kept out of targets, because several of them ended while they ran it. */
-export interface ListedCall {
     readonly targetIds: readonly string[];
-    /** Monotonic time until which it is listed. */
+    /** Monotonic time until which it is listed, unless requests with it still come. */
     readonly until: number;
 }
 
-/** The end of a target, and the calls that ran there. */
+/** The end of a target, and the requests and parts that ran there. */
 export interface RecordedCrash extends Pick<CrashRecord, "targetId" | "uncertainty"> {
     /** Monotonic time by which the target had ended. */
     readonly endedAt: number;
-    readonly calls: readonly Pick<CrashRecord, "fingerprint" | "chain">[];
+    readonly suspects: readonly Pick<CrashRecord, "fingerprint" | "chain" | "depth" | "wasAnswered">[];
 }
 
 /**
- * Evidence on requests that end the targets that run them, from this process and others. It is a set: records that are
- * lost, repeated or relayed never count twice.
+ * Evidence on requests, and on parts of their prompts, that end the targets that run them, from this process and others.
+ * It is a set: records that are lost, repeated or relayed never count twice.
  */
 export interface CrashEvidence {
-    /** Records that a target ended while calls of this process ran there. */
+    /** Records that a target ended while requests of this process ran there. */
     recordCrash(crash: RecordedCrash): void;
-    /** Records that a request was answered, which refutes all evidence against it so far. */
+    /** Records that a request with a suspect was answered, which refutes all evidence against it so far. */
     recordAnswer(fingerprint: string): void;
+    /** Records that requests with a suspect had been answered before the ends that are recorded against it. */
+    recordEarlierAnswer(fingerprint: string): void;
+    /** Records that a request was refused because of a suspect, which stays listed for as long as that happens. */
+    recordRefusal(fingerprint: string): void;
     /** Adds records of another process. @param source passed on to the listeners */
     recordRemote(records: readonly CrashRecord[], source?: string): void;
-    /** Returns why a request is kept out of targets; undefined if it is not. */
-    findListed(fingerprint: string): ListedCall | undefined;
+    /** Returns why requests with a suspect are kept out of targets; undefined if they are not. */
+    findListed(fingerprint: string): ListedSuspect | undefined;
+    /** Whether any request, and whether any part, is listed. */
+    hasListed(): { readonly requests: boolean; readonly parts: boolean; };
     isEmpty(): boolean;
     list(): readonly CrashRecord[];
     /** Returns a number that is the same at processes with the same records; 0 without records. */
@@ -54,218 +46,149 @@
     onChanged(listener: (records: readonly CrashRecord[], source: string | undefined) => void): void;
 }
 
-/** A request is listed once this many targets have ended under it, one after the other. */
-const endsForListing = 3;
-/**
- * Targets that end within this time of each other count once: a rack or a zone that fails ends many targets at once,
- * and popular requests run at most of them.
- */
-const simultaneousMilliseconds = 100;
-/** After this time a request may run again, because its caller or the targets may have been repaired. */
-export const evidenceLifetimeMilliseconds = 600_000;
-/** A crash adds a few dozen records, one for each call at the target. */
+/** A crash adds a few dozen records, one for each request and part at the target. */
 const maxRecords = 2_048;
-const digestModulus = 2 ** 32;
 
-interface KnownRecord {
-    /** Monotonic time. */
-    readonly endedAt: number;
-    readonly uncertainty: number;
-    readonly chain: number;
-    readonly isRefuted: boolean;
-}
+type Listener = (records: readonly CrashRecord[], source: string | undefined) => void;
 
 /** Creates the evidence of one process. */
 export function createCrashEvidence(clock: Clock, eventLog: EventLog): CrashEvidence {
-    /** Records by fingerprint and target; fingerprints in the order in which they were first recorded. */
-    const calls = new Map<string, Map<string, KnownRecord>>();
-    const listeners: ((records: readonly CrashRecord[], source: string | undefined) => void)[] = [];
-    let count = 0;
-    let hashSum = 0;
-    let nextExpiry = Infinity;
-
-    const addToHash = (fingerprint: string, targetId: string, { chain, isRefuted }: KnownRecord, sign: 1 | -1) => {
-        const hash = hashTextTo32Bits(`${fingerprint} ${targetId} ${chain} ${isRefuted}`);
-        hashSum = (hashSum + sign * hash + digestModulus) % digestModulus;
-    };
-
-    const remove = (fingerprint: string, targetId: string) => {
-        const records = calls.get(fingerprint);
-        const known = records?.get(targetId);
-        if (records && known) {
-            addToHash(fingerprint, targetId, known, -1);
-            count -= 1;
-            records.delete(targetId);
-            if (records.size === 0) {
-                calls.delete(fingerprint);
-            }
-        }
-    };
-
-    const removeExpired = () => {
-        const now = clock.monotonicNow();
-        if (nextExpiry > now) {
-            return;
-        }
-        nextExpiry = Infinity;
-        for (const [fingerprint, records] of calls) {
-            for (const [targetId, { endedAt }] of records) {
-                const expiresAt = endedAt + evidenceLifetimeMilliseconds;
-                if (expiresAt <= now) {
-                    remove(fingerprint, targetId);
-                }
-                else {
-                    nextExpiry = Math.min(nextExpiry, expiresAt);
-                }
-            }
-        }
-    };
-
-    const removeOldestCall = () => {
-        const [oldest] = calls;
-        if (oldest) {
-            const [fingerprint, records] = oldest;
-            [...records.keys()].forEach(targetId => remove(fingerprint, targetId));
-        }
-    };
-
-    /** @returns whether the record tells anything new */
-    const put = (fingerprint: string, targetId: string, record: KnownRecord): boolean => {
-        const records = calls.get(fingerprint) ?? new Map<string, KnownRecord>();
-        const known = records.get(targetId);
-        const merged = known ? mergeRecords(known, record) : record;
-        if (known && merged.chain === known.chain && merged.isRefuted === known.isRefuted) {
-            return false;
-        }
-        if (known) {
-            addToHash(fingerprint, targetId, known, -1);
-        }
-        else {
-            count += 1;
-        }
-        addToHash(fingerprint, targetId, merged, 1);
-        records.set(targetId, merged);
-        calls.set(fingerprint, records);
-        nextExpiry = Math.min(nextExpiry, merged.endedAt + evidenceLifetimeMilliseconds);
-        return true;
-    };
+    const records = createRecordSet(clock);
+    const { suspects } = records;
+    const listeners: Listener[] = [];
+    let listed: ReadonlyMap<string, readonly string[]> = new Map();
+    let listedKinds = { requests: false, parts: false };
 
     const describe = (
         fingerprint: string,
         targetId: string,
-        { endedAt, uncertainty, chain, isRefuted }: KnownRecord,
+        { endedAt, lastSeenAt, uncertainty, ...record }: KnownRecord,
     ): CrashRecord => ({
+        ...record,
         fingerprint,
         targetId,
         age: Math.max(0, Math.round(clock.monotonicNow() - endedAt)),
         uncertainty: Math.round(uncertainty),
-        chain,
-        isRefuted,
+        idle: Math.max(0, Math.round(clock.monotonicNow() - lastSeenAt)),
     });
 
-    const notify = (records: readonly CrashRecord[], source?: string) => {
-        while (count > maxRecords) {
-            removeOldestCall();
+    const updateListed = () => {
+        records.removeExpired();
+        if (!records.takeChanged()) {
+            return;
+        }
+        const before = listed;
+        listed = selectCulprits([...suspects].map(([fingerprint, ends]) => toSuspect(fingerprint, ends)));
+        for (const [fingerprint, targetIds] of listed) {
+            if (targetIds.length !== before.get(fingerprint)?.length) {
+                eventLog.record(EventKind.CallListed, { fingerprint, targets: targetIds.join() });
+            }
         }
-        if (records.length > 0) {
-            listeners.forEach(listener => listener(records, source));
+        const depths = [...listed.keys()].map(fingerprint => findDepth(suspects.get(fingerprint)));
+        listedKinds = {
+            requests: depths.includes(requestDepth),
+            parts: depths.some(depth => depth < requestDepth),
+        };
+        for (const fingerprint of before.keys()) {
+            if (!listed.has(fingerprint)) {
+                eventLog.record(EventKind.CallUnlisted, { fingerprint });
+            }
         }
     };
 
-    const findListed = (fingerprint: string): ListedCall | undefined => {
-        removeExpired();
-        const records = calls.get(fingerprint);
-        if (!records || records.size < endsForListing) {
-            return undefined;
+    const notify = (changed: readonly CrashRecord[], source?: string) => {
+        const surplus = records.count() - maxRecords;
+        if (surplus > 0) {
+            updateListed();
+            dropLeastTelling(suspects, listed, surplus)
+                .forEach(([fingerprint, targetId]) => records.remove(fingerprint, targetId));
         }
-        const unrefuted = [...records].filter(([, { isRefuted }]) => !isRefuted);
-        if (countEnds(unrefuted.map(([, record]) => record)) < endsForListing) {
-            return undefined;
+        if (changed.length > 0) {
+            listeners.forEach(listener => listener(changed, source));
         }
-        const latestFirst = unrefuted.map(([, { endedAt }]) => endedAt).sort((left, right) => right - left);
-        return {
-            targetIds: unrefuted.map(([targetId]) => targetId),
-            until: (latestFirst[endsForListing - 1] ?? 0) + evidenceLifetimeMilliseconds,
-        };
     };
 
-    const logListings = (records: readonly CrashRecord[]) => {
-        for (const fingerprint of new Set(records.map(record => record.fingerprint))) {
-            const listed = findListed(fingerprint);
-            if (listed) {
-                const targets = listed.targetIds.join();
-                eventLog.record(EventKind.CallListed, { fingerprint, targets });
-            }
+    /** Changes all records of a suspect. */
+    const change = (fingerprint: string, update: (record: KnownRecord) => KnownRecord) => {
+        const changed = [...suspects.get(fingerprint) ?? []]
+            .map(([targetId, record]) => [targetId, update(record)] as const)
+            .filter(([targetId, record]) => records.put(fingerprint, targetId, record));
+        notify(changed.map(([targetId, record]) => describe(fingerprint, targetId, record)));
+    };
+
+    const findListed = (fingerprint: string): ListedSuspect | undefined => {
+        updateListed();
+        const targetIds = listed.get(fingerprint);
+        const ends = targetIds && suspects.get(fingerprint);
+        if (!ends) {
+            return undefined;
         }
+        const latestFirst = targetIds.map(targetId => ends.get(targetId)?.lastSeenAt ?? -Infinity)
+            .sort((left, right) => right - left);
+        const until = (latestFirst[endsForListing - 1] ?? -Infinity) + evidenceLifetimeMilliseconds;
+        return { fingerprint, targetIds, until };
     };
 
     return {
-        recordCrash: ({ targetId, endedAt, uncertainty, calls: aboard }) => {
-            removeExpired();
-            const records = aboard.flatMap(({ fingerprint, chain }) => {
-                const record = { endedAt, uncertainty, chain, isRefuted: false };
-                return put(fingerprint, targetId, record) ? [describe(fingerprint, targetId, record)] : [];
+        recordCrash: ({ targetId, endedAt, uncertainty, suspects: aboard }) => {
+            records.removeExpired();
+            const added = aboard.flatMap(({ fingerprint, ...suspect }) => {
+                const record = { ...suspect, endedAt, uncertainty, isRefuted: false, lastSeenAt: endedAt };
+                return records.put(fingerprint, targetId, record) ? [describe(fingerprint, targetId, record)] : [];
             });
-            notify(records);
-            logListings(records);
+            notify(added);
+            updateListed();
         },
-        recordAnswer: fingerprint => {
-            const refuted = [...calls.get(fingerprint) ?? []]
-                .map(([targetId, record]) => [targetId, { ...record, isRefuted: true }] as const)
-                .filter(([targetId, record]) => put(fingerprint, targetId, record));
-            notify(refuted.map(([targetId, record]) => describe(fingerprint, targetId, record)));
+        recordAnswer: fingerprint => change(fingerprint, record => ({ ...record, isRefuted: true })),
+        recordEarlierAnswer: fingerprint => change(fingerprint, record => ({ ...record, wasAnswered: true })),
+        recordRefusal: fingerprint => {
+            const now = clock.monotonicNow();
+            change(
+                fingerprint,
+                record =>
+                    now - record.lastSeenAt < refusalIntervalMilliseconds ? record : { ...record, lastSeenAt: now },
+            );
         },
         recordRemote: (received, source) => {
-            removeExpired();
+            records.removeExpired();
             const now = clock.monotonicNow();
-            const changed = received.filter(({ fingerprint, targetId, age, uncertainty, chain, isRefuted }) =>
-                age < evidenceLifetimeMilliseconds
-                && put(fingerprint, targetId, { endedAt: now - age, uncertainty, chain, isRefuted })
+            const changed = received.filter(({ fingerprint, targetId, age, idle, ...record }) =>
+                idle < evidenceLifetimeMilliseconds
+                && records.put(fingerprint, targetId, { ...record, endedAt: now - age, lastSeenAt: now - idle })
             );
             notify(changed, source);
-            logListings(changed);
+            updateListed();
         },
         findListed,
-        isEmpty: () => count === 0,
+        hasListed: () => {
+            updateListed();
+            return listedKinds;
+        },
+        isEmpty: () => records.count() === 0,
         list: () => {
-            removeExpired();
-            return [...calls].flatMap(([fingerprint, records]) =>
-                [...records].map(([targetId, record]) => describe(fingerprint, targetId, record))
+            records.removeExpired();
+            return [...suspects].flatMap(([fingerprint, ends]) =>
+                [...ends].map(([targetId, record]) => describe(fingerprint, targetId, record))
             );
         },
         digest: () => {
-            removeExpired();
-            return count * digestModulus + hashSum;
+            records.removeExpired();
+            return records.digest();
         },
         onChanged: listener => void listeners.push(listener),
     };
 }
 
-/** The more certain time is kept, or that of the first report. */
-function mergeRecords(known: KnownRecord, other: KnownRecord): KnownRecord {
-    const { endedAt, uncertainty } = other.uncertainty < known.uncertainty ? other : known;
-    return {
-        endedAt,
-        uncertainty,
-        chain: Math.max(known.chain, other.chain),
-        isRefuted: known.isRefuted || other.isRefuted,
-    };
+function findDepth(records: ReadonlyMap<string, KnownRecord> | undefined): number {
+    return Math.max(...[...records?.values() ?? []].map(({ depth }) => depth));
 }
 
-/** Counts the ends, of which those that may be simultaneous count once, except for as many as one attempt ran into. */
-function countEnds(records: readonly KnownRecord[]): number {
-    const groups: KnownRecord[][] = [];
-    let groupEnd = -Infinity;
-    for (const record of [...records].sort((left, right) => left.endedAt - right.endedAt)) {
-        if (record.endedAt - record.uncertainty - groupEnd >= simultaneousMilliseconds) {
-            groupEnd = record.endedAt;
-            groups.push([]);
-        }
-        groups.at(-1)?.push(record);
-    }
-    const countGroup = (group: readonly KnownRecord[]) => {
-        const chains = group.map(({ chain }) => chain);
-        return Math.max(...chains) - Math.min(...chains) + 1;
+function toSuspect(fingerprint: string, records: ReadonlyMap<string, KnownRecord>): Suspect {
+    return {
+        fingerprint,
+        depth: findDepth(records),
+        wasAnswered: [...records.values()].some(record => record.wasAnswered),
+        ends: new Map([...records].filter(([, { isRefuted }]) => !isRefuted)),
+        refuted: new Map([...records].filter(([, { isRefuted }]) => isRefuted)),
     };
-    return groups.reduce((sum, group) => sum + countGroup(group), 0);
 }
--- a/packages/daisyturn/src/process/crashes/guardedCall.ts
+++ b/packages/daisyturn/src/process/crashes/guardedCall.ts
@@ -51,6 +51,10 @@
     return partPrefix + (partId.length <= maxPartLength ? partId : computeFingerprint([], partId));
 }
 
+export function isPartFingerprint(fingerprint: string): boolean {
+    return fingerprint.startsWith(partPrefix);
+}
+
 function computeFingerprint(identity: readonly unknown[], body: string | Buffer): string {
     const digest = createHash("sha256").update(JSON.stringify(identity)).update(body).digest();
     return digest.subarray(0, fingerprintBytes).toString("base64url");
--- a/packages/daisyturn/src/process/crashes/shareCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/shareCrashEvidence.ts
@@ -1,6 +1,8 @@
 import { type Clock, type JsonObject, toJson } from "daisyturn-utils";
 import { ExchangeSection, type LoadExchange, type Membership } from "../peers/index.js";
-import type { CrashEvidence, CrashRecord } from "./createCrashEvidence.js";
+import { type CrashRecord, requestDepth } from "./crashRecord.js";
+import type { CrashEvidence } from "./createCrashEvidence.js";
+import { decodeRecord, encodeRecord, type RecordEntry } from "./recordEntry.js";
 
 /** What {@link shareCrashEvidence} needs. */
 export interface SharedEvidenceOptions {
@@ -10,9 +12,6 @@
     readonly clock: Clock;
 }
 
-/** Fingerprint, target, age and uncertainty in milliseconds, chain, whether refuted. */
-type RecordEntry = readonly [string, string, number, number, number, boolean];
-
 interface EvidenceContent {
     readonly digest: number;
     readonly records: readonly RecordEntry[];
@@ -79,17 +78,12 @@
     return `${fingerprint} ${targetId}`;
 }
 
-function encodeRecord({ fingerprint, targetId, age, uncertainty, chain, isRefuted }: CrashRecord): RecordEntry {
-    return [fingerprint, targetId, age, uncertainty, chain, isRefuted];
-}
-
-function decodeRecord([fingerprint, targetId, age, uncertainty, chain, isRefuted]: RecordEntry): CrashRecord {
-    return { fingerprint, targetId, age, uncertainty, chain, isRefuted };
-}
-
 function isRecordEntry(entry: unknown): entry is RecordEntry {
     const isName = (value: unknown) => typeof value === "string" && value !== "" && value.length <= maxNameLength;
-    const isAmount = (value: unknown) => typeof value === "number" && value >= 0;
+    const isAmount = (value: unknown): value is number => typeof value === "number" && value >= 0;
+    const isOptional = (value: unknown, check: (value: unknown) => boolean) => value === undefined || check(value);
+    const isDepth = (value: unknown) => isAmount(value) && value <= requestDepth;
     return Array.isArray(entry) && isName(entry[0]) && isName(entry[1]) && isAmount(entry[2]) && isAmount(entry[3])
-        && isAmount(entry[4]) && typeof entry[5] === "boolean";
+        && isAmount(entry[4]) && typeof entry[5] === "boolean" && isOptional(entry[6], isDepth)
+        && isOptional(entry[7], value => typeof value === "boolean") && isOptional(entry[8], isAmount);
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishEvidence.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/publishEvidence.test.ts
@@ -1,6 +1,7 @@
 import { createSeededRandom } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { requestDepth } from "../../../crashes/index.js";
 import { createFleet, type Fleet } from "../__fixtures__/createFleet.js";
 
 /** Time within which evidence must be at every process that is in touch with the others. */
@@ -15,7 +16,7 @@
             targetId: `t${number}`,
             endedAt: fleet.clock.monotonicNow(),
             uncertainty: 0,
-            calls: [{ fingerprint, chain: 1 }],
+            suspects: [{ fingerprint, chain: 1, depth: requestDepth, wasAnswered: false }],
         });
         if (number < indexes.length - 1) {
             await fleet.clock.advance(secondMilliseconds);
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/evidenceMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/evidenceMessage.ts
@@ -1,4 +1,11 @@
-import { type CrashRecord, evidenceLifetimeMilliseconds } from "../../../crashes/index.js";
+import {
+    type CrashRecord,
+    decodeRecord,
+    encodeRecord,
+    evidenceLifetimeMilliseconds,
+    type RecordEntry,
+    requestDepth,
+} from "../../../crashes/index.js";
 import {
     encodeNotification,
     isAmount,
@@ -10,7 +17,7 @@
     readOrUndefined,
 } from "./notification.js";
 
-/** Evidence on requests that end their targets. */
+/** Evidence on requests, and on parts of prompts, that end their targets. */
 export interface EvidenceMessage {
     readonly from: string;
     /** `CrashEvidence.digest` of the sender, if these are all its records; absent for new records. */
@@ -18,9 +25,6 @@
     readonly records: readonly CrashRecord[];
 }
 
-/** Fingerprint, target, age and uncertainty in milliseconds, chain, whether refuted. */
-type RecordEntry = readonly [string, string, number, number, number, boolean];
-
 export const evidenceMethod = "evidence";
 /** As many records as fit a datagram that networks deliver in one piece. */
 const maxRecordsPerDatagram = 20;
@@ -29,9 +33,7 @@
 
 /** Encodes a message as one or more notifications. The last one has the digest. */
 export function encodeEvidence({ from, digest, records }: EvidenceMessage): Buffer[] {
-    const entries = records.map((
-        { fingerprint, targetId, age, uncertainty, chain, isRefuted },
-    ): RecordEntry => [fingerprint, targetId, age, uncertainty, chain, isRefuted]);
+    const entries = records.map(encodeRecord);
     const count = Math.max(1, Math.ceil(entries.length / maxRecordsPerDatagram));
     return Array.from({ length: count }, (value, index) => {
         const first = index * maxRecordsPerDatagram;
@@ -50,20 +52,16 @@
 }
 
 function readParams(params: Notification["params"]): EvidenceMessage {
-    const isAge = (value: unknown) => isAmount(value, evidenceLifetimeMilliseconds);
+    const isIdle = (value: unknown) => value === undefined || isAmount(value, evidenceLifetimeMilliseconds);
+    const isAge = (value: unknown) => isAmount(value);
     const isChain = (value: unknown) => isAmount(value, maxChain);
+    const isDepth = (value: unknown) => value === undefined || isAmount(value, requestDepth);
     const isFlag = (value: unknown) => typeof value === "boolean";
-    const entries = readList<RecordEntry>(params["records"], [isName, isName, isAge, isAge, isChain, isFlag]);
+    const isOptionalFlag = (value: unknown) => value === undefined || isFlag(value);
+    const checks = [isName, isName, isAge, isAge, isChain, isFlag, isDepth, isOptionalFlag, isIdle];
     return {
         from: readName(params["from"]),
         digest: readOptionalAmount(params["digest"]),
-        records: entries.map(([fingerprint, targetId, age, uncertainty, chain, isRefuted]) => ({
-            fingerprint,
-            targetId,
-            age,
-            uncertainty,
-            chain,
-            isRefuted,
-        })),
+        records: readList<RecordEntry>(params["records"], checks).map(decodeRecord),
     };
 }
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -123,6 +123,7 @@
                     const head = protocol.readHead(status, fields);
                     arrival.markAnswered();
                     health.recordBytesReceived(target.targetId);
+                    parts.crashGuard.recordBytesReceived(target.targetId);
                     if (head.load) {
                         loads.recordReport(target.targetId, head.load);
                     }
@@ -131,6 +132,7 @@
                 },
                 onChunk: chunk => {
                     health.recordBytesReceived(target.targetId);
+                    parts.crashGuard.recordBytesReceived(target.targetId);
                     silenceWatch.recordBytesReceived();
                     reply.bytes += chunk.length;
                     if (reply.bytes === chunk.length) {
@@ -281,7 +283,7 @@
     }
 }
 
-/** A prefill alone does not show that the call runs without harm. */
+/** Neither a prefill nor an error shows that the call runs without harm. */
 function determineRunEnd(
     context: CallContext,
     { terms }: CallAttempt,
@@ -289,7 +291,8 @@
     isSilent: boolean,
 ): RunEnd {
     if (outcome.isOk) {
-        return terms.prefillOnly || outcome.value.head.status >= minErrorStatus ? RunEnd.Settled : RunEnd.Answered;
+        const isSuccess = outcome.value.head.status < minFailureStatus;
+        return terms.prefillOnly || !isSuccess ? RunEnd.Settled : RunEnd.Answered;
     }
     return isSilent ? RunEnd.Broken : describeRunEnd(outcome.error, context.signal.aborted);
 }
