Relay answers that end with their connection

What callers saw: 502 for each answer that has neither a length nor chunks, and calls that may be repeated ran twice.

Change: an orderly close completes such an answer; a reset does not (undici takes one for the end, so the socket is watched), nor a stream that ends inside an event. After the close the target's port must still accept connections, unless the target is leaving: one that ended at the edge of an event neither passes for whole nor clears a part. The connection that shows it carries the next call. A peer that carries the connection must still be there, and resets its tunnels when it closes them.

--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -1,8 +1,15 @@
 import type { Clock, Failure } from "daisyturn-utils";
-import type { Result } from "true-myth/result";
+import { ok, type Result } from "true-myth/result";
 import type { TargetLinks } from "../../process/forwarding/index.js";
+import { createSpareSockets } from "./createSpareSockets.js";
 import type { TargetDialer } from "./createTargetDialer.js";
-import { openTargetConnection, type TargetConnection, type TargetSend } from "./openTargetConnection.js";
+import {
+    type AnswerEnd,
+    openTargetConnection,
+    type TargetConnection,
+    type TargetSend,
+} from "./openTargetConnection.js";
+import { ProbeResult } from "./probeAddress.js";
 
 /** Which open connections may be reused for a call. */
 export enum ConnectionPolicy {
@@ -17,7 +24,12 @@
 
 /** A pool of connections to all targets. */
 export interface TargetConnections {
-    send(address: string, policy: ConnectionPolicy, send: TargetSend): Promise<Result<void, Failure>>;
+    send(address: string, policy: ConnectionPolicy, send: TargetSend): Promise<Result<AnswerEnd, Failure>>;
+    /**
+     * Whether anything still listens at an address, as far as can be told, and the peer that carried the connection is
+     * still there. The connection that shows the former carries the next call, if there is one soon.
+     */
+    confirmListening(address: string, relayId: string | undefined): Promise<boolean>;
     /** Closes the idle connections to an address, for a target that was removed or does not answer. */
     closeIdle(address: string): void;
     close(): void;
@@ -32,9 +44,10 @@
 export function createTargetConnections(
     clock: Clock,
     links: Pick<TargetLinks, "recordAnswered" | "isLost" | "hasLost">,
-    dialer: Pick<TargetDialer, "dial" | "retryLink">,
+    dialer: Pick<TargetDialer, "dial" | "retryLink" | "probe" | "probePeer">,
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
+    const spareSockets = createSpareSockets(recentAnswerMilliseconds);
 
     /** Prefers the most recently used connection, which most likely still works; surplus ones idle until they close. */
     const acquire = (address: string, policy: ConnectionPolicy): TargetConnection => {
@@ -69,7 +82,10 @@
         const connection = openTargetConnection({
             address,
             now: () => clock.monotonicNow(),
-            dial: () => dialer.dial(address),
+            dial: async () => {
+                const spare = spareSockets.take(address);
+                return spare ? ok(spare) : dialer.dial(address);
+            },
             onClosed: () => removeIdle(address, connection),
         });
         return connection;
@@ -122,11 +138,25 @@
             }
             return result;
         },
+        confirmListening: async (address, relayId) => {
+            if (relayId !== undefined && await dialer.probePeer(relayId) !== ProbeResult.Accepted) {
+                return false;
+            }
+            const dialed = await dialer.dial(address);
+            if (dialed.isOk) {
+                spareSockets.keep(address, dialed.value);
+                return true;
+            }
+            return await dialer.probe(address) !== ProbeResult.Refused;
+        },
         closeIdle: address => {
             const idle = idleByAddress.get(address) ?? [];
             idleByAddress.delete(address);
             idle.forEach(connection => connection.close());
         },
-        close: () => [...idleByAddress.values()].flat().forEach(connection => connection.close()),
+        close: () => {
+            spareSockets.close();
+            [...idleByAddress.values()].flat().forEach(connection => connection.close());
+        },
     };
 }
--- a/packages/daisyturn/src/connection/target/createTargetDialer.ts
+++ b/packages/daisyturn/src/connection/target/createTargetDialer.ts
@@ -28,6 +28,8 @@
     retryLink(address: string): void;
     /** Finds out whether anything listens at an address. A refusal must be confirmed by peers, if there are any. */
     probe(address: string): Promise<ProbeResult>;
+    /** Finds out whether a peer that carries connections is still there. */
+    probePeer(peerId: string): Promise<ProbeResult>;
 }
 
 /** What {@link createTargetDialer} needs. */
@@ -162,6 +164,10 @@
             }
         },
         probe,
+        probePeer: async peerId => {
+            const peer = relays.find(peerId);
+            return peer ? probeAddress(`${peer.host}:${peer.port}`) : ProbeResult.Unknown;
+        },
     };
 }
 
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -12,6 +12,14 @@
     onChunk(chunk: Buffer): void;
 }
 
+/** What showed that an answer was complete. */
+export enum AnswerEnd {
+    /** Its length or its last chunk. */
+    Framed = "framed",
+    /** The close of its connection, which a target that ends closes in the same way. */
+    ConnectionClosed = "connection_closed",
+}
+
 /** One send over one connection. */
 export interface TargetSend {
     readonly head: OutgoingHead;
@@ -32,7 +40,7 @@
     /** The peer that carries the connection; undefined for a direct one, and before it is open. */
     relayId(): string | undefined;
     /** Resolves once the answer is complete, or with a failure whose verdict says whether the call may have run. */
-    send(send: TargetSend): Promise<Result<void, Failure>>;
+    send(send: TargetSend): Promise<Result<AnswerEnd, Failure>>;
     close(): void;
 }
 
@@ -61,6 +69,7 @@
     let socket: Socket | undefined;
     let relayId: string | undefined;
     let isAlive = true;
+    let isReset = false;
     let lastAnsweredAt: number | undefined;
 
     const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) =>
@@ -70,6 +79,10 @@
                 return;
             }
             ({ socket, relayId } = dialed.value);
+            // undici takes a reset for the end of an answer without a length.
+            socket.once("error", () => {
+                isReset = true;
+            });
             if (!isAlive) {
                 socket.destroy();
             }
@@ -98,11 +111,12 @@
     client.on("connectionError", close);
 
     const send = ({ head, body, sink, signal, onStarted }: TargetSend) =>
-        new Promise<Result<void, Failure>>(resolve => {
+        new Promise<Result<AnswerEnd, Failure>>(resolve => {
             let isStarted = false;
+            let answerEnd = AnswerEnd.Framed;
             let fault: Failure | undefined;
 
-            const settle = (result: Result<void, Failure>) => {
+            const settle = (result: Result<AnswerEnd, Failure>) => {
                 signal.removeEventListener("abort", abandon);
                 resolve(result);
             };
@@ -128,16 +142,21 @@
                     onStarted?.(relayId);
                 },
                 onResponseStart: (controller, status, fields) => {
-                    fault = sink.onHead(status, fields as IncomingFields)
-                        ?? checkLength(status, fields as IncomingFields);
+                    answerEnd = determineEnd(status, fields as IncomingFields);
+                    fault = sink.onHead(status, fields as IncomingFields);
                     if (fault) {
                         controller.abort(new Error(fault.message));
                     }
                 },
                 onResponseData: (controller, chunk) => sink.onChunk(chunk),
                 onResponseEnd: () => {
-                    lastAnsweredAt = now();
-                    settle(ok(undefined));
+                    if (answerEnd === AnswerEnd.Framed) {
+                        lastAnsweredAt = now();
+                        settle(ok(answerEnd));
+                        return;
+                    }
+                    settle(isReset ? err(mayHaveRun(FailureReason.TargetFailed, resetMessage)) : ok(answerEnd));
+                    close();
                 },
                 onResponseError: (controller, error) => fail(error),
             };
@@ -185,16 +204,14 @@
 // eslint-disable-next-line no-restricted-syntax
 const noSocket = null;
 
-/**
- * Rejects a body that is delimited only by the close of the connection. Its truncation can't be detected, since a
- * target that crashes closes its connection like one that has finished.
- */
-function checkLength(status: number, fields: IncomingFields): Failure | undefined {
+const resetMessage = "The connection was reset within an answer without a length.";
+
+function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
     const isBodyless = status < firstBodyStatus || status === 204 || status === 304;
     const isChunked = String(fields["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
     return isBodyless || isChunked || fields["content-length"] !== undefined
-        ? undefined
-        : mayHaveRun(FailureReason.TargetFailed, "The answer's length is not given.");
+        ? AnswerEnd.Framed
+        : AnswerEnd.ConnectionClosed;
 }
 
 /** Prefers the error code, because a message may contain text that a caller wrote. */
--- a/packages/daisyturn/src/connection/tunnel/createTunnel.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnel.ts
@@ -26,6 +26,7 @@
 /** Creates a tunnel between two open connections. A side that reads slowly holds back the other. */
 export function createTunnel({ client, target, clock, onClosed }: TunnelOptions): Tunnel {
     let isAwaitingAnswer = true;
+    let isTargetEnded = false;
     let lastBytesAt = clock.monotonicNow();
 
     const carry = (from: Socket, to: Socket) => {
@@ -39,8 +40,14 @@
         to.on("drain", () => from.resume());
     };
 
+    /** The end of an answer without a length must not be taken for its close by this process. */
     const close = () => {
-        client.destroy();
+        if (isTargetEnded || client.writableEnded) {
+            client.destroy();
+        }
+        else {
+            client.resetAndDestroy();
+        }
         target.destroy();
         onClosed();
     };
@@ -58,7 +65,10 @@
             client.on("end", close);
             client.on("close", close);
             client.on("error", () => reset(target));
-            target.on("end", () => client.end());
+            target.on("end", () => {
+                isTargetEnded = true;
+                client.end();
+            });
             target.on("close", () => client.end());
             target.on("error", () => reset(client));
             carry(client, target);
--- a/packages/daisyturn/src/process/forwarding/links/createRelays.ts
+++ b/packages/daisyturn/src/process/forwarding/links/createRelays.ts
@@ -6,6 +6,7 @@
 export interface Relays {
     /** Lists the peers to ask for a connection to an address, in this order. */
     list(address: string): readonly RegisteredPeer[];
+    find(peerId: string): RegisteredPeer | undefined;
     /** Whether any other process is known. */
     hasPeers(): boolean;
     recordOpened(peerId: string, address: string): void;
@@ -64,6 +65,7 @@
                 ...inZone.slice(zonePeersFirst),
             ];
         },
+        find: peerId => listOthers().find(peer => peer.peerId === peerId),
         hasPeers: () => listOthers().length > 0,
         recordOpened: (peerId, address) => {
             const route = nameRoute(peerId, address);
--- a/packages/daisyturn/src/request/forwarding/eventRelay.ts
+++ b/packages/daisyturn/src/request/forwarding/eventRelay.ts
@@ -9,6 +9,8 @@
     lastEventId(): string | undefined;
     /** Whether the head was sent to the caller. */
     hasStarted(): boolean;
+    /** Whether an event has begun and is not complete. */
+    hasPartialEvent(): boolean;
     /** Discards the incomplete event of a broken stream, before another target continues it. */
     discardPartialEvent(): void;
     /** Relays the remaining bytes of a stream that its target has completed, and ends the answer. */
@@ -55,6 +57,7 @@
         },
         lastEventId: () => lastEventId,
         hasStarted: () => exchange.isHeadSent(),
+        hasPartialEvent: () => partial !== undefined,
         discardPartialEvent: () => {
             partial = undefined;
         },
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -70,6 +70,7 @@
         cost: plainCost,
         ...(relay && {
             onChunk: (head, piece) => relay.write(head.status, head.forwardedFields, piece),
+            isWhole: () => !relay.hasPartialEvent(),
         }),
     });
     if (reply.isErr) {
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -181,6 +181,7 @@
         isRepeatable: isRepeatable(context.route),
         cost: { work, isDeferred: placement.isDeferred, tokens: countTokens(prompt) },
         onChunk: (head, piece) => relay.write(head.status, head.forwardedFields, piece),
+        isWhole: () => !relay.hasPartialEvent(),
         onFirstByte: () => {
             if (!kvSource) {
                 recordPrefill(parts, context, prompt, placement.decode, parts.clock.monotonicNow() - startedAt);
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -1,6 +1,7 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionPolicy } from "../../connection/target/createTargetConnections.js";
+import { AnswerEnd } from "../../connection/target/openTargetConnection.js";
 import type { ReplyHead, SendTerms } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
 import { RunEnd } from "../../process/crashes/index.js";
@@ -21,6 +22,8 @@
     readonly cost: CallCost;
     /** Receives the chunks of a successful answer as they arrive. If absent, they are collected. */
     readonly onChunk?: (head: ReplyHead, piece: Buffer) => void;
+    /** Whether what `onChunk` has received may be a whole answer; any may if absent. */
+    readonly isWhole?: () => boolean;
     /** Called at the first bytes of the answer's body, when the expensive work is done. */
     readonly onFirstByte?: () => void;
 }
@@ -98,7 +101,7 @@
         wait.end();
         attempt.onFirstByte?.();
     };
-    const result = await parts.connections.send(
+    const sent = await parts.connections.send(
         target.address,
         attempt.isRepeatable ? ConnectionPolicy.Reuse : ConnectionPolicy.RecentlyVerified,
         {
@@ -149,6 +152,7 @@
         },
     );
     silenceWatch.end();
+    const result = await checkEnd(parts, attempt, route, sent);
     recordSend(parts, context, attempt, route, reply.head, result);
     work.end();
     wait.end();
@@ -185,6 +189,31 @@
         : undefined;
 }
 
+/**
+ * An answer that ends with its connection is whole if the connection was closed in order, unless its text shows that it
+ * is not or the target has ended, which closes connections in the same way. A leaving target may end after its answer.
+ */
+async function checkEnd(
+    { connections, targets }: ForwardingParts,
+    { target, isWhole = () => true }: CallAttempt,
+    { relayId }: SendRoute,
+    sent: Result<AnswerEnd, Failure>,
+): Promise<Result<void, Failure>> {
+    if (sent.isErr || sent.value === AnswerEnd.Framed) {
+        return sent.map(() => undefined);
+    }
+    if (!isWhole()) {
+        return err(mayHaveRun(FailureReason.TargetFailed, "The connection closed inside an event."));
+    }
+    if (await connections.confirmListening(target.address, relayId)) {
+        return ok(undefined);
+    }
+    if (relayId !== undefined || targets.isOpen(target.targetId)) {
+        return err(mayHaveRun(FailureReason.TargetFailed, "The target ended as it closed its answer."));
+    }
+    return ok(undefined);
+}
+
 function describePart({ terms }: CallAttempt): SendPart {
     return terms.prefillOnly ? SendPart.Prefill : terms.kvSource ? SendPart.Decode : SendPart.Whole;
 }
