Wait for another end while other requests were aboard two of three ends

Cause: two requests that share two of three ends look alike, and the one with more ends was listed. Change: such a suspect needs four ends, as one that shares all of them did.

--- a/packages/daisyturn/src/process/crashes/__tests__/selectCulprits.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/selectCulprits.test.ts
@@ -80,6 +80,11 @@
         const innocent = createSuspect("innocent", requestDepth, [1, 2, 3]);
         assert.deepEqual(select(innocent, createSuspect("bad", requestDepth, [1, 2, 3])), []);
         assert.deepEqual(select(innocent, createSuspect("bad", requestDepth, [1, 2, 3, 4])), ["bad"]);
+        assert.deepEqual(
+            select(innocent, createSuspect("bad", requestDepth, [1, 2])),
+            [],
+            "another one ended the third",
+        );
     });
 
     // Guards against a popular part that is new when a rack ends, and against ends that silent targets hide.
--- a/packages/daisyturn/src/process/crashes/selectCulprits.ts
+++ b/packages/daisyturn/src/process/crashes/selectCulprits.ts
@@ -12,7 +12,7 @@
 
 /** A suspect is to blame once this many targets have ended under it, one after the other. */
 export const endsForListing = 3;
-/** The same if another suspect of the same depth was aboard each time: the next end tells them apart. */
+/** The same if another suspect of the same depth was aboard two of the ends or more: the next end tells them apart. */
 const endsForTied = 4;
 /** The same if the suspect was answered before, or a more specific one explains two of the ends or more. */
 const endsForUnlikely = 5;
@@ -103,7 +103,7 @@
         return endsForUnlikely;
     }
     const isTied = [...shared].some(([{ depth, wasAnswered }, count]) =>
-        depth === suspect.depth && count === own.length && !wasAnswered
+        depth === suspect.depth && count >= minExplainedEnds && !wasAnswered
     );
     return isTied ? endsForTied : endsForListing;
 }
