Take only a close by the target for the end of an answer

Two causes: undici completes such an answer at any close of its socket, also one without an error, and the code looked for an error; and the port of a target was not asked for once its entry had gone. Change: the socket must have received the target's end; only a target that was leaving may refuse connections after it.

--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -69,7 +69,7 @@
     let socket: Socket | undefined;
     let relayId: string | undefined;
     let isAlive = true;
-    let isReset = false;
+    let isEnded = false;
     let lastAnsweredAt: number | undefined;
 
     const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) =>
@@ -79,9 +79,9 @@
                 return;
             }
             ({ socket, relayId } = dialed.value);
-            // undici takes a reset for the end of an answer without a length.
-            socket.once("error", () => {
-                isReset = true;
+            // undici takes any close, also a reset, for the end of an answer without a length.
+            socket.once("end", () => {
+                isEnded = true;
             });
             if (!isAlive) {
                 socket.destroy();
@@ -155,7 +155,7 @@
                         settle(ok(answerEnd));
                         return;
                     }
-                    settle(isReset ? err(mayHaveRun(FailureReason.TargetFailed, resetMessage)) : ok(answerEnd));
+                    settle(isEnded ? ok(answerEnd) : err(mayHaveRun(FailureReason.TargetFailed, resetMessage)));
                     close();
                 },
                 onResponseError: (controller, error) => fail(error),
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -208,7 +208,7 @@
     if (await connections.confirmListening(target.address, relayId)) {
         return ok(undefined);
     }
-    if (relayId !== undefined || targets.isOpen(target.targetId)) {
+    if (relayId !== undefined || targets.find(target.targetId)?.isLeaving !== true) {
         return err(mayHaveRun(FailureReason.TargetFailed, "The target ended as it closed its answer."));
     }
     return ok(undefined);
