Close surplus new connections unread while other entries have room

What callers saw: while most new connections go to one entry, it read requests and refused nine of ten of them, beside idle entries. Cause: the overload guard acts on requests that were read, and a process knew nothing of the others' room. If none has room, the overload guard refuses as before, with its time. Requests on open connections count and are never closed.

Weighed: carrying connections to idle entries (all bytes twice), and readiness alone (the next entry is crowded then).

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -9,6 +9,7 @@
 } from "daisyturn-utils";
 import {
     coordinate,
+    createConnectionGuard,
     createForwardServer,
     createOverloadGuard,
     createTunnelServer,
@@ -82,17 +83,10 @@
         refreshPeers: () => coordination.refreshPeers(),
         countProcesses: () => coordination.countProcesses(),
     });
-    const describeSelf = (): RegisteredPeer => ({
-        peerId: settings.processId,
-        host: settings.peers.address,
-        port: settings.peers.port,
-        availabilityZone: settings.availabilityZone,
-        strength: settings.strength,
-    });
     const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
     const coordination = coordinate({
         ...parts,
-        self: describeSelf(),
+        self: describeSelf(settings),
         registry: adapters.peerRegistry,
         channel: peerChannel.channel,
         views: parts,
@@ -100,6 +94,7 @@
         decideLocally: request => decidePrompt(parts, request),
         findService: name => parts.configurationManager.current()?.configuration.services.get(name),
         maxStateAgeMilliseconds: () => computeMaxStateAge(settings),
+        utilization: () => overloadGuard.utilization(),
         clock,
         eventLog,
     });
@@ -107,15 +102,23 @@
     const decisions = isOn(Mechanism.PeerMessages)
         ? coordination.decisions
         : new LocalDecisions(parts);
-    const { findOrigin, requestRetryLease } = coordination;
+    const { findOrigin, requestRetryLease, hasRoomElsewhere } = coordination;
     const servingParts = { ...parts, decisions, findOrigin, requestRetryLease };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
+    const isGuarded = isOn(Mechanism.OverloadGuard);
+    const connectionGuard = createConnectionGuard({
+        busyMilliseconds: () => performance.eventLoopUtilization().active,
+        hasRoomElsewhere: () => isGuarded && hasRoomElsewhere(),
+        clock,
+        eventLog,
+    });
     const server = createForwardServer({
         listen: settings.callers,
         protocol: adapters.callerProtocol,
         serve: (call, exchange) => serveForwardedCall(servingParts, call, exchange),
-        shouldRefuse: () => isOn(Mechanism.OverloadGuard) && overloadGuard.shouldRefuse(),
+        shouldRefuse: () => isGuarded && overloadGuard.shouldRefuse(),
+        connectionGuard,
         clock,
         eventLog,
     });
@@ -132,7 +135,7 @@
     const background = new AbortController();
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
-    const isOverloaded = () => isOn(Mechanism.OverloadGuard) && overloadGuard.isPersistentlyOverloaded();
+    const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
         !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
     const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady);
@@ -196,7 +199,7 @@
     /** Removes the peer entry; otherwise peers would send datagrams to this address until the entry is stale. */
     const leavePeers = () => {
         const deadline = clock.monotonicNow() + leaveTimeoutMilliseconds;
-        return adapters.peerRegistry.leave(describeSelf(), deadline);
+        return adapters.peerRegistry.leave(describeSelf(settings), deadline);
     };
 
     const stopOnce = async () => {
@@ -222,6 +225,10 @@
     return { start, reload, stop };
 }
 
+function describeSelf({ processId, peers, availabilityZone, strength }: ForwardingSettings): RegisteredPeer {
+    return { peerId: processId, host: peers.address, port: peers.port, availabilityZone, strength };
+}
+
 /** Creates a function that returns the utilization of the event loop since its previous call. */
 function createUtilizationMeter(): () => number {
     let last = performance.eventLoopUtilization();
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -60,6 +60,8 @@
     CallListed = "call_listed",
     /** It is no longer kept out, since it was answered or another one explains the ends. */
     CallUnlisted = "call_unlisted",
+    /** New connections are limited, because this process has too many of them; the others are closed unread. */
+    ConnectionsLimited = "connections_limited",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -1,6 +1,8 @@
 import { type Clock, EventKind, type EventLog, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
+import type { ConnectionGuard } from "../../process/forwarding/index.js";
 import { refuseCall } from "../../request/forwarding/refuseCall.js";
 import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
 import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
@@ -31,6 +33,7 @@
     readonly serve: (call: ForwardedCall, exchange: ForwardExchange) => Promise<void>;
     /** Whether a call that arrives now is refused without reading it, because the process is overloaded. */
     readonly shouldRefuse: () => boolean;
+    readonly connectionGuard: Pick<ConnectionGuard, "shouldClose" | "recordRequest">;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -63,6 +66,8 @@
     let endsAt = Infinity;
     let running = 0;
     let reservedBodyBytes = 0;
+    /** Connections without a request so far. */
+    const unused = new WeakSet<Socket>();
 
     const serveRequest = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
         running += 1;
@@ -96,6 +101,7 @@
             refuseUnread(outgoing, exchange, notRun(FailureReason.Overloaded, message, clock.wallNow()));
             return;
         }
+        options.connectionGuard.recordRequest(unused.delete(incoming.socket));
         const described = protocol.describeCall(incoming.rawHeaders);
         const fault = checkHeaderSize(incoming, limits) ?? (described.isErr ? described.error : undefined);
         if (fault || described.isErr) {
@@ -147,6 +153,15 @@
         (incoming, outgoing, connection) => void serveRequest(incoming, outgoing, connection),
     );
 
+    server.on("connection", (socket: Socket) => {
+        if (options.connectionGuard.shouldClose()) {
+            socket.resetAndDestroy();
+        }
+        else {
+            unused.add(socket);
+        }
+    });
+
     const start = () => listenAt(server, options.listen, connectionBacklog);
 
     const drain = async (deadline: number) => {
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -103,6 +103,8 @@
             countProcesses: () => coordination.countProcesses(),
             clock,
         });
+        /** Fraction of the time in which the process is busy; set by tests. */
+        const processor = { utilization: 0.2 };
         const coordination: Coordination = coordinate({
             self,
             registry: new SharedRegistry(),
@@ -117,6 +119,7 @@
             decideLocally: request => decidePrompt({ placement, longPrefillTimes, switchedOff }, request),
             findService: () => engineService,
             maxStateAgeMilliseconds: () => maxStateAgeMilliseconds,
+            utilization: () => processor.utilization,
             clock,
             eventLog,
         });
@@ -127,6 +130,7 @@
             self,
             ...views,
             coordination,
+            processor,
             eventLog,
             sizeFairness,
             crashEvidence,
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -28,6 +28,7 @@
 import { createOriginPublisher, type OriginPublisher } from "./origins/createOriginPublisher.js";
 import type { DatagramChannel, PeerAddress } from "./peerChannel.js";
 import { createRetryLeases, type RetryLeases } from "./retries/createRetryLeases.js";
+import { createRoomQuery, type RoomQuery } from "./room/createRoomQuery.js";
 import { createRefreshRequest, watchPeers } from "./watchPeers.js";
 
 /** What {@link coordinate} needs. */
@@ -50,6 +51,8 @@
      * coordinator.
      */
     readonly maxStateAgeMilliseconds: () => number;
+    /** Fraction of the time in which this process is busy, from 0 to 1. */
+    readonly utilization: () => number;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -63,6 +66,8 @@
     readonly findOrigin: OriginPublisher["find"];
     /** Asks other processes to lease repeats of the retry budget to this one. */
     readonly requestRetryLease: RetryLeases["request"];
+    /** Whether another process can take more connections, as far as it has said a moment ago. */
+    readonly hasRoomElsewhere: RoomQuery["hasRoomElsewhere"];
     /** Number of processes in the fleet; undefined while this process has not read the registry. */
     countProcesses(): number | undefined;
     /** Returns a table as relayed by coordinators. */
@@ -136,6 +141,8 @@
     const { budget, random } = options;
     const retryLeases = createRetryLeases({ ...exchange, budget, random, isRegistered: isKnownPeer });
 
+    const roomQuery = createRoomQuery({ ...options, ...exchange, isRegistered: isKnownPeer });
+
     const placementServer = createPlacementServer({
         coordinatorId: self.peerId,
         decide: request => {
@@ -195,6 +202,7 @@
     const handleNotification = (notification: Notification, from: PeerAddress) => {
         originPublisher.receive(notification, from);
         retryLeases.receive(notification, from);
+        roomQuery.receive(notification, from);
         const request = readPlacementRequest(notification);
         const answer = readPlacementAnswer(notification);
         const load = readLoadMessage(notification);
@@ -240,6 +248,7 @@
         decisions,
         findOrigin: originPublisher.find,
         requestRetryLease: retryLeases.request,
+        hasRoomElsewhere: roomQuery.hasRoomElsewhere,
         countProcesses: link.countProcesses,
         relayedTable: tables.find,
         tableReader: reader,
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -14,6 +14,7 @@
 export * from "./experiments/switchOffViews.js";
 export * from "./forwardingMetrics.js";
 export * from "./limits/createArrivalCounts.js";
+export * from "./limits/createConnectionGuard.js";
 export * from "./limits/createLongPrefillTimes.js";
 export * from "./limits/createOverloadGuard.js";
 export * from "./limits/createSizeFairness.js";
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createConnectionGuard.test.ts
@@ -0,0 +1,98 @@
+import { EventKind, FakeClock, MemoryEventLog } from "daisyturn-utils";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createConnectionGuard } from "../createConnectionGuard.js";
+
+const costMilliseconds = 5;
+/** Requests that the process may serve in a second. */
+const capacity = 160;
+
+/** A process that each request costs processor time. */
+function createScene() {
+    const clock = new FakeClock();
+    const eventLog = new MemoryEventLog();
+    const scene = { clock, eventLog, hasRoom: true, asked: 0, busy: 0, admitted: 0, closed: 0 };
+    const guard = createConnectionGuard({
+        busyMilliseconds: () => scene.busy,
+        hasRoomElsewhere: () => {
+            scene.asked += 1;
+            return scene.hasRoom;
+        },
+        clock,
+        eventLog,
+    });
+    const serve = (isFirst: boolean) => {
+        scene.busy += costMilliseconds;
+        guard.recordRequest(isFirst);
+    };
+    const connect = () => {
+        const isClosed = guard.shouldClose();
+        scene.closed += isClosed ? 1 : 0;
+        if (!isClosed) {
+            scene.admitted += 1;
+            serve(true);
+        }
+    };
+    /** Lets new connections, with a request each, and requests on open ones arrive at these rates for some seconds. */
+    const arrive = async (seconds: number, connectionsPerSecond: number, requestsPerSecond = 0) => {
+        Object.assign(scene, { admitted: 0, closed: 0 });
+        const step = 10;
+        let [connections, requests] = [0, 0];
+        for (let elapsed = step; elapsed <= seconds * 1_000; elapsed += step) {
+            await clock.advance(step);
+            for (; connections < connectionsPerSecond * elapsed / 1_000; connections++) {
+                connect();
+            }
+            for (; requests < requestsPerSecond * elapsed / 1_000; requests++) {
+                serve(false);
+            }
+        }
+    };
+    return Object.assign(scene, { arrive, connect });
+}
+
+// Guards against requests that are read and then refused although other processes have room.
+test("admits as many new connections as the process can serve, from the first moment of a crowd on", async () => {
+    const scene = createScene();
+    await scene.arrive(5, 30);
+    assert.equal(scene.closed, 0);
+    await scene.arrive(4, 600);
+    assert.ok(scene.admitted > capacity * 3.8 && scene.admitted < capacity * 4.5, `${scene.admitted}`);
+    assert.equal(scene.eventLog.of(EventKind.ConnectionsLimited).length, 1);
+});
+
+// Guards against callers that are sent away from a process that can serve them.
+test("closes nothing, and asks nobody, below its capacity and soon after a crowd", async () => {
+    const scene = createScene();
+    await scene.arrive(5, 120);
+    assert.deepEqual([scene.closed, scene.asked], [0, 0]);
+    await scene.arrive(4, 600);
+    await scene.arrive(3, 30);
+    assert.equal(scene.closed, 0);
+});
+
+// Guards against new connections that harm the callers of open ones, and are none the better for it.
+test("admits only what the requests on open connections leave", async () => {
+    const scene = createScene();
+    await scene.arrive(5, 30, 100);
+    await scene.arrive(4, 300, 100);
+    const left = (capacity - 100) * 4;
+    assert.ok(scene.admitted > left * 0.9 && scene.admitted < left * 1.3, `${scene.admitted} of ${left}`);
+});
+
+// Guards against callers that are sent to processes that can't serve them either.
+test("closes nothing while no other process has room", async () => {
+    const scene = createScene();
+    scene.hasRoom = false;
+    await scene.arrive(8, 600);
+    assert.equal(scene.closed, 0);
+});
+
+// Guards against a burst within one turn of the event loop, all of which would be read before any is closed.
+test("admits only a few of many connections that arrive at once", async () => {
+    const scene = createScene();
+    await scene.arrive(5, 30);
+    Object.assign(scene, { admitted: 0, closed: 0 });
+    Array.from({ length: 100 }).forEach(scene.connect);
+    assert.ok(scene.admitted <= 30, `${scene.admitted}`);
+});
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
@@ -0,0 +1,106 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+
+/** Sheds new connections that this process can't serve while others can. */
+export interface ConnectionGuard {
+    /**
+     * Whether a connection that arrives now is closed unread. Its caller knows that nothing has run, and tries another
+     * process at once; requests that were read would have to be refused.
+     */
+    shouldClose(): boolean;
+    /** Records a request. @param isFirst whether it is the first one of its connection */
+    recordRequest(isFirst: boolean): void;
+}
+
+/** What {@link createConnectionGuard} needs. */
+export interface ConnectionGuardOptions {
+    /** Returns the milliseconds since the start of the process in which its event loop was busy. */
+    readonly busyMilliseconds: () => number;
+    /** Whether another process has said a moment ago that it has room. */
+    readonly hasRoomElsewhere: () => boolean;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Lower than the utilization at which requests are refused, so that a process whose peers take its surplus refuses none. */
+const maxUtilization = 0.8;
+/** Work that may wait at once, so that one turn of the event loop does not last longer. */
+const burstMilliseconds = 150;
+/** A process whose requests cost much takes this many at once all the same. */
+const minBurst = 8;
+/** Time over which the cost of a request is measured, and the number of requests that it takes. */
+const costWindowMilliseconds = 2_000;
+const minRequests = 20;
+/** A log line is written if there were not too many connections for this time. */
+const quietMilliseconds = 2_000;
+
+/**
+ * Creates the guard of one process. A bucket holds the requests that it can serve soon; requests on open connections take
+ * theirs in any case, and a new connection is admitted if one is left for it.
+ */
+export function createConnectionGuard(options: ConnectionGuardOptions): ConnectionGuard {
+    const { clock, eventLog } = options;
+    /** Milliseconds of one request; undefined until enough of them were measured. */
+    let cost: number | undefined;
+    let requests = 0;
+    let windowStart = clock.monotonicNow();
+    let windowBusy = options.busyMilliseconds();
+    let left = 0;
+    let refilledAt = windowStart;
+    let quietAt = -Infinity;
+
+    const measureCost = (now: number) => {
+        if (now - windowStart < costWindowMilliseconds) {
+            return;
+        }
+        const busy = options.busyMilliseconds();
+        if (requests >= minRequests) {
+            cost = (busy - windowBusy) / requests;
+        }
+        windowStart = now;
+        windowBusy = busy;
+        requests = 0;
+    };
+
+    /** @returns the most that the bucket holds */
+    const refill = (): number => {
+        const now = clock.monotonicNow();
+        measureCost(now);
+        if (cost === undefined) {
+            return Infinity;
+        }
+        const burst = Math.max(minBurst, burstMilliseconds / cost);
+        left = Math.min(burst, left + (now - refilledAt) * maxUtilization / cost);
+        refilledAt = now;
+        return burst;
+    };
+
+    const recordSurplus = () => {
+        const now = clock.monotonicNow();
+        if (now >= quietAt) {
+            eventLog.record(EventKind.ConnectionsLimited, {
+                perSecond: Math.round(1_000 * maxUtilization / (cost ?? 1)),
+                cost: Number(cost?.toFixed(2)),
+            });
+        }
+        quietAt = now + quietMilliseconds;
+    };
+
+    return {
+        shouldClose: () => {
+            const burst = refill();
+            if (burst === Infinity || left >= 1) {
+                left -= 1;
+                return false;
+            }
+            recordSurplus();
+            return options.hasRoomElsewhere();
+        },
+        recordRequest: isFirst => {
+            requests += 1;
+            if (!isFirst) {
+                const burst = refill();
+                left = Math.max(-burst, left - 1);
+            }
+        },
+    };
+}
--- a/packages/daisyturn/src/process/forwarding/limits/createOverloadGuard.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createOverloadGuard.ts
@@ -4,6 +4,8 @@
 export interface OverloadGuard {
     /** Whether a call that arrives now should be refused at once, so that earlier calls are served on time. */
     shouldRefuse(): boolean;
+    /** Fraction of the time in which the event loop is busy, from 0 to 1. */
+    utilization(): number;
     /** Whether the overload has lasted so long that new connections should go to other processes. */
     isPersistentlyOverloaded(): boolean;
     run(signal: AbortSignal): Promise<void>;
@@ -115,6 +117,7 @@
             const fraction = Math.max(refusedFraction, Math.min(1, excess) * maxRefusedFraction);
             return fraction > 0 && random.fraction() < fraction;
         },
+        utilization: () => utilization,
         isPersistentlyOverloaded: () =>
             overloadedSince !== undefined && clock.monotonicNow() - overloadedSince > persistentOverloadMilliseconds,
         run: async signal => {
