--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -220,9 +220,7 @@
     };
 
     let stopping: Promise<void> | undefined;
-    const stop = () => stopping ??= stopOnce();
-
-    return { start, reload, stop };
+    return { start, reload, stop: () => stopping ??= stopOnce() };
 }
 
 function describeSelf({ processId, peers, availabilityZone, strength }: ForwardingSettings): RegisteredPeer {
