Keep prompts whose common beginning ends engines out of them, on the own interface

The same cause elsewhere: on the product's own interface a prompt has no parts that the caller names, and only the whole request was a suspect. Change: the beginnings of one, two, four and so on blocks of a prompt are suspects like parts.

--- a/packages/daisyturn-standins/src/endToEnd/__tests__/crashingRequests.test.ts
+++ b/packages/daisyturn-standins/src/endToEnd/__tests__/crashingRequests.test.ts
@@ -101,6 +101,23 @@
         readFleetEnds,
     ));
 
+// Guards against prompts with one beginning that end engine after engine, though no two of them are alike.
+test("completions whose common beginning ends engines are kept out of them, and others are not", () => {
+    let sent = 0;
+    const beginning = `${crashMarker} <answer-tokens:300> ${"the guide that all of them begin with. ".repeat(20)}`;
+    return assertKeptOut(
+        client =>
+            client.complete({
+                service: ServiceName.QuickQuestion,
+                prompt: `${beginning} question ${++sent}`,
+                maxTokens: 300,
+            }),
+        client =>
+            client.complete({ service: ServiceName.QuickQuestion, prompt: "<answer-tokens:3> open?", maxTokens: 3 }),
+        readFleetEnds,
+    );
+});
+
 // Guards against a call that ends service after service through the product's own interface.
 test("a call that ends its services is kept out of them, and a popular one is not", () =>
     assertKeptOut(
--- a/packages/daisyturn/src/request/completion/modelRequest.ts
+++ b/packages/daisyturn/src/request/completion/modelRequest.ts
@@ -38,6 +38,7 @@
 /** Builds a model request. Its deadlines follow from the limits of the profile; the caller can only shorten them. */
 export function buildModelRequest(source: ModelRequestSource): ModelRequest {
     const { profile, body, arrivedAt } = source;
+    const promptBlocks = hashPromptBlocks(body.prompt);
     return {
         requestId: source.requestId,
         account: source.account,
@@ -45,24 +46,33 @@
         generation: source.version.generation,
         body,
         promptTokens: estimateTokenCount(body.prompt),
-        promptBlocks: hashPromptBlocks(body.prompt),
+        promptBlocks,
         maxOutputTokens: Math.min(body.maxOutputTokens ?? profile.maxOutputTokens, profile.maxOutputTokens),
         arrivedAt,
         firstTokenDeadline: arrivedAt + profile.firstTokenLimitMilliseconds,
         totalDeadline: Math.min(source.deadline ?? Infinity, arrivedAt + profile.totalLimitMilliseconds),
-        guarded: guardModelRequest(source),
+        guarded: guardModelRequest(source, promptBlocks),
     };
 }
 
-/** A request is identified by its account and all that the engine receives of it. */
-function guardModelRequest({ account, body }: ModelRequestSource): GuardedCall {
+/**
+ * A request is identified by its account and all that the engine receives of it. Its prompt has no parts that the caller
+ * names, so the beginnings of one, two, four and so on blocks stand for them.
+ */
+function guardModelRequest({ account, body }: ModelRequestSource, promptBlocks: readonly string[]): GuardedCall {
     const { form, serviceName, prompt, sampling, maxOutputTokens } = body;
     return createGuardedCall(
         () => [account.partner, account.name, form, serviceName, sampling, maxOutputTokens],
         prompt,
+        () => listBeginnings(promptBlocks).map(blocks => `${serviceName}/${blocks}/${promptBlocks[blocks - 1] ?? ""}`),
     );
 }
 
+function listBeginnings(promptBlocks: readonly string[]): number[] {
+    const count = Math.floor(Math.log2(promptBlocks.length)) + 1;
+    return promptBlocks.length === 0 ? [] : Array.from({ length: count }, (value, index) => 2 ** index);
+}
+
 /**
  * Computes a fingerprint of a request. The block hashes of the prompt are already known, so only the text after them is
  * hashed. They are not cryptographic, but a caller that causes a collision only damages its own answer.
