--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -131,7 +131,7 @@
         clock,
         eventLog,
     });
-    metricsServer?.observe({ ...parts, tunnels });
+    metricsServer?.observe({ ...parts, tunnels, connectionGuard });
     const background = new AbortController();
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,6 +1,8 @@
 import {
     type Arrival,
     type CallOutcome,
+    type ConnectionGuard,
+    type CrashEvidence,
     ForwardingMetrics,
     type ForwardingParts,
     type ListenAddress,
@@ -24,6 +26,8 @@
 export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly tunnels: Pick<TunnelServer, "carried">;
+    readonly crashEvidence: Pick<CrashEvidence, "countListed">;
+    readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
 }
 
 /** Upper bounds in seconds, around the target latencies of plain calls and of prompts. */
@@ -127,7 +131,25 @@
         }
     }
 
-    const observe = ({ configurationManager, targets, budget, links, tunnels }: ObservedParts) => {
+    const observe = (parts: ObservedParts) => {
+        const { configurationManager, targets, budget, links, tunnels, crashEvidence, connectionGuard } = parts;
+        new Gauge({
+            name: "daisyturn_listed_suspects",
+            help:
+                "Requests and parts of prompts that are kept out of targets, because several of them ended under these",
+            registers,
+            collect() {
+                this.set(crashEvidence.countListed());
+            },
+        });
+        new Gauge({
+            name: "daisyturn_closed_connections",
+            help: "New connections that were closed unread since the start, because other processes had room for them",
+            registers,
+            collect() {
+                this.set(connectionGuard.countClosed());
+            },
+        });
         new Gauge({
             name: "daisyturn_retry_budget_left",
             help: "Repeats that this process may send now without leases, by service",
--- a/packages/daisyturn/src/process/crashes/__tests__/crashingParts.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/crashingParts.test.ts
@@ -54,7 +54,7 @@
 
 // Guards against parts that each process has to find by itself, and against blame for what sound prompts share with them.
 test("a part is kept out at all processes after three ends at different ones, and the first part is not", async () => {
-    const { answer, crash, isListed, findListed } = createGuards(4);
+    const { answer, crash, isListed, findListed, evidences } = createGuards(4);
     answer(3, "first");
     for (const process of [0, 1, 2]) {
         await crash(process, "first", "bad");
@@ -62,6 +62,7 @@
     assert.deepEqual([0, 1, 2, 3].map(process => isListed(process, "first", "bad")), [true, true, true, true]);
     assert.deepEqual([0, 1, 2, 3].map(process => isListed(process, "first", "other")), [false, false, false, false]);
     assert.equal(findListed(0, "bad")?.fingerprint, "part:bad");
+    assert.deepEqual(evidences.map(evidence => evidence.countListed()), [1, 1, 1, 1]);
 });
 
 // Guards against a first part that loses its route because sound prompts with it are rare and seen by few processes.
--- a/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
@@ -38,6 +38,8 @@
     findListed(fingerprint: string): ListedSuspect | undefined;
     /** Whether any request, and whether any part, is listed. */
     hasListed(): { readonly requests: boolean; readonly parts: boolean; };
+    /** Number of requests and parts that are listed. */
+    countListed(): number;
     isEmpty(): boolean;
     list(): readonly CrashRecord[];
     /** Returns a number that is the same at processes with the same records; 0 without records. */
@@ -164,6 +166,10 @@
             updateListed();
             return listedKinds;
         },
+        countListed: () => {
+            updateListed();
+            return listed.size;
+        },
         isEmpty: () => records.count() === 0,
         list: () => {
             records.removeExpired();
--- a/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
@@ -9,6 +9,8 @@
     shouldClose(): boolean;
     /** Records a request. @param isFirst whether it is the first one of its connection */
     recordRequest(isFirst: boolean): void;
+    /** Number of connections that were closed unread since the start of the process. */
+    countClosed(): number;
 }
 
 /** What {@link createConnectionGuard} needs. */
@@ -47,6 +49,7 @@
     let left = 0;
     let refilledAt = windowStart;
     let quietAt = -Infinity;
+    let closed = 0;
 
     const measureCost = (now: number) => {
         if (now - windowStart < costWindowMilliseconds) {
@@ -93,8 +96,11 @@
                 return false;
             }
             recordSurplus();
-            return options.hasRoomElsewhere();
+            const isClosed = options.hasRoomElsewhere();
+            closed += isClosed ? 1 : 0;
+            return isClosed;
         },
+        countClosed: () => closed,
         recordRequest: isFirst => {
             requests += 1;
             if (!isFirst) {
