--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,17 +1,7 @@
-import {
-    type Arrival,
-    type CallOutcome,
-    type ConnectionGuard,
-    type CrashEvidence,
-    ForwardingMetrics,
-    type ForwardingParts,
-    type ListenAddress,
-    listenAt,
-    type TargetLinks,
-    type TunnelServer,
-} from "daisyturn/forwarding";
+import { type Arrival, type CallOutcome, ForwardingMetrics, type ListenAddress, listenAt } from "daisyturn/forwarding";
 import { createServer } from "node:http";
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
+import { type ObservedParts, registerGauges } from "./registerGauges.js";
 
 /** Metrics of one process, served over HTTP in the Prometheus text format. */
 export interface MetricsServer {
@@ -22,14 +12,6 @@
     close(): void;
 }
 
-/** The parts from which gauges are read. */
-export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
-    readonly links: Pick<TargetLinks, "lostCount">;
-    readonly tunnels: Pick<TunnelServer, "carried">;
-    readonly crashEvidence: Pick<CrashEvidence, "countListed">;
-    readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
-}
-
 /** Upper bounds in seconds, around the target latencies of plain calls and of prompts. */
 const latencyBuckets = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5];
 const millisecondsPerSecond = 1_000;
@@ -131,73 +113,6 @@
         }
     }
 
-    const observe = (parts: ObservedParts) => {
-        const { configurationManager, targets, budget, links, tunnels, crashEvidence, connectionGuard } = parts;
-        new Gauge({
-            name: "daisyturn_listed_suspects",
-            help:
-                "Requests and parts of prompts that are kept out of targets, because several of them ended under these",
-            registers,
-            collect() {
-                this.set(crashEvidence.countListed());
-            },
-        });
-        new Gauge({
-            name: "daisyturn_closed_connections",
-            help: "New connections that were closed unread since the start, because other processes had room for them",
-            registers,
-            collect() {
-                this.set(connectionGuard.countClosed());
-            },
-        });
-        new Gauge({
-            name: "daisyturn_retry_budget_left",
-            help: "Repeats that this process may send now without leases, by service",
-            labelNames: ["service"],
-            registers,
-            collect() {
-                this.reset();
-                const services = configurationManager.current()?.configuration.services.keys() ?? [];
-                [...services].forEach(service => this.set({ service }, budget.status(service).left));
-            },
-        });
-        new Gauge({
-            name: "daisyturn_lost_links",
-            help: "Links to targets that are lost while a peer reaches the target",
-            registers,
-            collect() {
-                this.set(links.lostCount());
-            },
-        });
-        new Gauge({
-            name: "daisyturn_carried_tunnels",
-            help: "Connections of peers to targets that this process carries",
-            registers,
-            collect() {
-                this.set(tunnels.carried());
-            },
-        });
-        new Gauge({
-            name: "daisyturn_configuration_version",
-            help: "Version of the configuration in force; 0 before the first",
-            registers,
-            collect() {
-                this.set(configurationManager.current()?.configuration.version ?? 0);
-            },
-        });
-        new Gauge({
-            name: "daisyturn_open_targets",
-            help: "Targets that take new work, by service",
-            labelNames: ["service"],
-            registers,
-            collect() {
-                this.reset();
-                const services = configurationManager.current()?.configuration.services.keys() ?? [];
-                [...services].forEach(service => this.set({ service }, targets.open(service).length));
-            },
-        });
-    };
-
     const server = createServer((incoming, outgoing) => {
         incoming.resume();
         void registry.metrics().then(text => {
@@ -207,7 +122,7 @@
     });
     return {
         metrics: new RegistryMetrics(),
-        observe,
+        observe: parts => registerGauges(parts, registers),
         start: () => listenAt(server, listen),
         close: () => {
             server.close();
