Take an answer for whole only if its target is seen to listen after the close

Causes found: a probe after a failed dial that could not tell, or a target that was leaving, let the close count; and Node.js reports a reset that arrives with the last bytes as an end in order. Change: only a connection that opens confirms the close; a socket that has no remote address at its end was reset, also in the tunnels of peers.

--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -88,14 +88,22 @@
         ));
 }
 
-test("rejects an answer without a length whose connection is reset", () =>
-    withTarget(
-        socket => {
-            socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel");
-            setTimeout(() => socket.resetAndDestroy(), 30);
-        },
-        async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
-    ));
+// Guards against a reset that Node.js reports as an end, since it arrives together with the last bytes.
+for (const delay of [0, 30]) {
+    test(`rejects an answer without a length whose connection is reset (${delay} ms after its last bytes)`, () =>
+        withTarget(
+            socket => {
+                socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel");
+                if (delay === 0) {
+                    socket.resetAndDestroy();
+                }
+                else {
+                    setTimeout(() => socket.resetAndDestroy(), delay);
+                }
+            },
+            async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
+        ));
+}
 
 test("rejects a chunked answer that is truncated by the announced close of its connection", () =>
     withTarget(
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -26,8 +26,8 @@
 export interface TargetConnections {
     send(address: string, policy: ConnectionPolicy, send: TargetSend): Promise<Result<AnswerEnd, Failure>>;
     /**
-     * Whether anything still listens at an address, as far as can be told, and the peer that carried the connection is
-     * still there. The connection that shows the former carries the next call, if there is one soon.
+     * Whether an address still accepts connections, and the peer that carried the last one is still there. The connection
+     * that shows the former carries the next call, if there is one soon.
      */
     confirmListening(address: string, relayId: string | undefined): Promise<boolean>;
     /** Closes the idle connections to an address, for a target that was removed or does not answer. */
@@ -44,7 +44,7 @@
 export function createTargetConnections(
     clock: Clock,
     links: Pick<TargetLinks, "recordAnswered" | "isLost" | "hasLost">,
-    dialer: Pick<TargetDialer, "dial" | "retryLink" | "probe" | "probePeer">,
+    dialer: Pick<TargetDialer, "dial" | "retryLink" | "probePeer">,
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
     const spareSockets = createSpareSockets(recentAnswerMilliseconds);
@@ -147,7 +147,7 @@
                 spareSockets.keep(address, dialed.value);
                 return true;
             }
-            return await dialer.probe(address) !== ProbeResult.Refused;
+            return false;
         },
         closeIdle: address => {
             const idle = idleByAddress.get(address) ?? [];
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -4,6 +4,7 @@
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
 import type { DialedConnection } from "./createTargetDialer.js";
+import { isReset } from "./isReset.js";
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
@@ -80,8 +81,9 @@
             }
             ({ socket, relayId } = dialed.value);
             // undici takes any close, also a reset, for the end of an answer without a length.
-            socket.once("end", () => {
-                isEnded = true;
+            const opened = socket;
+            opened.once("end", () => {
+                isEnded = !isReset(opened);
             });
             if (!isAlive) {
                 socket.destroy();
--- a/packages/daisyturn/src/connection/tunnel/createTunnel.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnel.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "daisyturn-utils";
 import type { Socket } from "node:net";
+import { isReset } from "../target/isReset.js";
 
 /** A connection of a peer that is carried to a target. */
 export interface Tunnel {
@@ -66,6 +67,10 @@
             client.on("close", close);
             client.on("error", () => reset(target));
             target.on("end", () => {
+                if (isReset(target)) {
+                    reset(client);
+                    return;
+                }
                 isTargetEnded = true;
                 client.end();
             });
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -190,11 +190,12 @@
 }
 
 /**
- * An answer that ends with its connection is whole if the connection was closed in order, unless its text shows that it
- * is not or the target has ended, which closes connections in the same way. A leaving target may end after its answer.
+ * An answer that ends with its connection is whole if the connection was closed in order, its text may be whole, and the
+ * target still accepts connections: one that ends closes its connections in the same way. What can't be confirmed counts as
+ * broken, since a part of an answer must not look complete.
  */
 async function checkEnd(
-    { connections, targets }: ForwardingParts,
+    { connections }: ForwardingParts,
     { target, isWhole = () => true }: CallAttempt,
     { relayId }: SendRoute,
     sent: Result<AnswerEnd, Failure>,
@@ -205,13 +206,9 @@
     if (!isWhole()) {
         return err(mayHaveRun(FailureReason.TargetFailed, "The connection closed inside an event."));
     }
-    if (await connections.confirmListening(target.address, relayId)) {
-        return ok(undefined);
-    }
-    if (relayId !== undefined || targets.find(target.targetId)?.isLeaving !== true) {
-        return err(mayHaveRun(FailureReason.TargetFailed, "The target ended as it closed its answer."));
-    }
-    return ok(undefined);
+    return await connections.confirmListening(target.address, relayId)
+        ? ok(undefined)
+        : err(mayHaveRun(FailureReason.TargetFailed, "The target ended as it closed its answer."));
 }
 
 function describePart({ terms }: CallAttempt): SendPart {
