Begin to limit new connections only once the cost of a request is known

Found by reading: connections before the first measurement were taken from the bucket, so that a process closed connections for a moment after its start; a cost of nothing made the bucket's content no number; and a process that stood still for seconds took that time for the cost of its requests. Change: the bucket starts full with the first cost, a cost has a least value and doubles at most within two seconds.

--- a/packages/daisyturn/src/process/forwarding/limits/__tests__/createConnectionGuard.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createConnectionGuard.test.ts
@@ -96,3 +96,23 @@
     Array.from({ length: 100 }).forEach(scene.connect);
     assert.ok(scene.admitted <= 30, `${scene.admitted}`);
 });
+
+// Guards against connections that are closed because a process has just started, or has stood still.
+test("closes nothing before it knows what a request costs, and little after a pause of the process", async () => {
+    const scene = createScene();
+    await scene.arrive(2, 150);
+    await scene.arrive(4, 60);
+    assert.equal(scene.closed, 0);
+    scene.busy += 5_000;
+    await scene.arrive(4, 60);
+    assert.equal(scene.closed, 0);
+});
+
+test("bears requests that cost nothing measurable", async () => {
+    const scene = createScene();
+    for (let second = 0; second < 8; second++) {
+        await scene.arrive(1, 100);
+        scene.busy = 0;
+    }
+    assert.equal(scene.closed, 0);
+});
--- a/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
@@ -32,6 +32,9 @@
 /** Time over which the cost of a request is measured, and the number of requests that it takes. */
 const costWindowMilliseconds = 2_000;
 const minRequests = 20;
+const minCostMilliseconds = 0.1;
+/** A process that stood still for seconds seems to have been busy, so the cost rises by no more than this in a window. */
+const maxCostIncrease = 2;
 /** A log line is written if there were not too many connections for this time. */
 const quietMilliseconds = 2_000;
 
@@ -57,7 +60,9 @@
         }
         const busy = options.busyMilliseconds();
         if (requests >= minRequests) {
-            cost = (busy - windowBusy) / requests;
+            const measured = Math.max(minCostMilliseconds, (busy - windowBusy) / requests);
+            left = cost === undefined ? Infinity : left;
+            cost = Math.min(measured, (cost ?? Infinity) * maxCostIncrease);
         }
         windowStart = now;
         windowBusy = busy;
@@ -90,8 +95,10 @@
 
     return {
         shouldClose: () => {
-            const burst = refill();
-            if (burst === Infinity || left >= 1) {
+            if (refill() === Infinity) {
+                return false;
+            }
+            if (left >= 1) {
                 left -= 1;
                 return false;
             }
