Blame a request although its victims were aboard two of its three ends

Cause: waits for a fourth end while another request shares two of the three. Change: a suspect waits only if another one shares all its ends, or if suspects that ended targets elsewhere, which no listed suspect explains, leave fewer than three. The assertion that any request aboard two of the ends delays the listing is replaced: it holds for each depth of the one that ended the third, if that one ended another target. Result: the new unit test failed before ([] in place of ["bad"]); 43 tests of crashes/ pass.

--- a/packages/daisyturn/src/process/crashes/__tests__/selectCulprits.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/selectCulprits.test.ts
@@ -80,11 +80,32 @@
         const innocent = createSuspect("innocent", requestDepth, [1, 2, 3]);
         assert.deepEqual(select(innocent, createSuspect("bad", requestDepth, [1, 2, 3])), []);
         assert.deepEqual(select(innocent, createSuspect("bad", requestDepth, [1, 2, 3, 4])), ["bad"]);
+    });
+
+    // Guards against a request that is kept out because it ran into the ends of two others.
+    it("waits for another end while others were aboard some ends of a request and others besides", () => {
+        const innocent = createSuspect("innocent", requestDepth, [1, 2, 3]);
+        const bad = createSuspect("bad", requestDepth, [1, 2]);
+        for (const depth of [0, 1, requestDepth]) {
+            assert.deepEqual(select(innocent, bad, createSuspect("other", depth, [3, 4])), []);
+        }
         assert.deepEqual(
-            select(innocent, createSuspect("bad", requestDepth, [1, 2])),
-            [],
-            "another one ended the third",
+            select(innocent, createSuspect("bad", requestDepth, [1, 2, 4, 5]), createSuspect("other", 1, [3])),
+            ["bad"],
+        );
+    });
+
+    // Guards against a request that goes on to end targets because its victims were sent to two of them.
+    it("blames a request although others were aboard two of its three ends, but no other end", () => {
+        const others = [[1, 2], [2, 3], [1, 3]].map((ends, index) =>
+            createSuspect(`victim${index}`, requestDepth, ends)
+        );
+        assert.deepEqual(select(createSuspect("bad", requestDepth, [1, 2, 3]), ...others), ["bad"]);
+        const [listed, victim] = [[4, 5, 6, 7], [3, 4]].map((ends, index) =>
+            createSuspect(`other${index}`, requestDepth, ends)
         );
+        assert.ok(listed && victim);
+        assert.deepEqual(select(createSuspect("bad", requestDepth, [1, 2, 3]), listed, victim), ["bad", "other0"]);
     });
 
     // Guards against a popular part that is new when a rack ends, and against ends that silent targets hide.
--- a/packages/daisyturn/src/process/crashes/selectCulprits.ts
+++ b/packages/daisyturn/src/process/crashes/selectCulprits.ts
@@ -12,7 +12,7 @@
 
 /** A suspect is to blame once this many targets have ended under it, one after the other. */
 export const endsForListing = 3;
-/** The same if another suspect of the same depth was aboard two of the ends or more: the next end tells them apart. */
+/** The same if other suspects explain some of the ends as well: the next end tells them apart. */
 const endsForTied = 4;
 /** The same if the suspect was answered before, or a more specific one explains two of the ends or more. */
 const endsForUnlikely = 5;
@@ -45,7 +45,7 @@
             const [record, time] = [suspect.ends.get(targetId), times.get(targetId)];
             return record && time ? [{ ...time, chain: record.chain }] : [];
         }));
-        if (count >= endsForListing && count >= countNeeded(suspect, own, byTarget)) {
+        if (count >= endsForListing && count >= countNeeded(suspect, own, byTarget, explained)) {
             own.forEach(targetId => explained.add(targetId));
             culprits.set(suspect.fingerprint, own);
         }
@@ -85,6 +85,7 @@
     suspect: Suspect,
     own: readonly string[],
     byTarget: ReadonlyMap<string, readonly Suspect[]>,
+    explained: ReadonlySet<string>,
 ): number {
     const shared = new Map<Suspect, number>();
     for (const other of own.flatMap(targetId => byTarget.get(targetId) ?? [])) {
@@ -102,10 +103,29 @@
     if (suspect.wasAnswered) {
         return endsForUnlikely;
     }
-    const isTied = [...shared].some(([{ depth, wasAnswered }, count]) =>
-        depth === suspect.depth && count >= minExplainedEnds && !wasAnswered
+    return isTied(suspect, own, shared, explained) ? endsForTied : endsForListing;
+}
+
+/**
+ * Whether other suspects explain the ends as well: one of the same depth was aboard all of them, or some that ended
+ * targets elsewhere leave too few. Requests that were aboard some of the ends and no other are victims of the suspect,
+ * which were sent to the next target like itself.
+ */
+function isTied(
+    suspect: Suspect,
+    own: readonly string[],
+    shared: ReadonlyMap<Suspect, number>,
+    explained: ReadonlySet<string>,
+): boolean {
+    const others = [...shared].filter(([{ wasAnswered }]) => !wasAnswered);
+    if (others.some(([{ depth }, count]) => depth === suspect.depth && count === own.length)) {
+        return true;
+    }
+    const rivals = others.filter(([{ ends }, count]) =>
+        count < own.length && [...ends.keys()].some(targetId => !explained.has(targetId) && !own.includes(targetId))
     );
-    return isTied ? endsForTied : endsForListing;
+    const unshared = own.filter(targetId => !rivals.some(([{ ends }]) => ends.has(targetId)));
+    return unshared.length < endsForListing;
 }
 
 /** Counts the ends, of which those that may be simultaneous count once, except for as many as one attempt ran into. */
