Close new connections only while the process is busy

Cause: the cost of a request is the busy time of the event loop over the number of requests, and with few requests all other work of the process is taken for theirs: the logs show costs of 5 to 55 ms, and limits of 14 to 160 connections a second.

--- a/packages/daisyturn/src/process/forwarding/limits/__tests__/createConnectionGuard.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/__tests__/createConnectionGuard.test.ts
@@ -3,12 +3,12 @@
 import { test } from "node:test";
 import { createConnectionGuard } from "../createConnectionGuard.js";
 
-const costMilliseconds = 5;
+const defaultCostMilliseconds = 5;
 /** Requests that the process may serve in a second. */
 const capacity = 160;
 
-/** A process that each request costs processor time. */
-function createScene() {
+/** A process that each request costs processor time, and that does other work besides. */
+function createScene({ costMilliseconds = defaultCostMilliseconds, otherUtilization = 0 } = {}) {
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
     const scene = { clock, eventLog, hasRoom: true, asked: 0, busy: 0, admitted: 0, closed: 0 };
@@ -40,6 +40,7 @@
         let [connections, requests] = [0, 0];
         for (let elapsed = step; elapsed <= seconds * 1_000; elapsed += step) {
             await clock.advance(step);
+            scene.busy += step * otherUtilization;
             for (; connections < connectionsPerSecond * elapsed / 1_000; connections++) {
                 connect();
             }
@@ -48,7 +49,7 @@
             }
         }
     };
-    return Object.assign(scene, { arrive, connect });
+    return Object.assign(scene, { arrive, connect, guard });
 }
 
 // Guards against requests that are read and then refused although other processes have room.
@@ -71,6 +72,14 @@
     assert.equal(scene.closed, 0);
 });
 
+// Guards against callers that are sent away because the other work of a process makes its few requests seem to cost much.
+test("closes nothing while the process is not busy, whatever its requests seem to cost", async () => {
+    const scene = createScene({ costMilliseconds: 1, otherUtilization: 0.2 });
+    await scene.arrive(5, 15);
+    await scene.arrive(2, 150);
+    assert.deepEqual([scene.closed, scene.asked], [0, 0]);
+});
+
 // Guards against new connections that harm the callers of open ones, and are none the better for it.
 test("admits only what the requests on open connections leave", async () => {
     const scene = createScene();
@@ -97,6 +106,13 @@
     assert.ok(scene.admitted <= 30, `${scene.admitted}`);
 });
 
+test("admits only a few of many connections that are accepted before the first of them is read", async () => {
+    const scene = createScene();
+    await scene.arrive(5, 30);
+    const admitted = Array.from({ length: 100 }).filter(() => !scene.guard.shouldClose());
+    assert.ok(admitted.length <= 30, `${admitted.length}`);
+});
+
 // Guards against connections that are closed because a process has just started, or has stood still.
 test("closes nothing before it knows what a request costs, and little after a pause of the process", async () => {
     const scene = createScene();
--- a/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/createConnectionGuard.ts
@@ -25,6 +25,13 @@
 
 /** Lower than the utilization at which requests are refused, so that a process whose peers take its surplus refuses none. */
 const maxUtilization = 0.8;
+/**
+ * Below this utilization, everything is admitted: with few requests, the process's other work makes each of them seem to
+ * cost much more than one does in a crowd.
+ */
+const minUtilization = 0.4;
+/** Shortest time over which the utilization is measured. */
+const utilizationWindowMilliseconds = 100;
 /** Work that may wait at once, so that one turn of the event loop does not last longer. */
 const burstMilliseconds = 150;
 /** A process whose requests cost much takes this many at once all the same. */
@@ -38,6 +45,13 @@
 /** A log line is written if there were not too many connections for this time. */
 const quietMilliseconds = 2_000;
 
+/** What a process has done up to a moment. */
+interface BusySample {
+    /** Monotonic time. */
+    readonly at: number;
+    readonly busy: number;
+}
+
 /**
  * Creates the guard of one process. A bucket holds the requests that it can serve soon; requests on open connections take
  * theirs in any case, and a new connection is admitted if one is left for it.
@@ -53,6 +67,25 @@
     let refilledAt = windowStart;
     let quietAt = -Infinity;
     let closed = 0;
+    /** Connections that were admitted a moment ago and whose first request has not been read. */
+    let unread = 0;
+    let previous: BusySample = { at: windowStart, busy: windowBusy };
+    let latest = previous;
+
+    const measureUtilization = (): number => {
+        const sample = { at: clock.monotonicNow(), busy: options.busyMilliseconds() };
+        const age = sample.at - latest.at;
+        if (age >= utilizationWindowMilliseconds) {
+            previous = age < 2 * utilizationWindowMilliseconds ? latest : sample;
+            latest = sample;
+            unread = 0;
+        }
+        const elapsed = Math.max(utilizationWindowMilliseconds, sample.at - previous.at);
+        return (sample.busy - previous.busy) / elapsed;
+    };
+
+    /** Connections that are accepted within one turn of the event loop make it busy only when they are read. */
+    const isBusy = () => measureUtilization() >= minUtilization || unread * (cost ?? 0) >= burstMilliseconds;
 
     const measureCost = (now: number) => {
         if (now - windowStart < costWindowMilliseconds) {
@@ -95,21 +128,26 @@
 
     return {
         shouldClose: () => {
-            if (refill() === Infinity) {
+            const isCrowded = isBusy();
+            const burst = refill();
+            if (burst === Infinity) {
                 return false;
             }
-            if (left >= 1) {
-                left -= 1;
+            if (left >= 1 || !isCrowded) {
+                left = Math.max(-burst, left - 1);
+                unread += 1;
                 return false;
             }
             recordSurplus();
             const isClosed = options.hasRoomElsewhere();
             closed += isClosed ? 1 : 0;
+            unread += isClosed ? 0 : 1;
             return isClosed;
         },
         countClosed: () => closed,
         recordRequest: isFirst => {
             requests += 1;
+            unread = isFirst ? Math.max(0, unread - 1) : unread;
             if (!isFirst) {
                 const burst = refill();
                 left = Math.max(-burst, left - 1);
