Name what is listed in the last line of a refused request

The last line of a request that is refused for a part named the request's fingerprint only, so nobody could tell which part keeps it out. Change: the field listed.

--- a/packages/daisyturn/src/request/forwarding/checkListed.ts
+++ b/packages/daisyturn/src/request/forwarding/checkListed.ts
@@ -6,14 +6,16 @@
 
 /**
  * Fails if the call is kept out of targets. The caller is told when the evidence lapses, so that it does not come back
- * for nothing.
+ * for nothing, and the log names what is listed.
  */
 export function checkListed(
     { crashGuard, clock }: Pick<ForwardingParts, "crashGuard" | "clock">,
-    { guarded }: Pick<CallContext, "guarded">,
+    { guarded, trace }: Pick<CallContext, "guarded" | "trace">,
 ): Result<void, Failure> {
     const listed = crashGuard.findListed(guarded);
-    return listed
-        ? err(createListedFailure(listed, clock.wallNow() + listed.until - clock.monotonicNow()))
-        : ok(undefined);
+    if (!listed) {
+        return ok(undefined);
+    }
+    trace.addSummaryFields({ listed: listed.fingerprint });
+    return err(createListedFailure(listed, clock.wallNow() + listed.until - clock.monotonicNow()));
 }
