Wait for another end whenever others explain some ends, whoever explains the rest

Cause: a part had ended two of these targets and a third, whose end counted as explained by a listed request, so that the part was not taken for an explanation of the other two. Change: ends that a listed request explains count for this too.

--- a/packages/daisyturn/src/process/crashes/selectCulprits.ts
+++ b/packages/daisyturn/src/process/crashes/selectCulprits.ts
@@ -45,7 +45,7 @@
             const [record, time] = [suspect.ends.get(targetId), times.get(targetId)];
             return record && time ? [{ ...time, chain: record.chain }] : [];
         }));
-        if (count >= endsForListing && count >= countNeeded(suspect, own, byTarget, explained)) {
+        if (count >= endsForListing && count >= countNeeded(suspect, own, byTarget)) {
             own.forEach(targetId => explained.add(targetId));
             culprits.set(suspect.fingerprint, own);
         }
@@ -85,7 +85,6 @@
     suspect: Suspect,
     own: readonly string[],
     byTarget: ReadonlyMap<string, readonly Suspect[]>,
-    explained: ReadonlySet<string>,
 ): number {
     const shared = new Map<Suspect, number>();
     for (const other of own.flatMap(targetId => byTarget.get(targetId) ?? [])) {
@@ -103,7 +102,7 @@
     if (suspect.wasAnswered) {
         return endsForUnlikely;
     }
-    return isTied(suspect, own, shared, explained) ? endsForTied : endsForListing;
+    return isTied(suspect, own, shared) ? endsForTied : endsForListing;
 }
 
 /**
@@ -111,19 +110,12 @@
  * targets elsewhere leave too few. Requests that were aboard some of the ends and no other are victims of the suspect,
  * which were sent to the next target like itself.
  */
-function isTied(
-    suspect: Suspect,
-    own: readonly string[],
-    shared: ReadonlyMap<Suspect, number>,
-    explained: ReadonlySet<string>,
-): boolean {
+function isTied(suspect: Suspect, own: readonly string[], shared: ReadonlyMap<Suspect, number>): boolean {
     const others = [...shared].filter(([{ wasAnswered }]) => !wasAnswered);
     if (others.some(([{ depth }, count]) => depth === suspect.depth && count === own.length)) {
         return true;
     }
-    const rivals = others.filter(([{ ends }, count]) =>
-        count < own.length && [...ends.keys()].some(targetId => !explained.has(targetId) && !own.includes(targetId))
-    );
+    const rivals = others.filter(([{ ends }, count]) => count < own.length && ends.size > count);
     const unshared = own.filter(targetId => !rivals.some(([{ ends }]) => ends.has(targetId)));
     return unshared.length < endsForListing;
 }
