--- a/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
@@ -22,7 +22,7 @@
 
 /**
  * Creates the sums of one process. They are updated with each message, since every placement needs the sum for each
- * engine: with 67 peers and 98 engines, adding the reports up each time took a third of the time of a placement.
+ * engine and adding the reports of all peers up takes long in a large fleet.
  */
 export function createPeerLoads(clock: Clock): PeerLoads {
     const peers = new Map<string, { readonly expiresAt: number; readonly underWay: readonly WorkUnderWay[]; }>();
