Run a request whole while the next end decides whether it is to blame

Cause: with three ends, a victim of two causes can't be told from a cause whose victims went along; listing at three is right for one and wrong for the other.

--- a/packages/daisyturn/src/process/crashes/__tests__/createCrashGuard.test.ts
+++ b/packages/daisyturn/src/process/crashes/__tests__/createCrashGuard.test.ts
@@ -60,3 +60,27 @@
     }
     assert.notEqual(guard.findListed(createCall("late")), undefined);
 });
+
+// Guards against a request that is prefilled at one target after the other while nothing shows whether it ends them.
+test("a request that shares the ends of targets with others runs whole until the next end or answer", async () => {
+    const { clock, guard, createCall, crash, answer } = createScene();
+    const mustRunWhole = (name: string) => guard.mustRunWhole(createCall(name));
+    for (const [targetId, victims] of [["t1", ["victim"]], ["t2", ["victim"]], ["t3", []]] as const) {
+        assert.equal(mustRunWhole("bad"), false);
+        crash(targetId, ["bad", ...victims]);
+        await clock.advance(endIntervalMilliseconds);
+    }
+    await clock.advance(2 * probeMilliseconds);
+    assert.equal(guard.findListed(createCall("bad")), undefined);
+    assert.deepEqual(["bad", "victim", "other"].map(mustRunWhole), [true, false, false]);
+    answer("bad");
+    assert.equal(mustRunWhole("bad"), false);
+    for (const targetId of ["t4", "t5", "t6", "t7"]) {
+        crash(targetId, ["worse", "victim"]);
+        await clock.advance(endIntervalMilliseconds);
+    }
+    answer("victim");
+    await clock.advance(2 * probeMilliseconds);
+    assert.notEqual(guard.findListed(createCall("worse")), undefined);
+    assert.equal(mustRunWhole("worse"), false);
+});
--- a/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashEvidence.ts
@@ -2,7 +2,7 @@
 import { type CrashRecord, evidenceLifetimeMilliseconds, type KnownRecord, requestDepth } from "./crashRecord.js";
 import { createRecordSet, refusalIntervalMilliseconds } from "./createRecordSet.js";
 import { dropLeastTelling } from "./dropLeastTelling.js";
-import { endsForListing, selectCulprits, type Suspect } from "./selectCulprits.js";
+import { endsForListing, selectCulprits, type Selection, type Suspect } from "./selectCulprits.js";
 
 /** A request or a part that is kept out of targets, because several of them ended while they ran it. */
 export interface ListedSuspect {
@@ -36,6 +36,10 @@
     recordRemote(records: readonly CrashRecord[], source?: string): void;
     /** Returns why requests with a suspect are kept out of targets; undefined if they are not. */
     findListed(fingerprint: string): ListedSuspect | undefined;
+    /** Whether a request is to blame for the ends of targets unless the next end shows another one. */
+    isUndecided(fingerprint: string): boolean;
+    /** Whether any request is undecided. */
+    hasUndecided(): boolean;
     /** Whether any request, and whether any part, is listed. */
     hasListed(): { readonly requests: boolean; readonly parts: boolean; };
     /** Number of requests and parts that are listed. */
@@ -58,7 +62,8 @@
     const records = createRecordSet(clock);
     const { suspects } = records;
     const listeners: Listener[] = [];
-    let listed: ReadonlyMap<string, readonly string[]> = new Map();
+    let listed: Selection["culprits"] = new Map();
+    let undecided: Selection["undecided"] = new Set();
     let listedKinds = { requests: false, parts: false };
 
     const describe = (
@@ -80,7 +85,8 @@
             return;
         }
         const before = listed;
-        listed = selectCulprits([...suspects].map(([fingerprint, ends]) => toSuspect(fingerprint, ends)));
+        const selection = selectCulprits([...suspects].map(([fingerprint, ends]) => toSuspect(fingerprint, ends)));
+        ({ culprits: listed, undecided } = selection);
         for (const [fingerprint, targetIds] of listed) {
             if (targetIds.length !== before.get(fingerprint)?.length) {
                 eventLog.record(EventKind.CallListed, { fingerprint, targets: targetIds.join() });
@@ -162,6 +168,14 @@
             updateListed();
         },
         findListed,
+        isUndecided: fingerprint => {
+            updateListed();
+            return undecided.has(fingerprint);
+        },
+        hasUndecided: () => {
+            updateListed();
+            return undecided.size > 0;
+        },
         hasListed: () => {
             updateListed();
             return listedKinds;
--- a/packages/daisyturn/src/process/crashes/createCrashGuard.ts
+++ b/packages/daisyturn/src/process/crashes/createCrashGuard.ts
@@ -8,6 +8,11 @@
 export interface CrashGuard extends Pick<CrashDetector, "beginRun" | "recordBytesReceived" | "recordRemoval"> {
     /** Returns why a request is kept out of targets; undefined if it is not. */
     findListed(call: GuardedCall): ListedSuspect | undefined;
+    /**
+     * Whether a request should run at one target only, without a separate prefill. A prefill ends no target, so it would
+     * bring a request that may end its targets to one of them without telling whether it does.
+     */
+    mustRunWhole(call: GuardedCall): boolean;
     /** Whether an attempt that has failed at a target may be sent to another one. */
     mayRepeat(call: GuardedCall): boolean;
 }
@@ -90,6 +95,8 @@
             evidence.recordRefusal(listed.fingerprint);
             return evidence.findListed(listed.fingerprint) ?? listed;
         },
+        mustRunWhole: call =>
+            !evidence.isEmpty() && evidence.hasUndecided() && evidence.isUndecided(call.fingerprint()),
         mayRepeat: call => call.brokenRuns < maxBrokenRuns && findListed(call) === undefined,
     };
 }
--- a/packages/daisyturn/src/process/crashes/selectCulprits.ts
+++ b/packages/daisyturn/src/process/crashes/selectCulprits.ts
@@ -26,15 +26,22 @@
  */
 const simultaneousMilliseconds = 100;
 
+/** What {@link selectCulprits} returns. */
+export interface Selection {
+    /** Identifiers of the targets by the fingerprint of the suspect that ended them. */
+    readonly culprits: ReadonlyMap<string, readonly string[]>;
+    /** Fingerprints of requests that are to blame unless the next end shows another one. */
+    readonly undecided: ReadonlySet<string>;
+}
+
 /**
  * Selects the suspects that explain why targets ended, and the ends that each of them explains. The one with the most
  * ends comes first and, of several with the same number, the most specific one. Each end is explained once, so that
  * what all requests share is not blamed for what one part of them does.
- *
- * @returns the identifiers of the targets by the fingerprint of the suspect that ended them
  */
-export function selectCulprits(suspects: readonly Suspect[]): Map<string, readonly string[]> {
+export function selectCulprits(suspects: readonly Suspect[]): Selection {
     const culprits = new Map<string, readonly string[]>();
+    const undecided = new Set<string>();
     const explained = new Set<string>();
     const byTarget = groupByTarget(suspects);
     const times = findEndTimes(suspects);
@@ -45,12 +52,18 @@
             const [record, time] = [suspect.ends.get(targetId), times.get(targetId)];
             return record && time ? [{ ...time, chain: record.chain }] : [];
         }));
-        if (count >= endsForListing && count >= countNeeded(suspect, own, byTarget)) {
+        if (count < endsForListing) {
+            continue;
+        }
+        if (count >= countNeeded(suspect, own, byTarget)) {
             own.forEach(targetId => explained.add(targetId));
             culprits.set(suspect.fingerprint, own);
         }
+        else if (suspect.depth === requestDepth) {
+            undecided.add(suspect.fingerprint);
+        }
     }
-    return culprits;
+    return { culprits, undecided };
 }
 
 function compareSuspects(left: Suspect, right: Suspect): number {
@@ -106,13 +119,12 @@
 }
 
 /**
- * Whether other suspects explain the ends as well: one of the same depth was aboard all of them, or some that ended
- * targets elsewhere leave too few. Requests that were aboard some of the ends and no other are victims of the suspect,
- * which were sent to the next target like itself.
+ * Whether other suspects explain the ends as well: one of the same depth was aboard two of them or more, or some that
+ * ended targets elsewhere leave too few. Most are victims of the suspect, which were sent to the next target like itself.
  */
 function isTied(suspect: Suspect, own: readonly string[], shared: ReadonlyMap<Suspect, number>): boolean {
     const others = [...shared].filter(([{ wasAnswered }]) => !wasAnswered);
-    if (others.some(([{ depth }, count]) => depth === suspect.depth && count === own.length)) {
+    if (others.some(([{ depth }, count]) => depth === suspect.depth && count >= minExplainedEnds)) {
         return true;
     }
     const rivals = others.filter(([{ ends }, count]) => count < own.length && ends.size > count);
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -60,7 +60,8 @@
     const relay = createEventRelay(context.exchange, () => recordOrigin(parts, context));
     let prefills = 0;
     for (;;) {
-        const isWholeOnly = prefills >= maxPrefills || !context.arrivals.mayPrefill();
+        const isWholeOnly = prefills >= maxPrefills || !context.arrivals.mayPrefill()
+            || parts.crashGuard.mustRunWhole(context.guarded);
         const admitted = await admitPrompt(parts, context, {
             prompt,
             account,
