Log what a service without a decode engine waits for

Cause: while no engine of a service decodes, callers get no_target, and the logs show a plan, the lease and an order, but nothing where one of them is missing. An outage without a plan looks like one without a holder. Change: stage_missing and stage_restored lines of the process that plans, with the reason why no order is sent; daisyturn_open_engines by service and stage.

--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -1,4 +1,11 @@
-import type { ConnectionGuard, CrashEvidence, ForwardingParts, TargetLinks, TunnelServer } from "daisyturn/forwarding";
+import {
+    type ConnectionGuard,
+    type CrashEvidence,
+    EngineStage,
+    type ForwardingParts,
+    type TargetLinks,
+    type TunnelServer,
+} from "daisyturn/forwarding";
 import { Gauge, type Registry } from "prom-client";
 
 /** The parts from which gauges are read. */
@@ -63,6 +70,22 @@
             this.set(configurationManager.current()?.configuration.version ?? 0);
         },
     });
+    new Gauge({
+        name: "daisyturn_open_engines",
+        help: "Engines that take new work, by service and stage",
+        labelNames: ["service", "stage"],
+        registers,
+        collect() {
+            this.reset();
+            const services = configurationManager.current()?.configuration.services.values() ?? [];
+            for (const { name: service } of [...services].filter(({ engine }) => engine !== undefined)) {
+                for (const stage of Object.values(EngineStage)) {
+                    const engines = targets.open(service).filter(target => target.stage === stage);
+                    this.set({ service, stage }, engines.length);
+                }
+            }
+        },
+    });
     new Gauge({
         name: "daisyturn_open_targets",
         help: "Targets that take new work, by service",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -79,6 +79,9 @@
     /** An engine is still listed but no longer responds to status reads. */
     EngineLost = "engine_lost",
     RolePlanned = "role_planned",
+    /** A service has engines of which none decodes; `reason` says what the next order waits for. */
+    StageMissing = "stage_missing",
+    StageRestored = "stage_restored",
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
     /** A table was re-read in full because the store was restored from an older snapshot. */
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -1,14 +1,16 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
-import { type EngineOrders, OrderAnswer } from "../../../ports/engineOrders.js";
+import type { EngineOrders } from "../../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
-import type { Lease, LeaseManager } from "../../lease/index.js";
+import type { LeaseManager } from "../../lease/index.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { TargetHealth } from "../targets/createTargetHealth.js";
 import type { TargetList } from "../targets/createTargetList.js";
 import type { PrefillDemand } from "../views/createPrefillDemand.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
 import { createLostEngines } from "./createLostEngines.js";
+import { createMissingStageLog, StageDelay } from "./createMissingStageLog.js";
 import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
+import { createStageChanges } from "./createStageChanges.js";
 import { countDecodeEnginesNeeded, minDecodeEngines, planStage } from "./planStage.js";
 import { findVersionWithoutDecoder, listMovableEngines } from "./versionStages.js";
 
@@ -46,11 +48,6 @@
 const roundsWithoutDecoder = 4;
 /** Returning an engine to decode gains little and costs seconds of its time, so prefill demand must be low for long. */
 const roundsForDecode = 40;
-const callTimeoutMilliseconds = 1_000;
-/** A change takes seconds. An engine that has not changed by then is reopened. */
-const changeTimeoutMilliseconds = 8_000;
-/** After a failed order, the engine is not chosen again for this long, so that other engines come first. */
-const failedOrderDelayMilliseconds = 4_000;
 /** One engine in this many may change at the same time, because the others must serve the load meanwhile. */
 const enginesPerConcurrentChange = 8;
 const enginesPerConcurrentChangeWhenMissing = 2;
@@ -60,14 +57,22 @@
  * lease holder sends orders; each order carries the lease's fencing number and the engine's order count.
  */
 export async function changeStages(options: ChangeStagesOptions, signal: AbortSignal): Promise<void> {
-    const { targets, loads, health, demand, closed, orders, leaseManager, clock, eventLog } = options;
+    const { targets, loads, health, demand, leaseManager, clock, eventLog } = options;
     const lostEngines = createLostEngines(options);
+    const missingStages = createMissingStageLog(clock, eventLog);
     const needs = new Map<string, { stage: EngineStage; rounds: number; }>();
-    const changing = new Map<string, number>();
     const peaks = new Map<string, RecentPeak>();
     let leaseLastNeededAt = -Infinity;
     let leaseRun: { readonly stop: AbortController; } | undefined;
 
+    const changes = createStageChanges({
+        ...options,
+        onOrdered: () => {
+            leaseLastNeededAt = clock.monotonicNow();
+        },
+        signal,
+    });
+
     const requireLease = () => {
         leaseLastNeededAt = clock.monotonicNow();
         if (!leaseRun) {
@@ -78,7 +83,9 @@
     };
 
     const releaseUnusedLease = () => {
-        if (leaseRun && clock.monotonicNow() - leaseLastNeededAt > options.leaseMilliseconds && changing.size === 0) {
+        if (
+            leaseRun && clock.monotonicNow() - leaseLastNeededAt > options.leaseMilliseconds && !changes.isAnyChanging()
+        ) {
             leaseRun.stop.abort();
             leaseRun = undefined;
         }
@@ -102,6 +109,18 @@
     };
 
     const planService = (service: string) => {
+        const delay = tryToPlan(service);
+        const listed = targets.open(service).filter(target => target.stage !== undefined);
+        if (listed.length > 0 && splitByStage(listed).decoders.length === 0) {
+            missingStages.recordMissing(service, listed.length, delay);
+        }
+        else {
+            missingStages.recordPresent(service);
+        }
+    };
+
+    /** Plans a change if one is due. @returns what the next one waits for */
+    const tryToPlan = (service: string): StageDelay => {
         const { engines, hasLostEngines } = listLiveEngines(service);
         const { readers, decoders } = splitByStage(engines);
         const decodingFill = computeFill(decoders, options.kvTokens(service));
@@ -114,31 +133,33 @@
         };
         // A single remaining engine can answer prompts only if it decodes.
         const isLastPrefillEngine = hasLostEngines && engines.length === 1 && view.readers === 1;
-        const isChanging = ({ targetId }: ListedTarget) => changing.has(targetId);
-        const versionWithoutDecoder = engines.length > 1 ? findVersionWithoutDecoder(engines, isChanging) : undefined;
+        const versionWithoutDecoder = engines.length > 1
+            ? findVersionWithoutDecoder(engines, changes.isChanging)
+            : undefined;
         const plannedStage = engines.length > 1 ? planStage(view) : undefined;
         const stage = isLastPrefillEngine || versionWithoutDecoder ? EngineStage.Decode : plannedStage;
         const known = needs.get(service);
         if (!stage) {
             needs.delete(service);
-            return;
+            return StageDelay.NotPlanned;
         }
         const rounds = known?.stage === stage ? known.rounds + 1 : 1;
         needs.set(service, { stage, rounds });
         const isAtChangeLimit =
-            countChanging(engines) >= findChangeLimit(engines, view.readers === 0 || view.decoders === 0);
+            changes.count(engines) >= findChangeLimit(engines, view.readers === 0 || view.decoders === 0);
         const maxRounds = versionWithoutDecoder ? roundsWithoutDecoder : Infinity;
         const roundsNeeded = findRoundsNeeded(stage, view.readers, view.decoders, hasLostEngines);
         if (rounds < Math.min(roundsNeeded, maxRounds) || isAtChangeLimit) {
-            return;
+            return isAtChangeLimit ? StageDelay.Changing : StageDelay.Unconfirmed;
         }
         requireLease();
         const lease = leaseManager.current();
         const target = chooseTarget(versionWithoutDecoder ?? engines, stage);
         if (lease && target) {
             eventLog.record(EventKind.RolePlanned, { target: target.targetId, stage, ...view });
-            void change(target, stage, lease, view.decoders === 0);
+            void changes.begin(target, stage, lease, view.decoders === 0);
         }
+        return lease ? StageDelay.Changing : StageDelay.AwaitsLease;
     };
 
     const recordPeak = (service: string, decodingFill: number) => {
@@ -158,15 +179,12 @@
     const findChangeLimit = (engines: readonly ListedTarget[], isMissing: boolean) =>
         Math.ceil(engines.length / (isMissing ? enginesPerConcurrentChangeWhenMissing : enginesPerConcurrentChange));
 
-    const countChanging = (engines: readonly ListedTarget[]) =>
-        engines.filter(engine => (changing.get(engine.targetId) ?? 0) > clock.monotonicNow()).length;
-
     /**
      * The engine of the other stage with the fewest calls in progress, of the software version that needs it most;
      * engines with failing calls come last.
      */
     const chooseTarget = (engines: readonly ListedTarget[], stage: EngineStage) => {
-        const movable = listMovableEngines(engines, stage).filter(engine => !changing.has(engine.targetId));
+        const movable = listMovableEngines(engines, stage).filter(engine => !changes.isChanging(engine));
         const working = movable.filter(engine => !health.isFailing(engine.targetId));
         const candidates = working.length > 0 ? working : movable;
         return candidates
@@ -174,64 +192,6 @@
             .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
     };
 
-    /** @param receivesNoWork whether no new work can reach the target, so that the closing wait is skipped */
-    const change = async (target: ListedTarget, stage: EngineStage, lease: Lease, receivesNoWork: boolean) => {
-        const until = clock.monotonicNow() + changeTimeoutMilliseconds;
-        changing.set(target.targetId, until);
-        closed.close(target.targetId, until);
-        if (!receivesNoWork) {
-            await clock.sleepUntil(clock.monotonicNow() + options.closingMilliseconds(), signal);
-        }
-        const answer = await order(target, stage, lease);
-        eventLog.record(EventKind.OrderSent, {
-            target: target.targetId,
-            stage,
-            fencing: lease.fencingNumber,
-            outcome: answer,
-        });
-        leaseLastNeededAt = clock.monotonicNow();
-        if (answer === OrderAnswer.Accepted || answer === OrderAnswer.Unknown) {
-            await waitForStage(target, stage, until);
-        }
-        closed.reopen(target.targetId);
-        if (answer === OrderAnswer.Rejected) {
-            // A rejected order does not count towards the limit of concurrent changes.
-            changing.set(target.targetId, -Infinity);
-        }
-        if (answer !== OrderAnswer.Accepted) {
-            await clock.sleepUntil(clock.monotonicNow() + failedOrderDelayMilliseconds, signal);
-        }
-        changing.delete(target.targetId);
-    };
-
-    /** The lease is checked last, right before the order is sent. */
-    const order = async (target: ListedTarget, stage: EngineStage, lease: Lease): Promise<OrderAnswer> => {
-        const status = await orders.readStatus(target, clock.monotonicNow() + callTimeoutMilliseconds);
-        // A restarted engine counts its orders from zero; the target list shows the restart soon.
-        const isOrderable = status.isOk && status.value.targetId === target.targetId && !status.value.isBusy
-            && status.value.stage !== stage;
-        if (!isOrderable || !targets.isOpen(target.targetId) || signal.aborted || !lease.isHeld()) {
-            return OrderAnswer.Rejected;
-        }
-        return orders.changeStage({
-            target,
-            stage,
-            holder: options.holder,
-            fencingNumber: lease.fencingNumber,
-            expectedOrders: status.value.orders,
-        }, clock.monotonicNow() + callTimeoutMilliseconds);
-    };
-
-    const waitForStage = async (target: ListedTarget, stage: EngineStage, until: number) => {
-        const hasChanged = () => targets.find(target.targetId)?.stage === stage;
-        while (!hasChanged() && clock.monotonicNow() < until && !signal.aborted) {
-            await clock.sleepUntil(clock.monotonicNow() + planIntervalMilliseconds / 2, signal);
-        }
-        if (hasChanged()) {
-            eventLog.record(EventKind.OrderConfirmed, { target: target.targetId, stage });
-        }
-    };
-
     while (!signal.aborted) {
         await clock.sleepUntil(clock.monotonicNow() + planIntervalMilliseconds, signal);
         if (options.isPlanner() && !signal.aborted) {
