Move the only engine of a service to decode, however the others have gone

Cause: engines left one after the other until one was left that prefills. A single engine kept its stage unless another was found lost, so none was planned: no lease_acquired and no role_planned in any log, before and after all entries were killed. Change: countDecodeEnginesNeeded is at least 1, and the rule for a single engine is the rule for all.

--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/planStage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/planStage.test.ts
@@ -30,6 +30,12 @@
     );
 });
 
+test("a single engine decodes", () => {
+    const one = { demand: 20, decodingFill: 0.9, peakFill: 0.9 };
+    assert.equal(planStage({ readers: 1, decoders: 0, ...one }), EngineStage.Decode);
+    assert.equal(planStage({ readers: 0, decoders: 1, ...one }), undefined);
+});
+
 test("a plan is never reversed by the next plan", () => {
     for (let readers = 0; readers <= 8; readers++) {
         for (let demand = 0; demand <= 10; demand += 0.25) {
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -131,13 +131,8 @@
             decodingFill,
             peakFill: recordPeak(service, decodingFill),
         };
-        // A single remaining engine can answer prompts only if it decodes.
-        const isLastPrefillEngine = hasLostEngines && engines.length === 1 && view.readers === 1;
-        const versionWithoutDecoder = engines.length > 1
-            ? findVersionWithoutDecoder(engines, changes.isChanging)
-            : undefined;
-        const plannedStage = engines.length > 1 ? planStage(view) : undefined;
-        const stage = isLastPrefillEngine || versionWithoutDecoder ? EngineStage.Decode : plannedStage;
+        const versionWithoutDecoder = findVersionWithoutDecoder(engines, changes.isChanging);
+        const stage = versionWithoutDecoder ? EngineStage.Decode : planStage(view);
         const known = needs.get(service);
         if (!stage) {
             needs.delete(service);
--- a/packages/daisyturn/src/process/forwarding/stages/planStage.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/planStage.ts
@@ -43,9 +43,9 @@
 const minDecodeFraction = 0.3;
 export const minDecodeEngines = 2;
 
-/** The minimum number of decode engines among the given number of engines. */
+/** The minimum number of decode engines among the given number of engines. A single engine must decode. */
 export function countDecodeEnginesNeeded(engines: number): number {
-    return Math.min(engines - 1, Math.max(minDecodeEngines, Math.ceil(engines * minDecodeFraction)));
+    return Math.max(1, Math.min(engines - 1, Math.max(minDecodeEngines, Math.ceil(engines * minDecodeFraction))));
 }
 
 /**
