Answer placement requests for services without a target pause

Callers waited 40 ms longer for each prompt, and placement was decided without the knowledge of the others, on services none of whose routes sets a target pause. Cause: the pause is Infinity then, which JSON writes as null; the coordinator could not read the request and never answered, so each process took it for unreachable for a second, chose the next one, and so on. The leadership that orders engines follows the same choice, so its lease was given up as well.

--- a/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/placementMessages.ts
@@ -32,7 +32,7 @@
     readonly isWholeOnly: boolean;
     /** Target latency of the first event, in remaining milliseconds; negative once it is late. */
     readonly aim: number;
-    /** Target pause between two events, in milliseconds. */
+    /** Target pause between two events, in milliseconds; Infinity if no route of the service sets one. */
     readonly pauseAim: number;
     /** Milliseconds until the caller gives up, unless its answer has started by then. */
     readonly patience: number;
@@ -107,7 +107,8 @@
         mayDefer: readOptionalFlag(params["mayDefer"]),
         isWholeOnly: params["isWholeOnly"] === true,
         aim: readSigned(params["aim"]),
-        pauseAim: readAmount(params["pauseAim"]),
+        // JSON has no infinity: an encoder writes null.
+        pauseAim: readOptionalAmount(params["pauseAim"] ?? undefined) ?? Infinity,
         patience: readSigned(params["patience"]),
     };
 }
