Order engines soon after holders of the lease were lost, and plan without delay

Callers got no_target for 9 s and more after all entries had been killed and all engines had come back as prefilling ones; each further death of the entries began it anew. Change: a process whose own earlier incarnation, at the same address, held the lease has it again at once (only one process can listen there, and both are one holder); the holder goes on while no engine decodes, whoever coordinates, and makes no other changes; coordinator and standby observe the lease from the first moment on; as many engines as must decode change at once, 200 ms after the first look; the planner acquires the first lease of an era beforehand. Needs are kept as the time since when, no longer as a number of rounds.

--- a/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startStageChanges.ts
@@ -1,5 +1,5 @@
 import { type Clock, createIdSource, type EventLog, type Random } from "daisyturn-utils";
-import { changeStages, createLeaseManager, createStoreClient } from "daisyturn/forwarding";
+import { changeStages, type Coordination, createLeaseManager, createStoreClient } from "daisyturn/forwarding";
 import type { ForwardingProcessParts } from "./createForwardingParts.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
@@ -10,9 +10,9 @@
     readonly adapters: ForwardingAdapters;
     readonly parts: ForwardingProcessParts;
     readonly incarnation: string;
-    readonly isPlanner: () => boolean;
-    /** Maximum interval, in milliseconds, between two datagrams to any coordinator while an engine is closed. */
-    readonly closingReportInterval: () => number;
+    readonly coordination: Pick<Coordination, "isFleetCoordinator" | "isReader" | "closingReportInterval">;
+    /** Whether this process may send orders at the moment. */
+    readonly mayOrder: () => boolean;
     readonly clock: Clock;
     readonly random: Random;
     readonly eventLog: EventLog;
@@ -23,14 +23,17 @@
 /** Only lease rows are written and read: a few calls per second while an order is due, none otherwise. */
 const storeCallsPerSecond = 10;
 const renewalIntervalMilliseconds = 1_000;
+/** The waiting time for a dead holder's lease counts from the first read after its last renewal. */
+const pollIntervalMilliseconds = 300;
 /** Datagrams may be lost, so an engine stays closed before an order until its closing was reported this many times. */
 const datagramsBeforeOrder = 3;
 
 /** Starts the task that changes the stages of engines, and the lease under which it sends its orders. */
 export function startStageChanges(options: StageChangesOptions): void {
-    const { settings, adapters, parts, incarnation, clock, random, eventLog, signal } = options;
+    const { settings, adapters, parts, incarnation, coordination, mayOrder, clock, random, eventLog, signal } = options;
     const { processId, availabilityZone, leaseMilliseconds } = settings;
     const { tableService, storeEra, engineOrders } = adapters;
+    const isPlanner = () => mayOrder() && coordination.isFleetCoordinator();
     const storeClient = createStoreClient({
         tableService,
         clock,
@@ -51,6 +54,8 @@
         eventLog,
         leaseMilliseconds,
         renewalIntervalMilliseconds,
+        pollIntervalMilliseconds,
+        mayTakeOver: isPlanner,
         storeEra: storeEra.current,
     });
     void changeStages({
@@ -65,9 +70,11 @@
         closed: parts.closed,
         orders: engineOrders,
         leaseManager,
-        isPlanner: options.isPlanner,
+        isPlanner,
+        isStandby: () => mayOrder() && coordination.isReader(),
+        mayOrder,
         leaseMilliseconds,
-        closingMilliseconds: () => options.closingReportInterval() * datagramsBeforeOrder,
+        closingMilliseconds: () => coordination.closingReportInterval() * datagramsBeforeOrder,
         clock,
         eventLog,
     }, signal);
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -1,7 +1,7 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { EngineOrders } from "../../../ports/engineOrders.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
-import type { LeaseManager } from "../../lease/index.js";
+import { type LeaseManager, LeaseState } from "../../lease/index.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { TargetHealth } from "../targets/createTargetHealth.js";
 import type { TargetList } from "../targets/createTargetList.js";
@@ -11,7 +11,7 @@
 import { createMissingStageLog, StageDelay } from "./createMissingStageLog.js";
 import { createRecentPeak, type RecentPeak } from "./createRecentPeak.js";
 import { createStageChanges } from "./createStageChanges.js";
-import { countDecodeEnginesNeeded, minDecodeEngines, planStage } from "./planStage.js";
+import { countDecodeEnginesNeeded, minDecodeEngines, planStage, type StageView } from "./planStage.js";
 import { findVersionWithoutDecoder, listMovableEngines } from "./versionStages.js";
 
 /** What {@link changeStages} needs. */
@@ -29,6 +29,10 @@
     readonly leaseManager: LeaseManager;
     /** Whether this process plans. One planner is enough among processes that can reach each other. */
     readonly isPlanner: () => boolean;
+    /** Whether this process is next in line to plan, so that it observes the lease while orders are needed. */
+    readonly isStandby: () => boolean;
+    /** Whether this process may send orders, which it must not while it stops or is cut off from most targets. */
+    readonly mayOrder: () => boolean;
     /** How long the lease is held after the last order, so that no other process sends orders right after it. */
     readonly leaseMilliseconds: number;
     /** Milliseconds until all processes have been informed that an engine is closed. */
@@ -38,16 +42,20 @@
 }
 
 const planIntervalMilliseconds = 500;
+/** How often services without a decode engine are looked for: each call for them fails until one decodes. */
+const checkIntervalMilliseconds = 100;
 /** Window of the peak fill of decode engines; spans several swings between long prompts and long answers. */
 const peakWindowMilliseconds = 15_000;
-/** Consecutive planning rounds that must need a prefill engine. In a shorter burst, the change would come too late. */
-const roundsForPrefill = 4;
-/** Used without an engine of a stage or at the minimum of decode engines, where each second of delay loses answers. */
-const roundsWhenMissing = 2;
+/** How long a prefill engine must be needed. In a shorter burst, the change would come too late. */
+const prefillNeedMilliseconds = 1_500;
+/** Used without a prefill engine or at the minimum of decode engines, where each second of delay loses answers. */
+const scarceNeedMilliseconds = 500;
+/** Used without a decode engine. Engines that start together are listed within this time. */
+const missingNeedMilliseconds = 200;
 /** Used while all engines of a software version prefill. In a release, the next one to start may decode. */
-const roundsWithoutDecoder = 4;
+const versionNeedMilliseconds = 1_500;
 /** Returning an engine to decode gains little and costs seconds of its time, so prefill demand must be low for long. */
-const roundsForDecode = 40;
+const decodeNeedMilliseconds = 19_500;
 /** One engine in this many may change at the same time, because the others must serve the load meanwhile. */
 const enginesPerConcurrentChange = 8;
 const enginesPerConcurrentChangeWhenMissing = 2;
@@ -60,7 +68,7 @@
     const { targets, loads, health, demand, leaseManager, clock, eventLog } = options;
     const lostEngines = createLostEngines(options);
     const missingStages = createMissingStageLog(clock, eventLog);
-    const needs = new Map<string, { stage: EngineStage; rounds: number; }>();
+    const needs = new Map<string, { stage: EngineStage; since: number; }>();
     const peaks = new Map<string, RecentPeak>();
     let leaseLastNeededAt = -Infinity;
     let leaseRun: { readonly stop: AbortController; } | undefined;
@@ -96,7 +104,7 @@
      * expire, so where calls fail and the healthy engines could not serve alone, engine status is read directly.
      */
     const listLiveEngines = (service: string) => {
-        const listed = targets.open(service).filter(target => target.stage !== undefined);
+        const listed = listEngines(service);
         const healthy = listed.filter(({ targetId }) => !health.isFailing(targetId));
         const insufficientStage = healthy.length < listed.length ? findInsufficientStage(healthy) : undefined;
         const isSuspected = ({ targetId }: ListedTarget) => lostEngines.isSuspected(targetId);
@@ -108,11 +116,17 @@
         return { engines, hasLostEngines: engines.length < listed.length };
     };
 
+    const isWithoutDecoder = (service: string) => {
+        const listed = listEngines(service);
+        return listed.length > 0 && splitByStage(listed).decoders.length === 0;
+    };
+
+    const listEngines = (service: string) => targets.open(service).filter(target => target.stage !== undefined);
+
     const planService = (service: string) => {
         const delay = tryToPlan(service);
-        const listed = targets.open(service).filter(target => target.stage !== undefined);
-        if (listed.length > 0 && splitByStage(listed).decoders.length === 0) {
-            missingStages.recordMissing(service, listed.length, delay);
+        if (isWithoutDecoder(service)) {
+            missingStages.recordMissing(service, listEngines(service).length, delay);
         }
         else {
             missingStages.recordPresent(service);
@@ -133,18 +147,21 @@
         };
         const versionWithoutDecoder = findVersionWithoutDecoder(engines, changes.isChanging);
         const stage = versionWithoutDecoder ? EngineStage.Decode : planStage(view);
-        const known = needs.get(service);
         if (!stage) {
             needs.delete(service);
             return StageDelay.NotPlanned;
         }
-        const rounds = known?.stage === stage ? known.rounds + 1 : 1;
-        needs.set(service, { stage, rounds });
-        const isAtChangeLimit =
-            changes.count(engines) >= findChangeLimit(engines, view.readers === 0 || view.decoders === 0);
-        const maxRounds = versionWithoutDecoder ? roundsWithoutDecoder : Infinity;
-        const roundsNeeded = findRoundsNeeded(stage, view.readers, view.decoders, hasLostEngines);
-        if (rounds < Math.min(roundsNeeded, maxRounds) || isAtChangeLimit) {
+        if (view.decoders === 0) {
+            // Acquiring the lease may take as long as the length of a dead holder's one, so it begins at once.
+            requireLease();
+        }
+        const known = needs.get(service);
+        const since = known?.stage === stage ? known.since : clock.monotonicNow();
+        needs.set(service, { stage, since });
+        const isAtChangeLimit = changes.count(engines) >= findChangeLimit(engines, view);
+        const maxNeed = versionWithoutDecoder ? versionNeedMilliseconds : Infinity;
+        const need = Math.min(findNeedMilliseconds(stage, view, hasLostEngines), maxNeed);
+        if (clock.monotonicNow() - since < need || isAtChangeLimit) {
             return isAtChangeLimit ? StageDelay.Changing : StageDelay.Unconfirmed;
         }
         requireLease();
@@ -170,10 +187,6 @@
         return Math.max(calls / sum(decoders, engine => engine.slots), tokens / (decoders.length * kvTokens)) || 0;
     };
 
-    /** Without any engine of a stage nothing is served, so more engines may change at the same time. */
-    const findChangeLimit = (engines: readonly ListedTarget[], isMissing: boolean) =>
-        Math.ceil(engines.length / (isMissing ? enginesPerConcurrentChangeWhenMissing : enginesPerConcurrentChange));
-
     /**
      * The engine of the other stage with the fewest calls in progress, of the software version that needs it most;
      * engines with failing calls come last.
@@ -187,13 +200,50 @@
             .sort((left, right) => loads.calls(left.targetId) - loads.calls(right.targetId))[0];
     };
 
-    while (!signal.aborted) {
-        await clock.sleepUntil(clock.monotonicNow() + planIntervalMilliseconds, signal);
-        if (options.isPlanner() && !signal.aborted) {
-            options.listServices().forEach(planService);
+    /**
+     * The holder goes on while a service has no decode engine, whoever coordinates meanwhile: that needs no forecast, and
+     * each change of the holder costs seconds.
+     */
+    const planServices = (services: readonly string[], missing: readonly string[]) => {
+        if (options.isPlanner()) {
+            services.forEach(planService);
+        }
+        else if (leaseManager.current() && options.mayOrder()) {
+            missing.forEach(planService);
         }
         else {
             needs.clear();
+            if (missing.length > 0 && options.isStandby()) {
+                requireLease();
+            }
+        }
+    };
+
+    /**
+     * Takes up the lease that this process held when it last ended: until it expires, nobody else can order. The first
+     * one of an era of the store is acquired before it is needed.
+     */
+    const prepareLease = async () => {
+        let state: LeaseState | undefined;
+        while (!signal.aborted && state === undefined) {
+            state = await leaseManager.inspect();
+            await clock.sleepUntil(clock.monotonicNow() + (state ? 0 : planIntervalMilliseconds), signal);
+        }
+        const isDue = state === LeaseState.Interrupted || state === LeaseState.NotInEra && options.isPlanner();
+        if (isDue && options.mayOrder() && !signal.aborted) {
+            requireLease();
+        }
+    };
+
+    void prepareLease();
+    let planAt = -Infinity;
+    while (!signal.aborted) {
+        await clock.sleepUntil(clock.monotonicNow() + checkIntervalMilliseconds, signal);
+        const services = options.listServices();
+        const missing = services.filter(isWithoutDecoder);
+        if (!signal.aborted && (missing.length > 0 || planAt <= clock.monotonicNow())) {
+            planAt = clock.monotonicNow() + planIntervalMilliseconds;
+            planServices(services, missing);
         }
         releaseUnusedLease();
     }
@@ -215,19 +265,34 @@
     return readers.length === 0 ? EngineStage.Prefill : undefined;
 }
 
-function findRoundsNeeded(
+/** Number of engines that may change at the same time. */
+function findChangeLimit(engines: readonly ListedTarget[], { readers, decoders }: StageView): number {
+    if (decoders === 0) {
+        // Nothing is served, so all the engines that must decode change at once, and the others prefill for them.
+        const mostChanging = Math.ceil(engines.length / enginesPerConcurrentChangeWhenMissing);
+        return Math.min(mostChanging, countDecodeEnginesNeeded(engines.length));
+    }
+    return Math.ceil(
+        engines.length / (readers === 0 ? enginesPerConcurrentChangeWhenMissing : enginesPerConcurrentChange),
+    );
+}
+
+/** For how long a change must be needed until it is ordered. */
+function findNeedMilliseconds(
     stage: EngineStage,
-    readers: number,
-    decoders: number,
+    { readers, decoders }: StageView,
     hasLostEngines: boolean,
 ): number {
     if (hasLostEngines && stage === EngineStage.Decode && decoders < minDecodeEngines) {
-        return 1;
+        return 0;
+    }
+    if (decoders === 0) {
+        return missingNeedMilliseconds;
     }
     if (readers === 0 || decoders <= minDecodeEngines) {
-        return roundsWhenMissing;
+        return scarceNeedMilliseconds;
     }
-    return stage === EngineStage.Prefill ? roundsForPrefill : roundsForDecode;
+    return stage === EngineStage.Prefill ? prefillNeedMilliseconds : decodeNeedMilliseconds;
 }
 
 function sum<Item>(items: readonly Item[], amount: (item: Item) => number): number {
--- a/packages/daisyturn/src/process/lease/createLeaseManager.ts
+++ b/packages/daisyturn/src/process/lease/createLeaseManager.ts
@@ -3,7 +3,7 @@
 import type { ProcessIdentity } from "../peers/index.js";
 import { type StoreClient, StorePriority } from "../store/index.js";
 import { createLeaseTenure, type LeaseTenure, readClocks } from "./createLeaseTenure.js";
-import type { Lease, LeaseManager } from "./lease.js";
+import { type Lease, type LeaseManager, LeaseState } from "./lease.js";
 import { fencingRowKey, type FencingValue, parseFencingValue, renewalRowKey } from "./leaseRows.js";
 import { releaseTransaction, renewalTransaction, takeoverTransaction } from "./leaseTransactions.js";
 
@@ -28,6 +28,11 @@
     readonly storeEra?: () => number;
     /** Returns false while this process must not acquire the lease, for example while it drains. */
     readonly mayAcquire?: () => boolean;
+    /**
+     * Returns false while this process must not take the lease over from another one. It still observes the rows, so that
+     * the waiting time counts from then. By default, it may.
+     */
+    readonly mayTakeOver?: () => boolean;
 }
 
 const defaultLeaseMilliseconds = 5_000;
@@ -120,8 +125,8 @@
         if (signal.aborted) {
             return;
         }
-        const acquirableAt = observation && (options.mayAcquire?.() ?? true)
-            ? findAcquirableAt(observation, self.incarnation, leaseMilliseconds)
+        const acquirableAt = observation && mayAcquire(options, observation)
+            ? findAcquirableAt(observation, self, leaseMilliseconds)
             : Infinity;
         if (observation && acquirableAt <= clock.monotonicNow()) {
             await takeOver(observation);
@@ -220,6 +225,10 @@
 
     return {
         current: () => tenure && !tenure.hasEnded() ? tenure.lease : undefined,
+        inspect: async () => {
+            await observe();
+            return observation && describeState(observation, self);
+        },
         run,
         onAcquired: listener => acquiredListeners.push(listener),
         onLost: listener => lostListeners.push(listener),
@@ -229,22 +238,44 @@
 
 /**
  * Returns the monotonic time from which the lease can be acquired. A lease that is absent, released or was last held by
- * this incarnation is available at once if its row was written in the current era; an absent row counts as era 0.
+ * this process is available at once if its row was written in the current era; an absent row counts as era 0.
  * Otherwise the lease is available after its full length without a renewal: a restore may have removed the row of a
  * later holder.
  */
 function findAcquirableAt(
     { fencingVersion, fencing, firstSeenAt, era }: Observation,
-    ownIncarnation: string,
+    self: ProcessIdentity,
     leaseMilliseconds: number,
 ): number {
-    const isFree = fencingVersion === absentVersion || fencing?.released
-        || fencing?.holder.incarnation === ownIncarnation;
+    const isFree = fencingVersion === absentVersion || fencing?.released || isHeldBySelf(fencing, self);
     return isFree && (fencing?.era ?? 0) === era
         ? firstSeenAt
         : firstSeenAt + Math.max(leaseMilliseconds, fencing?.leaseMilliseconds ?? 0);
 }
 
+function describeState({ fencing, era }: Observation, self: ProcessIdentity): LeaseState {
+    if ((fencing?.era ?? 0) !== era) {
+        return LeaseState.NotInEra;
+    }
+    return isHeldBySelf(fencing, self) ? LeaseState.Interrupted : LeaseState.Other;
+}
+
+/**
+ * Whether the lease was last held by this process, in this or an earlier incarnation. Only one process can listen at an
+ * address, so an earlier incarnation at the address of this one has ended and sends nothing more.
+ */
+function isHeldBySelf(fencing: FencingValue | undefined, self: ProcessIdentity): boolean {
+    return fencing !== undefined && !fencing.released && fencing.holder.processId === self.processId
+        && fencing.holder.peerAddress === self.peerAddress;
+}
+
+function mayAcquire(
+    { mayAcquire = () => true, mayTakeOver = () => true, self }: LeaseManagerOptions,
+    seen: Observation,
+) {
+    return mayAcquire() && (isHeldBySelf(seen.fencing, self) || mayTakeOver());
+}
+
 function findRow(rows: readonly Row[], key: string): Row | undefined {
     return rows.find(row => row.key === key);
 }
--- a/packages/daisyturn/src/process/lease/lease.ts
+++ b/packages/daisyturn/src/process/lease/lease.ts
@@ -11,10 +11,24 @@
     readonly fencingRow: { readonly key: string; readonly version: number; };
 }
 
+/** Who has a lease, as its rows say. */
+export enum LeaseState {
+    /** This process held the lease when it last ended, and nobody has held it since. */
+    Interrupted = "interrupted",
+    /**
+     * The store has eras and no row of the current one, so the first to acquire the lease must wait for its whole length.
+     */
+    NotInEra = "not_in_era",
+    /** The lease is free, or another process has it. */
+    Other = "other",
+}
+
 /** Acquires, renews and releases one lease. */
 export interface LeaseManager {
     /** Returns the lease if this process holds it. */
     current(): Lease | undefined;
+    /** Reads who has the lease; undefined if the store did not answer. */
+    inspect(): Promise<LeaseState | undefined>;
     /** Tries to acquire the lease and renews it until `signal` is aborted, then releases it. */
     run(signal: AbortSignal): Promise<void>;
     onAcquired(listener: (lease: Lease) => void): void;
