Tell callers when an engine is expected to decode

Callers that were refused while no engine decoded came back 1.5 s later and were refused again, up to three times: a change takes some 4 s. Cause: the time was a constant for all reasons without a target. Change: where engines are listed of which none decodes, the time counts from the first refusal of the outage to when a change is expected to be over (4 s), then 1 s at a time.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -12,6 +12,7 @@
     createRelays,
     createSizeCounts,
     createSizeFairness,
+    createStageReturns,
     createStreamOrigins,
     createTargetConnections,
     createTargetDialer,
@@ -106,6 +107,7 @@
     });
     return {
         ...views,
+        stageReturns: createStageReturns(views.targets, clock),
         configurationManager,
         placement,
         availabilityZone,
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -30,6 +30,7 @@
 export * from "./reportSizeCounts.js";
 export * from "./retries/createWindowedRetryBudget.js";
 export * from "./stages/changeStages.js";
+export * from "./stages/createStageReturns.js";
 export * from "./stages/planStage.js";
 export * from "./targets/createClosedTargets.js";
 export * from "./targets/createForwardingConfigurationManager.js";
--- a/packages/daisyturn/src/request/forwarding/__fixtures__/simulateOverload.ts
+++ b/packages/daisyturn/src/request/forwarding/__fixtures__/simulateOverload.ts
@@ -88,7 +88,8 @@
 function createSimulatedProcess({ seed, switchedOff = new Set() }: Overload) {
     const { placement, loads, caches, clock } = createPlacementBench(stages, seed, switchedOff);
     const decisions = new LocalDecisions({ placement, longPrefillTimes: createLongPrefillTimes(), switchedOff });
-    const parts: AdmissionParts = { decisions, clock, switchedOff, availabilityZone: "zone-0" };
+    const stageReturns = { estimate: () => undefined };
+    const parts: AdmissionParts = { decisions, clock, switchedOff, availabilityZone: "zone-0", stageReturns };
     const sizeFairness = createSizeFairness();
     const engines = createSimulatedEngines();
 
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -13,7 +13,10 @@
 import type { ForwardingParts } from "./forwardingParts.js";
 
 /** The parts of the process that admission uses. */
-export type AdmissionParts = Pick<ForwardingParts, "decisions" | "clock" | "switchedOff" | "availabilityZone">;
+export type AdmissionParts = Pick<
+    ForwardingParts,
+    "decisions" | "clock" | "switchedOff" | "availabilityZone" | "stageReturns"
+>;
 
 /** The context of a call that is to be admitted. */
 export interface AdmissionContext
@@ -44,7 +47,7 @@
 ): Promise<Result<PromptPlacement, Failure>> {
     const decision = await parts.decisions.decide(buildDecisionRequest(parts, context, terms));
     if (!decision) {
-        return err(createNoTargetFailure(context, parts.clock));
+        return err(createNoTargetFailure(context, parts.clock, parts.stageReturns.estimate(context.service.name)));
     }
     recordPlacement(parts, context, decision);
     const { placement, lateness } = decision;
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -38,7 +38,7 @@
     target?: ListedTarget;
 }
 
-/** A target that restarts, or an engine that takes over the stage of another, needs a few seconds. */
+/** A target that restarts needs a few seconds. */
 const noTargetRetryDelayMilliseconds = 1_500;
 /** Creates the context of a call before its first attempt. */
 export function createCallContext(
@@ -68,10 +68,11 @@
 export function createNoTargetFailure(
     { service, softwareVersion }: Pick<CallContext, "service" | "softwareVersion">,
     clock: Clock,
+    retryDelay = noTargetRetryDelayMilliseconds,
 ): Failure {
     const which = softwareVersion === undefined ? "" : " with the software version that began the stream";
     const message = `No target of service ${service.name}${which} is open.`;
-    return notRun(FailureReason.NoTarget, message, clock.wallNow() + noTargetRetryDelayMilliseconds);
+    return notRun(FailureReason.NoTarget, message, clock.wallNow() + retryDelay);
 }
 
 /** Whether a failed attempt had reached its target. */
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -19,6 +19,7 @@
     SizeCounts,
     SizeFairness,
     SlowdownEstimates,
+    StageReturns,
     TargetHealth,
     TargetLinks,
     TargetList,
@@ -40,6 +41,7 @@
     readonly eventIntervals: EventIntervals;
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
+    readonly stageReturns: StageReturns;
     readonly crashGuard: CrashGuard;
     readonly origins: StreamOrigins;
     /** Finds which targets may continue a stream that is resumed at a service; undefined if no process knows. */
