Read and log the limits that targets name

Change: target_limited and target_unlimited lines, a fault line for one that is no decimal number, daisyturn_limited_targets. Nothing is decided by it yet.

--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -3,6 +3,7 @@
     type CrashEvidence,
     EngineStage,
     type ForwardingParts,
+    type TargetLimits,
     type TargetLinks,
     type TunnelServer,
 } from "daisyturn/forwarding";
@@ -11,6 +12,7 @@
 /** The parts from which gauges are read. */
 export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
+    readonly limits: Pick<TargetLimits, "count">;
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
     readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
@@ -18,7 +20,7 @@
 
 /** Registers the gauges of one process, whose values are read at each scrape. */
 export function registerGauges(parts: ObservedParts, registers: Registry[]): void {
-    const { configurationManager, targets, budget, links, tunnels, crashEvidence, connectionGuard } = parts;
+    const { configurationManager, targets, budget, links, limits, tunnels, crashEvidence, connectionGuard } = parts;
     new Gauge({
         name: "daisyturn_listed_suspects",
         help: "Requests and parts of prompts that are kept out of targets, because several of them ended under these",
@@ -54,6 +56,14 @@
             this.set(links.lostCount());
         },
     });
+    new Gauge({
+        name: "daisyturn_limited_targets",
+        help: "Targets that name a limit of requests a second in their answers",
+        registers,
+        collect() {
+            this.set(limits.count());
+        },
+    });
     new Gauge({
         name: "daisyturn_carried_tunnels",
         help: "Connections of peers to targets that this process carries",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -62,6 +62,10 @@
     CallUnlisted = "call_unlisted",
     /** New connections are limited, because this process has too many of them; the others are closed unread. */
     ConnectionsLimited = "connections_limited",
+    /** A target names a limit of requests a second for all processes together, or another one than before. */
+    TargetLimited = "target_limited",
+    /** A target names no limit any more. */
+    TargetUnlimited = "target_unlimited",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -95,6 +95,11 @@
     /** Whether the answer carries the target's mark that the target itself produced it. */
     readonly isStamped: boolean;
     readonly load?: ReportedLoad;
+    /**
+     * Requests a second that the target takes from all processes together, for as long as it names them; undefined if the
+     * answer names none, NaN if it names something that is not a number of requests.
+     */
+    readonly requestLimit?: number;
     /** Fields to forward to the caller. */
     readonly forwardedFields: HeaderFields;
 }
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -19,6 +19,7 @@
 export * from "./limits/createOverloadGuard.js";
 export * from "./limits/createSizeFairness.js";
 export * from "./limits/measureSize.js";
+export * from "./limits/requests/createTargetLimits.js";
 export * from "./links/createRelays.js";
 export * from "./links/createTargetLinks.js";
 export * from "./placement/callPlacement.js";
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import { EngineActivity, type EngineOrders } from "../../../ports/engineOrders.js";
+import { createTargetLimits, type TargetLimits } from "../limits/requests/createTargetLimits.js";
 import { createTargetLinks, type TargetLinks } from "../links/createTargetLinks.js";
 import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
 import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
@@ -22,6 +23,7 @@
     readonly prefillRates: PrefillRates;
     readonly eventIntervals: EventIntervals;
     readonly closed: ClosedTargets;
+    readonly limits: TargetLimits;
     readonly demand: PrefillDemand;
 }
 
@@ -49,7 +51,8 @@
     links.onLost(address => targets.findAt(address).forEach(health.recordLinkLost));
     const caches = createCacheEstimates(clock);
     const slowdowns = createSlowdownEstimates();
-    targets.onRemoved(targetId => [loads, health, caches, slowdowns].forEach(view => view.forget(targetId)));
+    const limits = createTargetLimits(clock, eventLog);
+    targets.onRemoved(targetId => [loads, health, caches, slowdowns, limits].forEach(view => view.forget(targetId)));
     return {
         targets,
         links,
@@ -59,6 +62,7 @@
         slowdowns,
         prefillRates: createPrefillRates(),
         eventIntervals: createEventIntervals(),
+        limits,
         closed: createClosedTargets(clock, eventLog),
         demand: createPrefillDemand(clock),
     };
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -21,6 +21,7 @@
     SlowdownEstimates,
     StageReturns,
     TargetHealth,
+    TargetLimits,
     TargetLinks,
     TargetList,
     TargetLoads,
@@ -41,6 +42,7 @@
     readonly eventIntervals: EventIntervals;
     readonly demand: PrefillDemand;
     readonly closed: ClosedTargets;
+    readonly limits: TargetLimits;
     readonly stageReturns: StageReturns;
     readonly crashGuard: CrashGuard;
     readonly origins: StreamOrigins;
--- a/packages/daisyturn/src/request/forwarding/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sendToTarget.ts
@@ -127,6 +127,7 @@
                     arrival.markAnswered();
                     health.recordBytesReceived(target.targetId);
                     parts.crashGuard.recordBytesReceived(target.targetId);
+                    parts.limits.record(target.targetId, head.requestLimit);
                     if (head.load) {
                         loads.recordReport(target.targetId, head.load);
                     }
