Wait for a lease for longer than it takes to acquire it

Cause, from its logs: the planner asked for the first lease of the store's era at the start, to be had after 3 s, and gave it up as not needed after the same 3 s, so that the first one was waited for when it was needed. Change: a lease that is not held yet is given up after twice its length only. Result: the new test fails with one length and passes with two (34 tests of stages/).

--- a/packages/daisyturn/src/process/forwarding/stages/__fixtures__/createScene.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__fixtures__/createScene.ts
@@ -16,6 +16,8 @@
     readonly isStandby?: boolean;
     readonly mayOrder?: boolean;
     readonly leaseState?: LeaseState;
+    /** Milliseconds that acquiring the lease takes; none if absent. */
+    readonly acquiredAfter?: number;
     readonly isLeaseHeld?: () => boolean;
     /** Target id with which an engine answers a status read; the listed one if absent. */
     readonly startOf?: (targetId: string) => string;
@@ -88,10 +90,13 @@
         fencingRow: { key: "k", version: 1 },
     };
     let isRunning = false;
+    let startedAt = 0;
     const leaseManager: LeaseManager = {
-        current: () => isRunning ? lease : undefined,
+        current: () =>
+            isRunning && clock.monotonicNow() - startedAt >= (options.acquiredAfter ?? 0) ? lease : undefined,
         run: async signal => {
             isRunning = true;
+            startedAt = clock.monotonicNow();
             await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve()));
             isRunning = false;
         },
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/stageHandover.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/stageHandover.test.ts
@@ -81,3 +81,18 @@
     assert.equal(sent.length, 3);
     await end();
 });
+
+// Guards against a first lease that is given up in the moment in which it could be acquired.
+test("a lease that takes its whole length to be acquired is waited for, and released when it is not needed", async () => {
+    const { clock, end, isLeaseRunning } = createScene({
+        readers: 3,
+        decoders: 3,
+        leaseState: LeaseState.NotInEra,
+        acquiredAfter: 3_300,
+    });
+    await clock.advance(3_250);
+    assert.equal(isLeaseRunning(), true);
+    await clock.advance(3_000);
+    assert.equal(isLeaseRunning(), false);
+    await end();
+});
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -56,6 +56,8 @@
 const versionNeedMilliseconds = 1_500;
 /** Returning an engine to decode gains little and costs seconds of its time, so prefill demand must be low for long. */
 const decodeNeedMilliseconds = 19_500;
+/** Acquiring a lease may take its whole length and a little more, so it is not given up before twice that. */
+const lengthsUntilGivenUp = 2;
 /** One engine in this many may change at the same time, because the others must serve the load meanwhile. */
 const enginesPerConcurrentChange = 8;
 const enginesPerConcurrentChangeWhenMissing = 2;
@@ -91,9 +93,9 @@
     };
 
     const releaseUnusedLease = () => {
-        if (
-            leaseRun && clock.monotonicNow() - leaseLastNeededAt > options.leaseMilliseconds && !changes.isAnyChanging()
-        ) {
+        const lengths = leaseManager.current() ? 1 : lengthsUntilGivenUp;
+        const isUnused = clock.monotonicNow() - leaseLastNeededAt > lengths * options.leaseMilliseconds;
+        if (leaseRun && isUnused && !changes.isAnyChanging()) {
             leaseRun.stop.abort();
             leaseRun = undefined;
         }
