--- a/packages/daisyturn/src/process/forwarding/stages/__fixtures__/createScene.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__fixtures__/createScene.ts
@@ -145,6 +145,7 @@
     const isLeaseRunning = () => isRunning;
     return {
         clock,
+        eventLog,
         sent,
         reads,
         list,
--- a/packages/daisyturn/src/process/forwarding/stages/__tests__/stageHandover.test.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/__tests__/stageHandover.test.ts
@@ -1,3 +1,4 @@
+import { EventKind } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { EngineStage } from "../../../../ports/listedTarget.js";
@@ -82,6 +83,22 @@
     await end();
 });
 
+// Guards against an outage that is not logged since an earlier one ended while another process planned.
+test("each outage is logged, whichever process ends it", async () => {
+    let isPlanner = true;
+    const { clock, list, eventLog, end } = createScene({ readers: 1, decoders: 0, isPlanner: () => isPlanner });
+    await clock.advance(150);
+    isPlanner = false;
+    list("p0", EngineStage.Decode);
+    await clock.advance(500);
+    isPlanner = true;
+    list("p0", EngineStage.Prefill);
+    await clock.advance(150);
+    assert.deepEqual(eventLog.of(EventKind.StageMissing).map(({ fields }) => fields["lasting"]), [0, 0]);
+    assert.equal(eventLog.of(EventKind.StageRestored).length, 1);
+    await end();
+});
+
 // Guards against a first lease that is given up in the moment in which it could be acquired.
 test("a lease that takes its whole length to be acquired is waited for, and released when it is not needed", async () => {
     const { clock, end, isLeaseRunning } = createScene({
--- a/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
+++ b/packages/daisyturn/src/process/forwarding/stages/changeStages.ts
@@ -130,9 +130,6 @@
         if (isWithoutDecoder(service)) {
             missingStages.recordMissing(service, listEngines(service).length, delay);
         }
-        else {
-            missingStages.recordPresent(service);
-        }
     };
 
     /** Plans a change if one is due. @returns what the next one waits for */
@@ -243,6 +240,7 @@
         await clock.sleepUntil(clock.monotonicNow() + checkIntervalMilliseconds, signal);
         const services = options.listServices();
         const missing = services.filter(isWithoutDecoder);
+        services.filter(service => !missing.includes(service)).forEach(missingStages.recordPresent);
         if (!signal.aborted && (missing.length > 0 || planAt <= clock.monotonicNow())) {
             planAt = clock.monotonicNow() + planIntervalMilliseconds;
             planServices(services, missing);
