Let the only engine of the own interface serve both stages

Callers of the own interface would get no_target for as long as an engine is alone in the role prefill or decode. Found by looking for the cause elsewhere; no user has seen it. Change: an engine that is alone in its pool, with no mixed one and none that changes, is made mixed, whatever a change costs. Not played with real processes.

--- a/packages/daisyturn/src/process/roles/createRolePlanner.ts
+++ b/packages/daisyturn/src/process/roles/createRolePlanner.ts
@@ -118,6 +118,10 @@
     };
 
     const planPool = (pool: RolePool, demand: PoolDemand): RoleChange[] => {
+        const onlyEngine = findOnlyEngine(pool);
+        if (onlyEngine) {
+            return [{ engineId: onlyEngine.engineId, role: EngineRole.Mixed }];
+        }
         const engines = pool.prefill.length + pool.decode.length + pool.changingEngines;
         const availableChanges = Math.max(1, Math.floor(engines * settings.maxChangingFraction)) - pool.changingEngines;
         const { mixDuration, mean } = findHistory(pool);
@@ -166,6 +170,12 @@
     return new NetWorthRolePlanning();
 }
 
+/** Returns the engine of a pool that has no other one, and can't serve a request alone in its role. */
+function findOnlyEngine({ prefill, decode, mixedEngines, changingEngines }: RolePool): EngineLoad | undefined {
+    const [first, ...others] = [...prefill, ...decode];
+    return others.length === 0 && mixedEngines === 0 && changingEngines === 0 ? first : undefined;
+}
+
 /** Chooses the engines that change, at most `maxChanges`: those with the fewest streams, which drain soonest. */
 export function chooseEngines(pool: RolePool, prefillEngines: number, maxChanges: number): RoleChange[] {
     const surplus = pool.prefill.length - prefillEngines;
--- a/packages/daisyturn/src/process/roles/rolePool.ts
+++ b/packages/daisyturn/src/process/roles/rolePool.ts
@@ -8,6 +8,8 @@
     readonly models: readonly string[];
     readonly prefill: readonly EngineLoad[];
     readonly decode: readonly EngineLoad[];
+    /** Number of engines that serve both stages. They keep their role. */
+    readonly mixedEngines: number;
     /** Number of engines of the pool that serve nothing now because of a change. */
     readonly changingEngines: number;
 }
@@ -50,6 +52,7 @@
             models: key.split("\n"),
             prefill: present.filter(load => load.role() === EngineRole.Prefill),
             decode: present.filter(load => load.role() === EngineRole.Decode),
+            mixedEngines: present.filter(load => load.role() === EngineRole.Mixed).length,
             changingEngines: members.length - present.length,
         };
     });
