Give the test of hanging transactions time to open its connection

Traced: the transaction had 100 ms in all, connection included; with the event loop blocked for 150 ms after the call, the same code answers rejected, not_sent, and unknown without, and not sent is right then. Change: 2 s for the transaction; the outcome that is asserted is the same. It is not known to have failed before.

--- a/packages/daisyturn-standins/src/platform/__tests__/createPlatformServer.test.ts
+++ b/packages/daisyturn-standins/src/platform/__tests__/createPlatformServer.test.ts
@@ -73,7 +73,8 @@
     for (const down of [OutageKind.Hang, OutageKind.Reset, OutageKind.ErrorPage]) {
         it(`reports the outcome of a transaction as unknown during an outage (${down})`, async () => {
             await withTables({ faults: { down } }, async tables => {
-                const answer = await tables.transact(createRowOnce("a", "w1"), clock.monotonicNow() + 100);
+                // Before the connection is open, the deadline would make it a transaction that was not sent.
+                const answer = await tables.transact(createRowOnce("a", "w1"), clock.monotonicNow() + 2_000);
                 assert.equal(answer.outcome, TransactionOutcome.Unknown);
             });
         });
