Agree on interfaces for accounts, duties and scaling; split coordinate.ts

Change: types of client accounts, scaling, duties and reported durations; calls to the platform for the whole fleet as an abstract class (FleetDuties); messages are handled in createNotificationHandler, and parts with messages of their own use PeerExchange. Nothing reads the new fields yet.

--- a/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingAdapters.ts
@@ -2,6 +2,7 @@
     CallerProtocol,
     ChangeFeed,
     EngineOrders,
+    FleetDuties,
     ForwardingConfiguration,
     ListedTarget,
     PeerRegistry,
@@ -25,6 +26,8 @@
     readonly tableService: TableService;
     readonly storeEra: StoreEraTracker;
     readonly engineOrders: EngineOrders;
+    /** Undefined if the platform takes no calls for the whole fleet. */
+    readonly fleetDuties?: FleetDuties;
     /** Path of the balancer's readiness probe. */
     readonly readinessPath: string;
     close(): Promise<void>;
--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -8,6 +8,28 @@
     LeastRunning = "least-running",
 }
 
+/** Duties that one process has for the whole fleet. */
+export interface DutySettings {
+    /** Usage of client accounts is reported by window; undefined if it is not reported. */
+    readonly usage?: {
+        readonly windowMilliseconds: number;
+        /** Time from the end of a window until its report is due. */
+        readonly dueMilliseconds: number;
+    };
+    /** Whether engines are ordered and given back. */
+    readonly isScaling: boolean;
+    /** Calls that the platform accepts from all processes together. */
+    readonly callsPerSecond: number;
+}
+
+/** What a process does with the keys of client accounts while it can't learn of changes. */
+export interface RevocationSettings {
+    /** Time within which a revoked key must be refused also by a process that is cut off from the store. */
+    readonly milliseconds: number;
+    /** Whether calls with a key are refused once the keys have not been confirmed for that time. */
+    readonly isClosed: boolean;
+}
+
 /** Settings of a process that forwards calls: its identity and addresses, and time limits of the fleet. */
 export interface ForwardingSettings {
     readonly processId: string;
@@ -40,4 +62,8 @@
     readonly retries: RetryAllowance;
     /** Time for which a lease excludes other claimants. */
     readonly leaseMilliseconds: number;
+    /** Absent if the platform asks for none. */
+    readonly duties?: DutySettings;
+    /** Absent if the deployment has no client accounts. */
+    readonly revocation?: RevocationSettings;
 }
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -11,6 +11,7 @@
 export { createHttpTunnels } from "./connection/tunnel/openTunnel.js";
 export * from "./ports/changeFeed.js";
 export * from "./ports/engineOrders.js";
+export * from "./ports/duties/fleetDuties.js";
 export * from "./ports/forwardedCall.js";
 export * from "./ports/http/platformConnection.js";
 export * from "./ports/listedTarget.js";
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -32,6 +32,8 @@
     readonly lastEventId?: string;
     /** `callId` of the attempt that brought the first event of the stream that this call resumes. */
     readonly resumedCallId?: string;
+    /** Key by which the caller's client account is identified; undefined if the call has none or a malformed one. */
+    readonly key?: string;
     /** Fields to forward to targets, without connection-specific fields and those that only the system sets. */
     readonly forwardedFields: HeaderFields;
 }
@@ -67,6 +69,8 @@
     readonly fetchKvFrom?: string;
     /** From 0 (most urgent) to 9. */
     readonly urgency?: number;
+    /** Name of the caller's client account; undefined if the configuration has no accounts or the route is public. */
+    readonly account?: string;
     /** Overrides the caller's value when the system itself continues an answer. */
     readonly lastEventId?: string;
 }
@@ -83,6 +87,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** Duration of work at the target at this moment relative to the usual one, such as 1.5; undefined if not reported. */
+    readonly relativeDuration?: number;
 }
 
 /** Protocol-independent contents of the head of a target's answer. */
--- a/packages/daisyturn/src/ports/listedTarget.ts
+++ b/packages/daisyturn/src/ports/listedTarget.ts
@@ -29,6 +29,10 @@
     readonly softwareVersion: string;
     /** Absent if the target runs both stages or is not an engine. */
     readonly stage?: EngineStage;
+    /** Whether the platform may take the target away at short notice, together with all such targets of its zone. */
+    readonly isReclaimable?: boolean;
+    /** Time until a leaving target ends, in milliseconds from the writing of its entry; undefined if it does not say. */
+    readonly leavesInMilliseconds?: number;
 }
 
 /** The last entry of a target that is no longer listed. */
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -5,12 +5,12 @@
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { StreamOrigins, VersionHistory } from "../../origins/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
-import { createExpiringSet, type ExpiringSet } from "../links/createExpiringSet.js";
+import { createExpiringSet } from "../links/createExpiringSet.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
 import type { WindowedRetryBudget } from "../retries/createWindowedRetryBudget.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
-import { createCoordinatorLink } from "./createCoordinatorLink.js";
+import { coordinatorsPerGroup, createCoordinatorLink } from "./createCoordinatorLink.js";
 import { createEvidencePublisher } from "./createEvidencePublisher.js";
 import { createGroupLoadPublisher, groupReportMilliseconds } from "./createGroupLoadPublisher.js";
 import { createLoadPublisher } from "./createLoadPublisher.js";
@@ -20,11 +20,9 @@
 import { createRelayedTables, type RelayedTable } from "./createRelayedTables.js";
 import { createStatePublisher } from "./createStatePublisher.js";
 import { createTableReader, type TableReader } from "./createTableReader.js";
-import { readEvidence } from "./messages/evidenceMessage.js";
-import { type LoadMessage, readLoadMessage } from "./messages/loadMessage.js";
-import { type Notification, parseNotification } from "./messages/notification.js";
-import { encodePlacementAnswer, readPlacementAnswer, readPlacementRequest } from "./messages/placementMessages.js";
-import { type CoordinatorState, readCoordinatorState, readRowsMessage } from "./messages/tableMessages.js";
+import { createNotificationHandler } from "./exchange/createNotificationHandler.js";
+import type { NotificationReceiver, PeerExchange } from "./exchange/peerExchange.js";
+import { parseNotification } from "./messages/notification.js";
 import { createOriginPublisher, type OriginPublisher } from "./origins/createOriginPublisher.js";
 import type { DatagramChannel, PeerAddress } from "./peerChannel.js";
 import { createRetryLeases, type RetryLeases } from "./retries/createRetryLeases.js";
@@ -61,6 +59,8 @@
  * Participation of a process in its group, in which one process places prompts and reads the store's tables for all.
  */
 export interface Coordination {
+    /** For parts that have messages of their own. */
+    readonly peers: PeerExchange;
     readonly decisions: PromptDecisions;
     /** Finds which targets may continue a stream, by asking other processes if this one does not know. */
     readonly findOrigin: OriginPublisher["find"];
@@ -108,7 +108,7 @@
 /** Creates the participation of one process in its group. Nothing is sent before `run` is called. */
 export function coordinate(options: CoordinationOptions): Coordination {
     const { self, channel, views, sizeFairness, crashEvidence, clock, eventLog, maxStateAgeMilliseconds } = options;
-    const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, targets, health } = views;
+    const { loads, caches, closed, targets } = views;
     const send = (to: PeerAddress, datagram: Buffer) => channel.send(to, datagram);
     const link = createCoordinatorLink({ self, clock, eventLog });
     const members = createMembers(clock);
@@ -169,68 +169,25 @@
         listDistrusted: service => listDistrusted(views, service),
     });
 
-    const applyLoad = (message: LoadMessage, from: PeerAddress) => {
-        evidencePublisher.compareDigest(message.from, from, message.evidence);
-        closed.applyRemote(message.closed);
-        health.recordFailing(message.failing, message.isGroup);
-        message.kept.forEach(([targetId, partId, tokens]) => caches.recordRemote(targetId, partId, tokens));
-        if (message.isGroup) {
-            recordPresence(otherCoordinators, message.from, message.isCutOff !== true);
-            loads.recordGroup(message.from, message.work, message.pause);
-            demand.recordGroup(message.from, message.demand, message.pause);
-            return;
-        }
-        placementServer.acknowledge(message.from, message.placed);
-        loads.recordPeer(message.from, message.work, message.pause);
-        demand.recordPeer(message.from, message.demand, message.pause);
-        message.paces.forEach(slowdowns.recordRemote);
-        message.prefills.forEach(prefillRates.recordRemote);
-        message.pauses.forEach(eventIntervals.recordRemote);
-        message.ended.forEach(sizeFairness.recordRemote);
-        if (members.record(message.from, from)) {
-            // A process that has just started or lost its coordinator immediately learns that this one is reachable.
-            statePublisher.publishTo(from);
-        }
-    };
-
-    const applyState = (state: CoordinatorState, from: PeerAddress) => {
-        evidencePublisher.compareDigest(state.from, from, state.evidence);
-        link.recordContact(state.from, state.isAnswering, state.processes);
-        recordPresence(cutOffCoordinators, state.from, state.isCutOff === true);
-        link.addPeers(state.candidates);
-        closed.applyRemote(state.closed);
-        tables.applyState(state);
-    };
-
-    const handleNotification = (notification: Notification, from: PeerAddress) => {
-        originPublisher.receive(notification, from);
-        retryLeases.receive(notification, from);
-        roomQuery.receive(notification, from);
-        const request = readPlacementRequest(notification);
-        const answer = readPlacementAnswer(notification);
-        const load = readLoadMessage(notification);
-        const state = readCoordinatorState(notification);
-        const rows = readRowsMessage(notification);
-        const evidence = readEvidence(notification);
-        if (request) {
-            send(from, encodePlacementAnswer(placementServer.answer(request)));
-        }
-        if (answer) {
-            client.receiveAnswer(answer);
-        }
-        if (load && load.from !== self.peerId) {
-            applyLoad(load, from);
-        }
-        if (state && isRegistered(state.from, from)) {
-            applyState(state, from);
-        }
-        if (rows && isRegistered(rows.from, from)) {
-            tables.applyRows(rows);
-        }
-        if (evidence && isKnownPeer(evidence.from, from)) {
-            evidencePublisher.receive(evidence, from);
-        }
-    };
+    const receivers: NotificationReceiver[] = [originPublisher.receive, retryLeases.receive, roomQuery.receive];
+    const handleNotification = createNotificationHandler({
+        selfId: self.peerId,
+        views,
+        sizeFairness,
+        link,
+        members,
+        tables,
+        client,
+        placementServer,
+        evidencePublisher,
+        statePublisher,
+        otherCoordinators,
+        cutOffCoordinators,
+        isRegistered,
+        isKnownPeer,
+        receivers,
+        send,
+    });
 
     const isCoordinator = () => link.current()?.peerId === self.peerId;
 
@@ -248,6 +205,15 @@
     });
 
     return {
+        peers: {
+            self,
+            listPeers: link.listPeers,
+            listCoordinators:
+                () => [...link.listCandidates().slice(0, coordinatorsPerGroup), ...link.listOtherCandidates()],
+            isKnown: isKnownPeer,
+            send,
+            addReceiver: receiver => void receivers.push(receiver),
+        },
         decisions,
         findOrigin: originPublisher.find,
         requestRetryLease: retryLeases.request,
@@ -293,12 +259,3 @@
     const isUsable = (target: ListedTarget) => trusted.has(target) && availability.check(target.targetId) === undefined;
     return targets.list(service).filter(target => !isUsable(target)).map(target => target.targetId);
 }
-
-function recordPresence(present: ExpiringSet, peerId: string, isPresent: boolean): void {
-    if (isPresent) {
-        present.add(peerId);
-    }
-    else {
-        present.delete(peerId);
-    }
-}
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from "./coordination/coordinate.js";
 export * from "./coordination/createRelayedTables.js";
 export * from "./coordination/createTableReader.js";
+export type { NotificationReceiver, PeerExchange } from "./coordination/exchange/peerExchange.js";
 export type { FoundOrigin } from "./coordination/origins/createOriginPublisher.js";
 export * from "./coordination/peerChannel.js";
 export * from "./createSizeCounts.js";
--- a/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
+++ b/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
@@ -35,6 +35,16 @@
     readonly maxAttempts: number;
     /** Whether a broken stream may be continued at another target. */
     readonly isResumable: boolean;
+    /** Whether callers need no key although the configuration has client accounts. */
+    readonly isPublic?: boolean;
+}
+
+/** A client account with the keys by which its callers are identified. */
+export interface ForwardAccount {
+    readonly name: string;
+    readonly keys: readonly string[];
+    /** Replaces the priority of the route; 0 is the highest. */
+    readonly priority?: number;
 }
 
 /** Properties that all engines of a service share. */
@@ -49,11 +59,29 @@
     readonly tokensPerEvent: number;
 }
 
+/** Bounds and prices of a service whose engines can be ordered and given back. */
+export interface EngineScaling {
+    /** Bounds of the number of engines in one availability zone, of both kinds together. */
+    readonly minEngines: number;
+    readonly maxEngines: number;
+    /** Time from an order until a new engine takes work, in milliseconds. */
+    readonly bootMilliseconds: number;
+    /** Price of one second of an engine, by availability zone. Zones without an entry cost 1. */
+    readonly zonePrices: ReadonlyMap<string, number>;
+    /**
+     * Price of an engine that may be reclaimed, relative to that of another engine in its zone; undefined if there are
+     * none. All such engines of a zone may be reclaimed at once, with little notice.
+     */
+    readonly reclaimablePrice?: number;
+}
+
 /** A group of interchangeable targets. */
 export interface ForwardService {
     readonly name: string;
     /** Absent for plain services. */
     readonly engine?: EngineTraits;
+    /** Absent if the number of targets is fixed. */
+    readonly scaling?: EngineScaling;
 }
 
 /** Limits on callers' requests and connections. */
@@ -70,4 +98,6 @@
     readonly routes: readonly ForwardRoute[];
     readonly services: ReadonlyMap<string, ForwardService>;
     readonly limits: ForwardLimits;
+    /** Client accounts; undefined if callers need no keys. */
+    readonly accounts?: readonly ForwardAccount[];
 }
