Identify callers by the keys of client accounts

Change: accounts and keys of each configuration version; 401 before the body is read for a missing, malformed or unknown key, logged with a digest of the key; targets get the account's name in place of the key; the account's priority goes before that of the route; streams and crash evidence are identified by the account, since its keys change. Without accounts in the configuration credentials pass as before. The server for callers is created in createCallerServer.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -9,8 +9,6 @@
 } from "daisyturn-utils";
 import {
     coordinate,
-    createConnectionGuard,
-    createForwardServer,
     createOverloadGuard,
     createTunnelServer,
     decidePrompt,
@@ -21,12 +19,12 @@
     type RegisteredPeer,
     reportArrivals,
     reportSizeCounts,
-    serveForwardedCall,
 } from "daisyturn/forwarding";
 import { randomBytes, randomInt } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { performance } from "node:perf_hooks";
 import { createLogWriter } from "../entry/createLogWriter.js";
+import { createCallerServer } from "./createCallerServer.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
 import { createReadinessServer } from "./createReadinessServer.js";
@@ -107,20 +105,12 @@
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const isGuarded = isOn(Mechanism.OverloadGuard);
-    const connectionGuard = createConnectionGuard({
-        busyMilliseconds: () => performance.eventLoopUtilization().active,
-        hasRoomElsewhere: () => isGuarded && hasRoomElsewhere(),
-        clock,
-        eventLog,
-    });
-    const server = createForwardServer({
-        listen: settings.callers,
+    const { server, connectionGuard } = createCallerServer({
+        settings,
         protocol: adapters.callerProtocol,
-        serve: (call, exchange) => serveForwardedCall(servingParts, call, exchange),
+        parts: servingParts,
         shouldRefuse: () => isGuarded && overloadGuard.shouldRefuse(),
-        connectionGuard,
-        clock,
-        eventLog,
+        hasRoomElsewhere: () => isGuarded && hasRoomElsewhere(),
     });
     const tunnels = createTunnelServer({
         listen: settings.peers,
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
 import type { ConnectionGuard } from "../../process/forwarding/index.js";
+import type { CallHead } from "../../request/forwarding/checkCallHead.js";
 import { refuseCall } from "../../request/forwarding/refuseCall.js";
 import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
 import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
@@ -33,6 +34,8 @@
     readonly serve: (call: ForwardedCall, exchange: ForwardExchange) => Promise<void>;
     /** Whether a call that arrives now is refused without reading it, because the process is overloaded. */
     readonly shouldRefuse: () => boolean;
+    /** Refuses a call before its body is read. */
+    readonly checkHead?: (head: CallHead) => Failure | undefined;
     readonly connectionGuard: Pick<ConnectionGuard, "shouldClose" | "recordRequest">;
     readonly clock: Clock;
     readonly eventLog: EventLog;
@@ -108,6 +111,13 @@
             refuseUnread(outgoing, exchange, fault);
             return;
         }
+        const host = stripPort(incoming.headers.host ?? "");
+        const url = incoming.url ?? "/";
+        const headFailure = options.checkHead?.({ ...described.value, host, url });
+        if (headFailure) {
+            refuseKnown(incoming, outgoing, exchange, headFailure);
+            return;
+        }
         const body = await readBytes(incoming, {
             maxBytes: limits?.maxBodyBytes ?? defaultCallerLimits.maxBodyBytes,
             milliseconds: defaultCallerLimits.bodyMilliseconds,
@@ -127,8 +137,8 @@
         await options.serve({
             ...described.value,
             method: incoming.method ?? "GET",
-            host: stripPort(incoming.headers.host ?? ""),
-            url: incoming.url ?? "/",
+            host,
+            url,
             body: body.value,
             arrivedAt,
             deadline: arrivedAt + timeout,
@@ -141,6 +151,22 @@
         refuseCall(exchange, failure ?? notRun(FailureReason.BadRequest, "The request can't be read."), clock);
     };
 
+    /**
+     * Refuses a request by its head. The HTTP server reads and discards its body, so that the connection stays usable, unless
+     * the caller waits for permission to send the body.
+     */
+    const refuseKnown = (
+        incoming: IncomingMessage,
+        outgoing: ServerResponse,
+        exchange: ForwardExchange,
+        failure: Failure,
+    ) => {
+        if (incoming.headers.expect !== undefined) {
+            outgoing.shouldKeepAlive = false;
+        }
+        refuseCall(exchange, failure, clock);
+    };
+
     const reportFault = (exchange: ForwardExchange, error: unknown) => {
         const reason = error instanceof Error ? error.stack ?? error.message : String(error);
         eventLog.record(EventKind.Fault, { reason });
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -34,6 +34,8 @@
     readonly resumedCallId?: string;
     /** Key by which the caller's client account is identified; undefined if the call has none or a malformed one. */
     readonly key?: string;
+    /** The fields with the key. They are forwarded only if the configuration has no client accounts. */
+    readonly credentialFields?: HeaderFields;
     /** Fields to forward to targets, without connection-specific fields and those that only the system sets. */
     readonly forwardedFields: HeaderFields;
 }
@@ -49,6 +51,8 @@
     readonly arrivedAt: number;
     /** Monotonic time until which the caller waits. */
     readonly deadline: number;
+    /** Name of the caller's client account; undefined if the configuration has none, or the route needs no key. */
+    readonly account?: string;
 }
 
 /** Where the KV cache that was computed for a request can be fetched. */
@@ -69,8 +73,6 @@
     readonly fetchKvFrom?: string;
     /** From 0 (most urgent) to 9. */
     readonly urgency?: number;
-    /** Name of the caller's client account; undefined if the configuration has no accounts or the route is public. */
-    readonly account?: string;
     /** Overrides the caller's value when the system itself continues an answer. */
     readonly lastEventId?: string;
 }
--- a/packages/daisyturn/src/process/forwarding/targets/createForwardingConfigurationManager.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createForwardingConfigurationManager.ts
@@ -29,6 +29,8 @@
 ): ForwardingConfigurationManager {
     const { eventLog } = options;
     const listeners: ((table: RouteTable) => void)[] = [];
+    /** Faults repeat in each version until they are corrected. */
+    const reportedFaults = new Set<string>();
     let table: RouteTable | undefined;
 
     const apply = (row: FeedRow) => {
@@ -43,11 +45,24 @@
         eventLog.record(EventKind.ConfigurationInForce, {
             generation: configuration.version,
             routes: configuration.routes.length,
+            accounts: configuration.accounts?.length,
+            keys: table.accounts?.keyCount,
             storeVersion: row.version,
         });
+        reportFaults(configuration, table);
         listeners.forEach(listener => table && listener(table));
     };
 
+    const reportFaults = ({ faults = [] }: ForwardingConfiguration, { accounts }: RouteTable) => {
+        const ambiguous = (accounts?.ambiguousAccounts ?? []).map(name => `account ${name} shares a key with another`);
+        [...faults, ...ambiguous].forEach(reason => {
+            if (!reportedFaults.has(reason)) {
+                reportedFaults.add(reason);
+                eventLog.record(EventKind.Fault, { reason });
+            }
+        });
+    };
+
     const tryDecode = (text: string): ForwardingConfiguration | undefined => {
         try {
             return options.decode(text);
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -16,6 +16,8 @@
     /** The call as `CrashGuard` follows it. */
     readonly guarded: GuardedCall;
     readonly route: ForwardRoute;
+    /** Priority of the call: that of its client account or, if it has none, of its route. */
+    readonly priority: number;
     readonly service: ForwardService;
     /** Smallest target pause of the routes of the service, in milliseconds. */
     readonly pauseAim: number;
--- a/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
@@ -11,8 +11,9 @@
  * Identifies a stream by its caller and by the call that brought its first event, which callers name when they resume
  * it. A caller can't learn anything about the streams of others, because its own credentials are part of it.
  */
-export function identifyStream({ callId, resumedCallId, host, forwardedFields }: ForwardedCall): string {
-    const identity = JSON.stringify([host.toLowerCase(), readCredentials(forwardedFields), resumedCallId ?? callId]);
+export function identifyStream(call: ForwardedCall): string {
+    const { callId, resumedCallId, host } = call;
+    const identity = JSON.stringify([host.toLowerCase(), readCredentials(call), resumedCallId ?? callId]);
     return createHash("sha256").update(identity).digest().subarray(0, streamIdBytes).toString("base64url");
 }
 
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -258,6 +258,6 @@
 
 /** Orders deferred calls, which will be late anyway, after all calls that can still be on time. */
 function computeUrgency(context: CallContext, placement: PromptPlacement): number {
-    const urgency = minUrgency + Math.min(context.route.priority, priorityCount - 1);
+    const urgency = minUrgency + Math.min(context.priority, priorityCount - 1);
     return placement.isDeferred ? urgency + priorityCount : urgency;
 }
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -4,11 +4,14 @@
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import { CallOutcome, measureSize } from "../../process/forwarding/index.js";
-import { CallKind } from "../../version/forwarding/forwardingConfiguration.js";
+import type { RouteTable } from "../../version/forwarding/createRouteTable.js";
+import { CallKind, type ForwardAccount } from "../../version/forwarding/forwardingConfiguration.js";
 import { startRequestLifetime } from "../requestLifetime.js";
 import { type CallContext, createCallContext, estimateReturn } from "./callContext.js";
+import { createNoRouteFailure, findRoute } from "./checkCallHead.js";
 import { checkListed } from "./checkListed.js";
 import type { ForwardingParts } from "./forwardingParts.js";
+import { identifyCaller } from "./identifyCaller.js";
 import { refuseCall } from "./refuseCall.js";
 import { createRequestTrace, type RequestTrace } from "./requestTrace.js";
 import { findDestination, isResumption } from "./resumption/resumeCall.js";
@@ -64,7 +67,7 @@
 /** Creates the context of a call. The configuration that is active at its arrival applies until its end. */
 async function startCall(
     parts: ForwardingParts,
-    call: ForwardedCall,
+    received: ForwardedCall,
     exchange: ForwardExchange,
     trace: RequestTrace,
 ): Promise<Result<{ context: CallContext; end: () => void; }, Failure>> {
@@ -73,14 +76,22 @@
         const retryAt = parts.clock.wallNow() + noConfigurationRetryDelayMilliseconds;
         return err(notRun(FailureReason.OutOfService, "This process knows no configuration yet.", retryAt));
     }
-    const path = call.url.split("?", 1)[0] ?? call.url;
-    const route = table.find(call.host, path);
-    const destination = route ? await findDestination(parts, route, call, trace) : ok(undefined);
+    const route = findRoute(table, received);
+    if (!route) {
+        return err(createNoRouteFailure());
+    }
+    const identified = identifyCaller(table, route, received);
+    if (identified.isErr) {
+        return err(identified.error);
+    }
+    const call = attachAccount(table, received, identified.value);
+    trace.addSummaryFields({ account: call.account });
+    const destination = await findDestination(parts, route, call, trace);
     if (destination.isErr) {
         return err(destination.error);
     }
-    if (!route || !destination.value) {
-        return err(notRun(FailureReason.NotFound, "No route takes this host and path."));
+    if (!destination.value) {
+        return err(createNoRouteFailure());
     }
     const { service: serviceName, softwareVersion } = destination.value;
     const service = table.configuration.services.get(serviceName) ?? { name: serviceName };
@@ -104,6 +115,7 @@
         context: createCallContext({
             call,
             route,
+            priority: identified.value?.priority ?? route.priority,
             service,
             pauseAim,
             exchange,
@@ -117,6 +129,15 @@
     });
 }
 
+/** Adds the caller's account, and removes the key where the configuration has accounts: no target receives it. */
+function attachAccount(
+    { accounts }: RouteTable,
+    call: ForwardedCall,
+    account: ForwardAccount | undefined,
+): ForwardedCall {
+    return accounts ? { ...call, account: account?.name, credentialFields: [] } : call;
+}
+
 async function runCall(parts: ForwardingParts, context: CallContext): Promise<Result<Answer, Failure>> {
     if (context.signal.aborted) {
         return err(context.signal.reason as Failure);
--- a/packages/daisyturn/src/version/forwarding/createRouteTable.ts
+++ b/packages/daisyturn/src/version/forwarding/createRouteTable.ts
@@ -1,9 +1,12 @@
 import { hashTextTo32Bits } from "daisyturn-utils";
+import { type AccountTable, createAccountTable } from "./createAccountTable.js";
 import type { ForwardingConfiguration, ForwardRoute, ServiceShare } from "./forwardingConfiguration.js";
 
 /** Lookup table for the routes of one configuration. */
 export interface RouteTable {
     readonly configuration: ForwardingConfiguration;
+    /** The client accounts; undefined if callers need no keys. */
+    readonly accounts: AccountTable | undefined;
     /** Finds the host's route with the longest prefix of the path. */
     find(host: string, path: string): ForwardRoute | undefined;
     /** Returns the minimum target pause between events over the routes to a service; Infinity if none sets one. */
@@ -28,6 +31,7 @@
     byHost.forEach(routes => routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
     return {
         configuration,
+        accounts: configuration.accounts && createAccountTable(configuration.accounts),
         minPauseAim: service => pauseAims.get(service) ?? Infinity,
         find: (host, path) => byHost.get(host.toLowerCase())?.find(route => path.startsWith(route.pathPrefix)),
     };
--- a/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
+++ b/packages/daisyturn/src/version/forwarding/forwardingConfiguration.ts
@@ -100,4 +100,6 @@
     readonly limits: ForwardLimits;
     /** Client accounts; undefined if callers need no keys. */
     readonly accounts?: readonly ForwardAccount[];
+    /** What the decoder has left out because it is not valid, to be logged. Contains no keys. */
+    readonly faults?: readonly string[];
 }
