--- a/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
+++ b/packages/daisyturn-daemon/src/forwarding/forwardingSettings.ts
@@ -16,10 +16,17 @@
         /** Time from the end of a window until its report is due. */
         readonly dueMilliseconds: number;
     };
+    /**
+     * Whether the platform rejects calls with a lower fencing number than it has seen. Otherwise only the holder's lease
+     * keeps two processes from acting.
+     */
+    readonly checksFences: boolean;
     /** Whether engines are ordered and given back. */
     readonly isScaling: boolean;
     /** Calls that the platform accepts from all processes together. */
     readonly callsPerSecond: number;
+    /** Time after a suspension or a lost link before which no call is made. */
+    readonly thawMilliseconds: number;
 }
 
 /** What a process does with the keys of client accounts while it can't learn of changes. */
--- a/packages/daisyturn/src/ports/forwardedCall.ts
+++ b/packages/daisyturn/src/ports/forwardedCall.ts
@@ -89,7 +89,10 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
-    /** Duration of work at the target at this moment relative to the usual one, such as 1.5; undefined if not reported. */
+    /**
+     * Duration of work at the target at this moment relative to the usual one, such as 1.5, as the target states it: it may
+     * be NaN, negative or huge; undefined if the target states none.
+     */
     readonly relativeDuration?: number;
 }
 
