Refuse calls with unconfirmed keys where settings ask for it; count calls by account

Cause: a process that neither the store nor a coordinator answers can't know of revoked keys (revokeMs, revokeClosed), and operators could not see which account a call belongs to.

--- a/packages/daisyturn-cli/src/commands/ledgerCommand.ts
+++ b/packages/daisyturn-cli/src/commands/ledgerCommand.ts
@@ -1,5 +1,12 @@
 import type { Argv } from "yargs";
-import { collectCalls, type LedgerRow, type SizeRow, summarizeCalls, sumSizes } from "../ledger/index.js";
+import {
+    collectCalls,
+    type LedgerRow,
+    type SizeRow,
+    summarizeByAccount,
+    summarizeCalls,
+    sumSizes,
+} from "../ledger/index.js";
 import { formatTable } from "../output/formatTable.js";
 import type { Terminal } from "../terminal.js";
 import { mergeEvents, openLogs, type TimedEvent } from "../timeLine/index.js";
@@ -9,11 +16,12 @@
 interface LedgerFlags extends CommonFlags {
     readonly logs: readonly string[];
     readonly bySize: boolean;
+    readonly byAccount: boolean;
 }
 
 const sizeHead = ["route", "part", "ended", "served", "against all"];
 const ratioDecimals = 2;
-const head = ["route", "outcome", "calls", "tokens", "first byte", "longest pause", "reading", "forecast"];
+const head = ["outcome", "calls", "tokens", "first byte", "longest pause", "reading", "forecast"];
 
 /** `ledger` */
 export function addLedgerCommand(parser: Argv<CommonFlags>, terminal: Terminal): Argv<CommonFlags> {
@@ -23,6 +31,12 @@
         command =>
             command
                 .positional("logs", { type: "string", array: true, demandOption: true, describe: "Log files" })
+                .option("by-account", {
+                    type: "boolean",
+                    default: false,
+                    conflicts: "by-size",
+                    describe: "Group the calls by client account in place of the route",
+                })
                 .option("by-size", {
                     type: "boolean",
                     default: false,
@@ -34,9 +48,10 @@
 
 async function showLedger(terminal: Terminal, flags: LedgerFlags): Promise<void> {
     const { calls, incomplete } = await readLogs(terminal, flags, collectCalls);
-    const rows = summarizeCalls(calls);
+    const rows = flags.byAccount ? summarizeByAccount(calls) : summarizeCalls(calls);
+    const rowHead = [flags.byAccount ? "account" : "route", ...head];
     terminal.write(
-        flags.json ? `${JSON.stringify({ rows, incomplete })}\n` : formatTable(head, rows.map(listCells)),
+        flags.json ? `${JSON.stringify({ rows, incomplete })}\n` : formatTable(rowHead, rows.map(listCells)),
     );
     if (incomplete > 0) {
         terminal.writeError(`${incomplete} calls without their first or last line are left out\n`);
--- a/packages/daisyturn-cli/src/ledger/collectCalls.ts
+++ b/packages/daisyturn-cli/src/ledger/collectCalls.ts
@@ -7,6 +7,8 @@
  */
 export interface LoggedCall {
     readonly route: string;
+    /** Client account of the caller; undefined if the call has none. */
+    readonly account?: string;
     /** How the call ended, with the reason where the log line has one. */
     readonly outcome: string;
     /** Length of the prompt; undefined for calls of plain services. */
@@ -76,6 +78,7 @@
     const { outcome = "", reason } = end.fields;
     return {
         route,
+        account: end.fields["account"],
         tokens,
         reading,
         forecastReading,
--- a/packages/daisyturn-cli/src/ledger/index.ts
+++ b/packages/daisyturn-cli/src/ledger/index.ts
@@ -1,3 +1,3 @@
 export { collectCalls, type LoggedCall } from "./collectCalls.js";
-export { type LedgerRow, summarizeCalls } from "./summarizeCalls.js";
+export { type LedgerRow, summarizeByAccount, summarizeCalls } from "./summarizeCalls.js";
 export { type SizeRow, sumSizes } from "./sumSizes.js";
--- a/packages/daisyturn-cli/src/ledger/summarizeCalls.ts
+++ b/packages/daisyturn-cli/src/ledger/summarizeCalls.ts
@@ -1,7 +1,8 @@
 import type { LoggedCall } from "./collectCalls.js";
 
-/** Calls of one route with the same outcome. Fields after the first three are medians, in milliseconds or tokens. */
+/** Calls of one route, or of one client account, with the same outcome. Fields after the first three are medians, in milliseconds or tokens. */
 export interface LedgerRow {
+    /** The route or, in a summary by account, the client account. */
     readonly route: string;
     readonly outcome: string;
     readonly calls: number;
@@ -12,6 +13,13 @@
     readonly forecastReading?: number;
 }
 
+/** Groups the calls of client accounts by account and outcome, sorted by these names. Other calls are left out. */
+export function summarizeByAccount(calls: readonly LoggedCall[]): readonly LedgerRow[] {
+    return summarizeCalls(
+        calls.flatMap(({ account, ...call }) => account === undefined ? [] : { ...call, route: account }),
+    );
+}
+
 /** Groups calls by route and outcome, sorted by these names. */
 export function summarizeCalls(calls: readonly LoggedCall[]): readonly LedgerRow[] {
     const groups = new Map<string, LoggedCall[]>();
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -15,6 +15,7 @@
     createSizeFairness,
     createStageReturns,
     createStreamOrigins,
+    createTableConfirmation,
     createTargetConnections,
     createTargetDialer,
     createTargetViews,
@@ -26,10 +27,12 @@
     type ForwardingParts,
     type RegisteredPeer,
     switchOffViews,
+    type TableConfirmation,
     type TargetLinks,
     type TargetList,
     type VersionHistory,
 } from "daisyturn/forwarding";
+import { computeMaxStateAge } from "./computeStateAge.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import { type ForwardingSettings, PlacementPolicy } from "./forwardingSettings.js";
 
@@ -57,6 +60,8 @@
 export interface ForwardingProcessParts
     extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease"> {
     readonly configurationManager: ForwardingConfigurationManager;
+    /** When the table with the keys of client accounts was last known to be complete. */
+    readonly keyConfirmation: TableConfirmation;
     readonly targets: TargetList;
     readonly links: TargetLinks;
     readonly crashEvidence: CrashEvidence;
@@ -107,8 +112,14 @@
         countProcesses: options.countProcesses,
         clock,
     });
+    const keyConfirmation = createTableConfirmation(clock, () => computeMaxStateAge(settings()));
     return {
         ...views,
+        keyConfirmation,
+        areKeysCurrent: () => {
+            const { revocation } = settings();
+            return !revocation?.isClosed || keyConfirmation.isWithin(revocation.milliseconds);
+        },
         stageReturns: createStageReturns(views.targets, clock),
         configurationManager,
         placement,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -24,6 +24,7 @@
 import { setMaxListeners } from "node:events";
 import { performance } from "node:perf_hooks";
 import { createLogWriter } from "../entry/createLogWriter.js";
+import { computeMaxStateAge } from "./computeStateAge.js";
 import { createCallerServer } from "./createCallerServer.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
@@ -31,7 +32,7 @@
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 import { startStageChanges } from "./startStageChanges.js";
-import { computeMaxStateAge, startTableWatches } from "./startTableWatches.js";
+import { startTableWatches } from "./startTableWatches.js";
 
 /** A process that forwards calls to targets. */
 export interface ForwardingProcess {
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,6 +1,13 @@
-import { type Arrival, type CallOutcome, ForwardingMetrics, type ListenAddress, listenAt } from "daisyturn/forwarding";
+import {
+    type Arrival,
+    type CallOutcome,
+    createAccountCounts,
+    ForwardingMetrics,
+    type ListenAddress,
+    listenAt,
+} from "daisyturn/forwarding";
 import { createServer } from "node:http";
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { type ObservedParts, registerGauges } from "./registerGauges.js";
 
 /** Metrics of one process, served over HTTP in the Prometheus text format. */
@@ -85,6 +92,21 @@
         registers,
     });
 
+    const accountCounts = createAccountCounts();
+    new Gauge({
+        name: "daisyturn_account_calls",
+        help: "Calls since the start of the client accounts with the most calls, and of all others together",
+        labelNames: ["account", "refused"],
+        registers,
+        collect() {
+            this.reset();
+            accountCounts.list().forEach(({ account, calls: all, refused }) => {
+                this.set({ account, refused: "false" }, all - refused);
+                this.set({ account, refused: "true" }, refused);
+            });
+        },
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -94,6 +116,10 @@
             }
         }
 
+        override recordAccountCall(account: string | undefined, outcome: CallOutcome): void {
+            accountCounts.record(account, outcome);
+        }
+
         override recordSend(result: string): void {
             sends.inc({ result });
         }
--- a/packages/daisyturn-daemon/src/forwarding/startTableWatches.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startTableWatches.ts
@@ -2,10 +2,12 @@
 import {
     type ChangeFeed,
     type Coordination,
+    type TableConfirmation,
     type TableObserver,
     watchTable,
     type WatchTiming,
 } from "daisyturn/forwarding";
+import { computeApplyLimit } from "./computeStateAge.js";
 import type { ForwardingProcessParts } from "./createForwardingParts.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
@@ -29,8 +31,6 @@
  */
 const feedMarginMilliseconds = 1_200;
 const minFeedWaitMilliseconds = 500;
-/** Store state relayed by a coordinator is valid for this fraction of the time within which it must be applied. */
-const stateAgeFraction = 0.75;
 /** A coordinator's read of the store waits at most this fraction, so that relayed state never exceeds the age above. */
 const readerWaitFraction = 0.5;
 /**
@@ -41,16 +41,6 @@
 /** Upper bound of the random delay before re-reading the tables and rewriting the peer entry after a store rollback. */
 const rollbackJitterMilliseconds = 400;
 
-/** Returns how old state of the store that a coordinator relays may be, in milliseconds. */
-export function computeMaxStateAge(settings: ForwardingSettings): number {
-    return computeApplyLimit(settings) * stateAgeFraction;
-}
-
-/** Returns the time from the store's acknowledgement of a change until the change must be applied, in milliseconds. */
-function computeApplyLimit({ drainMilliseconds, configurationMilliseconds }: ForwardingSettings): number {
-    return Math.min(drainMilliseconds, configurationMilliseconds);
-}
-
 /** Starts the tasks that follow the configuration and the list of targets. */
 export function startTableWatches(options: TableWatchesOptions): void {
     const { settings, adapters, parts, coordination, clock, random, eventLog, signal } = options;
@@ -65,7 +55,7 @@
         await clock.sleepUntil(clock.monotonicNow() + random.fraction() * rollbackJitterMilliseconds, signal);
         coordination.refreshEntry();
     };
-    const watch = (name: string, feed: ChangeFeed, observer: TableObserver) =>
+    const watch = (name: string, feed: ChangeFeed, observer: TableObserver, confirmation?: TableConfirmation) =>
         watchTable({
             name,
             feed,
@@ -77,7 +67,8 @@
             onRolledBack: () => void refreshEntry(),
             relay: coordination.relayedTable(name),
             reader: coordination.tableReader,
+            confirmation,
         }, signal);
-    void watch("configuration", adapters.configurationFeed, parts.configurationManager);
+    void watch("configuration", adapters.configurationFeed, parts.configurationManager, parts.keyConfirmation);
     void watch("targets", adapters.targetFeed, parts.targets);
 }
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -24,6 +24,8 @@
      * @param longestPause milliseconds between two events of its answer; 0 where it had fewer
      */
     abstract recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void;
+    /** Records how a call of a client account ended; undefined if it has none. */
+    abstract recordAccountCall(account: string | undefined, outcome: CallOutcome): void;
     /** Records one send to a target by its result: `answered`, or the reason for its failure. */
     abstract recordSend(result: string): void;
     /** Records one send that was given up, by how much of it was sent and why. */
@@ -42,6 +44,7 @@
 /** Discards all counts. */
 export class NoForwardingMetrics extends ForwardingMetrics {
     override recordCall(): void {}
+    override recordAccountCall(): void {}
     override recordSend(): void {}
     override recordAbandonedSend(): void {}
     override recordRequest(): void {}
--- a/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
@@ -2,6 +2,7 @@
 import type { Result } from "true-myth/result";
 import type { ChangeFeed, FeedPage, FeedRow } from "../../../ports/changeFeed.js";
 import type { StorePosition } from "../../../ports/storePosition.js";
+import type { TableConfirmation } from "../../accounts/createTableConfirmation.js";
 import type { RelayedPage, RelayedTable } from "../coordination/createRelayedTables.js";
 import type { TableReader } from "../coordination/createTableReader.js";
 
@@ -43,6 +44,8 @@
     readonly eventLog: EventLog;
     /** Called after each call to the store with whether it was answered, and with false after a store rollback. */
     readonly onCall?: (isAnswered: boolean) => void;
+    /** Learns when the table was last known to be complete. */
+    readonly confirmation?: Pick<TableConfirmation, "recordAnswer" | "beginRelay">;
     /** Called when the store was restored from an older snapshot. */
     readonly onRolledBack?: () => void;
     /** Changes relayed by another process; while it relays them, the store is not called. */
@@ -58,6 +61,9 @@
 const firstRetryMilliseconds = 250;
 const maxRetryMilliseconds = 1_200;
 
+/** A relay that ends sooner without rows had no recent report to follow. */
+const minRelayMilliseconds = 20;
+
 /** A store rollback after which the table has not been read in full yet. */
 interface Rollback {
     readonly fromEra: number;
@@ -153,6 +159,7 @@
             return delay;
         }
         options.reader?.recordAnswer(options.name, answer.value, position);
+        options.confirmation?.recordAnswer();
         retryMilliseconds = firstRetryMilliseconds;
         return applyPage(answer.value);
     };
@@ -168,8 +175,16 @@
         }
     };
 
+    const followRelay = async (after: StorePosition) => {
+        const endRelay = options.confirmation?.beginRelay();
+        const startedAt = clock.monotonicNow();
+        const page = await options.relay?.next(after, signal);
+        endRelay?.(page !== undefined || clock.monotonicNow() - startedAt >= minRelayMilliseconds);
+        return page;
+    };
+
     while (!signal.aborted) {
-        const relayed = position === undefined ? undefined : await options.relay?.next(position, signal);
+        const relayed = position === undefined ? undefined : await followRelay(position);
         if (relayed) {
             const delay = applyPage(relayed);
             if (position === undefined) {
--- a/packages/daisyturn/src/request/forwarding/checkCallHead.ts
+++ b/packages/daisyturn/src/request/forwarding/checkCallHead.ts
@@ -9,6 +9,12 @@
 /** What is known of a call before its body is read. */
 export type CallHead = CallDescription & Pick<ForwardedCall, "host" | "url">;
 
+/** The parts of the process that {@link checkCallHead} uses. */
+export type HeadCheckParts = Pick<
+    ForwardingParts,
+    "configurationManager" | "areKeysCurrent" | "metrics" | "clock" | "eventLog"
+>;
+
 /** Finds the route of a call by its host and path. */
 export function findRoute(
     table: RouteTable,
@@ -23,13 +29,11 @@
 }
 
 /** Refuses a call without a valid key before its body is read. Other faults are found once it is served. */
-export function checkCallHead(
-    { configurationManager, metrics, eventLog }: Pick<ForwardingParts, "configurationManager" | "metrics" | "eventLog">,
-    head: CallHead,
-): Failure | undefined {
+export function checkCallHead(parts: HeadCheckParts, head: CallHead): Failure | undefined {
+    const { configurationManager, metrics, eventLog } = parts;
     const table = configurationManager.current();
     const route = table?.accounts && findRoute(table, head);
-    const identified = table && route && identifyCaller(table, route, head);
+    const identified = table && route && identifyCaller(parts, table, route, head);
     if (!identified?.isErr) {
         return undefined;
     }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -34,6 +34,8 @@
 /** The parts of the process that serving a forwarded call uses. */
 export interface ForwardingParts {
     readonly configurationManager: Pick<ForwardingConfigurationManager, "current">;
+    /** Whether this process would know by now of a key that was revoked as long ago as the settings allow. */
+    readonly areKeysCurrent: () => boolean;
     readonly targets: TargetList;
     readonly links: Pick<TargetLinks, "isLost">;
     readonly loads: TargetLoads;
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -80,7 +80,7 @@
     if (!route) {
         return err(createNoRouteFailure());
     }
-    const identified = identifyCaller(table, route, received);
+    const identified = identifyCaller(parts, table, route, received);
     if (identified.isErr) {
         return err(identified.error);
     }
@@ -180,6 +180,7 @@
     const longestPause = context?.exchange.longestPause() ?? 0;
     const outcome = determineOutcome(context, milliseconds, failure, reply);
     parts.metrics.recordCall(kind, outcome, milliseconds, longestPause);
+    parts.metrics.recordAccountCall(context?.call.account, outcome);
     if (context?.call.prompt) {
         parts.sizeCounts.record(context.route.name, measureSize(context.call.prompt), isServed(outcome));
     }
