--- a/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
@@ -154,6 +154,7 @@
         countKind: (availabilityZone: string, isReclaimable: boolean) =>
             ofKind({ availabilityZone, isReclaimable }).length,
         reclaim,
+        carryOut,
         pass,
         end,
         list: ordering.list,
