Measure the work of the whole fleet for orders of engines; log, metrics and command line

Cause: the orders of engines had no source for their demand, and a coordinator that lacks the reports of a group would take the demand for low. Entries with `leaves_ms` and without `draining` still got new work.

Change: `measureWork` (slots and KV cache of decode engines, prefill demand, shared parts in use at prefill engines), `Coordination.knowsFleet` (most of the group and a coordinator of each other group report), `startEngineOrders` for the daemon, the gauges daisyturn_desired_engines and daisyturn_listed_engines, `daisyturn scaling LOGS`. A target whose entry says when it ends takes no new work, and stages are planned without it. An engine may be missing in the list for 3.5 s before it counts as lost, since a change of stage takes 3 s. `startEngineOrders` is not called yet: it needs the lease's calls.

--- a/packages/daisyturn-cli/src/runCommandLine.ts
+++ b/packages/daisyturn-cli/src/runCommandLine.ts
@@ -7,6 +7,7 @@
 import { addFleetCommands } from "./commands/fleetCommands.js";
 import { addLedgerCommand } from "./commands/ledgerCommand.js";
 import { addProfileCommands } from "./commands/profileCommands.js";
+import { addScalingCommand } from "./commands/scalingCommand.js";
 import { addSettingsCommands } from "./commands/settingsCommands.js";
 import { addTimeLineCommand } from "./commands/timeLineCommand.js";
 import { ExitCode } from "./exitCode.js";
@@ -41,6 +42,7 @@
             addFleetCommands,
             addTimeLineCommand,
             addLedgerCommand,
+            addScalingCommand,
         ]
     ) {
         parser = addCommands(parser, terminal);
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -1,6 +1,7 @@
 import {
     type ConnectionGuard,
     type CrashEvidence,
+    type EngineNumbers,
     EngineStage,
     type ForwardingParts,
     type TargetAvailability,
@@ -18,6 +19,8 @@
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
     readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
+    /** Ordered and listed engines; empty while another process orders. */
+    readonly listEngineNumbers?: () => readonly EngineNumbers[];
 }
 
 /** Registers the gauges of one process, whose values are read at each scrape. */
@@ -127,4 +130,31 @@
             [...services].forEach(service => this.set({ service }, targets.open(service).length));
         },
     });
+    registerEngineNumbers(parts, registers);
+}
+
+function registerEngineNumbers({ listEngineNumbers = () => [] }: ObservedParts, registers: Registry[]): void {
+    const labelNames = ["service", "zone", "kind"] as const;
+    new Gauge({
+        name: "daisyturn_desired_engines",
+        help: "Engines that this process has ordered, by service, zone and kind; none while another process orders",
+        labelNames,
+        registers,
+        collect() {
+            this.reset();
+            listEngineNumbers().forEach(({ service, zone, kind, desired }) =>
+                this.set({ service, zone, kind }, desired)
+            );
+        },
+    });
+    new Gauge({
+        name: "daisyturn_listed_engines",
+        help: "Engines that take new work, by service, zone and kind, at the process that orders",
+        labelNames,
+        registers,
+        collect() {
+            this.reset();
+            listEngineNumbers().forEach(({ service, zone, kind, listed }) => this.set({ service, zone, kind }, listed));
+        },
+    });
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -4,6 +4,7 @@
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { StreamOrigins, VersionHistory } from "../../origins/index.js";
+import { knowsFleet } from "../fleet/knowsFleet.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import { createExpiringSet } from "../links/createExpiringSet.js";
 import type { DecisionRequest, PromptDecision, PromptDecisions } from "../placement/decidePrompt.js";
@@ -79,6 +80,8 @@
      * its group or next in line.
      */
     isReader(): boolean;
+    /** Whether the reports that this process receives cover the whole fleet. */
+    knowsFleet(): boolean;
     /** Maximum interval between two messages to any coordinator while an engine is closed, in milliseconds. */
     closingReportInterval(): number;
     /** Whether this process places prompts for its group, according to its own information. */
@@ -222,6 +225,7 @@
         relayedTable: tables.find,
         tableReader: reader,
         isReader: link.isCandidate,
+        knowsFleet: () => knowsFleet({ self, link, members, otherCoordinators }),
         closingReportInterval: () => groupReportMilliseconds,
         isCoordinator,
         isFleetCoordinator: () => {
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -6,7 +6,7 @@
 import { createDemandWindow, demandWindowMilliseconds, recentWindowMilliseconds } from "./createDemandWindow.js";
 import { createEngineLedger, type ListedEngines } from "./createEngineLedger.js";
 import { EngineKind, engineKinds, type FleetNumbers, type KindNumbers, noEngines } from "./fleetNumbers.js";
-import { type EngineNeeds, forecastNeeds } from "./forecastNeeds.js";
+import { type EngineNeeds, forecastNeeds, type StageWork } from "./forecastNeeds.js";
 import type { EngineNumbers, OrderEnginesOptions } from "./orderEnginesOptions.js";
 
 /** Orders of the engines of one service while this process holds the lease. */
@@ -55,7 +55,7 @@
 
     const readView = (scaling: EngineScaling): FleetView => {
         const now = clock.monotonicNow();
-        const engines = listEngines(service).filter(engine => engine.stage !== undefined);
+        const engines = listEngines(service);
         const zoneNames = [
             ...new Set([...engines.map(engine => engine.availabilityZone), ...scaling.zonePrices.keys()]),
         ]
@@ -108,8 +108,8 @@
             desired,
             listed: listed.find(isOrdered)?.open ?? 0,
             needed: needs?.total,
-            prefillWork: needs && Number(needs.stages.prefill.toFixed(1)),
-            decodeWork: needs && Number(needs.stages.decode.toFixed(1)),
+            prefillWork: needs && Number(needs.work.prefill.toFixed(1)),
+            decodeWork: needs && Number(needs.work.decode.toFixed(1)),
             reason,
             answer: answer ?? "not_sent",
         });
@@ -180,12 +180,15 @@
 }
 
 function mergeNeeds(needs: readonly EngineNeeds[]): EngineNeeds {
+    const findMax = (amount: (need: EngineNeeds) => number) => Math.max(...needs.map(amount));
+    const findMaxWork = (work: (need: EngineNeeds) => StageWork) => ({
+        prefill: findMax(need => work(need).prefill),
+        decode: findMax(need => work(need).decode),
+    });
     return {
-        total: Math.max(...needs.map(({ total }) => total)),
-        afterLoss: Math.max(...needs.map(({ afterLoss }) => afterLoss)),
-        stages: {
-            prefill: Math.max(...needs.map(({ stages }) => stages.prefill)),
-            decode: Math.max(...needs.map(({ stages }) => stages.decode)),
-        },
+        total: findMax(({ total }) => total),
+        afterLoss: findMax(({ afterLoss }) => afterLoss),
+        stages: findMaxWork(({ stages }) => stages),
+        work: findMaxWork(({ work }) => work),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
@@ -24,6 +24,8 @@
     readonly afterLoss: number;
     /** Engines that each stage needs for the present work. */
     readonly stages: StageWork;
+    /** The mean work. */
+    readonly work: StageWork;
 }
 
 /**
@@ -47,6 +49,7 @@
     return {
         total: addMinDecoders(forStages, Math.ceil(prefill)),
         afterLoss: Math.max(minEngines, Math.ceil(sumWork(mean) * lossFactor)),
+        work: mean,
         stages: { prefill: Math.max(1, mean.prefill * lossFactor), decode: Math.max(2, mean.decode * lossFactor) },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/fleet/ledgerEntry.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/ledgerEntry.ts
@@ -29,8 +29,8 @@
 const listingMarginMilliseconds = 3_000;
 /** An engine that is given back is drained for 3 s and a little longer until the list no longer has it. */
 const removalMilliseconds = 8_000;
-/** An engine may be missing in the list for a moment, as with a late heartbeat. */
-const missingMilliseconds = 1_500;
+/** An engine may be missing for a moment, as with a late heartbeat or during its change of stage, which takes 3 s. */
+const missingMilliseconds = 3_500;
 /** Pauses after a refusal, or after engines that did not come; each is twice as long as the one before. */
 const minPauseMilliseconds = 5_000;
 const maxPauseMilliseconds = 60_000;
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -14,6 +14,7 @@
 export * from "./experiments/mechanism.js";
 export * from "./experiments/switchOffViews.js";
 export { EngineKind, engineKinds } from "./fleet/fleetNumbers.js";
+export * from "./fleet/measureWork.js";
 export * from "./fleet/orderEngines.js";
 export * from "./fleet/orderEnginesOptions.js";
 export * from "./forwardingMetrics.js";
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -41,6 +41,18 @@
     assert.deepEqual(removedTargets, ["b"]);
 });
 
+// Guards against work that is sent to an engine which the platform takes away within seconds.
+test("a target whose entry says when it ends accepts no new work, and stages are planned without it", () => {
+    const { list } = createBench();
+    const leaving = row("a");
+    list.replace([row("b"), {
+        ...leaving,
+        text: JSON.stringify({ ...JSON.parse(leaving.text ?? ""), leavesInMilliseconds: 2_500 }),
+    }]);
+    assert.deepEqual(list.open("s").map(target => target.targetId), ["b"]);
+    assert.equal(list.isOpen("a"), false);
+});
+
 test("a target that is missing from a full read is removed", () => {
     const { list } = createBench();
     list.replace([row("a"), row("b")]);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -125,7 +125,8 @@
         }
         // The snapshot may predate the start of leaving, so the target stays closed until it reports its state again.
         const wasLeaving = isAfterRollback && known?.targetId === target.targetId && known.isLeaving;
-        const isLeaving = target.isLeaving || saidLeaving.has(target.targetId) || wasLeaving;
+        const hasEnd = target.leavesInMilliseconds !== undefined;
+        const isLeaving = target.isLeaving || hasEnd || saidLeaving.has(target.targetId) || wasLeaving;
         const updated = { ...target, isLeaving };
         expired.delete(key);
         entries.set(key, updated);
--- a/packages/daisyturn/src/process/forwarding/views/createCacheEstimates.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createCacheEstimates.ts
@@ -14,11 +14,15 @@
     onRecorded(listener: (part: CachedPart) => void): void;
     /** Tokens at the start of the prompt that the engine need not prefill. */
     keptTokens(targetId: string, parts: readonly PromptPart[]): number;
+    /** Tokens of the different parts that prompts shared at these targets within the last seconds. */
+    sharedTokens(targetIds: readonly string[]): number;
     forget(targetId: string): void;
 }
 
 /** Parts that were not used for this long are presumed evicted. */
 const retentionMilliseconds = 40_000;
+/** Shared parts that were not used for this long count as no longer in use. */
+const useMilliseconds = 15_000;
 /** Fraction of an engine's memory that caches parts; running requests use the rest. */
 const cacheFraction = 0.9;
 /**
@@ -29,6 +33,8 @@
 interface CacheEntry {
     readonly tokens: number;
     readonly usedAt: number;
+    /** Whether other prompts begin with the same part. */
+    readonly isShared: boolean;
 }
 
 interface EngineCache {
@@ -52,9 +58,9 @@
         return cache;
     };
 
-    const store = (cache: EngineCache, partId: string, tokens: number) => {
+    const store = (cache: EngineCache, partId: string, tokens: number, isShared: boolean) => {
         evict(cache, partId);
-        cache.parts.set(partId, { tokens, usedAt: clock.monotonicNow() });
+        cache.parts.set(partId, { tokens, usedAt: clock.monotonicNow(), isShared });
         cache.tokens += tokens;
         for (const oldest of cache.parts.keys()) {
             if (cache.tokens <= cache.capacity) {
@@ -75,13 +81,14 @@
             cache.capacity = capacityTokens * cacheFraction;
             // The last part is the request's own: it is not used again, but evicts others.
             parts.forEach(({ partId, tokens }, index) => {
-                store(cache, partId, tokens);
-                if (tokens >= minReportedTokens && index < parts.length - 1) {
+                const isShared = index < parts.length - 1;
+                store(cache, partId, tokens, isShared);
+                if (tokens >= minReportedTokens && isShared) {
                     listeners.forEach(listener => listener([targetId, partId, tokens]));
                 }
             });
         },
-        recordRemote: (targetId, partId, tokens) => store(find(targetId), partId, tokens),
+        recordRemote: (targetId, partId, tokens) => store(find(targetId), partId, tokens, true),
         onRecorded: listener => void listeners.push(listener),
         keptTokens: (targetId, parts) => {
             const cache = caches.get(targetId);
@@ -95,6 +102,18 @@
             }
             return tokens;
         },
+        sharedTokens: targetIds => {
+            const oldest = clock.monotonicNow() - useMilliseconds;
+            const inUse = new Map<string, number>();
+            for (const targetId of targetIds) {
+                for (const [partId, { tokens, usedAt, isShared }] of caches.get(targetId)?.parts ?? []) {
+                    if (isShared && usedAt >= oldest) {
+                        inUse.set(partId, tokens);
+                    }
+                }
+            }
+            return [...inUse.values()].reduce((sum, tokens) => sum + tokens, 0);
+        },
         forget: targetId => caches.delete(targetId),
     };
 }
