Keep the limits that targets name over the whole fleet

The amount is the fleet's, and each process knows only its own requests.

Change: process/quotas gives each target one home process by rendezvous hashing over the registered processes. The home grants tokens from a bucket that is empty at its start, and is the home only while the next process in the ranking accepts no other one. Each send to a target that names a limit takes a token, prefills and repeats included. Without one, the call takes another target without a retry, and is refused at once with the time that the homes name where there is none. Retry-After is never written as 0.00, which callers do not take for a time: a refusal whose time had just passed counted as one without a time. The home tells the limit to all processes.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -55,7 +55,7 @@
  * tables.
  */
 export interface ForwardingProcessParts
-    extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease"> {
+    extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease" | "targetQuotas"> {
     readonly configurationManager: ForwardingConfigurationManager;
     readonly targets: TargetList;
     readonly links: TargetLinks;
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -27,6 +27,7 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
+import { createProcessQuotas } from "./createProcessQuotas.js";
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
@@ -101,7 +102,15 @@
         ? coordination.decisions
         : new LocalDecisions(parts);
     const { findOrigin, requestRetryLease, hasRoomElsewhere } = coordination;
-    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease };
+    const background = new AbortController();
+    const { quotas, targetQuotas } = createProcessQuotas({
+        parts,
+        coordination,
+        clock,
+        eventLog,
+        signal: background.signal,
+    });
+    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease, targetQuotas };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const isGuarded = isOn(Mechanism.OverloadGuard);
@@ -121,8 +130,7 @@
         clock,
         eventLog,
     });
-    metricsServer?.observe({ ...parts, tunnels, connectionGuard });
-    const background = new AbortController();
+    metricsServer?.observe({ ...parts, quotas, tunnels, connectionGuard });
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -85,6 +85,13 @@
         registers,
     });
 
+    const tokens = new Counter({
+        name: "daisyturn_quota_tokens_total",
+        help: "Requests for tokens of the limits that targets name, by result",
+        labelNames: ["result"],
+        registers,
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -118,6 +125,10 @@
             resumptions.inc({ result });
         }
 
+        override recordToken(result: string): void {
+            tokens.inc({ result });
+        }
+
         override recordRelayedSend(): void {
             relayedSends.inc();
         }
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -3,6 +3,7 @@
     type CrashEvidence,
     EngineStage,
     type ForwardingParts,
+    type Quotas,
     type TargetAvailability,
     type TargetLimits,
     type TargetLinks,
@@ -14,7 +15,8 @@
 export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly limits: Pick<TargetLimits, "count">;
-    readonly availability: Pick<TargetAvailability, "countResting">;
+    readonly availability: Pick<TargetAvailability, "countResting" | "countThrottled">;
+    readonly quotas: Pick<Quotas, "countHomes">;
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
     readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
@@ -29,6 +31,7 @@
         links,
         limits,
         availability,
+        quotas,
         tunnels,
         crashEvidence,
         connectionGuard,
@@ -76,6 +79,22 @@
             this.set(availability.countResting());
         },
     });
+    new Gauge({
+        name: "daisyturn_throttled_targets",
+        help: "Targets that this process sends nothing to at the moment, because they are at the limit that they name",
+        registers,
+        collect() {
+            this.set(availability.countThrottled());
+        },
+    });
+    new Gauge({
+        name: "daisyturn_quota_homes",
+        help: "Quotas of the fleet whose tokens this process grants",
+        registers,
+        collect() {
+            this.set(quotas.countHomes());
+        },
+    });
     new Gauge({
         name: "daisyturn_limited_targets",
         help: "Targets that name a limit of requests a second in their answers",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -68,6 +68,12 @@
     TargetLimited = "target_limited",
     /** A target names no limit any more. */
     TargetUnlimited = "target_unlimited",
+    /** A request found its target at the limit that it names, and takes another one. */
+    TargetFull = "target_full",
+    /** This process is the home of a quota of the fleet and grants its tokens. */
+    QuotaHomeTaken = "quota_home_taken",
+    /** It is no longer the home. */
+    QuotaHomeLeft = "quota_home_left",
     /** A target has turned a call of this process away and wants no other one for a time. */
     TargetResting = "target_resting",
     /** An answer of a target says that it leaves, which its entry in the store does not say yet. */
--- a/packages/daisyturn-utils/src/failure.ts
+++ b/packages/daisyturn-utils/src/failure.ts
@@ -16,6 +16,8 @@
     NoTarget = "no_target",
     /** No process knows which software version began the stream that the request resumes. */
     UnknownOrigin = "unknown_origin",
+    /** The target names a limit of requests, and no token of it was left. Nothing was sent. */
+    TargetFull = "target_full",
     TargetRefused = "target_refused",
     TargetFailed = "target_failed",
     /** No connection to the target could be opened, and nothing shows that the target is at fault. */
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -24,6 +24,7 @@
 export * from "./process/lease/index.js";
 export * from "./process/origins/index.js";
 export type { ProcessIdentity } from "./process/peers/index.js";
+export * from "./process/quotas/index.js";
 export * from "./process/store/index.js";
 export * from "./request/forwarding/checkCallHead.js";
 export * from "./request/forwarding/forwardingParts.js";
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -37,6 +37,8 @@
     abstract recordRelayedSend(): void;
     /** Records one call that resumes a stream: `placed`, or the reason why no target may continue the stream. */
     abstract recordResumption(result: string): void;
+    /** Records one request for a token of a limit that a target names, by its result. */
+    abstract recordToken(result: string): void;
 }
 
 /** Discards all counts. */
@@ -49,4 +51,5 @@
     override recordRetry(): void {}
     override recordRelayedSend(): void {}
     override recordResumption(): void {}
+    override recordToken(): void {}
 }
--- a/packages/daisyturn/src/process/forwarding/limits/requests/__tests__/createTargetLimits.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/requests/__tests__/createTargetLimits.test.ts
@@ -37,3 +37,15 @@
     limits.forget("t");
     assert.equal(limits.find("t"), undefined);
 });
+
+// Guards against a process that sends without tokens until its own first answer, and against old news that revive a limit.
+test("a limit that another process has seen holds, unless it is older than what is known", async () => {
+    const { clock, limits } = createScene();
+    await clock.advance(10_000);
+    limits.recordRemote("t", 10, 1_000);
+    assert.deepEqual(limits.findNamed("t"), { limit: 10, namedAt: clock.monotonicNow() - 1_000 });
+    limits.recordRemote("t", 20, 2_000);
+    assert.equal(limits.find("t"), 10);
+    limits.recordRemote("other", 20, 5_000);
+    assert.equal(limits.find("other"), undefined, "it may have ended since");
+});
--- a/packages/daisyturn/src/process/forwarding/limits/requests/createTargetLimits.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/requests/createTargetLimits.ts
@@ -7,8 +7,15 @@
      * @param limit requests a second for all processes together; undefined if none, NaN if it can't be read
      */
     record(targetId: string, limit: number | undefined): void;
+    /**
+     * Records what another process has seen.
+     * @param age milliseconds since the target named the limit
+     */
+    recordRemote(targetId: string, limit: number, age: number): void;
     /** The limit in force of a target; undefined if it names none. */
     find(targetId: string): number | undefined;
+    /** The same with the time at which it was named. */
+    findNamed(targetId: string): NamedLimit | undefined;
     /** Number of targets that name a limit. */
     count(): number;
     forget(targetId: string): void;
@@ -20,7 +27,9 @@
  */
 const lifetimeMilliseconds = 4_000;
 
-interface NamedLimit {
+/** A limit that a target has named. */
+export interface NamedLimit {
+    /** Requests a second. */
     readonly limit: number;
     /** Monotonic time. */
     readonly namedAt: number;
@@ -37,11 +46,11 @@
         }
     };
 
-    const name = (targetId: string, limit: number) => {
+    const name = (targetId: string, limit: number, namedAt: number) => {
         if (limits.get(targetId)?.limit !== limit) {
             eventLog.record(EventKind.TargetLimited, { target: targetId, limit });
         }
-        limits.set(targetId, { limit, namedAt: clock.monotonicNow() });
+        limits.set(targetId, { limit, namedAt });
     };
 
     const reject = (targetId: string) => {
@@ -57,13 +66,20 @@
                 reject(targetId);
             }
             else if (limit !== undefined) {
-                name(targetId, limit);
+                name(targetId, limit, clock.monotonicNow());
             }
             else if (clock.monotonicNow() - (limits.get(targetId)?.namedAt ?? Infinity) > lifetimeMilliseconds) {
                 end(targetId);
             }
         },
+        recordRemote: (targetId, limit, age) => {
+            const namedAt = clock.monotonicNow() - age;
+            if (age <= lifetimeMilliseconds && namedAt > (limits.get(targetId)?.namedAt ?? -Infinity)) {
+                name(targetId, limit, namedAt);
+            }
+        },
         find: targetId => limits.get(targetId)?.limit,
+        findNamed: targetId => limits.get(targetId),
         count: () => limits.size,
         forget: targetId => {
             limits.delete(targetId);
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetAvailability.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetAvailability.test.ts
@@ -90,3 +90,21 @@
     assert.equal(availability.nextAt("s"), undefined);
     assert.equal(availability.nextAt("unknown"), undefined);
 });
+
+// Guards against a full target that is taken for a resting one, or that callers are told a wrong time for.
+test("a target without tokens takes no work until the first time that was named", async () => {
+    const { clock, availability } = createBench({ a: undefined, b: undefined });
+    assert.equal(availability.nextThrottleEnd("s"), undefined);
+    const now = clock.monotonicNow();
+    availability.recordThrottle("a", now + 300);
+    availability.recordThrottle("a", now + 200);
+    availability.recordThrottle("a", now + 400);
+    assert.deepEqual(availability.check("a"), { reason: UnavailableReason.Throttled, until: now + 200 });
+    assert.equal(availability.nextAt("s"), undefined, "the other one takes work");
+    assert.equal(availability.nextThrottleEnd("s"), now + 200);
+    availability.recordThrottle("b", now + 100);
+    assert.equal(availability.nextAt("s"), now + 100);
+    assert.deepEqual([availability.countThrottled(), availability.countResting()], [2, 0]);
+    await clock.advance(201);
+    assert.equal(availability.check("a"), undefined);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetAvailability.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetAvailability.ts
@@ -11,6 +11,8 @@
     Closed = "closed",
     /** It has turned a call of this process away and asked for a rest. */
     Resting = "resting",
+    /** It names a limit of requests, and this process got no token of it. */
+    Throttled = "throttled",
 }
 
 export interface Unavailability {
@@ -36,10 +38,16 @@
      * @param milliseconds of the rest; undefined if the answer names none, NaN if it names something else than a time
      */
     recordRest(targetId: string, milliseconds: number | undefined): void;
+    /** Records that a target takes no work of this process until a monotonic time, because it is at its limit. */
+    recordThrottle(targetId: string, until: number): void;
+    /** Monotonic time at which the first throttled target of a service takes work again; undefined if none is throttled. */
+    nextThrottleEnd(service: string): number | undefined;
     /** Records that an answer of a target says that it leaves, which its entry in the list may not say yet. */
     recordLeaving(targetId: string): void;
     /** Number of targets that rest. */
     countResting(): number;
+    /** Number of targets that this process sends nothing to because they are at their limit. */
+    countThrottled(): number;
     forget(targetId: string): void;
 }
 
@@ -55,11 +63,15 @@
 ): TargetAvailability {
     /** Monotonic time at which the rest of a target ends. */
     const restEnds = new Map<string, number>();
+    /** Monotonic time at which a target that is at its limit is used again. */
+    const throttleEnds = new Map<string, number>();
     /** Targets whose unreadable rest was logged. */
     const unreadable = new Set<string>();
 
     const isResting = (targetId: string) => (restEnds.get(targetId) ?? -Infinity) > clock.monotonicNow();
 
+    const isThrottled = (targetId: string) => (throttleEnds.get(targetId) ?? -Infinity) > clock.monotonicNow();
+
     const check = (targetId: string): Unavailability | undefined => {
         if (!targets.isOpen(targetId)) {
             return { reason: UnavailableReason.Leaving, until: Infinity };
@@ -67,8 +79,11 @@
         if (closed.isClosed(targetId)) {
             return { reason: UnavailableReason.Closed, until: Infinity };
         }
-        return isResting(targetId)
-            ? { reason: UnavailableReason.Resting, until: restEnds.get(targetId) ?? Infinity }
+        if (isResting(targetId)) {
+            return { reason: UnavailableReason.Resting, until: restEnds.get(targetId) ?? Infinity };
+        }
+        return isThrottled(targetId)
+            ? { reason: UnavailableReason.Throttled, until: throttleEnds.get(targetId) ?? Infinity }
             : undefined;
     };
 
@@ -103,10 +118,26 @@
                 rest(targetId, milliseconds);
             }
         },
+        recordThrottle: (targetId, until) => {
+            // Calls that ask at the same time are told different times; the first one is enough to ask again.
+            throttleEnds.set(
+                targetId,
+                isThrottled(targetId) ? Math.min(throttleEnds.get(targetId) ?? until, until) : until,
+            );
+        },
+        nextThrottleEnd: service => {
+            const throttled = targets.open(service)
+                .map(({ targetId }) => check(targetId))
+                .filter(found => found?.reason === UnavailableReason.Throttled)
+                .map(found => found?.until ?? Infinity);
+            return throttled.length > 0 ? Math.min(...throttled) : undefined;
+        },
         recordLeaving: targets.recordLeaving,
         countResting: () => [...restEnds.keys()].filter(isResting).length,
+        countThrottled: () => [...throttleEnds.keys()].filter(isThrottled).length,
         forget: targetId => {
             restEnds.delete(targetId);
+            throttleEnds.delete(targetId);
             unreadable.delete(targetId);
         },
     };
--- a/packages/daisyturn/src/request/answer/answer.ts
+++ b/packages/daisyturn/src/request/answer/answer.ts
@@ -26,6 +26,7 @@
     [FailureReason.NoTarget]: 503,
     [FailureReason.UnknownOrigin]: 503,
     [FailureReason.LinkFailed]: 503,
+    [FailureReason.TargetFull]: 503,
     [FailureReason.TargetRefused]: 503,
     [FailureReason.StoreUnavailable]: 503,
     [FailureReason.PeerUnavailable]: 503,
--- a/packages/daisyturn/src/request/forwarding/admitPrompt.ts
+++ b/packages/daisyturn/src/request/forwarding/admitPrompt.ts
@@ -8,7 +8,7 @@
     type PromptPlacement,
     type TrackedPrompt,
 } from "../../process/forwarding/index.js";
-import { type CallContext, createNoTargetFailure, estimateReturn } from "./callContext.js";
+import { type CallContext, createNoTargetFailure, estimateRetryDelay } from "./callContext.js";
 import { type CallTiming, computeAbandonmentTime } from "./computeAbandonmentTime.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 
@@ -20,7 +20,9 @@
 
 /** The context of a call that is to be admitted. */
 export interface AdmissionContext
-    extends CallTiming, Pick<CallContext, "service" | "avoid" | "softwareVersion" | "pauseAim" | "trace"> {
+    extends
+        CallTiming,
+        Pick<CallContext, "service" | "avoid" | "softwareVersion" | "pauseAim" | "trace" | "nextTokenAt"> {
     readonly call: Pick<ForwardedCall, "arrivedAt" | "body">;
     readonly route: CallTiming["route"] & Pick<CallContext["route"], "name">;
 }
@@ -48,7 +50,7 @@
     const decision = await parts.decisions.decide(buildDecisionRequest(parts, context, terms));
     if (!decision) {
         const service = context.service.name;
-        const delay = estimateReturn(parts, service) ?? parts.stageReturns.estimate(service);
+        const delay = estimateRetryDelay(parts, context) ?? parts.stageReturns.estimate(service);
         return err(createNoTargetFailure(context, parts.clock, delay));
     }
     recordPlacement(parts, context, decision);
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -28,7 +28,7 @@
     readonly deadline: number;
     readonly history: FailureHistory;
     readonly trace: RequestTrace;
-    /** Targets that failed this call. */
+    /** Targets that failed this call, or that had no token for it. */
     readonly avoid: Set<string>;
     /** Targets to which this call was sent to be run. Prefills are not counted. */
     readonly attemptedTargets: Set<string>;
@@ -37,6 +37,8 @@
     readonly isResumption: boolean;
     /** The only software version that may continue the stream; undefined while the stream has not begun. */
     softwareVersion?: string;
+    /** Monotonic time at which the first of the targets without a token for this call is expected to have one. */
+    nextTokenAt?: number;
     /** The target to which the call was last sent to be run. */
     target?: ListedTarget;
 }
@@ -76,14 +78,29 @@
     return nextAt === undefined ? undefined : Math.max(0, nextAt - clock.monotonicNow());
 }
 
+/**
+ * Returns the milliseconds until a target of the service is expected to take a call that none takes now; undefined if
+ * that is not known.
+ */
+export function estimateRetryDelay(
+    parts: { readonly availability: Pick<TargetAvailability, "nextAt" | "nextThrottleEnd">; readonly clock: Clock; },
+    { service, nextTokenAt }: Pick<CallContext, "service" | "nextTokenAt">,
+): number | undefined {
+    const nextAt = parts.availability.nextAt(service.name)
+        ?? parts.availability.nextThrottleEnd(service.name)
+        ?? nextTokenAt;
+    return nextAt === undefined ? undefined : Math.max(0, nextAt - parts.clock.monotonicNow());
+}
+
 /** Creates the failure of a call for which no target is open. */
 export function createNoTargetFailure(
-    { service, softwareVersion }: Pick<CallContext, "service" | "softwareVersion">,
+    { service, softwareVersion, nextTokenAt }: Pick<CallContext, "service" | "softwareVersion" | "nextTokenAt">,
     clock: Clock,
     retryDelay = noTargetRetryDelayMilliseconds,
 ): Failure {
     const which = softwareVersion === undefined ? "" : " with the software version that began the stream";
-    const message = `No target of service ${service.name}${which} is open.`;
+    const state = nextTokenAt === undefined ? "open" : "open and below the limit that it names";
+    const message = `No target of service ${service.name}${which} is ${state}.`;
     return notRun(FailureReason.NoTarget, message, clock.wallNow() + retryDelay);
 }
 
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -30,6 +30,7 @@
     WindowedRetryBudget,
 } from "../../process/forwarding/index.js";
 import type { StreamOrigins } from "../../process/origins/index.js";
+import type { TargetQuotas } from "../../process/quotas/index.js";
 
 /** The parts of the process that serving a forwarded call uses. */
 export interface ForwardingParts {
@@ -46,6 +47,8 @@
     readonly closed: ClosedTargets;
     readonly availability: TargetAvailability;
     readonly limits: TargetLimits;
+    /** Takes the tokens of targets that name a limit. */
+    readonly targetQuotas: TargetQuotas;
     readonly stageReturns: StageReturns;
     readonly crashGuard: CrashGuard;
     readonly origins: StreamOrigins;
--- a/packages/daisyturn/src/request/forwarding/refuseCall.ts
+++ b/packages/daisyturn/src/request/forwarding/refuseCall.ts
@@ -7,6 +7,8 @@
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
 const millisecondsPerSecond = 1_000;
+/** Smallest value of the field with two decimals: callers do not take 0 for a time. */
+const minRetrySeconds = 0.01;
 
 /** Answers a call with its failure, or breaks off an answer that has already started. */
 export function refuseCall(exchange: ForwardExchange, failure: Failure, clock: Clock): void {
@@ -16,7 +18,7 @@
     }
     const fields = ["Content-Type", "application/json"];
     if (failure.retryAt !== undefined && failure.verdict === ExecutionVerdict.NotRun) {
-        const seconds = Math.max(0, failure.retryAt - clock.wallNow()) / millisecondsPerSecond;
+        const seconds = Math.max(minRetrySeconds, (failure.retryAt - clock.wallNow()) / millisecondsPerSecond);
         fields.push("Retry-After", seconds.toFixed(2));
     }
     exchange.answer(chooseStatus(failure), fields, Buffer.from(JSON.stringify(buildErrorBody(failure))));
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -8,7 +8,7 @@
     type CallContext,
     createFinalFailure,
     createNoTargetFailure,
-    estimateReturn,
+    estimateRetryDelay,
     hasReachedTarget,
     isRepeatable,
 } from "./callContext.js";
@@ -33,7 +33,7 @@
     for (;;) {
         const target = parts.placement.placePlain(context.service.name, context);
         if (!target) {
-            const delay = estimateReturn(parts, context.service.name);
+            const delay = estimateRetryDelay(parts, context);
             return err(createFinalFailure(context, createNoTargetFailure(context, parts.clock, delay)));
         }
         const answer = await tryTarget(parts, context, target, relay);
@@ -43,6 +43,9 @@
             return answer;
         }
         const failure = answer.isErr ? answer.error : createTargetErrorFailure();
+        if (failure.reason === FailureReason.TargetFull) {
+            continue;
+        }
         const isReached = hasReachedTarget(failure);
         if (isReached) {
             context.attemptedTargets.add(target.targetId);
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -59,6 +59,7 @@
 ): Promise<Result<CallAnswer, Failure>> {
     const relay = createEventRelay(context.exchange, () => recordOrigin(parts, context));
     let prefills = 0;
+    let isPlacedAgain = false;
     for (;;) {
         const isWholeOnly = prefills >= maxPrefills || !context.arrivals.mayPrefill()
             || parts.crashGuard.mustRunWhole(context.guarded);
@@ -74,13 +75,21 @@
         const placement = admitted.value;
         prefills += placement.prefill ? 1 : 0;
         context.arrivals.keepFor(placement.prefill !== undefined);
-        parts.demand.record(context.service.name, placement.prefillMilliseconds);
+        if (!isPlacedAgain) {
+            parts.demand.record(context.service.name, placement.prefillMilliseconds);
+        }
         const answer = await executePlacement(parts, context, prompt, placement, relay);
         if (answer.isOk) {
             return ok(answer.value);
         }
         const { target, failure, retryFailure } = answer.error;
         context.avoid.add(target.targetId);
+        if (failure.reason === FailureReason.TargetFull) {
+            prefills -= placement.prefill?.target === target ? 1 : 0;
+            isPlacedAgain = true;
+            continue;
+        }
+        isPlacedAgain = false;
         const attempt = {
             failure: retryFailure,
             isReached: hasReachedTarget(failure),
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -4,9 +4,11 @@
 import { AbandonedSend, AnswerEnd } from "../../../connection/target/openTargetConnection.js";
 import type { ReplyHead } from "../../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
+import { UnavailableReason } from "../../../process/forwarding/index.js";
 import type { CallContext } from "../callContext.js";
 import { checkListed } from "../checkListed.js";
 import type { ForwardingParts } from "../forwardingParts.js";
+import { acquireToken } from "./acquireToken.js";
 import { type CallAttempt, describePart, type SendRoute, type TargetReply } from "./callAttempt.js";
 import {
     determineRunEnd,
@@ -48,6 +50,10 @@
     if (softwareVersion !== undefined && target.softwareVersion !== softwareVersion) {
         return err(notRun(FailureReason.NoTarget, "The chosen target's software version did not begin the stream."));
     }
+    const full = await acquireToken(parts, context, target);
+    if (full) {
+        return err(full);
+    }
     const listed = checkListed(parts, context);
     if (listed.isErr) {
         return err(listed.error);
@@ -182,8 +188,11 @@
 /** Checked right before the send, because the target may have stopped taking work since it was chosen. */
 function checkAvailable({ availability }: ForwardingParts, { targetId }: ListedTarget): Failure | undefined {
     const found = availability.check(targetId);
-    const message = `The chosen target has just stopped taking new work (${found?.reason}).`;
-    return found && notRun(FailureReason.NoTarget, message);
+    // Another call found it without tokens; this one has its own, or asks for it.
+    if (found === undefined || found.reason === UnavailableReason.Throttled) {
+        return undefined;
+    }
+    return notRun(FailureReason.NoTarget, `The chosen target has just stopped taking new work (${found.reason}).`);
 }
 
 /** An answer is valid only if it names the call and, if it is a success for the caller, is signed by its target. */
