--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -58,7 +58,7 @@
  * tables.
  */
 export interface ForwardingProcessParts
-    extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease"> {
+    extends Omit<ForwardingParts, "decisions" | "findOrigin" | "requestRetryLease" | "targetQuotas"> {
     readonly configurationManager: ForwardingConfigurationManager;
     /** When the table with the keys of client accounts was last known to be complete. */
     readonly keyConfirmation: TableConfirmation;
