Estimate the speed of targets

Cause: targets of one service differ in speed, for a time or permanently. The placement counts calls over slots only. Change: an estimate for each target from measured durations and reported figures, with ages, bounds and the check of figures against measured durations. It is not used yet.

--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
@@ -0,0 +1,176 @@
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import type { ReportedLoad } from "../../../ports/forwardedCall.js";
+import type { ListedTarget } from "../../../ports/listedTarget.js";
+import type { TargetList } from "../targets/createTargetList.js";
+import type { CallCountEstimate } from "./occupancy.js";
+import { clampFactor, readRelativeDuration } from "./reportedDuration.js";
+import { type ServiceSpeed, summarizeSpeeds } from "./serviceSpeed.js";
+import { createTargetSpeed, findKnown, type TargetSpeed } from "./targetSpeed.js";
+
+/** A plain call that this process runs at a target. */
+export interface MeasuredRun {
+    /** Ends the call. If it is measured, the time since its begin is the duration of a successful answer. */
+    end(isMeasured: boolean): void;
+}
+
+/** Estimates how fast targets are, from measured durations and from the targets' own reports. */
+export interface TargetSpeeds {
+    beginRun(target: ListedTarget): MeasuredRun;
+    recordReport(target: ListedTarget, load: ReportedLoad): void;
+    /** What the targets of a service have in common; at most some tens of milliseconds old. */
+    service(service: string): ServiceSpeed;
+    /** Whether calls of the service are placed by speed: targets report theirs, or differ clearly. */
+    isUsed(service: string): boolean;
+    /** Expected milliseconds of work of a call that begins now; undefined while nothing is measured at the service. */
+    duration(target: ListedTarget): number | undefined;
+    /** Calls that run or wait at the target. */
+    calls(target: ListedTarget): CallCountEstimate;
+    forget(targetId: string): void;
+}
+
+/** A summary of a service is used for this time, because it visits all targets and changes slowly. */
+const summaryMilliseconds = 50;
+/** The mean of the service counts as this many calls measured at each target. */
+const priorCalls = 3;
+/** Counts of calls in reports above this are taken for errors. */
+const maxCalls = 1e6;
+
+/** Creates the estimates of one process. */
+export function createTargetSpeeds(
+    targets: Pick<TargetList, "list">,
+    clock: Pick<Clock, "monotonicNow">,
+    eventLog: EventLog,
+): TargetSpeeds {
+    const speeds = new Map<string, TargetSpeed>();
+    const summaries = new Map<string, ServiceSpeed & { readonly computedAt: number; }>();
+    /** Targets whose invalid figure was logged. */
+    const invalid = new Set<string>();
+
+    const find = (target: ListedTarget) => {
+        let speed = speeds.get(target.targetId);
+        if (!speed) {
+            speed = createTargetSpeed(target);
+            speeds.set(target.targetId, speed);
+        }
+        return speed;
+    };
+
+    const service = (name: string): ServiceSpeed => {
+        const now = clock.monotonicNow();
+        const last = summaries.get(name);
+        if (last && now - last.computedAt < summaryMilliseconds) {
+            return last;
+        }
+        const known = targets.list(name).map(({ targetId }) => speeds.get(targetId)).filter(speed =>
+            speed !== undefined
+        );
+        const summary = { ...summarizeSpeeds(known, last?.isMixed ?? false, now), computedAt: now };
+        summaries.set(name, summary);
+        return summary;
+    };
+
+    const readFigure = ({ targetId }: ListedTarget, { relativeDuration }: ReportedLoad) => {
+        const figure = readRelativeDuration(relativeDuration);
+        if (figure === undefined && relativeDuration !== undefined && !invalid.has(targetId)) {
+            invalid.add(targetId);
+            eventLog.record(EventKind.Fault, {
+                target: targetId,
+                reason: "the answer states an invalid relative duration",
+                figure: String(relativeDuration),
+            });
+        }
+        return figure;
+    };
+
+    const recordReport = (target: ListedTarget, load: ReportedLoad) => {
+        const speed = find(target);
+        const now = clock.monotonicNow();
+        const figure = readFigure(target, load);
+        if (figure !== undefined) {
+            speed.reported.record(figure, now);
+        }
+        const calls = load.running + load.waiting;
+        if (calls >= 0 && calls <= maxCalls) {
+            speed.occupancy.record(Math.max(0, calls - speed.ownCalls), now);
+        }
+    };
+
+    const figureOf = ({ reported }: TargetSpeed, isContradicted: boolean) =>
+        isContradicted || !reported.last() ? 1 : clampFactor(reported.at(clock.monotonicNow()));
+
+    const duration = (target: ListedTarget): number | undefined => {
+        const mean = service(target.service).duration;
+        const speed = speeds.get(target.targetId);
+        if (mean === undefined || !speed) {
+            return mean;
+        }
+        const known = findKnown(speed, clock.monotonicNow());
+        const weight = known?.weight ?? 0;
+        const usual = (mean * priorCalls + (known?.usual ?? 0) * weight) / (priorCalls + weight);
+        return usual * (known?.recent ?? 1) * figureOf(speed, known?.isContradicted ?? false);
+    };
+
+    const calls = (target: ListedTarget): CallCountEstimate => {
+        const speed = speeds.get(target.targetId);
+        const { fill, duration: mean = 0 } = service(target.service);
+        const usual = fill * target.slots;
+        if (!speed) {
+            return { calls: usual, deviation: Math.sqrt(usual) };
+        }
+        const others = speed.occupancy.last()?.calls ?? 0;
+        // A queue outlasts the calls that run.
+        const turnover = Math.max(1, (duration(target) ?? mean) * Math.max(1, others / Math.max(1, target.slots)));
+        const { calls: count, deviation } = speed.occupancy.estimate(clock.monotonicNow(), usual, turnover);
+        return { calls: count + speed.ownCalls, deviation };
+    };
+
+    const beginRun = (target: ListedTarget): MeasuredRun => {
+        const speed = find(target);
+        const begunAt = clock.monotonicNow();
+        const { calls: ahead } = calls(target);
+        const slots = Math.max(1, target.slots);
+        speed.ownCalls += 1;
+        let isRunning = true;
+
+        const measure = () => {
+            const now = clock.monotonicNow();
+            const report = speed.occupancy.last();
+            const reported = report && report.reportedAt >= begunAt ? report.calls + speed.ownCalls : undefined;
+            // The calls ahead at the begin are known only from old reports, so that the queue at the end stands for them.
+            const excess = Math.max(0, (reported ?? ahead + 1) - slots);
+            const work = (now - begunAt) / (1 + excess / slots);
+            const figure = speed.reported.last() ? clampFactor(speed.reported.at(now)) : 1;
+            if (work > 0) {
+                speed.measured.record({ calls: 1, mean: work, usualMean: work / figure }, now);
+            }
+        };
+
+        return {
+            end: isMeasured => {
+                if (isRunning) {
+                    isRunning = false;
+                    if (isMeasured) {
+                        measure();
+                    }
+                    speed.ownCalls -= 1;
+                }
+            },
+        };
+    };
+
+    return {
+        beginRun,
+        recordReport,
+        service,
+        isUsed: name => {
+            const { hasFigures, isMixed, duration: mean } = service(name);
+            return (hasFigures || isMixed) && mean !== undefined;
+        },
+        duration,
+        calls,
+        forget: targetId => {
+            speeds.delete(targetId);
+            invalid.delete(targetId);
+        },
+    };
+}
