--- a/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
@@ -5,6 +5,7 @@
 import type { CallCountEstimate } from "./occupancy.js";
 import { clampFactor, readRelativeDuration } from "./reportedDuration.js";
 import { type ServiceSpeed, summarizeSpeeds } from "./serviceSpeed.js";
+import type { SentReport } from "./speedEntries.js";
 import { createTargetSpeed, findKnown, type TargetSpeed } from "./targetSpeed.js";
 
 /** A plain call that this process runs at a target. */
@@ -17,6 +18,8 @@
 export interface TargetSpeeds {
     beginRun(target: ListedTarget): MeasuredRun;
     recordReport(target: ListedTarget, load: ReportedLoad): void;
+    /** Applies a report that another process has received. */
+    applyReport(target: ListedTarget, report: Omit<SentReport, "targetId">): void;
     /** What the targets of a service have in common; at most some tens of milliseconds old. */
     service(service: string): ServiceSpeed;
     /** Whether calls of the service are placed by speed: targets report theirs, or differ clearly. */
@@ -25,6 +28,8 @@
     duration(target: ListedTarget): number | undefined;
     /** Calls that run or wait at the target. */
     calls(target: ListedTarget): CallCountEstimate;
+    /** Milliseconds of work that other processes have probably sent to the service since its targets' last reports. */
+    unknownWork(service: string): number;
     forget(targetId: string): void;
 }
 
@@ -32,6 +37,10 @@
 const summaryMilliseconds = 50;
 /** The mean of the service counts as this many calls measured at each target. */
 const priorCalls = 3;
+/** The mean of a target's own reports gives way to that of the service once it has not reported for about this time. */
+const usualValidityMilliseconds = 2_000;
+/** Calls that other processes sent before this time do not matter any more: most have ended. */
+const maxUnknownMilliseconds = 500;
 /** Counts of calls in reports above this are taken for errors. */
 const maxCalls = 1e6;
 
@@ -82,21 +91,33 @@
         return figure;
     };
 
-    const recordReport = (target: ListedTarget, load: ReportedLoad) => {
+    const applyReport = (target: ListedTarget, { figure, calls, age }: Omit<SentReport, "targetId">) => {
         const speed = find(target);
-        const now = clock.monotonicNow();
-        const figure = readFigure(target, load);
-        if (figure !== undefined) {
-            speed.reported.record(figure, now);
+        const reportedAt = clock.monotonicNow() - age;
+        const valid = readRelativeDuration(figure);
+        if (valid !== undefined) {
+            speed.reported.record(valid, reportedAt);
         }
-        const calls = load.running + load.waiting;
-        if (calls >= 0 && calls <= maxCalls) {
-            speed.occupancy.record(Math.max(0, calls - speed.ownCalls), now);
+        if (calls !== undefined && calls >= 0 && calls <= maxCalls) {
+            speed.occupancy.record(Math.max(0, calls - speed.ownCalls), reportedAt);
         }
     };
 
-    const figureOf = ({ reported }: TargetSpeed, isContradicted: boolean) =>
-        isContradicted || !reported.last() ? 1 : clampFactor(reported.at(clock.monotonicNow()));
+    const recordReport = (target: ListedTarget, load: ReportedLoad) =>
+        applyReport(target, { figure: readFigure(target, load), calls: load.running + load.waiting, age: 0 });
+
+    /**
+     * A figure better than usual counts for its root only: other processes that have read it send their calls there, too,
+     * and too many calls at a fast target cost more than too few.
+     */
+    const figureOf = ({ reported }: TargetSpeed, isContradicted: boolean) => {
+        if (isContradicted || !reported.last()) {
+            return 1;
+        }
+        const figure = clampFactor(reported.at(clock.monotonicNow()));
+        const usual = reported.usual();
+        return figure < usual ? Math.sqrt(figure * usual) : figure;
+    };
 
     const duration = (target: ListedTarget): number | undefined => {
         const mean = service(target.service).duration;
@@ -112,15 +133,19 @@
 
     const calls = (target: ListedTarget): CallCountEstimate => {
         const speed = speeds.get(target.targetId);
-        const { fill, duration: mean = 0 } = service(target.service);
+        const { fill, duration: meanDuration = 0 } = service(target.service);
         const usual = fill * target.slots;
         if (!speed) {
             return { calls: usual, deviation: Math.sqrt(usual) };
         }
-        const others = speed.occupancy.last()?.calls ?? 0;
+        const last = speed.occupancy.last();
+        const now = clock.monotonicNow();
+        const known = last ? Math.exp((last.reportedAt - now) / usualValidityMilliseconds) : 0;
+        const mean = usual + (speed.occupancy.usual() - usual) * known;
         // A queue outlasts the calls that run.
-        const turnover = Math.max(1, (duration(target) ?? mean) * Math.max(1, others / Math.max(1, target.slots)));
-        const { calls: count, deviation } = speed.occupancy.estimate(clock.monotonicNow(), usual, turnover);
+        const perSlot = Math.max(1, (last?.calls ?? 0) / Math.max(1, target.slots));
+        const turnover = Math.max(1, (duration(target) ?? meanDuration) * perSlot);
+        const { calls: count, deviation } = speed.occupancy.estimate(now, mean, turnover);
         return { calls: count + speed.ownCalls, deviation };
     };
 
@@ -161,6 +186,7 @@
     return {
         beginRun,
         recordReport,
+        applyReport,
         service,
         isUsed: name => {
             const { hasFigures, isMixed, duration: mean } = service(name);
@@ -168,6 +194,10 @@
         },
         duration,
         calls,
+        unknownWork: name => {
+            const { age, calls: others } = service(name);
+            return others * Math.min(age, maxUnknownMilliseconds);
+        },
         forget: targetId => {
             speeds.delete(targetId);
             invalid.delete(targetId);
--- a/packages/daisyturn/src/process/forwarding/speeds/reportedDuration.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/reportedDuration.ts
@@ -18,6 +18,8 @@
     record(figure: number, reportedAt: number): void;
     /** The expected figure at a monotonic time. */
     at(time: number): number;
+    /** Mean of the figures of the last half minute; 1 before there are several. */
+    usual(): number;
     /** The last figure and its monotonic time; undefined before the first. */
     last(): { readonly figure: number; readonly reportedAt: number; } | undefined;
 }
@@ -79,6 +81,7 @@
             const age = Math.max(0, time - (reportedAt ?? time));
             return Math.exp(usual + (lastLogarithm - usual) * Math.exp(-age / decayMilliseconds()));
         },
+        usual: () => Math.exp(usual),
         last: () => reportedAt === undefined ? undefined : { figure: Math.exp(lastLogarithm), reportedAt },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/speeds/serviceSpeed.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/serviceSpeed.ts
@@ -6,6 +6,10 @@
     readonly duration: number | undefined;
     /** Mean calls at a slot. */
     readonly fill: number;
+    /** Mean milliseconds since the targets' last reports. */
+    readonly age: number;
+    /** Mean calls of other processes under way. */
+    readonly calls: number;
     /** Whether a target reports how long work takes there. */
     readonly hasFigures: boolean;
     /** Whether the measured durations of targets differ by more than chance explains. */
@@ -35,6 +39,9 @@
     return {
         duration: weight > 0 ? weighted / weight : undefined,
         fill: slots > 0 ? calls / slots : 0,
+        age: reporting.reduce((sum, { occupancy }) => sum + now - occupancy.last()!.reportedAt, 0)
+            / Math.max(1, reporting.length),
+        calls,
         hasFigures: speeds.some(({ reported }) =>
             now - (reported.last()?.reportedAt ?? -Infinity) < figureMilliseconds
         ),
