Wait for signals without abort controllers

Cause: each wait of a background task created an AbortController, added an event listener to the signal that all tasks of the process share, and ended by an event whose error has a stack trace. Clock and signal were 6 to 15 % of the processor time of an entry process in profiles (20 entries under 9 calls a second each; 8 entries at rest).

Change: createInterruption, which the waits of one task use, and one listener for each AbortSignal that tasks wait with.

--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -13,6 +13,7 @@
 export { createDecayingRate, type DecayingRate } from "./time/decayingRate.js";
 export { FakeClock } from "./time/fakeClock.js";
 export { createHybridLogicalClock, type HybridLogicalClock } from "./time/hybridLogicalClock.js";
+export { createInterruption, type Interruption, type WaitSignal } from "./time/interruption.js";
 export { createSignal, type Signal } from "./time/signal.js";
 export { formatUserError, UserError, type UserErrorDetails } from "./userError.js";
 export { ExecutionVerdict } from "./verdict.js";
--- a/packages/daisyturn-utils/src/time/clock.ts
+++ b/packages/daisyturn-utils/src/time/clock.ts
@@ -1,3 +1,5 @@
+import { onInterrupted, type WaitSignal } from "./interruption.js";
+
 /** Source of time. It is always injected, so that tests control the time. */
 export abstract class Clock {
     /** Returns milliseconds on a clock that never jumps and has an arbitrary start. Used for deadlines in a process. */
@@ -8,7 +10,7 @@
      * Resolves when `monotonicNow()` has reached `deadline` or `signal` is aborted.
      * Never rejects; callers check the signal.
      */
-    abstract sleepUntil(deadline: number, signal?: AbortSignal): Promise<void>;
+    abstract sleepUntil(deadline: number, signal?: WaitSignal): Promise<void>;
 }
 
 /** The system's clocks. */
@@ -22,18 +24,18 @@
     }
 
     /** Uses callbacks: an aborted promise timer would create an error with a stack trace, several times per request. */
-    override sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+    override sleepUntil(deadline: number, signal?: WaitSignal): Promise<void> {
         if (signal?.aborted) {
             return Promise.resolve();
         }
         return new Promise(resolve => {
             const wake = () => {
                 clearTimeout(timer);
-                signal?.removeEventListener("abort", wake);
+                stopWaiting?.();
                 resolve();
             };
             const timer = setTimeout(wake, Math.max(0, deadline - this.monotonicNow()));
-            signal?.addEventListener("abort", wake, { once: true });
+            const stopWaiting = signal && onInterrupted(signal, wake);
         });
     }
 }
--- a/packages/daisyturn-utils/src/time/fakeClock.ts
+++ b/packages/daisyturn-utils/src/time/fakeClock.ts
@@ -1,5 +1,6 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { Clock } from "./clock.js";
+import type { WaitSignal } from "./interruption.js";
 
 interface Sleeper {
     readonly deadline: number;
@@ -23,7 +24,7 @@
         return this.wallOffset + this.now;
     }
 
-    override sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+    override sleepUntil(deadline: number, signal?: WaitSignal): Promise<void> {
         if (deadline <= this.now || signal?.aborted) {
             return Promise.resolve();
         }
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -1,8 +1,11 @@
-import { type Clock, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import { type Clock, createInterruption, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { Pool } from "undici";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 
+/** Reason of aborts, which would otherwise create an error with a stack trace for each request. */
+const exchangeEnded = new Error("the exchange with the platform has ended");
+
 /** Address of a platform service and limits of the connections to it. */
 export interface HttpPlatformOptions {
     /** Origin of the platform's HTTP service, such as `http://10.0.0.5:7000`. */
@@ -89,7 +92,7 @@
         }
         const progress: RequestProgress = { started: false, abandoned: false };
         const timeout = new AbortController();
-        const answered = new AbortController();
+        const answered = createInterruption();
         const describe = () => err<PlatformAnswer, Failure>(describeFailedSend(progress));
         // If a request waits for a connection, undici reports its abort only once the connection is free (it does not
         // send the request then). So the deadline resolves independently of undici.
@@ -101,8 +104,8 @@
         const result = await Promise.race([exchanged, timedOut]);
         // A request that was reported as not sent must not be sent later.
         progress.abandoned = true;
-        answered.abort();
-        timeout.abort();
+        answered.interrupt();
+        timeout.abort(exchangeEnded);
         return result;
     };
 
--- a/packages/daisyturn/src/process/forwarding/coordination/createPlacementClient.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createPlacementClient.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "daisyturn-utils";
+import { type Clock, createInterruption } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import { encodePlacementRequest, type PlacementAnswer, type PlacementRequest } from "./messages/placementMessages.js";
@@ -34,14 +34,14 @@
     const request = (coordinator: RegisteredPeer, query: PlacementQuery) => {
         lastRequestId += 1;
         const askId = lastRequestId;
-        const settled = new AbortController();
+        const settled = createInterruption();
         const answered = new Promise<PlacementAnswer>(resolve => pending.set(askId, resolve));
         const timedOut = clock.sleepUntil(clock.monotonicNow() + answerTimeoutMilliseconds, settled.signal)
             .then(() => undefined);
         send(coordinator, encodePlacementRequest({ ...query, from: selfId, askId }));
         return Promise.race([answered, timedOut]).then(answer => {
             pending.delete(askId);
-            settled.abort();
+            settled.interrupt();
             record(coordinator.peerId, answer);
             return answer;
         });
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "daisyturn-utils";
+import { type Clock, createInterruption } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
 import type { StreamOrigin, StreamOrigins, VersionHistory } from "../../../origins/index.js";
 import type { Notification } from "../messages/notification.js";
@@ -115,11 +115,11 @@
     });
 
     const ask = async (peers: readonly RegisteredPeer[], streamId: string, service: string): Promise<Lookup> => {
-        const settled = new AbortController();
+        const settled = createInterruption();
         const lookup: Lookup = {
             pending: new Set(peers.map(({ peerId }) => peerId)),
             unknown: [],
-            settle: () => settled.abort(),
+            settle: settled.interrupt,
         };
         const group = lookups.get(streamId) ?? new Set();
         lookups.set(streamId, group.add(lookup));
--- a/packages/daisyturn/src/process/forwarding/coordination/retries/createRetryLeases.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/retries/createRetryLeases.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from "daisyturn-utils";
+import { type Clock, createInterruption, type Random } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
 import type { WindowedRetryBudget } from "../../retries/createWindowedRetryBudget.js";
 import type { Notification } from "../messages/notification.js";
@@ -87,7 +87,7 @@
     const ask = async (service: string, peers: readonly RegisteredPeer[]): Promise<boolean> => {
         removeEnded();
         const requestId = ++lastRequestId;
-        const settled = new AbortController();
+        const settled = createInterruption();
         const now = clock.monotonicNow();
         const request: PendingRequest = {
             service,
@@ -95,7 +95,7 @@
             // The lender counts from a later time, the arrival of the request.
             deadline: now + leaseMilliseconds - sendMarginMilliseconds,
             leased: 0,
-            settle: () => settled.abort(),
+            settle: settled.interrupt,
         };
         requests.set(requestId, request);
         const message = { from: self.peerId, requestId, service, wanted: wantedFromEach, duration: leaseMilliseconds };
@@ -116,12 +116,12 @@
         }
         const asked = running.get(service) ?? ask(service, peers);
         running.set(service, asked);
-        const late = new AbortController();
+        const late = createInterruption();
         const isLeased = await Promise.race([
             asked,
             clock.sleepUntil(deadline, late.signal).then(() => false),
         ]);
-        late.abort();
+        late.interrupt();
         return isLeased;
     };
 
--- a/packages/daisyturn/src/process/store/storeChannel.ts
+++ b/packages/daisyturn/src/process/store/storeChannel.ts
@@ -1,4 +1,4 @@
-import type { Clock, EventLog, Random } from "daisyturn-utils";
+import { type Clock, createInterruption, type EventLog, type Random } from "daisyturn-utils";
 import { createAnswerTimeout } from "./answerTimeout.js";
 import { type BackOff, createBackOff } from "./backOff.js";
 import { createStoreBreaker, type StoreSide } from "./storeBreaker.js";
@@ -116,7 +116,7 @@
     const attempt = async <Answer>(call: StoreCall<Answer>, deadline: number) => {
         const startedAt = clock.monotonicNow();
         const callDeadline = Math.min(deadline, startedAt + maxTryMilliseconds);
-        const settled = new AbortController();
+        const settled = createInterruption();
         const answered = call.send(callDeadline).then(answer => {
             // A late answer, received after its call was tried again, still shows that the store is up, and how slow.
             if (call.isAnswer(answer)) {
@@ -130,7 +130,7 @@
         const timedOut = clock.sleepUntil(startedAt + timeout.current(), settled.signal).then(() => undefined);
         const answer = await Promise.race([answered, timedOut]);
         const isUnanswered = answer === undefined;
-        settled.abort();
+        settled.interrupt();
         if (isUnanswered) {
             recordUnanswered(startedAt, callDeadline);
         }
--- a/packages/daisyturn/src/request/requestLifetime.ts
+++ b/packages/daisyturn/src/request/requestLifetime.ts
@@ -1,4 +1,4 @@
-import { type Clock, FailureReason, mayHaveRun } from "daisyturn-utils";
+import { type Clock, createInterruption, FailureReason, mayHaveRun } from "daisyturn-utils";
 
 /** Lifetime of a request. It ends when the caller disconnects, the process stops or the deadline passes. */
 export interface RequestLifetime {
@@ -8,9 +8,6 @@
     end(): void;
 }
 
-/** Passed to `abort`, which otherwise creates an error with a stack trace. */
-const endedReason = "ended";
-
 /**
  * Starts the lifetime of a request.
  * @param callerSignal aborted with a Failure once the caller has disconnected or the process stops
@@ -18,7 +15,7 @@
  */
 export function startRequestLifetime(clock: Clock, callerSignal: AbortSignal, deadline: number): RequestLifetime {
     const lifetime = new AbortController();
-    const ended = new AbortController();
+    const ended = createInterruption();
     const abortWithCaller = () => lifetime.abort(callerSignal.reason);
 
     const watchDeadline = async () => {
@@ -39,7 +36,7 @@
         signal: lifetime.signal,
         end: () => {
             callerSignal.removeEventListener("abort", abortWithCaller);
-            ended.abort(endedReason);
+            ended.interrupt();
         },
     };
 }
