--- a/packages/daisyturn-utils/src/time/interruption.ts
+++ b/packages/daisyturn-utils/src/time/interruption.ts
@@ -23,8 +23,8 @@
             get aborted() {
                 return aborted;
             },
-            addEventListener: (_type, listener) => void listeners.add(listener),
-            removeEventListener: (_type, listener) => void listeners.delete(listener),
+            addEventListener: (type, listener) => void listeners.add(listener),
+            removeEventListener: (type, listener) => void listeners.delete(listener),
         },
         interrupt: () => {
             aborted = true;
