Hold the duties of the fleet under one lease

Cause: calls that the platform takes from one process at a time had an adapter, but no process made them, and nothing kept two processes from making them.

Change: one lease named duties, acquired by the fleet coordinator and kept by its holder; calls under it are checked right before the first byte, end with the lease, are paced to half of the platform's rate, and wait after a suspension or a cut until the lease has been renewed. A rejected fencing number gives the lease up. A release waits for calls in progress and for a lease's length since the takeover. A call that is aborted resets its connection.

Without the check before the first byte or without the thaw time the random test fails; without the wait at a release the test of the release fails.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -30,6 +30,7 @@
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
+import { type RunningDuties, startDuties } from "./startDuties.js";
 import { startStageChanges } from "./startStageChanges.js";
 import { computeMaxStateAge, startTableWatches } from "./startTableWatches.js";
 
@@ -125,6 +126,7 @@
     const background = new AbortController();
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
+    let duties: RunningDuties | undefined;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
         !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
@@ -146,6 +148,7 @@
             eventLog,
             signal: background.signal,
         });
+        duties = startDuties({ settings, adapters, parts, incarnation, coordination, clock, random, eventLog });
     };
 
     const start = async () => {
@@ -197,7 +200,9 @@
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         coordination.stopAnswering();
         const deadline = clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds;
-        await Promise.all([server.drain(deadline), tunnels.drain(deadline)]);
+        // The next holder of the duties need not wait for the calls of this process.
+        const dutiesEnded = Promise.race([duties?.stop(), clock.sleepUntil(deadline, background.signal)]);
+        await Promise.all([server.drain(deadline), tunnels.drain(deadline), dutiesEnded]);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
         metricsServer?.close();
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -92,6 +92,12 @@
     /** A service has engines of which none decodes; `reason` says what the next order waits for. */
     StageMissing = "stage_missing",
     StageRestored = "stage_restored",
+    /** This process makes no further call under its lease of the fleet's duties. */
+    DutiesGivenUp = "duties_given_up",
+    /** The platform refused a call because the fleet makes too many a second. */
+    DutyThrottled = "duty_throttled",
+    /** The report of one window of usage was sent; `answer` says what the platform answered. */
+    UsageReported = "usage_reported",
     StoreUnavailable = "store_unavailable",
     StoreAvailable = "store_available",
     /** A table was re-read in full because the store was restored from an older snapshot. */
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -20,6 +20,7 @@
 export * from "./ports/storePosition.js";
 export * from "./ports/tableService.js";
 export * from "./process/crashes/index.js";
+export * from "./process/duties/index.js";
 export * from "./process/forwarding/index.js";
 export * from "./process/lease/index.js";
 export * from "./process/origins/index.js";
--- a/packages/daisyturn/src/ports/duties/fleetDuties.ts
+++ b/packages/daisyturn/src/ports/duties/fleetDuties.ts
@@ -3,6 +3,8 @@
     readonly holder: string;
     /** Greater than that of every earlier holder. */
     readonly fencingNumber: number;
+    /** Checked again right before the first byte is sent, since opening a connection takes time; always true if absent. */
+    readonly isUsable?: () => boolean;
 }
 
 /** Requests that began to run in one window of time, by client account. */
@@ -34,7 +36,7 @@
 
 /** Calls to the platform that are made by one process for the whole fleet. Adapters implement the protocol. */
 export abstract class FleetDuties {
-    /** @param deadline monotonic time after which an answer is ignored */
+    /** @param deadline monotonic time at which a call without an answer is aborted and its connection reset */
     abstract reportUsage(report: UsageReport, authority: DutyAuthority, deadline: number): Promise<DutyAnswer>;
     abstract orderEngines(order: EngineOrder, authority: DutyAuthority, deadline: number): Promise<DutyAnswer>;
     abstract close(): Promise<void>;
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
+import type { Socket } from "node:net";
 import { err, ok, type Result } from "true-myth/result";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 
 /** Address of a platform service and limits of the connections to it. */
@@ -12,6 +13,11 @@
     readonly connections?: number;
     /** Connection timeout in milliseconds; undici's default if absent. */
     readonly connectMilliseconds?: number;
+    /**
+     * Whether the connection of a request that is aborted is reset, so that the system does not send the request's bytes
+     * later. By default, it is closed.
+     */
+    readonly resetsAborted?: boolean;
 }
 
 /** One HTTP request to the platform. */
@@ -21,6 +27,8 @@
     readonly contentType?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string;
+    /** Checked immediately before the first byte is written; the request is not sent if it returns false. */
+    readonly mayStart?: () => boolean;
 }
 
 /** The platform's complete HTTP answer, of any status. */
@@ -51,7 +59,7 @@
     const pool = new Pool(options.url, {
         connections: options.connections ?? defaultConnections,
         pipelining: 1,
-        ...(options.connectMilliseconds !== undefined && { connect: { timeout: options.connectMilliseconds } }),
+        ...describeConnect(options),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         // Each call has its own deadline.
@@ -87,7 +95,7 @@
         if (deadline <= options.clock.monotonicNow()) {
             return err(notRun(FailureReason.DeadlinePassed, "the deadline had passed before the platform was asked"));
         }
-        const progress: RequestProgress = { started: false, abandoned: false };
+        const progress: RequestProgress = { started: false, abandoned: false, mayStart: request.mayStart };
         const timeout = new AbortController();
         const answered = new AbortController();
         const describe = () => err<PlatformAnswer, Failure>(describeFailedSend(progress));
@@ -109,6 +117,39 @@
     return { send, close: () => pool.destroy() };
 }
 
+function describeConnect({ connectMilliseconds: timeout, resetsAborted }: HttpPlatformOptions): Pool.Options {
+    const connectOptions = timeout === undefined ? {} : { timeout };
+    if (!resetsAborted) {
+        return { connect: connectOptions };
+    }
+    const connect = buildConnector(connectOptions);
+    return {
+        connect: (target, onConnected) =>
+            connect(target, (...result) => {
+                const [, socket] = result;
+                if (socket) {
+                    resetOnError(socket);
+                }
+                onConnected(...result);
+            }),
+    };
+}
+
+/** Resets a socket when undici destroys it with an error, as it does when a request in progress is aborted. */
+function resetOnError(socket: Socket): void {
+    const destroy = socket.destroy.bind(socket);
+    let isReset = false;
+    socket.destroy = error => {
+        // Node.js 20 can't reset a socket on which `end()` has been called.
+        if (!error || isReset || socket.writableEnded) {
+            return destroy(error);
+        }
+        isReset = true;
+        socket.resetAndDestroy();
+        return socket;
+    };
+}
+
 function describeFailedSend(progress: RequestProgress): Failure {
     return progress.started
         ? mayHaveRun(FailureReason.OutcomeUnknown, "the platform did not answer in time or broke the connection")
--- a/packages/daisyturn/src/ports/http/requestProgress.ts
+++ b/packages/daisyturn/src/ports/http/requestProgress.ts
@@ -6,6 +6,8 @@
     started: boolean;
     /** Set by the sender when it abandons the request, which is then never started. */
     abandoned: boolean;
+    /** Checked immediately before the first byte is written; the request is not sent if it returns false. */
+    readonly mayStart?: () => boolean;
 }
 
 /**
@@ -26,9 +28,9 @@
 ): Dispatcher.DispatchHandler {
     return {
         onRequestStart: (controller, context) => {
-            if (progress.started || progress.abandoned) {
+            if (progress.started || progress.abandoned || progress.mayStart?.() === false) {
                 // undici may requeue a request when a connection ends, but a request must be sent at most once.
-                controller.abort(new Error("The request was already sent or was abandoned."));
+                controller.abort(new Error("The request was already sent, was abandoned, or may no longer be sent."));
                 return;
             }
             progress.started = true;
