--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -21,6 +21,7 @@
 export * from "./ports/tableService.js";
 export * from "./process/accounts/index.js";
 export * from "./process/crashes/index.js";
+export * from "./process/duties/index.js";
 export * from "./process/forwarding/index.js";
 export * from "./process/lease/index.js";
 export * from "./process/origins/index.js";
