--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -20,6 +20,8 @@
 const returnPauseMilliseconds = 3_000;
 /** Engines are given back down to the most that was needed within this time. */
 const returnNeedsMilliseconds = 4_000;
+/** Interval between two plans for cheaper or fewer engines, which are not urgent. */
+const planMilliseconds = 1_000;
 /** Orders for a zone that are no shortage, in a minute. */
 const maxOrdersPerMinute = 6;
 const minuteMilliseconds = 60_000;
@@ -35,6 +37,7 @@
     let listed: readonly ListedEngines[] = [];
     let recentNeeds: { readonly at: number; readonly needs: EngineNeeds; }[] = [];
     let returnAt = -Infinity;
+    let planAt = -Infinity;
     /** Monotonic times of orders that were no shortage, by zone. */
     const orderTimes = new Map<string, number[]>();
 
@@ -64,7 +67,8 @@
         ledger.update(listed);
         const shares = computeShares(zoneNames, countProcesses());
         const needs = measureNeeds();
-        const mayGiveBack = window.isMeasured(now) && now >= returnAt;
+        const mayGiveBack = window.isMeasured(now) && now >= Math.max(returnAt, planAt);
+        planAt = mayGiveBack ? now + planMilliseconds : planAt;
         const isReclaimableOffered = scaling.reclaimablePrice !== undefined;
         return {
             scaling,
--- a/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
@@ -1,6 +1,5 @@
 import type { EngineScaling } from "../../../version/forwarding/forwardingConfiguration.js";
 import {
-    addEngines,
     countAfterZoneLoss,
     countEngines,
     countZone,
@@ -73,14 +72,21 @@
     total: number,
     maxReclaimable: number,
 ): FleetNumbers {
-    let fleet: FleetNumbers = new Map(zones.map(({ zone }) => [zone, noEngines]));
-    const add = ({ zone, available }: ZoneLimits, kind: EngineKind, count: number) => {
-        const numbers = fleet.get(zone) ?? noEngines;
+    // Changed in place: hundreds of fleets are filled for a plan.
+    const fleet = new Map(zones.map(({ zone }) => [zone, { ...noEngines }]));
+    let count = 0;
+    const add = ({ zone, available }: ZoneLimits, kind: EngineKind, wanted: number) => {
+        const numbers = fleet.get(zone);
+        if (!numbers || wanted <= 0) {
+            return;
+        }
         const limit = kind === EngineKind.Reclaimable
             ? Math.min(available[kind], maxReclaimable)
             : available[kind];
         const room = Math.min(limit - numbers[kind], scaling.maxEngines - countZone(numbers));
-        fleet = addEngines(fleet, zone, kind, Math.max(0, Math.min(Math.ceil(count), room)));
+        const added = Math.max(0, Math.min(Math.ceil(wanted), room));
+        numbers[kind] += added;
+        count += added;
     };
     const inZone = ({ zone }: ZoneLimits) => countZone(fleet.get(zone));
     // The minimum of a zone is kept by engines that can't be reclaimed, as far as they can be had.
@@ -93,7 +99,7 @@
         add(zone, kind, zone.share * total * shareInZone - inZone(zone));
     }
     for (const { zone, kind } of cheapestFirst) {
-        add(zone, kind, total - countEngines(fleet));
+        add(zone, kind, total - count);
     }
     return fleet;
 }
