Look at the caches once a second when engines are planned

Cause: a third of a decision's time went into the shared parts of 100 caches, and the prices were sorted for each trial fleet.

Change: the cache count is taken once a second, the prices are sorted once a plan.

--- a/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
@@ -100,7 +100,7 @@
         listEngines: () => engines.filter(({ servesAt }) => servesAt <= now()),
         measureWork: () => {
             const work = options.work?.(now());
-            return work && { prefill: smoothedPrefill, decode: work.decode, cacheEngines: 0 };
+            return work && { prefill: smoothedPrefill, decode: work.decode, countCacheEngines: () => 0 };
         },
         countProcesses: () => new Map(zones.map(zone => [zone, 20])),
         calls: {
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -20,7 +20,7 @@
 const returnPauseMilliseconds = 3_000;
 /** Engines are given back down to the most that was needed within this time. */
 const returnNeedsMilliseconds = 4_000;
-/** Interval between two plans for cheaper or fewer engines, which are not urgent. */
+/** Interval between two plans for cheaper or fewer engines, which are not urgent, and between two looks at caches. */
 const planMilliseconds = 1_000;
 /** Orders for a zone that are no shortage, in a minute. */
 const maxOrdersPerMinute = 6;
@@ -38,6 +38,8 @@
     let recentNeeds: { readonly at: number; readonly needs: EngineNeeds; }[] = [];
     let returnAt = -Infinity;
     let planAt = -Infinity;
+    let cachesAt = -Infinity;
+    let cacheEngines = 0;
     /** Monotonic times of orders that were no shortage, by zone. */
     const orderTimes = new Map<string, number[]>();
 
@@ -51,7 +53,11 @@
             recentNeeds = [];
             return undefined;
         }
-        const needs = forecastNeeds({ mean, recent, cacheEngines: work.cacheEngines });
+        if (now >= cachesAt) {
+            cachesAt = now + planMilliseconds;
+            cacheEngines = work.countCacheEngines();
+        }
+        const needs = forecastNeeds({ mean, recent, cacheEngines });
         recentNeeds = [...recentNeeds.filter(({ at }) => at > now - returnNeedsMilliseconds), { at: now, needs }];
         return needs;
     };
--- a/packages/daisyturn/src/process/forwarding/fleet/orderEnginesOptions.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/orderEnginesOptions.ts
@@ -22,8 +22,8 @@
 
 /** The work of a service as this process knows it. */
 export interface KnownWork extends StageWork {
-    /** Prefill engines whose memory the shared parts of prompts in use would fill. */
-    readonly cacheEngines: number;
+    /** Counts the prefill engines whose memory the shared parts of prompts in use would fill; takes longer. */
+    countCacheEngines(): number;
 }
 
 /** What `orderEngines` needs. */
--- a/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
@@ -20,6 +20,13 @@
     readonly available: KindNumbers;
 }
 
+/** One kind of engine in one zone. */
+interface PricedKind {
+    readonly zone: ZoneLimits;
+    readonly kind: EngineKind;
+    readonly price: number;
+}
+
 /**
  * Part of a zone's share of the engines that it has in any case; the others are where they are cheapest. Zones are 1.4 ms
  * apart, so callers are served across zones where one has fewer engines than its share.
@@ -51,10 +58,13 @@
     needs: Pick<EngineNeeds, "total" | "afterLoss">,
 ): FleetNumbers {
     const maxReclaimable = scaling.reclaimablePrice === undefined ? 0 : Math.min(needs.total, scaling.maxEngines);
+    const cheapestFirst = zones
+        .flatMap(zone => engineKinds.map(kind => ({ zone, kind, price: priceOf(scaling, zone.zone, kind) })))
+        .sort((left, right) => left.price - right.price);
     let best: { readonly fleet: FleetNumbers; readonly shortage: number; readonly price: number; } | undefined;
     for (let reclaimable = 0; reclaimable <= maxReclaimable; reclaimable++) {
         const total = Math.max(needs.total, needs.afterLoss + reclaimable);
-        const fleet = fillZones(scaling, zones, total, reclaimable);
+        const fleet = fillZones(scaling, zones, cheapestFirst, total, reclaimable);
         const shortage = Math.max(0, needs.total - countEngines(fleet))
             + Math.max(0, needs.afterLoss - countAfterZoneLoss(fleet));
         const price = priceOfFleet(scaling, fleet);
@@ -69,6 +79,7 @@
 function fillZones(
     scaling: EngineScaling,
     zones: readonly ZoneLimits[],
+    cheapestFirst: readonly PricedKind[],
     total: number,
     maxReclaimable: number,
 ): FleetNumbers {
@@ -92,9 +103,6 @@
     // The minimum of a zone is kept by engines that can't be reclaimed, as far as they can be had.
     zones.forEach(zone => add(zone, EngineKind.Regular, scaling.minEngines));
     zones.forEach(zone => add(zone, EngineKind.Reclaimable, scaling.minEngines - inZone(zone)));
-    const cheapestFirst = zones
-        .flatMap(zone => engineKinds.map(kind => ({ zone, kind, price: priceOf(scaling, zone.zone, kind) })))
-        .sort((left, right) => left.price - right.price);
     for (const { zone, kind } of cheapestFirst) {
         add(zone, kind, zone.share * total * shareInZone - inZone(zone));
     }
