Replace losses by the last known needs while the work is not known

Cause: a holder that is for a moment without the reports of the fleet ordered nothing, also where a zone's engines were taken away. An order that this process might not send counted as one of the six a minute.

Change: the last needs count for shortages for 30 s; orders that were not sent are not counted; an order that throws counts as unanswered.

--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
@@ -79,6 +79,29 @@
     await scene.end();
 });
 
+test("engines that are taken away while the work is not known are replaced by what was needed last", async () => {
+    const scene = createFleetScene({ work: at => at < 31_000 ? work : undefined });
+    await scene.pass(32_000);
+    const before = scene.orders.length;
+    scene.reclaim("a");
+    await scene.pass(10_000);
+    assert.ok(scene.orders.length > before);
+    assert.ok(countAll(scene) >= 28, `${countAll(scene)} engines`);
+    await scene.end();
+});
+
+test("orders that this process may not send are made once it may", async () => {
+    const scene = createFleetScene({
+        work: steady,
+        answer: (order, at) => at < 20_000 ? undefined : DutyAnswer.Accepted,
+    });
+    await scene.pass(20_000);
+    assert.equal(countAll(scene), 63);
+    await scene.pass(settledMilliseconds);
+    assert.ok(countAll(scene) < 40, `${countAll(scene)} engines`);
+    await scene.end();
+});
+
 test("after a refusal, engines are ordered in another zone or of the other kind, with growing pauses", async () => {
     const scene = createFleetScene({
         enginesPerZone: 3,
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -1,4 +1,5 @@
 import { EventKind } from "daisyturn-utils";
+import { DutyAnswer } from "../../../ports/duties/fleetDuties.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { EngineScaling } from "../../../version/forwarding/forwardingConfiguration.js";
 import { prefillDemandDecayMilliseconds } from "../views/createPrefillDemand.js";
@@ -22,6 +23,8 @@
 const returnNeedsMilliseconds = 4_000;
 /** Interval between two plans for cheaper or fewer engines, which are not urgent, and between two looks at caches. */
 const planMilliseconds = 1_000;
+/** Losses are replaced by the last known needs for this long while the work is not known; nothing is given back then. */
+const keptNeedsMilliseconds = 30_000;
 /** Orders for a zone that are no shortage, in a minute. */
 const maxOrdersPerMinute = 6;
 const minuteMilliseconds = 60_000;
@@ -36,6 +39,7 @@
     const ledger = createEngineLedger({ bootMilliseconds: () => bootMilliseconds, clock });
     let listed: readonly ListedEngines[] = [];
     let recentNeeds: { readonly at: number; readonly needs: EngineNeeds; }[] = [];
+    let lastNeeds: { readonly at: number; readonly needs: EngineNeeds; } | undefined;
     let returnAt = -Infinity;
     let planAt = -Infinity;
     let cachesAt = -Infinity;
@@ -51,13 +55,14 @@
         const recent = window.mean(recentWindowMilliseconds, now);
         if (!work || !mean || !recent) {
             recentNeeds = [];
-            return undefined;
+            return lastNeeds && now - lastNeeds.at < keptNeedsMilliseconds ? lastNeeds.needs : undefined;
         }
         if (now >= cachesAt) {
             cachesAt = now + planMilliseconds;
             cacheEngines = work.countCacheEngines();
         }
         const needs = forecastNeeds({ mean, recent, cacheEngines });
+        lastNeeds = { at: now, needs };
         recentNeeds = [...recentNeeds.filter(({ at }) => at > now - returnNeedsMilliseconds), { at: now, needs }];
         return needs;
     };
@@ -101,15 +106,19 @@
         if (reason === OrderReason.Surplus) {
             returnAt = clock.monotonicNow() + returnPauseMilliseconds;
         }
+        const sentAt = clock.monotonicNow();
         if (reason !== OrderReason.Shortage) {
-            const times = (orderTimes.get(zone) ?? []).filter(at => at > clock.monotonicNow() - minuteMilliseconds);
-            orderTimes.set(zone, [...times, clock.monotonicNow()]);
+            const times = (orderTimes.get(zone) ?? []).filter(at => at > sentAt - minuteMilliseconds);
+            orderTimes.set(zone, [...times, sentAt]);
         }
         const isReclaimable = kind === EngineKind.Reclaimable;
         const recordAnswer = ledger.begin(order);
         const answer = await calls.order({ service, availabilityZone: zone, desired, isReclaimable })
-            .catch(() => undefined);
+            .catch(() => DutyAnswer.Unknown);
         recordAnswer(answer);
+        if (answer === undefined) {
+            orderTimes.set(zone, (orderTimes.get(zone) ?? []).filter(at => at !== sentAt));
+        }
         const isOrdered = (entry: ListedEngines) => entry.zone === zone && entry.kind === kind;
         eventLog.record(EventKind.EnginesOrdered, {
             service,
