--- a/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
@@ -11,7 +11,7 @@
 
 /** What {@link startEngineOrders} needs. */
 export interface EngineOrdersOptions {
-    readonly parts: ForwardingProcessParts;
+    readonly parts: Pick<ForwardingProcessParts, "configurationManager" | "targets" | "demand" | "loads" | "caches">;
     readonly coordination: Pick<Coordination, "knowsFleet" | "listPeers">;
     /** Sends orders under the lease of the fleet's duties. */
     readonly calls: EngineOrderCalls;
@@ -43,7 +43,7 @@
     return ordering;
 }
 
-function listScaledServices(parts: ForwardingProcessParts): readonly ScaledService[] {
+function listScaledServices(parts: EngineOrdersOptions["parts"]): readonly ScaledService[] {
     const services = parts.configurationManager.current()?.configuration.services.values() ?? [];
     return [...services].flatMap(({ name, engine, scaling }) => engine && scaling ? [{ name, scaling }] : []);
 }
