--- a/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/planNumbers.ts
@@ -1,6 +1,5 @@
 import type { EngineScaling } from "../../../version/forwarding/forwardingConfiguration.js";
 import {
-    addEngines,
     countAfterZoneLoss,
     countEngines,
     countZone,
@@ -21,6 +20,13 @@
     readonly available: KindNumbers;
 }
 
+/** One kind of engine in one zone. */
+interface PricedKind {
+    readonly zone: ZoneLimits;
+    readonly kind: EngineKind;
+    readonly price: number;
+}
+
 /**
  * Part of a zone's share of the engines that it has in any case; the others are where they are cheapest. Zones are 1.4 ms
  * apart, so callers are served across zones where one has fewer engines than its share.
@@ -52,10 +58,13 @@
     needs: Pick<EngineNeeds, "total" | "afterLoss">,
 ): FleetNumbers {
     const maxReclaimable = scaling.reclaimablePrice === undefined ? 0 : Math.min(needs.total, scaling.maxEngines);
+    const cheapestFirst = zones
+        .flatMap(zone => engineKinds.map(kind => ({ zone, kind, price: priceOf(scaling, zone.zone, kind) })))
+        .sort((left, right) => left.price - right.price);
     let best: { readonly fleet: FleetNumbers; readonly shortage: number; readonly price: number; } | undefined;
     for (let reclaimable = 0; reclaimable <= maxReclaimable; reclaimable++) {
         const total = Math.max(needs.total, needs.afterLoss + reclaimable);
-        const fleet = fillZones(scaling, zones, total, reclaimable);
+        const fleet = fillZones(scaling, zones, cheapestFirst, total, reclaimable);
         const shortage = Math.max(0, needs.total - countEngines(fleet))
             + Math.max(0, needs.afterLoss - countAfterZoneLoss(fleet));
         const price = priceOfFleet(scaling, fleet);
@@ -70,30 +79,35 @@
 function fillZones(
     scaling: EngineScaling,
     zones: readonly ZoneLimits[],
+    cheapestFirst: readonly PricedKind[],
     total: number,
     maxReclaimable: number,
 ): FleetNumbers {
-    let fleet: FleetNumbers = new Map(zones.map(({ zone }) => [zone, noEngines]));
-    const add = ({ zone, available }: ZoneLimits, kind: EngineKind, count: number) => {
-        const numbers = fleet.get(zone) ?? noEngines;
+    // Changed in place: hundreds of fleets are filled for a plan.
+    const fleet = new Map(zones.map(({ zone }) => [zone, { ...noEngines }]));
+    let count = 0;
+    const add = ({ zone, available }: ZoneLimits, kind: EngineKind, wanted: number) => {
+        const numbers = fleet.get(zone);
+        if (!numbers || wanted <= 0) {
+            return;
+        }
         const limit = kind === EngineKind.Reclaimable
             ? Math.min(available[kind], maxReclaimable)
             : available[kind];
         const room = Math.min(limit - numbers[kind], scaling.maxEngines - countZone(numbers));
-        fleet = addEngines(fleet, zone, kind, Math.max(0, Math.min(Math.ceil(count), room)));
+        const added = Math.max(0, Math.min(Math.ceil(wanted), room));
+        numbers[kind] += added;
+        count += added;
     };
     const inZone = ({ zone }: ZoneLimits) => countZone(fleet.get(zone));
     // The minimum of a zone is kept by engines that can't be reclaimed, as far as they can be had.
     zones.forEach(zone => add(zone, EngineKind.Regular, scaling.minEngines));
     zones.forEach(zone => add(zone, EngineKind.Reclaimable, scaling.minEngines - inZone(zone)));
-    const cheapestFirst = zones
-        .flatMap(zone => engineKinds.map(kind => ({ zone, kind, price: priceOf(scaling, zone.zone, kind) })))
-        .sort((left, right) => left.price - right.price);
     for (const { zone, kind } of cheapestFirst) {
         add(zone, kind, zone.share * total * shareInZone - inZone(zone));
     }
     for (const { zone, kind } of cheapestFirst) {
-        add(zone, kind, total - countEngines(fleet));
+        add(zone, kind, total - count);
     }
     return fleet;
 }
