Place plain calls by expected end where targets state or show different speeds

Cause: plain calls were placed by calls over slots, also where a target works several times as slowly. Tests of placement, views, experiments and entryProcess pass.

--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -31,6 +31,7 @@
 export * from "./reportArrivals.js";
 export * from "./reportSizeCounts.js";
 export * from "./retries/createWindowedRetryBudget.js";
+export * from "./speeds/createTargetSpeeds.js";
 export * from "./stages/changeStages.js";
 export * from "./stages/createStageReturns.js";
 export * from "./stages/planStage.js";
--- a/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createCallPlacement.ts
@@ -133,7 +133,7 @@
 
     class EstimatedPlacement extends CallPlacement {
         override placePlain(service: string, restriction: TargetRestriction): ListedTarget | undefined {
-            return findMinBy(listPreferred(service, restriction), costs.plain);
+            return findMinBy(listPreferred(service, restriction), costs.createPlainCost(service));
         }
 
         override placePrompt = placePrompt;
--- a/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createStepCosts.ts
@@ -1,6 +1,8 @@
 import type { Random } from "daisyturn-utils";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import { Mechanism } from "../experiments/mechanism.js";
+import { createPlainSpeedCost } from "../speeds/createPlainSpeedCost.js";
+import type { TargetSpeeds } from "../speeds/createTargetSpeeds.js";
 import type { EventIntervals } from "../views/createEventIntervals.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
 import type { PlacedStep, PromptRequirements } from "./callPlacement.js";
@@ -11,10 +13,16 @@
  */
 export type StepCost = (step: PlacedStep) => number;
 
+/** Cost of a plain call at a target. */
+export type PlainCost = (target: ListedTarget) => number;
+
 /** What choosing a target costs the call and all other calls, in milliseconds except for plain targets. */
 export interface StepCosts {
-    /** How full a plain target is, as a fraction of its slots. */
-    plain(target: ListedTarget): number;
+    /**
+     * Creates the cost of a plain call: milliseconds where speeds of the service's targets are used, and otherwise how full a
+     * target is, as a fraction of its slots.
+     */
+    createPlainCost(service: string): PlainCost;
     /** Creates the cost of prefilling a prompt at an engine that only prefills. */
     createPrefillCost(demand: PromptRequirements, engines: EngineGroups): StepCost;
     /** Creates the cost of decoding a prompt that another engine has prefilled. */
@@ -28,6 +36,7 @@
 /** What {@link createStepCosts} needs. */
 export interface StepCostsOptions {
     readonly loads: TargetLoads;
+    readonly speeds: TargetSpeeds;
     readonly eventIntervals: EventIntervals;
     readonly random: Random;
     readonly availabilityZone: string;
@@ -81,7 +90,7 @@
 
 /** Creates the costs from the data of one process. */
 export function createStepCosts(options: StepCostsOptions): StepCosts {
-    const { loads, eventIntervals, random, availabilityZone, switchedOff } = options;
+    const { loads, speeds, eventIntervals, random, availabilityZone, switchedOff } = options;
     const hasZones = !switchedOff.has(Mechanism.ZonePreference);
     const hasPauseForecast = !switchedOff.has(Mechanism.PauseForecast);
 
@@ -109,11 +118,19 @@
         return hasPauses && hasPauseForecast ? Math.min(maxPauseCostMilliseconds, prefillTime) : 0;
     };
 
+    const fillCost = (target: ListedTarget) => {
+        const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
+        return fill * drawJitter() + (isPreferredZone(target, availabilityZone) ? 0 : otherZonePenalty);
+    };
+
+    const speedCost = createPlainSpeedCost({
+        speeds,
+        random,
+        extra: target => isPreferredZone(target, availabilityZone) ? 0 : otherZoneMilliseconds,
+    });
+
     return {
-        plain: target => {
-            const fill = (loads.calls(target.targetId) + 1) / Math.max(1, target.slots);
-            return fill * drawJitter() + (isPreferredZone(target, availabilityZone) ? 0 : otherZonePenalty);
-        },
+        createPlainCost: service => speeds.isUsed(service) ? speedCost : fillCost,
         createPrefillCost: (demand, { preferredPrefillEngine }) => step =>
             workCost(step, demand)
             + (isOtherEngine(step, preferredPrefillEngine) ? step.sharedWork * otherEnginePrefillFraction : 0),
--- a/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
@@ -10,7 +10,9 @@
 
 /** A plain call that this process runs at a target. */
 export interface MeasuredRun {
-    /** Ends the call. If it is measured, the time since its begin is the duration of a successful answer. */
+    /** Records that the call is sent now, after it has waited for a connection. */
+    start(): void;
+    /** Ends the call. If it is measured, the time since its start is the duration of a successful answer. */
     end(isMeasured: boolean): void;
 }
 
@@ -151,7 +153,7 @@
 
     const beginRun = (target: ListedTarget): MeasuredRun => {
         const speed = find(target);
-        const begunAt = clock.monotonicNow();
+        let begunAt = clock.monotonicNow();
         const { calls: ahead } = calls(target);
         const slots = Math.max(1, target.slots);
         speed.ownCalls += 1;
@@ -171,6 +173,9 @@
         };
 
         return {
+            start: () => {
+                begunAt = clock.monotonicNow();
+            },
             end: isMeasured => {
                 if (isRunning) {
                     isRunning = false;
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -2,6 +2,7 @@
 import { EngineActivity, type EngineOrders } from "../../../ports/engineOrders.js";
 import { createTargetLimits, type TargetLimits } from "../limits/requests/createTargetLimits.js";
 import { createTargetLinks, type TargetLinks } from "../links/createTargetLinks.js";
+import { createTargetSpeeds, type TargetSpeeds } from "../speeds/createTargetSpeeds.js";
 import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
 import { createTargetAvailability, type TargetAvailability } from "../targets/createTargetAvailability.js";
 import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
@@ -27,6 +28,7 @@
     readonly availability: TargetAvailability;
     readonly limits: TargetLimits;
     readonly demand: PrefillDemand;
+    readonly speeds: TargetSpeeds;
 }
 
 const activityTimeoutMilliseconds = 300;
@@ -56,7 +58,8 @@
     const limits = createTargetLimits(clock, eventLog);
     const closed = createClosedTargets(clock, eventLog);
     const availability = createTargetAvailability(targets, closed, clock, eventLog);
-    const views = [loads, health, caches, slowdowns, limits, availability];
+    const speeds = createTargetSpeeds(targets, clock, eventLog);
+    const views = [loads, health, caches, slowdowns, limits, availability, speeds];
     targets.onRemoved(targetId => views.forEach(view => view.forget(targetId)));
     return {
         targets,
@@ -71,5 +74,6 @@
         closed,
         availability,
         demand: createPrefillDemand(clock),
+        speeds,
     };
 }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -27,6 +27,7 @@
     TargetLinks,
     TargetList,
     TargetLoads,
+    TargetSpeeds,
     WindowedRetryBudget,
 } from "../../process/forwarding/index.js";
 import type { StreamOrigins } from "../../process/origins/index.js";
@@ -37,6 +38,7 @@
     readonly targets: TargetList;
     readonly links: Pick<TargetLinks, "isLost">;
     readonly loads: TargetLoads;
+    readonly speeds: TargetSpeeds;
     readonly health: TargetHealth;
     readonly caches: CacheEstimates;
     readonly slowdowns: SlowdownEstimates;
--- a/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
@@ -60,7 +60,15 @@
 }
 
 /** Records what an answer says of its target, beside the answer itself. */
-export function recordNotices({ limits, availability }: ForwardingParts, target: ListedTarget, head: ReplyHead): void {
+export function recordNotices(
+    { limits, availability, speeds }: ForwardingParts,
+    { service }: CallContext,
+    target: ListedTarget,
+    head: ReplyHead,
+): void {
+    if (head.load && !service.engine) {
+        speeds.recordReport(target, head.load);
+    }
     limits.record(target.targetId, head.requestLimit);
     availability.recordRest(target.targetId, head.restMilliseconds);
     if (head.isLeaving) {
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -62,6 +62,7 @@
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
     const chunks: Buffer[] = [];
     const work = loads.begin(target.targetId, attempt.cost);
+    const run = context.service.engine ? undefined : parts.speeds.beginRun(target);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
     const endRun = parts.crashGuard.beginRun(target, context.guarded);
     const route: SendRoute = {
@@ -106,6 +107,7 @@
             onStarted: relayId => {
                 route.isStarted = true;
                 route.relayId = relayId;
+                run?.start();
                 if (relayId !== undefined) {
                     // The silence of a peer is not that of the target.
                     wait.end();
@@ -124,7 +126,7 @@
                         loads.recordReport(target.targetId, head.load);
                     }
                     if (head.callId === context.call.callId) {
-                        recordNotices(parts, target, head);
+                        recordNotices(parts, context, target, head);
                     }
                     reply.head = head;
                     return checkOrigin(context, attempt, head);
@@ -153,6 +155,7 @@
     recordSend(parts, context, attempt, route, reply.head, result);
     work.end();
     wait.end();
+    run?.end(isMeasurable(attempt, route, reply.head, result));
     const outcome = determineResult(
         result,
         reply.head,
@@ -164,6 +167,17 @@
     return outcome;
 }
 
+/** Streams last as long as their events do, and the way over a peer takes longer than the target's work. */
+function isMeasurable(
+    { onChunk }: CallAttempt,
+    { isStarted, relayId }: SendRoute,
+    head: ReplyHead | undefined,
+    result: Result<void, Failure>,
+): boolean {
+    const isSuccess = result.isOk && head !== undefined && head.status < minFailureStatus;
+    return isSuccess && isStarted && relayId === undefined && onChunk === undefined;
+}
+
 /** Bounds the bytes of an answer that wait for its end, or for that of an event, or that nobody reads. */
 function checkLength(
     { onChunk, heldBytes = () => 0 }: CallAttempt,
