Format log lines once, and write them only while lines wait

Cause: each log line was formatted as JSON by pino, parsed again and then formatted as key=value. The file was written four times a second even without a line, which is a call to the system by way of a worker thread.

Change: the event log formats lines by logfmt directly, with the same fields in the same order; daisyturn-utils no longer uses pino. The log writer sets a timer when a line is written and none is waiting.

--- a/packages/daisyturn-daemon/src/entry/createLogWriter.ts
+++ b/packages/daisyturn-daemon/src/entry/createLogWriter.ts
@@ -17,11 +17,16 @@
         dest: file ?? 1,
         sync: false,
         minLength: bufferBytes,
-        periodicFlush: flushIntervalMilliseconds,
     });
+    /** Set while lines wait. `periodicFlush` of the library would call the system four times a second without any. */
+    let flushTimer: NodeJS.Timeout | undefined;
     return {
         writeLine: line => {
             output.write(line);
+            flushTimer ??= setTimeout(() => {
+                flushTimer = undefined;
+                output.flush();
+            }, flushIntervalMilliseconds).unref();
         },
         flush: () => output.flushSync(),
     };
--- a/packages/daisyturn-utils/src/events/__tests__/logfmtEventLog.test.ts
+++ b/packages/daisyturn-utils/src/events/__tests__/logfmtEventLog.test.ts
@@ -30,4 +30,13 @@
         assert.equal(lines.length, 1);
         assert.equal((lines[0] ?? "").split("\n").length, 2);
     });
+
+    it("leaves out undefined fields, and the value of a number that is not finite", () => {
+        const { lines, eventLog } = createLog();
+        eventLog.record(EventKind.Fault, { peer: undefined, count: Infinity, isLate: false, size: 0, event: "other" });
+        assert.match(
+            lines[0] ?? "",
+            / event=fault level=info process=entry-1 incarnation=run-1 count= isLate=false size=0\n$/,
+        );
+    });
 });
--- a/packages/daisyturn-utils/src/events/logfmtEventLog.ts
+++ b/packages/daisyturn-utils/src/events/logfmtEventLog.ts
@@ -1,5 +1,4 @@
 import logfmt from "logfmt";
-import { type DestinationStream, pino } from "pino";
 import type { HybridLogicalClock } from "../time/hybridLogicalClock.js";
 import { type EventFields, type EventKind, EventLog } from "./eventLog.js";
 
@@ -9,38 +8,36 @@
     readonly hybridClock: HybridLogicalClock;
     /** Called with each complete line, including its line feed. */
     readonly writeLine: (line: string) => void;
-    readonly level?: string;
 }
 
-/** Creates a log that writes one key=value line per event, using pino. */
+const level = "info";
+
+/** Creates a log that writes one key=value line per event, with the timestamp and the event first. */
 export function createLogfmtEventLog(options: EventLogOptions): EventLog {
-    const logger = pino({
-        level: options.level ?? "info",
-        base: { process: options.processId, incarnation: options.incarnation },
-        timestamp: () => `,"stamp":"${options.hybridClock.stamp()}"`,
-        formatters: { level: label => ({ level: label }) },
-        messageKey: "event",
-    }, createLogfmtDestination(options.writeLine));
+    const { processId: process, incarnation, hybridClock, writeLine } = options;
 
     class LogfmtEventLog extends EventLog {
         override record(kind: EventKind, fields: EventFields = {}): void {
-            logger.info(fields, kind);
+            const stamp = hybridClock.stamp();
+            const line: Record<string, unknown> = { stamp, event: kind, level, process, incarnation };
+            for (const [name, value] of Object.entries(fields)) {
+                if (value !== undefined && name !== "event") {
+                    line[name] = formatValue(value);
+                }
+            }
+            writeLine(`${logfmt.stringify(line)}\n`);
         }
     }
     return new LogfmtEventLog();
 }
 
-/** Converts pino's JSON lines to key=value lines, with the timestamp and the event first. */
-function createLogfmtDestination(writeLine: (line: string) => void): DestinationStream {
-    return {
-        write: line => {
-            const { stamp, event, ...rest } = JSON.parse(line, replaceLineFeeds) as Record<string, string>;
-            writeLine(`${logfmt.stringify({ stamp, event, ...rest })}\n`);
-        },
-    };
-}
-
-/** Replaces line feeds, such as those of a stack trace: logfmt retains them, but an event must be a single line. */
-function replaceLineFeeds(field: string, value: unknown): unknown {
-    return typeof value === "string" ? value.replaceAll(/[\r\n]+/g, " | ") : value;
+/**
+ * Replaces line feeds, such as those of a stack trace: logfmt retains them, but an event must be a single line. A number
+ * that is not finite has no value.
+ */
+function formatValue(value: string | number | boolean): string | number | boolean | undefined {
+    if (typeof value === "string") {
+        return value.replaceAll(/[\r\n]+/g, " | ");
+    }
+    return typeof value === "number" && !Number.isFinite(value) ? undefined : value;
 }
--- a/packages/daisyturn-utils/src/time/interruption.ts
+++ b/packages/daisyturn-utils/src/time/interruption.ts
@@ -5,6 +5,8 @@
     removeEventListener(type: "abort", listener: () => void): void;
 }
 
+type AbortListening = readonly [type: "abort", listener: () => void];
+
 /** Ends the waits of one task early. */
 export interface Interruption {
     readonly signal: WaitSignal;
@@ -23,8 +25,8 @@
             get aborted() {
                 return aborted;
             },
-            addEventListener: (_type, listener) => void listeners.add(listener),
-            removeEventListener: (_type, listener) => void listeners.delete(listener),
+            addEventListener: (...[, listener]: AbortListening) => void listeners.add(listener),
+            removeEventListener: (...[, listener]: AbortListening) => void listeners.delete(listener),
         },
         interrupt: () => {
             aborted = true;
