Read only the last event identifier of a chunk

Cause: the relay of streams decoded each chunk as text and matched a regular expression against all of it to find the last identifier.

Change: the identifier is searched from the end of the chunk, byte by byte.

--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -68,3 +68,15 @@
     relay.end(200, []);
     assert.deepEqual(counts(), { begun: 1, ended: 1 });
 });
+
+test("the last identifier is read from the start of a line, whatever follows or resembles it", () => {
+    const lastEventIdOf = (text: string) => {
+        const relay = createEventRelay(createRecorder().exchange, () => undefined);
+        relay.write(200, [], Buffer.from(`${text}\n\n`));
+        return relay.lastEventId();
+    };
+    assert.equal(lastEventIdOf("id: 7\ndata: id: 8 and bid:9"), "7");
+    assert.equal(lastEventIdOf("id:6\r\ndata: x\r\n\r\nid: 7 \r\ndata: id:"), "7");
+    assert.equal(lastEventIdOf("data: x\nid:"), "");
+    assert.equal(lastEventIdOf("data: id: 8"), undefined);
+});
--- a/packages/daisyturn/src/request/forwarding/eventRelay.ts
+++ b/packages/daisyturn/src/request/forwarding/eventRelay.ts
@@ -20,7 +20,9 @@
 }
 
 const eventEnd = Buffer.from("\n\n");
-const idField = /^id: ?(.*)$/gm;
+const idField = Buffer.from("id:");
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
 
 /**
  * Creates the relay of one answer.
@@ -38,9 +40,19 @@
         exchange.write(events);
     };
 
+    /** Reads the last identifier among the events. */
     const recordEventIds = (events: Buffer) => {
-        for (const match of events.toString("latin1").matchAll(idField)) {
-            lastEventId = match[1]?.trim();
+        let start = events.lastIndexOf(idField);
+        while (start > 0 && !isLineEnd(events[start - 1])) {
+            start = events.lastIndexOf(idField, start - 1);
+        }
+        if (start >= 0) {
+            const valueStart = start + idField.length;
+            let end = valueStart;
+            while (end < events.length && !isLineEnd(events[end])) {
+                end += 1;
+            }
+            lastEventId = events.toString("latin1", valueStart, end).trim();
         }
     };
 
@@ -72,3 +84,7 @@
         },
     };
 }
+
+function isLineEnd(byte: number | undefined): boolean {
+    return byte === lineFeed || byte === carriageReturn;
+}
