Order engines under the lease of the fleet's duties

Cause: the plan of engine numbers and the holder of the duties were built apart. Change: startFleetDuties starts both where the settings name duties; the gauges of engine numbers read the orders.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -32,7 +32,7 @@
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
-import { type RunningDuties, startDuties } from "./startDuties.js";
+import { type RunningFleetDuties, startFleetDuties } from "./startFleetDuties.js";
 import { startStageChanges } from "./startStageChanges.js";
 import { startTableWatches } from "./startTableWatches.js";
 
@@ -132,10 +132,16 @@
         clock,
         eventLog,
     });
-    metricsServer?.observe({ ...parts, quotas, tunnels, connectionGuard });
+    metricsServer?.observe({
+        ...parts,
+        quotas,
+        tunnels,
+        connectionGuard,
+        listEngineNumbers: () => duties?.listEngineNumbers() ?? [],
+    });
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
-    let duties: RunningDuties | undefined;
+    let duties: RunningFleetDuties | undefined;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
         !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
@@ -145,19 +151,11 @@
     const startCoordination = () => {
         background.signal.addEventListener("abort", peerChannel.close);
         coordination.run(background.signal);
-        startStageChanges({
-            settings,
-            adapters,
-            parts,
-            incarnation,
-            coordination,
-            mayOrder: () => !isStopping && isOn(Mechanism.StageChanges) && !parts.links.isCutOff(),
-            clock,
-            random,
-            eventLog,
-            signal: background.signal,
-        });
-        duties = startDuties({ settings, adapters, parts, incarnation, coordination, clock, random, eventLog });
+        const mayOrder = () => !isStopping && !parts.links.isCutOff();
+        const { signal } = background;
+        const shared = { settings, adapters, parts, incarnation, coordination, clock, random, eventLog, signal };
+        startStageChanges({ ...shared, mayOrder: () => mayOrder() && isOn(Mechanism.StageChanges) });
+        duties = startFleetDuties({ ...shared, mayOrder });
     };
 
     const start = async () => {
