--- a/scripts/__tests__/undiciClients.test.js
+++ b/scripts/__tests__/undiciClients.test.js
@@ -10,6 +10,8 @@
     "packages/daisyturn-utils/src",
     "platform/src",
 ];
+/** Used by the product's own interface alone, which the bundle does not contain. */
+const unbundledFile = "targetDispatcher.ts";
 const importPattern = /import \{([^}]*)\} from "undici"/g;
 
 /** Lists the values that a source imports from undici; types are left out. */
@@ -24,7 +26,7 @@
 test("the bundle's replacement of undici has everything that the entry process imports", () => {
     const files = bundledFolders.flatMap(folder =>
         fs.readdirSync(folder, { recursive: true })
-            .filter(entry => entry.endsWith(".ts") && !entry.includes("__"))
+            .filter(entry => entry.endsWith(".ts") && !entry.includes("__") && !entry.endsWith(unbundledFile))
             .map(entry => path.join(folder, entry))
     );
     const imported = new Set(files.flatMap(listImports));
