Count, collect and report the usage of client accounts

Cause: the platform expects one report of each window's requests by account, while requests are served by many processes whose clocks differ and which end at any time.

Change: each process counts the calls of accounts that began to run in windows of the fleet's time, the median of the clocks that the coordinator receives. Whole counts by incarnation go to the coordinator and the standby until they are acknowledged, and at a stop. The holder of the duties collects a window from all coordinators and standbys, stores the report under its lease's fence, and sends it then; it and later holders send the stored counts again until they are accepted. Metrics: daisyturn_duties_held, daisyturn_usage_reports_total. One log line for each report.

--- a/packages/daisyturn-daemon/src/forwarding/startDuties.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createDuties.ts
@@ -4,6 +4,9 @@
     createDutyHolder,
     createLeaseManager,
     createStoreClient,
+    createUsageExchange,
+    createUsageReporter,
+    type DutyAnswer,
     type DutyCalls,
     dutyLeaseMarginMilliseconds,
     dutyRenewalMilliseconds,
@@ -12,23 +15,30 @@
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 
-/** What {@link startDuties} needs. */
+/** What {@link createDuties} needs. */
 export interface DutiesOptions {
     readonly settings: ForwardingSettings;
     readonly adapters: ForwardingAdapters;
     readonly parts: Pick<ForwardingProcessParts, "links">;
     readonly incarnation: string;
-    readonly coordination: Pick<Coordination, "isFleetCoordinator">;
+    readonly coordination: Pick<Coordination, "isFleetCoordinator" | "peers">;
+    readonly onReported: (answer: DutyAnswer) => void;
     readonly clock: Clock;
     readonly random: Random;
     readonly eventLog: EventLog;
 }
 
-/** The running part of this process in the duties of the fleet. */
-export interface RunningDuties {
+/** The part of this process in the duties of the fleet. */
+export interface Duties {
     readonly calls: DutyCalls;
-    /** Ends the calls and releases the lease. */
-    stop(): Promise<void>;
+    /** Counts a call of a client account that began to run; undefined if usage is not reported. */
+    readonly recordUsage?: (account: string, beganAt: number) => void;
+    /** Starts the part; it takes part in the exchange of counts until the signal is aborted. */
+    start(signal: AbortSignal): void;
+    /** Ends the calls and releases the lease. The deadline (monotonic) is that of the process. */
+    stop(deadline: number): Promise<void>;
+    /** Hands over the counts of this process, once its calls have ended. */
+    handOver(): Promise<void>;
 }
 
 const leaseName = "duties";
@@ -36,13 +46,15 @@
 const storeCallsPerSecond = 10;
 /** Only the fleet coordinator polls, and only while another process holds the lease. */
 const pollIntervalMilliseconds = 1_000;
+/** Limits the hand-over of counts, within the margin at the end of the grace period. */
+const handOverTimeoutMilliseconds = 300;
 
 /**
- * Starts the part of this process in the duties of the fleet.
+ * Creates the part of this process in the duties of the fleet. Nothing runs before it is started.
  *
  * @returns undefined if the settings name no duty
  */
-export function startDuties(options: DutiesOptions): RunningDuties | undefined {
+export function createDuties(options: DutiesOptions): Duties | undefined {
     const { settings, adapters, parts, incarnation, coordination, clock, random, eventLog } = options;
     const { processId, availabilityZone, leaseMilliseconds, duties: dutySettings, peers } = settings;
     const { fleetDuties, tableService, storeEra } = adapters;
@@ -59,6 +71,7 @@
         writesPerSecond: storeCallsPerSecond,
         readsPerSecond: storeCallsPerSecond,
     });
+    const ids = createIdSource(incarnation);
     const leaseManager = createLeaseManager({
         name: leaseName,
         self: {
@@ -71,7 +84,7 @@
         storeClient,
         clock,
         random,
-        ids: createIdSource(incarnation),
+        ids,
         eventLog,
         leaseMilliseconds,
         marginMilliseconds: dutyLeaseMarginMilliseconds,
@@ -91,12 +104,35 @@
         clock,
         eventLog,
     });
-    const ended = holder.run(stopping.signal);
+    const usage = dutySettings.usage && createUsageExchange({
+        ...dutySettings.usage,
+        peers: coordination.peers,
+        incarnation,
+        clock,
+    });
+    const reporter = usage && createUsageReporter({
+        ...dutySettings.usage,
+        calls: holder.calls,
+        exchange: usage,
+        storeClient,
+        onReported: options.onReported,
+        ids,
+        clock,
+        eventLog,
+    });
+    let ended = Promise.resolve();
     return {
         calls: holder.calls,
-        stop: () => {
+        recordUsage: usage?.record,
+        start: signal => {
+            ended = holder.run(stopping.signal);
+            void reporter?.run(stopping.signal);
+            void usage?.run(signal);
+        },
+        stop: deadline => {
             stopping.abort();
-            return ended;
+            return Promise.race([ended, clock.sleepUntil(deadline)]);
         },
+        handOver: async () => usage?.handOver(clock.monotonicNow() + handOverTimeoutMilliseconds),
     };
 }
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -12,6 +12,7 @@
     createOverloadGuard,
     createTunnelServer,
     decidePrompt,
+    type DutyAnswer,
     LocalDecisions,
     Mechanism,
     NoForwardingMetrics,
@@ -25,12 +26,12 @@
 import { performance } from "node:perf_hooks";
 import { createLogWriter } from "../entry/createLogWriter.js";
 import { createCallerServer } from "./createCallerServer.js";
+import { createDuties } from "./createDuties.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
-import { type RunningDuties, startDuties } from "./startDuties.js";
 import { startStageChanges } from "./startStageChanges.js";
 import { computeMaxStateAge, startTableWatches } from "./startTableWatches.js";
 
@@ -102,7 +103,10 @@
         ? coordination.decisions
         : new LocalDecisions(parts);
     const { findOrigin, requestRetryLease, hasRoomElsewhere } = coordination;
-    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease };
+    const shared = { settings, adapters, parts, incarnation, coordination, clock, random, eventLog };
+    const onReported = (answer: DutyAnswer) => metricsServer?.recordUsageReport(answer);
+    const duties = createDuties({ ...shared, onReported });
+    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease, recordUsage: duties?.recordUsage };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const isGuarded = isOn(Mechanism.OverloadGuard);
@@ -122,11 +126,15 @@
         clock,
         eventLog,
     });
-    metricsServer?.observe({ ...parts, tunnels, connectionGuard });
+    metricsServer?.observe({
+        ...parts,
+        tunnels,
+        connectionGuard,
+        holdsDuties: () => duties?.calls.current() !== undefined,
+    });
     const background = new AbortController();
     setMaxListeners(maxBackgroundTasks, background.signal);
     let isStopping = false;
-    let duties: RunningDuties | undefined;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
         !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
@@ -137,18 +145,11 @@
         background.signal.addEventListener("abort", peerChannel.close);
         coordination.run(background.signal);
         startStageChanges({
-            settings,
-            adapters,
-            parts,
-            incarnation,
-            coordination,
+            ...shared,
             mayOrder: () => !isStopping && isOn(Mechanism.StageChanges) && !parts.links.isCutOff(),
-            clock,
-            random,
-            eventLog,
             signal: background.signal,
         });
-        duties = startDuties({ settings, adapters, parts, incarnation, coordination, clock, random, eventLog });
+        duties?.start(background.signal);
     };
 
     const start = async () => {
@@ -159,16 +160,7 @@
             background.signal,
         );
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
-        startTableWatches({
-            settings: () => settings,
-            adapters,
-            parts,
-            coordination,
-            clock,
-            random,
-            eventLog,
-            signal: background.signal,
-        });
+        startTableWatches({ ...shared, settings: () => settings, signal: background.signal });
         startCoordination();
         await tunnels.start();
         await server.start();
@@ -200,12 +192,12 @@
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         coordination.stopAnswering();
         const deadline = clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds;
-        // The next holder of the duties need not wait for the calls of this process.
-        const dutiesEnded = Promise.race([duties?.stop(), clock.sleepUntil(deadline, background.signal)]);
-        await Promise.all([server.drain(deadline), tunnels.drain(deadline), dutiesEnded]);
+        // The next holder of the duties does not wait for the calls of this process.
+        await Promise.all([server.drain(deadline), tunnels.drain(deadline), duties?.stop(deadline)]);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
         metricsServer?.close();
+        await duties?.handOver();
         await leavePeers();
         background.abort();
         tunnels.close();
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -8,6 +8,8 @@
     readonly metrics: ForwardingMetrics;
     /** Registers the gauges, whose values are read at each scrape. */
     observe(parts: ObservedParts): void;
+    /** Records the platform's answer to a report of usage. */
+    recordUsageReport(answer: string): void;
     start(): Promise<void>;
     close(): void;
 }
@@ -85,6 +87,13 @@
         registers,
     });
 
+    const usageReports = new Counter({
+        name: "daisyturn_usage_reports_total",
+        help: "Reports of usage by the platform's answer",
+        labelNames: ["answer"],
+        registers,
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -133,6 +142,7 @@
     return {
         metrics: new RegistryMetrics(),
         observe: parts => registerGauges(parts, registers),
+        recordUsageReport: answer => usageReports.inc({ answer }),
         start: () => listenAt(server, listen),
         close: () => {
             server.close();
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -18,6 +18,8 @@
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
     readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
+    /** Whether this process has the duties of the fleet. */
+    readonly holdsDuties: () => boolean;
 }
 
 /** Registers the gauges of one process, whose values are read at each scrape. */
@@ -32,7 +34,16 @@
         tunnels,
         crashEvidence,
         connectionGuard,
+        holdsDuties,
     } = parts;
+    new Gauge({
+        name: "daisyturn_duties_held",
+        help: "1 while this process has the duties of the fleet, otherwise 0",
+        registers,
+        collect() {
+            this.set(holdsDuties() ? 1 : 0);
+        },
+    });
     new Gauge({
         name: "daisyturn_listed_suspects",
         help: "Requests and parts of prompts that are kept out of targets, because several of them ended under these",
--- a/packages/daisyturn/src/process/duties/index.ts
+++ b/packages/daisyturn/src/process/duties/index.ts
@@ -6,3 +6,5 @@
 
 export * from "./createDutyHolder.js";
 export * from "./dutyCalls.js";
+export * from "./usage/createUsageExchange.js";
+export * from "./usage/createUsageReporter.js";
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -39,6 +39,8 @@
     softwareVersion?: string;
     /** The target to which the call was last sent to be run. */
     target?: ListedTarget;
+    /** Whether the call was counted as one that began to run. */
+    isRunCounted?: boolean;
 }
 
 /** A target that restarts needs a few seconds. */
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -60,6 +60,8 @@
     readonly readBarrier: ReadBarrier;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
+    /** Counts a call of a client account that began to run at a monotonic time; absent if usage is not reported. */
+    readonly recordUsage?: (account: string, beganAt: number) => void;
     readonly arrivalCounts: ArrivalCounts;
     readonly sizeCounts: SizeCounts;
     readonly sizeFairness: SizeFairness;
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -89,8 +89,10 @@
     const handleFirstByte = () => {
         work.finishExpensiveWork();
         wait.end();
+        countRun(parts, context, attempt, reply.head, sentAt);
         attempt.onFirstByte?.();
     };
+    const sentAt = clock.monotonicNow();
     const sent = await parts.connections.send(
         target.address,
         attempt.isRepeatable ? ConnectionPolicy.Reuse : ConnectionPolicy.RecentlyVerified,
@@ -153,6 +155,8 @@
     recordSend(parts, context, attempt, route, reply.head, result);
     work.end();
     wait.end();
+    // Counts an answer without a body.
+    countRun(parts, context, attempt, reply.head, sentAt);
     const outcome = determineResult(
         result,
         reply.head,
@@ -164,6 +168,26 @@
     return outcome;
 }
 
+/**
+ * Counts a call that began to run, once. The answer of a plain call begins when the call has run, so its beginning is
+ * taken to lie halfway between the send and the answer.
+ */
+function countRun(
+    { recordUsage, clock }: ForwardingParts,
+    context: CallContext,
+    { terms, onChunk }: CallAttempt,
+    head: ReplyHead | undefined,
+    sentAt: number,
+): void {
+    const { account } = context.call;
+    if (!recordUsage || account === undefined || context.isRunCounted || terms.prefillOnly || !head || head.isNotRun) {
+        return;
+    }
+    context.isRunCounted = true;
+    const now = clock.monotonicNow();
+    recordUsage(account, onChunk ? now : now - (now - sentAt) / 2);
+}
+
 /** Bounds the bytes of an answer that wait for its end, or for that of an event, or that nobody reads. */
 function checkLength(
     { onChunk, heldBytes = () => 0 }: CallAttempt,
