Ask six times for the counts of a window

Change: up to six queries at 150 ms. The test loses four datagrams in ten and collects at a process without counts of others.

--- a/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
@@ -43,7 +43,7 @@
 const retainedMilliseconds = 60_000;
 const handOverIntervalMilliseconds = 50;
 const queryIntervalMilliseconds = 150;
-const maxQueries = 4;
+const maxQueries = 6;
 /** The coordinator and the standby of the group are listed first. */
 const receiversPerGroup = 2;
 
