Test which calls count as run

Cause: the rule that decides which calls are counted was tested only with plain calls between processes.

Change: countRun in a file of its own, with tests for streams, repeats, prefills, refusals and calls without an account.

--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -8,6 +8,7 @@
 import { checkListed } from "../checkListed.js";
 import type { ForwardingParts } from "../forwardingParts.js";
 import { type CallAttempt, describePart, type SendRoute, type TargetReply } from "./callAttempt.js";
+import { countRun } from "./countRun.js";
 import {
     determineRunEnd,
     endArrival,
@@ -168,26 +169,6 @@
     return outcome;
 }
 
-/**
- * Counts a call that began to run, once. The answer of a plain call begins when the call has run, so its beginning is
- * taken to lie halfway between the send and the answer.
- */
-function countRun(
-    { recordUsage, clock }: ForwardingParts,
-    context: CallContext,
-    { terms, onChunk }: CallAttempt,
-    head: ReplyHead | undefined,
-    sentAt: number,
-): void {
-    const { account } = context.call;
-    if (!recordUsage || account === undefined || context.isRunCounted || terms.prefillOnly || !head || head.isNotRun) {
-        return;
-    }
-    context.isRunCounted = true;
-    const now = clock.monotonicNow();
-    recordUsage(account, onChunk ? now : now - (now - sentAt) / 2);
-}
-
 /** Bounds the bytes of an answer that wait for its end, or for that of an event, or that nobody reads. */
 function checkLength(
     { onChunk, heldBytes = () => 0 }: CallAttempt,
