Merge the usage reports of client accounts

Change: process/duties/usage; the orders of engines start with the duties in createForwardingProcess.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -12,6 +12,8 @@
     createOverloadGuard,
     createTunnelServer,
     decidePrompt,
+    type DutyAnswer,
+    type EngineOrdering,
     LocalDecisions,
     Mechanism,
     NoForwardingMetrics,
@@ -26,13 +28,14 @@
 import { createLogWriter } from "../entry/createLogWriter.js";
 import { computeMaxStateAge } from "./computeStateAge.js";
 import { createCallerServer } from "./createCallerServer.js";
+import { createDuties } from "./createDuties.js";
 import { createForwardingParts } from "./createForwardingParts.js";
 import { createMetricsServer } from "./createMetricsServer.js";
 import { createProcessQuotas } from "./createProcessQuotas.js";
 import { createReadinessServer } from "./createReadinessServer.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import type { ForwardingSettings } from "./forwardingSettings.js";
-import { type RunningFleetDuties, startFleetDuties } from "./startFleetDuties.js";
+import { startEngineOrders } from "./startEngineOrders.js";
 import { startStageChanges } from "./startStageChanges.js";
 import { startTableWatches } from "./startTableWatches.js";
 
@@ -105,14 +108,13 @@
         : new LocalDecisions(parts);
     const { findOrigin, requestRetryLease, hasRoomElsewhere } = coordination;
     const background = new AbortController();
-    const { quotas, targetQuotas } = createProcessQuotas({
-        parts,
-        coordination,
-        clock,
-        eventLog,
-        signal: background.signal,
-    });
-    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease, targetQuotas };
+    const { signal } = background;
+    const shared = { settings, adapters, parts, incarnation, coordination, clock, random, eventLog, signal };
+    const { quotas, targetQuotas } = createProcessQuotas(shared);
+    const onReported = (answer: DutyAnswer) => metricsServer?.recordUsageReport(answer);
+    const duties = createDuties({ ...shared, onReported });
+    const { recordUsage } = duties ?? {};
+    const servingParts = { ...parts, decisions, findOrigin, requestRetryLease, targetQuotas, recordUsage };
     const sampleUtilization = createUtilizationMeter();
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const isGuarded = isOn(Mechanism.OverloadGuard);
@@ -137,11 +139,12 @@
         quotas,
         tunnels,
         connectionGuard,
-        listEngineNumbers: () => duties?.listEngineNumbers() ?? [],
+        holdsDuties: () => duties?.calls.current() !== undefined,
+        listEngineNumbers: () => ordering?.list() ?? [],
     });
-    setMaxListeners(maxBackgroundTasks, background.signal);
+    setMaxListeners(maxBackgroundTasks, signal);
     let isStopping = false;
-    let duties: RunningFleetDuties | undefined;
+    let ordering: EngineOrdering | undefined;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
         !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
@@ -152,10 +155,11 @@
         background.signal.addEventListener("abort", peerChannel.close);
         coordination.run(background.signal);
         const mayOrder = () => !isStopping && !parts.links.isCutOff();
-        const { signal } = background;
-        const shared = { settings, adapters, parts, incarnation, coordination, clock, random, eventLog, signal };
         startStageChanges({ ...shared, mayOrder: () => mayOrder() && isOn(Mechanism.StageChanges) });
-        duties = startFleetDuties({ ...shared, mayOrder });
+        duties?.start(signal);
+        if (duties && settings.duties?.isScaling) {
+            ordering = startEngineOrders({ ...shared, calls: duties.calls, mayOrder });
+        }
     };
 
     const start = async () => {
@@ -166,16 +170,7 @@
             background.signal,
         );
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
-        startTableWatches({
-            settings: () => settings,
-            adapters,
-            parts,
-            coordination,
-            clock,
-            random,
-            eventLog,
-            signal: background.signal,
-        });
+        startTableWatches({ ...shared, settings: () => settings, signal: background.signal });
         startCoordination();
         await tunnels.start();
         await server.start();
@@ -207,12 +202,12 @@
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         coordination.stopAnswering();
         const deadline = clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds;
-        // The next holder of the duties need not wait for the calls of this process.
-        const dutiesEnded = Promise.race([duties?.stop(), clock.sleepUntil(deadline, background.signal)]);
-        await Promise.all([server.drain(deadline), tunnels.drain(deadline), dutiesEnded]);
+        // The next holder of the duties does not wait for the calls of this process.
+        await Promise.all([server.drain(deadline), tunnels.drain(deadline), duties?.stop(deadline)]);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
         metricsServer?.close();
+        await duties?.handOver();
         await leavePeers();
         background.abort();
         tunnels.close();
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -10,6 +10,7 @@
 import type { ForwardingParts } from "../forwardingParts.js";
 import { acquireToken } from "./acquireToken.js";
 import { type CallAttempt, describePart, type SendRoute, type TargetReply } from "./callAttempt.js";
+import { countRun } from "./countRun.js";
 import {
     determineRunEnd,
     endArrival,
@@ -96,8 +97,10 @@
     const handleFirstByte = () => {
         work.finishExpensiveWork();
         wait.end();
+        countRun(parts, context, attempt, reply.head, sentAt);
         attempt.onFirstByte?.();
     };
+    const sentAt = clock.monotonicNow();
     const sent = await parts.connections.send(
         target.address,
         attempt.isRepeatable ? ConnectionPolicy.Reuse : ConnectionPolicy.RecentlyVerified,
@@ -162,6 +165,8 @@
     work.end();
     wait.end();
     run?.end(isMeasurable(attempt, route, reply.head, result));
+    // Counts an answer without a body.
+    countRun(parts, context, attempt, reply.head, sentAt);
     const outcome = determineResult(
         result,
         reply.head,
