Share the speeds of plain targets between processes

Cause: a process of a large fleet sends each target a call every few seconds, so that its own knowledge of the target is old.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/relayedTables.test.ts
@@ -108,7 +108,7 @@
     const publishStates = async () => {
         while (!stop.signal.aborted) {
             if (link.relaysStates) {
-                const state = { from: "coordinator", isAnswering: true, closed: [], candidates: [] };
+                const state = { from: "coordinator", isAnswering: true, closed: [], candidates: [], speeds: [] };
                 tables.applyState({ ...state, tables: reader.listStates() });
             }
             await clock.sleepUntil(clock.monotonicNow() + stateMilliseconds, stop.signal);
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -119,8 +119,16 @@
     const loadPublisher = createLoadPublisher({ ...shared, views, sizeFairness, lastReceived: client.lastReceived });
     const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views });
     const evidencePublisher = createEvidencePublisher({ ...shared, members });
-    const { links } = views;
-    const statePublisher = createStatePublisher({ ...shared, members, reader, closed, links, maxStateAgeMilliseconds });
+    const { links, speeds } = views;
+    const statePublisher = createStatePublisher({
+        ...shared,
+        members,
+        reader,
+        closed,
+        links,
+        speeds,
+        maxStateAgeMilliseconds,
+    });
     /** Coordinators of other groups, and those of this group whose links to most targets are lost. */
     const otherCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
     const cutOffCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -8,7 +8,7 @@
 /** What {@link createGroupLoadPublisher} needs. */
 export interface GroupLoadPublisherOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "links">;
+    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "links" | "speeds">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
     readonly evidence: Pick<CrashEvidence, "digest">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
@@ -30,7 +30,7 @@
 export function createGroupLoadPublisher(
     { selfId, views, link, evidence, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
-    const { loads, health, caches, demand, closed, links } = views;
+    const { loads, health, caches, demand, closed, links, speeds } = views;
     let kept: LoadMessage["kept"][number][] = [];
     const changed = createSignal();
     let wasBusy = false;
@@ -55,6 +55,8 @@
         prefills: [],
         pauses: [],
         ended: [],
+        speeds: [],
+        groupSpeeds: speeds.listGroupEstimates(),
         evidence: evidence.digest(),
     });
 
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
@@ -2,6 +2,7 @@
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
+import type { SpeedSample } from "../speeds/speedEntries.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import { encodeLoadMessage, type LoadMessage } from "./messages/loadMessage.js";
@@ -12,7 +13,7 @@
     readonly selfId: string;
     readonly views: Pick<
         TargetViews,
-        "loads" | "health" | "caches" | "demand" | "closed" | "slowdowns" | "prefillRates" | "eventIntervals"
+        "loads" | "health" | "caches" | "demand" | "closed" | "slowdowns" | "prefillRates" | "eventIntervals" | "speeds"
     >;
     readonly sizeFairness: SizeFairness;
     readonly link: Pick<CoordinatorLink, "listReportReceivers" | "current" | "isSilent">;
@@ -41,13 +42,20 @@
 const maxUpdates = 20;
 
 /** The fields of a load message that cover the time since the last message. */
-type Updates = Pick<LoadMessage, "kept" | "paces" | "prefills" | "pauses" | "ended">;
+interface Updates extends Pick<LoadMessage, "kept" | "paces" | "prefills" | "pauses" | "ended"> {
+    readonly speeds: readonly DrainedSample[];
+}
+
+interface DrainedSample extends SpeedSample {
+    /** Monotonic time at which its age was determined. */
+    readonly drainedAt: number;
+}
 
-const noUpdates: Updates = { kept: [], paces: [], prefills: [], pauses: [], ended: [] };
+const noUpdates: Updates = { kept: [], paces: [], prefills: [], pauses: [], ended: [], speeds: [] };
 
 export function createLoadPublisher(options: LoadPublisherOptions): LoadPublisher {
     const { selfId, views, sizeFairness, link, evidence, clock } = options;
-    const { loads, health, caches, demand, closed, slowdowns, prefillRates, eventIntervals } = views;
+    const { loads, health, caches, demand, closed, slowdowns, prefillRates, eventIntervals, speeds } = views;
     const changed = createSignal();
     const unsent = new Map<string, Updates>();
     const sentAt = new Map<string, number>();
@@ -66,6 +74,7 @@
             prefills: prefillRates.drainUnsent(),
             pauses: eventIntervals.drainUnsent(),
             ended: sizeFairness.drainUnsent(),
+            speeds: speeds.drainUnsent().map(sample => ({ ...sample, drainedAt: clock.monotonicNow() })),
         };
         kept = [];
         return updates;
@@ -98,6 +107,11 @@
                 failing: health.listOwnFailing(),
                 evidence: evidence.digest(),
                 ...updates,
+                speeds: updates.speeds.map(({ drainedAt, ...sample }) => ({
+                    ...sample,
+                    age: sample.age + clock.monotonicNow() - drainedAt,
+                })),
+                groupSpeeds: [],
             }),
         );
     };
@@ -134,9 +148,10 @@
         prefills: [...left.prefills, ...right.prefills].slice(-maxUpdates),
         pauses: [...left.pauses, ...right.pauses].slice(-maxUpdates),
         ended: [...left.ended, ...right.ended].slice(-maxUpdates),
+        speeds: [...left.speeds, ...right.speeds].slice(-maxUpdates),
     };
 }
 
-function countUpdates({ kept, paces, prefills, pauses, ended }: Updates): number {
-    return kept.length + paces.length + prefills.length + pauses.length + ended.length;
+function countUpdates({ kept, paces, prefills, pauses, ended, speeds }: Updates): number {
+    return kept.length + paces.length + prefills.length + pauses.length + ended.length + speeds.length;
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createStatePublisher.ts
@@ -1,6 +1,7 @@
 import { type Clock, createSignal } from "daisyturn-utils";
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { TargetLinks } from "../links/createTargetLinks.js";
+import type { TargetSpeeds } from "../speeds/createTargetSpeeds.js";
 import type { ClosedTargets } from "../targets/createClosedTargets.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import type { Members } from "./createMembers.js";
@@ -16,6 +17,7 @@
     readonly reader: TableReader;
     readonly closed: ClosedTargets;
     readonly evidence: Pick<CrashEvidence, "digest">;
+    readonly speeds: Pick<TargetSpeeds, "listEstimates">;
     readonly links: Pick<TargetLinks, "isCutOff">;
     /** Members use a state report of a table for up to this time after the store last answered. */
     readonly maxStateAgeMilliseconds: () => number;
@@ -44,7 +46,7 @@
 const maxRowsBytes = 16_384;
 
 export function createStatePublisher(options: StatePublisherOptions): StatePublisher {
-    const { selfId, members, link, reader, closed, evidence, links, send, clock } = options;
+    const { selfId, members, link, reader, closed, evidence, links, speeds, send, clock } = options;
     const changed = createSignal();
     let isStopping = false;
     closed.onChanged(changed.raise);
@@ -58,6 +60,7 @@
             closed: closed.listKnown(),
             candidates: link.listCandidates(),
             evidence: evidence.digest(),
+            speeds: speeds.listEstimates(),
             processes: link.countListed(),
         });
 
--- a/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
@@ -44,7 +44,7 @@
     const { selfId, views, sizeFairness, link, members, tables, client, placementServer, send } = options;
     const { evidencePublisher, statePublisher, otherCoordinators, cutOffCoordinators, receivers } = options;
     const { isRegistered, isKnownPeer } = options;
-    const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, health } = views;
+    const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, health, speeds } = views;
 
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
         evidencePublisher.compareDigest(message.from, from, message.evidence);
@@ -55,6 +55,7 @@
             recordPresence(otherCoordinators, message.from, message.isCutOff !== true);
             loads.recordGroup(message.from, message.work, message.pause);
             demand.recordGroup(message.from, message.demand, message.pause);
+            speeds.recordEstimates(message.from, message.groupSpeeds);
             return;
         }
         placementServer.acknowledge(message.from, message.placed);
@@ -63,6 +64,7 @@
         message.paces.forEach(slowdowns.recordRemote);
         message.prefills.forEach(prefillRates.recordRemote);
         message.pauses.forEach(eventIntervals.recordRemote);
+        message.speeds.forEach(speeds.recordSample);
         message.ended.forEach(sizeFairness.recordRemote);
         if (members.record(message.from, from)) {
             // A process that has just started or lost its coordinator immediately learns that this one is reachable.
@@ -77,6 +79,7 @@
         link.addPeers(state.candidates);
         closed.applyRemote(state.closed);
         tables.applyState(state);
+        speeds.recordEstimates(state.from, state.speeds);
     };
 
     return (notification, from) => {
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -19,6 +19,17 @@
     prefills: [["engines", 9_000, 4_000, 190]],
     pauses: [["engines", 48]],
     ended: [["ask", 17_000, true]],
+    speeds: [{ targetId: "i-4", figure: 2.5, calls: 3, age: 40, measuredCalls: 2, mean: 160.5, usualMean: 64.2 }],
+    groupSpeeds: [{
+        targetId: "i-4",
+        figure: undefined,
+        calls: 3,
+        age: 40,
+        usual: 64.2,
+        recent: 1.25,
+        weight: 90,
+        usualFigure: 1.5,
+    }],
     evidence: 4_294_967_299,
 };
 
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -1,4 +1,5 @@
 import type { EndedPrompt } from "../../limits/createSizeFairness.js";
+import type { SpeedEstimate, SpeedSample } from "../../speeds/speedEntries.js";
 import type { ClosingList } from "../../targets/createClosedTargets.js";
 import type { CachedPart } from "../../views/createCacheEstimates.js";
 import type { EventIntervalObservation } from "../../views/createEventIntervals.js";
@@ -19,6 +20,7 @@
     readOptionalFlag,
     readOrUndefined,
 } from "./notification.js";
+import { encodeEstimates, encodeSamples, readEstimates, readSamples } from "./speedEntries.js";
 
 /**
  * The load of one process, sent to its coordinators, or of a whole group, sent by its coordinator to those of other
@@ -52,6 +54,10 @@
     readonly pauses: readonly EventIntervalObservation[];
     /** Prompts that have ended since the last message. */
     readonly ended: readonly EndedPrompt[];
+    /** What the sender has learned of the speed of plain targets since the last message; empty if `isGroup`. */
+    readonly speeds: readonly SpeedSample[];
+    /** What the sender's group knows of it; empty unless `isGroup`. */
+    readonly groupSpeeds: readonly SpeedEstimate[];
     /** `CrashEvidence.digest` of the sender; absent if its version does not send it. */
     readonly evidence?: number;
 }
@@ -71,10 +77,14 @@
 const maxFailingTargets = 20;
 
 /** Encodes a message as a notification. */
-export function encodeLoadMessage({ work, closed, failing, ...message }: LoadMessage): Buffer {
+export function encodeLoadMessage(
+    { work, closed, failing, speeds, groupSpeeds, ...message }: LoadMessage,
+): Buffer {
     return encodeNotification(loadMethod, {
         ...message,
         work: work.map(encodeWork),
+        speeds: encodeSamples(speeds),
+        groupSpeeds: encodeEstimates(groupSpeeds),
         closed: closed.map(encodeClosingList),
         failing: failing.slice(0, maxFailingTargets).map(targetId => [targetId]),
     });
@@ -106,6 +116,8 @@
         prefills: readList(params["prefills"] ?? [], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
+        speeds: readSamples(params["speeds"]),
+        groupSpeeds: readEstimates(params["groupSpeeds"]),
         evidence: readOptionalAmount(params["evidence"]),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/tableMessages.ts
@@ -1,5 +1,6 @@
 import type { FeedRow } from "../../../../ports/changeFeed.js";
 import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
+import type { SpeedEstimate } from "../../speeds/speedEntries.js";
 import type { ClosingList } from "../../targets/createClosedTargets.js";
 import { encodeClosingList, readClosingLists } from "./closingLists.js";
 import {
@@ -14,6 +15,7 @@
     readOptionalFlag,
     readOrUndefined,
 } from "./notification.js";
+import { encodeEstimates, readEstimates } from "./speedEntries.js";
 
 /** How far a coordinator has read one table that it watches in the store. */
 export interface TableState {
@@ -41,6 +43,8 @@
     readonly candidates: readonly RegisteredPeer[];
     /** `CrashEvidence.digest` of the sender; absent if its version does not send it. */
     readonly evidence?: number;
+    /** What the coordinator knows of the speed of plain targets, where it is used. */
+    readonly speeds: readonly SpeedEstimate[];
     /** Number of processes in the fleet as the coordinator knows; absent if its version does not send it. */
     readonly processes?: number;
 }
@@ -61,10 +65,11 @@
 export const stateMethod = "state";
 export const rowsMethod = "rows";
 
-export function encodeCoordinatorState({ tables, closed, candidates, ...state }: CoordinatorState): Buffer {
+export function encodeCoordinatorState({ tables, closed, candidates, speeds, ...state }: CoordinatorState): Buffer {
     return encodeNotification(stateMethod, {
         ...state,
         closed: closed.map(encodeClosingList),
+        speeds: encodeEstimates(speeds),
         tables: tables.map((
             { table, changedVersion, version, age, era },
         ) => [table, changedVersion, version, age, era]),
@@ -123,6 +128,7 @@
             strength,
         })),
         evidence: readOptionalAmount(params["evidence"]),
+        speeds: readEstimates(params["speeds"]),
         processes: readOptionalAmount(params["processes"]),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/drawnFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/drawnFleet.ts
@@ -183,7 +183,7 @@
     random: Random,
 ) {
     const loads = createTargetLoads(clock as Parameters<typeof createTargetLoads>[0]);
-    const speeds = createTargetSpeeds({ list: () => targets }, clock, new MemoryEventLog());
+    const speeds = createTargetSpeeds({ list: () => targets, find: () => undefined }, clock, new MemoryEventLog());
     const speedCost = createPlainSpeedCost({ speeds, random, extra: () => 0 });
     const fillCost = ({ targetId }: ListedTarget) => loads.calls(targetId) * (1 + 0.15 * (random.fraction() - 0.5));
     const leastOf = (indexes: readonly number[], cost: (target: ListedTarget) => number) =>
--- a/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/speedBench.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/speedBench.ts
@@ -22,7 +22,14 @@
     const clock = new FakeClock();
     const eventLog = new MemoryEventLog();
     const listed = names.map(name => createPlainTarget(name));
-    const speeds = createTargetSpeeds({ list: () => listed }, clock, eventLog);
+    const speeds = createTargetSpeeds(
+        {
+            list: () => listed,
+            find: id => listed.find(({ targetId }) => targetId === id),
+        },
+        clock,
+        eventLog,
+    );
     const report = (index: number, relativeDuration?: number, running = 1) =>
         speeds.recordReport(listed[index]!, { running, waiting: 0, slots: 6, relativeDuration });
     /** Runs one call at each target, with the milliseconds of work and the figure that each reports at its end. */
--- a/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
@@ -5,6 +5,7 @@
 import type { CallCountEstimate } from "./occupancy.js";
 import { clampFactor, readRelativeDuration } from "./reportedDuration.js";
 import { type ServiceSpeed, summarizeSpeeds } from "./serviceSpeed.js";
+import { createSpeedSharing, type SpeedSharing } from "./shareSpeeds.js";
 import type { SentReport } from "./speedEntries.js";
 import { createTargetSpeed, findKnown, type TargetSpeed } from "./targetSpeed.js";
 
@@ -17,7 +18,7 @@
 }
 
 /** Estimates how fast targets are, from measured durations and from the targets' own reports. */
-export interface TargetSpeeds {
+export interface TargetSpeeds extends SpeedSharing {
     beginRun(target: ListedTarget): MeasuredRun;
     recordReport(target: ListedTarget, load: ReportedLoad): void;
     /** Applies a report that another process has received. */
@@ -48,7 +49,7 @@
 
 /** Creates the estimates of one process. */
 export function createTargetSpeeds(
-    targets: Pick<TargetList, "list">,
+    targets: Pick<TargetList, "list" | "find">,
     clock: Pick<Clock, "monotonicNow">,
     eventLog: EventLog,
 ): TargetSpeeds {
@@ -105,8 +106,11 @@
         }
     };
 
-    const recordReport = (target: ListedTarget, load: ReportedLoad) =>
+    const recordReport = (target: ListedTarget, load: ReportedLoad) => {
+        const speed = find(target);
+        speed.unsent = { ...speed.unsent, isReported: true };
         applyReport(target, { figure: readFigure(target, load), calls: load.running + load.waiting, age: 0 });
+    };
 
     /**
      * A figure better than usual counts for its root only: other processes that have read it send their calls there, too,
@@ -169,6 +173,13 @@
             const figure = speed.reported.last() ? clampFactor(speed.reported.at(now)) : 1;
             if (work > 0) {
                 speed.measured.record({ calls: 1, mean: work, usualMean: work / figure }, now);
+                const { calls: unsentCalls, sum, usualSum } = speed.unsent;
+                speed.unsent = {
+                    ...speed.unsent,
+                    calls: unsentCalls + 1,
+                    sum: sum + work,
+                    usualSum: usualSum + work / figure,
+                };
             }
         };
 
@@ -188,15 +199,23 @@
         };
     };
 
+    const isUsed = (name: string) => {
+        const { hasFigures, isMixed, duration: mean } = service(name);
+        return (hasFigures || isMixed) && mean !== undefined;
+    };
+
+    const findListed = (targetId: string) => {
+        const target = targets.find(targetId);
+        return target && find(target);
+    };
+
     return {
+        ...createSpeedSharing({ speeds, find: findListed, isUsed, applyReport, clock }),
         beginRun,
         recordReport,
         applyReport,
         service,
-        isUsed: name => {
-            const { hasFigures, isMixed, duration: mean } = service(name);
-            return (hasFigures || isMixed) && mean !== undefined;
-        },
+        isUsed,
         duration,
         calls,
         unknownWork: name => {
--- a/packages/daisyturn/src/process/forwarding/speeds/reportedDuration.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/reportedDuration.ts
@@ -20,6 +20,8 @@
     at(time: number): number;
     /** Mean of the figures of the last half minute; 1 before there are several. */
     usual(): number;
+    /** Applies what another process knows of the usual figure. */
+    adoptUsual(figure: number): void;
     /** The last figure and its monotonic time; undefined before the first. */
     last(): { readonly figure: number; readonly reportedAt: number; } | undefined;
 }
@@ -81,6 +83,10 @@
             const age = Math.max(0, time - (reportedAt ?? time));
             return Math.exp(usual + (lastLogarithm - usual) * Math.exp(-age / decayMilliseconds()));
         },
+        // Coordinators that adopt each other's values come to the same one.
+        adoptUsual: figure => {
+            usual += (Math.log(figure) - usual) / 2;
+        },
         usual: () => Math.exp(usual),
         last: () => reportedAt === undefined ? undefined : { figure: Math.exp(lastLogarithm), reportedAt },
     };
--- a/packages/daisyturn/src/process/forwarding/speeds/speedEntries.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/speedEntries.ts
@@ -24,6 +24,8 @@
     readonly usual: number;
     /** How long calls have taken in the last second relative to this. */
     readonly recent: number;
+    /** Mean of the reported figures, or 1. */
+    readonly usualFigure: number;
     /** Number of measured calls that the duration stands for. */
     readonly weight: number;
 }
--- a/packages/daisyturn/src/process/forwarding/speeds/targetSpeed.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/targetSpeed.ts
@@ -12,10 +12,20 @@
     readonly occupancy: Occupancy;
     /** The process's own calls in progress. */
     ownCalls: number;
+    /** What was learned since the last load message. */
+    unsent: UnsentSpeed;
     /** Estimates of coordinators, by their id, with the monotonic time of the receipt. */
     readonly relayed: Map<string, RelayedEstimate>;
 }
 
+/** Sums over the process's own measured calls, and whether the target has reported. */
+export interface UnsentSpeed {
+    readonly calls: number;
+    readonly sum: number;
+    readonly usualSum: number;
+    readonly isReported: boolean;
+}
+
 export interface RelayedEstimate extends SpeedEstimate {
     readonly receivedAt: number;
 }
@@ -42,6 +52,7 @@
         measured: createMeasuredDuration(),
         occupancy: createOccupancy(),
         ownCalls: 0,
+        unsent: { calls: 0, sum: 0, usualSum: 0, isReported: false },
         relayed: new Map(),
     };
 }
