Let plain calls wait at the entry process while all targets are full

Cause: in a surge, plain calls were sent at once and waited in the targets' queues (24 calls on 6 slots) for longer than their callers, so that targets worked for callers whose time was over, and an account that requested more than its share took that of the others.

Change: process/shortage holds calls back while the targets of a plain service have 1.5 calls for each slot, by their reports and the process's own calls, and limits the rate of each process so that the targets' queues stay short. Accounts within their max-min fair share of the process's calls come first, then the more urgent. What can't be served before its deadline is refused at once with the time at which capacity is expected. Active only if the configuration has client accounts and targets report their load.

Shares hold within one process; over the fleet they are not built.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -9,6 +9,7 @@
     createHttpTunnels,
     createLeastRunningPlacement,
     createLongPrefillTimes,
+    createPlainShortage,
     createReadBarrier,
     createRelays,
     createSizeCounts,
@@ -90,6 +91,14 @@
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
+    const shortage = createPlainShortage({
+        ...views,
+        // A deployment without client accounts has no shares to keep, and is served as before.
+        isActive: () => configurationManager.current()?.configuration.accounts !== undefined,
+        recordQueued: result => metrics.recordQueued(result),
+        clock,
+    });
+    views.targets.onRemoved(shortage.forget);
     const crashEvidence = createCrashEvidence(clock, eventLog);
     const crashGuard = createCrashGuard({
         evidence: crashEvidence,
@@ -111,6 +120,7 @@
         ...views,
         stageReturns: createStageReturns(views.targets, clock),
         configurationManager,
+        shortage,
         placement,
         availabilityZone,
         budget,
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -92,6 +92,13 @@
         registers,
     });
 
+    const queued = new Counter({
+        name: "daisyturn_queued_calls_total",
+        help: "Calls that waited because all targets of their service were full, by how the wait ended",
+        labelNames: ["result"],
+        registers,
+    });
+
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
@@ -125,6 +132,10 @@
             resumptions.inc({ result });
         }
 
+        override recordQueued(result: string): void {
+            queued.inc({ result });
+        }
+
         override recordToken(result: string): void {
             tokens.inc({ result });
         }
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -3,6 +3,7 @@
     type CrashEvidence,
     EngineStage,
     type ForwardingParts,
+    type PlainShortage,
     type Quotas,
     type TargetAvailability,
     type TargetLimits,
@@ -17,6 +18,7 @@
     readonly limits: Pick<TargetLimits, "count">;
     readonly availability: Pick<TargetAvailability, "countResting" | "countThrottled">;
     readonly quotas: Pick<Quotas, "countHomes">;
+    readonly shortage: Pick<PlainShortage, "countWaiting">;
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
     readonly connectionGuard: Pick<ConnectionGuard, "countClosed">;
@@ -32,6 +34,7 @@
         limits,
         availability,
         quotas,
+        shortage,
         tunnels,
         crashEvidence,
         connectionGuard,
@@ -95,6 +98,14 @@
             this.set(quotas.countHomes());
         },
     });
+    new Gauge({
+        name: "daisyturn_waiting_calls",
+        help: "Calls that wait because all targets of their service are full",
+        registers,
+        collect() {
+            this.set(shortage.countWaiting());
+        },
+    });
     new Gauge({
         name: "daisyturn_limited_targets",
         help: "Targets that name a limit of requests a second in their answers",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -68,6 +68,8 @@
     TargetLimited = "target_limited",
     /** A target names no limit any more. */
     TargetUnlimited = "target_unlimited",
+    /** A request waits at this process, because all targets of its service are full. */
+    RequestQueued = "request_queued",
     /** A request found its target at the limit that it names, and takes another one. */
     TargetFull = "target_full",
     /** This process is the home of a quota of the fleet and grants its tokens. */
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -25,6 +25,7 @@
 export * from "./process/origins/index.js";
 export type { ProcessIdentity } from "./process/peers/index.js";
 export * from "./process/quotas/index.js";
+export * from "./process/shortage/index.js";
 export * from "./process/store/index.js";
 export * from "./request/forwarding/checkCallHead.js";
 export * from "./request/forwarding/forwardingParts.js";
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -39,6 +39,8 @@
     abstract recordResumption(result: string): void;
     /** Records one request for a token of a limit that a target names, by its result. */
     abstract recordToken(result: string): void;
+    /** Records one call that waited for a target with room, by how the wait ended. */
+    abstract recordQueued(result: string): void;
 }
 
 /** Discards all counts. */
@@ -52,4 +54,5 @@
     override recordRelayedSend(): void {}
     override recordResumption(): void {}
     override recordToken(): void {}
+    override recordQueued(): void {}
 }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -31,6 +31,7 @@
 } from "../../process/forwarding/index.js";
 import type { StreamOrigins } from "../../process/origins/index.js";
 import type { TargetQuotas } from "../../process/quotas/index.js";
+import type { PlainShortage } from "../../process/shortage/index.js";
 
 /** The parts of the process that serving a forwarded call uses. */
 export interface ForwardingParts {
@@ -49,6 +50,8 @@
     readonly limits: TargetLimits;
     /** Takes the tokens of targets that name a limit. */
     readonly targetQuotas: TargetQuotas;
+    /** Holds plain calls back while all targets of their service are full. */
+    readonly shortage: PlainShortage;
     readonly stageReturns: StageReturns;
     readonly crashGuard: CrashGuard;
     readonly origins: StreamOrigins;
--- a/packages/daisyturn/src/request/forwarding/runPlainCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPlainCall.ts
@@ -17,6 +17,7 @@
 import { recordOrigin } from "./resumption/recordOrigin.js";
 import { acquireRetry } from "./retries/acquireRetry.js";
 import { sendToTarget } from "./sending/sendToTarget.js";
+import { waitForCapacity } from "./sending/waitForCapacity.js";
 
 const minErrorStatus = 500;
 /** The cost of a plain call is not known in advance; only the number of calls at a target is counted. */
@@ -30,6 +31,10 @@
     const relay = context.route.kind === CallKind.Stream
         ? createEventRelay(context.exchange, () => recordOrigin(parts, context))
         : undefined;
+    const full = await waitForCapacity(parts, context);
+    if (full) {
+        return err(createFinalFailure(context, full));
+    }
     for (;;) {
         const target = parts.placement.placePlain(context.service.name, context);
         if (!target) {
@@ -68,6 +73,7 @@
         calls: Math.round(parts.loads.calls(target.targetId)),
         slots: target.slots,
     });
+    const sentAt = parts.clock.monotonicNow();
     const reply = await sendToTarget(parts, context, {
         target,
         terms: { lastEventId: relay?.lastEventId() },
@@ -82,6 +88,7 @@
     if (reply.isErr) {
         return err(reply.error);
     }
+    parts.shortage.recordEnd(context.service.name, parts.clock.monotonicNow() - sentAt);
     context.attemptedTargets.add(target.targetId);
     return relay ? finishStream(context, relay, reply.value) : ok({ isRelayed: false, reply: reply.value });
 }
--- a/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
@@ -60,7 +60,14 @@
 }
 
 /** Records what an answer says of its target, beside the answer itself. */
-export function recordNotices({ limits, availability }: ForwardingParts, target: ListedTarget, head: ReplyHead): void {
+export function recordNotices(
+    { limits, availability, shortage }: ForwardingParts,
+    target: ListedTarget,
+    head: ReplyHead,
+): void {
+    if (head.load && target.stage === undefined) {
+        shortage.recordReport(target, head.load);
+    }
     limits.record(target.targetId, head.requestLimit);
     availability.recordRest(target.targetId, head.restMilliseconds);
     if (head.isLeaving) {
