--- a/packages/daisyturn/src/process/shortage/createPlainShortage.ts
+++ b/packages/daisyturn/src/process/shortage/createPlainShortage.ts
@@ -97,6 +97,9 @@
     };
 
     const judge = (service: string) => {
+        if (findQueue(service).length() === 0) {
+            return;
+        }
         const room = { any: findRoom(service), withinShare: findRoom(service, overdraft) };
         findQueue(service).judge(room, clock.monotonicNow());
     };
--- a/packages/daisyturn/src/request/forwarding/sending/acquireToken.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/acquireToken.ts
@@ -5,7 +5,7 @@
 import type { ForwardingParts } from "../forwardingParts.js";
 
 /**
- * Takes a token right before a send, if the target names a limit. Without one the call takes another target; this is
+ * Takes a token right before a send to a target that names a limit. Without one the call takes another target; this is
  * neither evidence against the target nor a retry.
  */
 export async function acquireToken(
@@ -13,9 +13,6 @@
     context: CallContext,
     { targetId }: ListedTarget,
 ): Promise<Failure | undefined> {
-    if (!targetQuotas.needsToken(targetId)) {
-        return undefined;
-    }
     const isKnownFull = availability.check(targetId)?.reason === UnavailableReason.Throttled;
     if (!isKnownFull && await targetQuotas.acquire(targetId)) {
         // The caller may have left during the request for the token.
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -50,7 +50,8 @@
     if (softwareVersion !== undefined && target.softwareVersion !== softwareVersion) {
         return err(notRun(FailureReason.NoTarget, "The chosen target's software version did not begin the stream."));
     }
-    const full = await acquireToken(parts, context, target);
+    const needsToken = parts.targetQuotas.needsToken(target.targetId);
+    const full = needsToken ? await acquireToken(parts, context, target) : undefined;
     if (full) {
         return err(full);
     }
