--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -9,6 +9,7 @@
     createHttpTunnels,
     createLeastRunningPlacement,
     createLongPrefillTimes,
+    createPlainShortage,
     createReadBarrier,
     createRelays,
     createSizeCounts,
@@ -95,6 +96,14 @@
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
+    const shortage = createPlainShortage({
+        ...views,
+        // A deployment without client accounts has no shares to keep, and is served as before.
+        isActive: () => configurationManager.current()?.configuration.accounts !== undefined,
+        recordQueued: result => metrics.recordQueued(result),
+        clock,
+    });
+    views.targets.onRemoved(shortage.forget);
     const crashEvidence = createCrashEvidence(clock, eventLog);
     const crashGuard = createCrashGuard({
         evidence: crashEvidence,
@@ -122,6 +131,7 @@
         },
         stageReturns: createStageReturns(views.targets, clock),
         configurationManager,
+        shortage,
         placement,
         availabilityZone,
         budget,
--- a/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
@@ -61,13 +61,14 @@
 
 /** Records what an answer says of its target, beside the answer itself. */
 export function recordNotices(
-    { limits, availability, speeds }: ForwardingParts,
+    { limits, availability, speeds, shortage }: ForwardingParts,
     { service }: CallContext,
     target: ListedTarget,
     head: ReplyHead,
 ): void {
     if (head.load && !service.engine) {
         speeds.recordReport(target, head.load);
+        shortage.recordReport(target, head.load);
     }
     limits.record(target.targetId, head.requestLimit);
     availability.recordRest(target.targetId, head.restMilliseconds);
