Show the holder of the duties and the windows of usage

Cause: operators had to read log lines to find who has the duties and whether a window was reported.

--- a/packages/daisyturn-cli/src/ledger/index.ts
+++ b/packages/daisyturn-cli/src/ledger/index.ts
@@ -1,3 +1,4 @@
 export { collectCalls, type LoggedCall } from "./collectCalls.js";
+export * from "./collectDuties.js";
 export { type LedgerRow, summarizeCalls } from "./summarizeCalls.js";
 export { type SizeRow, sumSizes } from "./sumSizes.js";
--- a/packages/daisyturn-cli/src/runCommandLine.ts
+++ b/packages/daisyturn-cli/src/runCommandLine.ts
@@ -3,6 +3,7 @@
 import yargs, { type Argv } from "yargs";
 import { CommandError } from "./commandError.js";
 import { addCommonFlags, type CommonFlags } from "./commands/commandContext.js";
+import { addDutiesCommand } from "./commands/dutiesCommand.js";
 import { addEngineCommands } from "./commands/engineCommands.js";
 import { addFleetCommands } from "./commands/fleetCommands.js";
 import { addLedgerCommand } from "./commands/ledgerCommand.js";
@@ -41,6 +42,7 @@
             addFleetCommands,
             addTimeLineCommand,
             addLedgerCommand,
+            addDutiesCommand,
         ]
     ) {
         parser = addCommands(parser, terminal);
