Order nothing by a list that may lack engines

Cause: orders state totals. A holder that began before all engines were listed, or whose list lacked engines for some seconds, would have asked for a total below the engines that are there, and the platform would have removed them.

Change: a new holder orders nothing for the start time and 3 s. Engines that are missing without notice no longer count, but later orders for more engines do not go below the total stated before.

--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/createEngineLedger.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/createEngineLedger.test.ts
@@ -81,3 +81,17 @@
     list(7);
     assert.equal(ordered(), 7);
 });
+
+test("engines that are missing without notice lower what counts, and not the total that the platform has", async () => {
+    const { clock, ledger, list, ordered } = createLedger();
+    const stated = () => ledger.stated("a", EngineKind.Regular);
+    await clock.advance(20_000);
+    list(3);
+    await clock.advance(3_750);
+    list(3);
+    assert.deepEqual([ordered(), stated()], [3, 8]);
+    list(9);
+    assert.deepEqual([ordered(), stated()], [9, 9]);
+    ledger.update([{ ...place, open: 2, leavingAtNotice: 7 }]);
+    assert.deepEqual([ordered(), stated()], [2, 2], "these are gone for certain");
+});
--- a/packages/daisyturn/src/process/forwarding/fleet/createEngineLedger.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createEngineLedger.ts
@@ -20,6 +20,8 @@
     update(listed: readonly ListedEngines[]): void;
     /** Numbers that the platform was asked for; engines that did not come in time no longer count. */
     ordered(): FleetNumbers;
+    /** The number that the platform has, as far as known; an order for more engines must not be lower. */
+    stated(zone: string, kind: EngineKind): number;
     /** The largest number of each kind that may be ordered in a zone at the moment. */
     available(zone: string, isReclaimableOffered: boolean): KindNumbers;
     /** Orders to make again, because the platform may not have the numbers. */
@@ -72,6 +74,7 @@
             }
             return fleet;
         },
+        stated: (zone, kind) => find(zone, kind).stated,
         available: (zone, isReclaimableOffered) => {
             const limits = engineKinds.map(kind => {
                 const entry = find(zone, kind);
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -6,7 +6,7 @@
 import { chooseOrders, type FleetView, type NumberOrder, OrderReason } from "./chooseOrders.js";
 import { createDemandWindow, demandWindowMilliseconds, recentWindowMilliseconds } from "./createDemandWindow.js";
 import { createEngineLedger, type ListedEngines } from "./createEngineLedger.js";
-import { EngineKind, engineKinds, type FleetNumbers, type KindNumbers, noEngines } from "./fleetNumbers.js";
+import { countZone, EngineKind, engineKinds, type FleetNumbers, type KindNumbers, noEngines } from "./fleetNumbers.js";
 import { type EngineNeeds, forecastNeeds, type StageWork } from "./forecastNeeds.js";
 import type { EngineNumbers, OrderEnginesOptions } from "./orderEnginesOptions.js";
 
@@ -23,6 +23,8 @@
 const returnNeedsMilliseconds = 4_000;
 /** Interval between two plans for cheaper or fewer engines, which are not urgent, and between two looks at caches. */
 const planMilliseconds = 1_000;
+/** Margin beyond the start of engines, after which the list has those that an earlier holder has ordered. */
+const settleMilliseconds = 3_000;
 /** Losses are replaced by the last known needs for this long while the work is not known; nothing is given back then. */
 const keptNeedsMilliseconds = 30_000;
 /** Orders for a zone that are no shortage, in a minute. */
@@ -34,6 +36,7 @@
     service: string,
     { listEngines, measureWork, countProcesses, calls, clock, eventLog }: OrderEnginesOptions,
 ): ServiceFleet {
+    const beganAt = clock.monotonicNow();
     const window = createDemandWindow(prefillDemandDecayMilliseconds);
     let bootMilliseconds = 0;
     const ledger = createEngineLedger({ bootMilliseconds: () => bootMilliseconds, clock });
@@ -101,6 +104,15 @@
         return (orderTimes.get(zone) ?? []).filter(at => at > since).length < maxOrdersPerMinute;
     };
 
+    const findTotal = ({ zone, kind, desired, reason }: NumberOrder, { maxEngines }: EngineScaling) => {
+        if (reason === OrderReason.Surplus || reason === OrderReason.Restated) {
+            return desired;
+        }
+        const numbers = ledger.ordered().get(zone) ?? noEngines;
+        const room = maxEngines - countZone(numbers) + numbers[kind];
+        return Math.max(desired, Math.min(ledger.stated(zone, kind), room));
+    };
+
     const send = async (order: NumberOrder, needs: EngineNeeds | undefined) => {
         const { zone, kind, desired, reason } = order;
         if (reason === OrderReason.Surplus) {
@@ -138,6 +150,10 @@
         tick: scaling => {
             ({ bootMilliseconds } = scaling);
             const view = readView(scaling);
+            if (clock.monotonicNow() - beganAt < bootMilliseconds + settleMilliseconds) {
+                // Orders state totals: one by an incomplete list would take away engines that are not listed yet.
+                return;
+            }
             const restated = ledger.listRestated();
             const isRestated = (order: NumberOrder) =>
                 restated.some(({ zone, kind }) => zone === order.zone && kind === order.kind);
@@ -146,7 +162,7 @@
             const due = [...restated, ...chosen].filter(order =>
                 order.reason === OrderReason.Shortage || isWithinRate(order)
             );
-            due.forEach(order => void send(order, view.needs));
+            due.forEach(order => void send({ ...order, desired: findTotal(order, scaling) }, view.needs));
         },
         list: () => {
             const ordered = ledger.ordered();
--- a/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
@@ -45,7 +45,7 @@
  * of one stage up to twofold, and a change of stage takes seconds. Where the platform starts new engines all in one stage,
  * a factor of 1.3 left up to 0.07 of the other stage's work without engines in drawn swings.
  */
-const stageFactor = 1.75;
+const stageFactor = 1.8;
 /** Two decode engines and one prefill engine: the least at which one engine of each stage may be lost or changed. */
 const minEngines = 3;
 
--- a/packages/daisyturn/src/process/forwarding/fleet/ledgerEntry.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/ledgerEntry.ts
@@ -4,6 +4,11 @@
 export interface LedgerEntry {
     /** The number last asked for; engines that did not come in time no longer count. */
     ordered: number;
+    /**
+     * The number that the platform has, as far as known. It stays above `ordered` where engines are missing in the list
+     * without notice: these may still be there, and a lower total would take them away.
+     */
+    stated: number;
     /** Listed engines that take work. */
     open: number;
     /** When the number last changed, or an order for it was first accepted. */
@@ -46,6 +51,7 @@
 export function createLedgerEntry(open: number): LedgerEntry {
     return {
         ordered: open,
+        stated: open,
         open,
         changedAt: -Infinity,
         sentAt: -Infinity,
@@ -101,6 +107,7 @@
 function updateMissing(entry: LedgerEntry, leavingAtNotice: number, now: number, bootMilliseconds: number): void {
     if (leavingAtNotice > 0) {
         adoptListed(entry);
+        entry.stated = entry.open;
         pauseOrders(entry, now, noticePauseMilliseconds);
         return;
     }
@@ -127,6 +134,7 @@
     }
     else {
         adoptListed(entry);
+        entry.stated = Math.max(entry.stated, entry.open);
     }
 }
 
@@ -136,10 +144,10 @@
     desired: number,
     sentAt: number,
 ): (answer: DutyAnswer | undefined, now: number) => void {
-    const { ordered, changedAt, isReturning, isRising, confirmAt } = entry;
+    const { ordered, stated, changedAt, isReturning, isRising, confirmAt } = entry;
     const isChange = desired !== ordered;
     const isUnanswered = entry.restateAt < Infinity;
-    Object.assign(entry, { ordered: desired, isSending: true, sentAt });
+    Object.assign(entry, { ordered: desired, stated: desired, isSending: true, sentAt });
     if (isChange) {
         Object.assign(entry, { changedAt: sentAt, isReturning: desired < ordered, isRising: desired > ordered });
     }
@@ -162,7 +170,7 @@
             return;
         }
         if (isChange) {
-            Object.assign(entry, { ordered, changedAt, isReturning, isRising });
+            Object.assign(entry, { ordered, stated, changedAt, isReturning, isRising });
         }
         if (answer === DutyAnswer.Rejected) {
             Object.assign(entry, { restateAt: Infinity, confirmAt: Infinity });
