Test that no order takes away engines that the list lacks

Cause: the test of the ledger did not show that orders observe the total stated before.

Change: a scene whose list lacks two thirds of 63 engines for eight seconds, with no reclaimable ones to be had.

--- a/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
@@ -62,6 +62,7 @@
     let started = 0;
     let smoothedPrefill = 0;
     let hasBegun = false;
+    let isUnlisted: (engine: ListedTarget) => boolean = () => false;
     let stageNeed: { readonly stage: EngineStage; readonly since: number; } | undefined;
     const now = () => clock.monotonicNow();
 
@@ -137,7 +138,7 @@
 
     const ordering = orderEngines({
         listServices: () => [{ name: "s", scaling }],
-        listEngines: () => engines.filter(({ servesAt }) => servesAt <= now()),
+        listEngines: () => engines.filter(engine => engine.servesAt <= now() && !isUnlisted(engine)),
         measureWork: () => {
             const work = options.work?.(now());
             return work && { prefill: smoothedPrefill, decode: work.decode, countCacheEngines: () => 0 };
@@ -205,6 +206,10 @@
         setHeld: (value: boolean) => {
             isHeld = value;
         },
+        /** Sets which engines the list lacks, although they are there. */
+        setUnlisted: (lacks: (engine: ListedTarget) => boolean) => {
+            isUnlisted = lacks;
+        },
         changeHolder: () => {
             fencingNumber += 1;
         },
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
@@ -70,6 +70,19 @@
     await scene.end();
 });
 
+test("no order takes away engines that the list lacks for some time", async () => {
+    const scene = createFleetScene({
+        work: at => at < 10_000 ? { prefill: 0, decode: 0 } : { prefill: 5, decode: 7 },
+        answer: order => order.isReclaimable ? DutyAnswer.Rejected : DutyAnswer.Accepted,
+    });
+    await scene.pass(10_000);
+    scene.setUnlisted(engine => Number(engine.name.slice(1)) % 3 > 0);
+    await scene.pass(8_000);
+    assert.ok(scene.orders.some(order => !order.isReclaimable), "the missing engines are ordered");
+    assert.ok(zones.every(zone => scene.countKind(zone, false) >= 21), "63 engines are there, and 21 of them listed");
+    await scene.end();
+});
+
 test("the replacement of engines that are taken away is ordered at the notice, and not of the same kind and zone", async () => {
     const scene = createFleetScene({ work: steady });
     await scene.pass(settledMilliseconds);
