Log slow targets and publish relative durations

Cause: operators could not see that a target is slow, or whether it is slow for a time or permanently. Summaries of a service without measured durations are not retained.

--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -6,6 +6,7 @@
     type TargetAvailability,
     type TargetLimits,
     type TargetLinks,
+    type TargetSpeeds,
     type TunnelServer,
 } from "daisyturn/forwarding";
 import { Gauge, type Registry } from "prom-client";
@@ -14,6 +15,7 @@
 export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly limits: Pick<TargetLimits, "count">;
+    readonly speeds: Pick<TargetSpeeds, "listNotable">;
     readonly availability: Pick<TargetAvailability, "countResting">;
     readonly tunnels: Pick<TunnelServer, "carried">;
     readonly crashEvidence: Pick<CrashEvidence, "countListed">;
@@ -28,6 +30,7 @@
         budget,
         links,
         limits,
+        speeds,
         availability,
         tunnels,
         crashEvidence,
@@ -76,6 +79,19 @@
             this.set(availability.countResting());
         },
     });
+    new Gauge({
+        name: "daisyturn_target_duration_factor",
+        help:
+            "Expected duration of a plain call relative to the mean of the service, for the 20 targets that differ most",
+        labelNames: ["service", "target"],
+        registers,
+        collect() {
+            this.reset();
+            speeds.listNotable().forEach(({ target: { service, name }, factor }) =>
+                this.set({ service, target: name }, factor)
+            );
+        },
+    });
     new Gauge({
         name: "daisyturn_limited_targets",
         help: "Targets that name a limit of requests a second in their answers",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -68,6 +68,8 @@
     TargetLimited = "target_limited",
     /** A target names no limit any more. */
     TargetUnlimited = "target_unlimited",
+    /** A plain target works more slowly than before or than others of its service, or no longer does. */
+    TargetSpeedChanged = "target_speed_changed",
     /** A target has turned a call of this process away and wants no other one for a time. */
     TargetResting = "target_resting",
     /** An answer of a target says that it leaves, which its entry in the store does not say yet. */
--- a/packages/daisyturn/src/process/forwarding/speeds/__tests__/targetSpeeds.test.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/__tests__/targetSpeeds.test.ts
@@ -116,6 +116,31 @@
         assert.equal(reporting.speeds.isUsed("plain"), true);
     });
 
+    it("log a slow target and its recovery, and not each change of one that changes all the time", async () => {
+        const { clock, eventLog, speeds, report, runAll } = createSpeedBench();
+        for (let round = 0; round < 60; round++) {
+            await runAll([60, 60, 120], [1, 1, 1]);
+        }
+        const changes = () =>
+            eventLog.of(EventKind.TargetSpeedChanged).map(({ fields }) => [fields["target"], fields["state"]]);
+        assert.deepEqual(changes(), [["c", "slow_permanently"]]);
+        report(0, 5);
+        for (let change = 0; change < 20; change++) {
+            await clock.advance(100);
+            report(0, change % 2 === 0 ? 1 : 5);
+        }
+        await clock.advance(10_000);
+        report(0, 1);
+        assert.deepEqual(changes().slice(1), [["a", "slow_now"], ["a", "usual"]]);
+        assert.deepEqual(speeds.listNotable().map(({ target }) => target.name)[0], "c");
+    });
+
+    it("list at most 20 targets for the metrics", async () => {
+        const { speeds, runAll } = createSpeedBench(Array.from({ length: 30 }, (...[, index]) => `t-${index}`));
+        await runAll(Array<number>(30).fill(60), Array<number>(30).fill(1));
+        assert.equal(speeds.listNotable().length, 20);
+    });
+
     it("forget a target that is removed", async () => {
         const { listed, speeds, runAll } = createSpeedBench();
         for (let round = 0; round < 80; round++) {
--- a/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createTargetSpeeds.ts
@@ -2,6 +2,7 @@
 import type { ReportedLoad } from "../../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { TargetList } from "../targets/createTargetList.js";
+import { createSpeedNotices, type RelativeDuration } from "./createSpeedNotices.js";
 import type { CallCountEstimate } from "./occupancy.js";
 import { clampFactor, readRelativeDuration } from "./reportedDuration.js";
 import { type ServiceSpeed, summarizeSpeeds } from "./serviceSpeed.js";
@@ -33,6 +34,8 @@
     calls(target: ListedTarget): CallCountEstimate;
     /** Milliseconds of work that other processes have probably sent to the service since its targets' last reports. */
     unknownWork(service: string): number;
+    /** The listed targets whose expected duration differs most from the mean of their service, where speeds are used. */
+    listNotable(): readonly RelativeDuration[];
     forget(targetId: string): void;
 }
 
@@ -70,7 +73,7 @@
     const service = (name: string): ServiceSpeed => {
         const now = clock.monotonicNow();
         const last = summaries.get(name);
-        if (last && now - last.computedAt < summaryMilliseconds) {
+        if (last?.duration !== undefined && now - last.computedAt < summaryMilliseconds) {
             return last;
         }
         const known = targets.list(name).map(({ targetId }) => speeds.get(targetId)).filter(speed =>
@@ -110,6 +113,7 @@
         const speed = find(target);
         speed.unsent = { ...speed.unsent, isReported: true };
         applyReport(target, { figure: readFigure(target, load), calls: load.running + load.waiting, age: 0 });
+        notices.checkLog(speed);
     };
 
     /**
@@ -173,13 +177,7 @@
             const figure = speed.reported.last() ? clampFactor(speed.reported.at(now)) : 1;
             if (work > 0) {
                 speed.measured.record({ calls: 1, mean: work, usualMean: work / figure }, now);
-                const { calls: unsentCalls, sum, usualSum } = speed.unsent;
-                speed.unsent = {
-                    ...speed.unsent,
-                    calls: unsentCalls + 1,
-                    sum: sum + work,
-                    usualSum: usualSum + work / figure,
-                };
+                addUnsent(speed, work, work / figure);
             }
         };
 
@@ -204,6 +202,8 @@
         return (hasFigures || isMixed) && mean !== undefined;
     };
 
+    const notices = createSpeedNotices({ speeds, service, isUsed, duration, clock, eventLog });
+
     const findListed = (targetId: string) => {
         const target = targets.find(targetId);
         return target && find(target);
@@ -216,6 +216,7 @@
         applyReport,
         service,
         isUsed,
+        listNotable: notices.listNotable,
         duration,
         calls,
         unknownWork: name => {
@@ -225,6 +226,13 @@
         forget: targetId => {
             speeds.delete(targetId);
             invalid.delete(targetId);
+            notices.forget(targetId);
+            summaries.clear();
         },
     };
 }
+
+function addUnsent(speed: TargetSpeed, work: number, usualWork: number): void {
+    const { calls, sum, usualSum } = speed.unsent;
+    speed.unsent = { ...speed.unsent, calls: calls + 1, sum: sum + work, usualSum: usualSum + usualWork };
+}
