Remove an import cycle of the speeds

Cause: the source layout test found createSpeedNotices and createTargetSpeeds importing each other. Change: the options of the notices are declared without the type of the speeds. Result: the source layout test passes.

--- a/packages/daisyturn/src/process/forwarding/speeds/createSpeedNotices.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createSpeedNotices.ts
@@ -1,7 +1,7 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import { createSpeedLog } from "./createSpeedLog.js";
-import type { TargetSpeeds } from "./createTargetSpeeds.js";
+import type { ServiceSpeed } from "./serviceSpeed.js";
 import { findKnown, type TargetSpeed } from "./targetSpeed.js";
 
 /** Expected duration of a call at a target relative to the mean of its service. */
@@ -20,7 +20,11 @@
 }
 
 /** What {@link createSpeedNotices} needs. */
-export interface SpeedNoticesOptions extends Pick<TargetSpeeds, "service" | "isUsed" | "duration"> {
+export interface SpeedNoticesOptions {
+    readonly service: (service: string) => ServiceSpeed;
+    readonly isUsed: (service: string) => boolean;
+    /** Expected milliseconds of work of a call that begins now. */
+    readonly duration: (target: ListedTarget) => number | undefined;
     /** By target id. */
     readonly speeds: ReadonlyMap<string, TargetSpeed>;
     readonly clock: Pick<Clock, "monotonicNow">;
