--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -9,6 +9,7 @@
     type TargetAvailability,
     type TargetLimits,
     type TargetLinks,
+    type TargetSpeeds,
     type TunnelServer,
 } from "daisyturn/forwarding";
 import { Gauge, type Registry } from "prom-client";
@@ -17,6 +18,7 @@
 export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly limits: Pick<TargetLimits, "count">;
+    readonly speeds: Pick<TargetSpeeds, "listNotable">;
     readonly availability: Pick<TargetAvailability, "countResting" | "countThrottled">;
     readonly quotas: Pick<Quotas, "countHomes">;
     readonly shortage: Pick<PlainShortage, "countWaiting">;
@@ -37,6 +39,7 @@
         budget,
         links,
         limits,
+        speeds,
         availability,
         quotas,
         shortage,
@@ -120,6 +123,19 @@
             this.set(shortage.countWaiting());
         },
     });
+    new Gauge({
+        name: "daisyturn_target_duration_factor",
+        help:
+            "Expected duration of a plain call relative to the mean of the service, for the 20 targets that differ most",
+        labelNames: ["service", "target"],
+        registers,
+        collect() {
+            this.reset();
+            speeds.listNotable().forEach(({ target: { service, name }, factor }) =>
+                this.set({ service, target: name }, factor)
+            );
+        },
+    });
     new Gauge({
         name: "daisyturn_limited_targets",
         help: "Targets that name a limit of requests a second in their answers",
