Leave the lease of the duties to a lasting coordinator

Cause: a process that was the coordinator for a moment at the fleet's start kept the duties. Change: the holder releases the lease once another process has been the coordinator for 2.5 s.

--- a/packages/daisyturn/src/process/duties/createDutyHolder.ts
+++ b/packages/daisyturn/src/process/duties/createDutyHolder.ts
@@ -43,6 +43,11 @@
 const renewalSlackMilliseconds = 500;
 /** Lengths of the lease for which a process that has given it up leaves it to others. */
 const lengthsAfterGivingUp = 2;
+/**
+ * While a fleet starts, several processes take themselves for its coordinator in turn. The lease follows the coordinator,
+ * which alone knows the load of the whole fleet, but not each short change of it.
+ */
+const settleMilliseconds = 2_500;
 const usageSubject = "usage";
 
 /** Creates the part of one process; nothing is read or sent before `run` is called. */
@@ -161,10 +166,17 @@
                 stop = undefined;
             });
         };
+        /** Monotonic time since which this process has, or has not, been the coordinator. */
+        let changedAt = clock.monotonicNow();
+        let wasCoordinator = false;
         while (!signal.aborted) {
+            const isCoordinator = options.isCoordinator();
+            changedAt = isCoordinator === wasCoordinator ? changedAt : clock.monotonicNow();
+            wasCoordinator = isCoordinator;
+            const isSettled = clock.monotonicNow() - changedAt >= settleMilliseconds;
             const isDue = leaseManager.current()
-                ? current() !== undefined
-                : options.isCoordinator() && clock.monotonicNow() >= acquirableAt;
+                ? current() !== undefined && (isCoordinator || !isSettled)
+                : isCoordinator && clock.monotonicNow() >= acquirableAt;
             if (!isDue) {
                 stop?.abort();
             }
