Name the announcements of rates in plain terms

Cause: names such as news and tellAll are not the field's terms. Change: names and comments only; the method on the wire is the same. Result: tests of process/quotas pass.

--- a/packages/daisyturn-daemon/src/forwarding/createProcessQuotas.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createProcessQuotas.ts
@@ -4,7 +4,7 @@
     createQuotas,
     createTargetQuotas,
     type ForwardingParts,
-    recordTargetNews,
+    recordAnnouncedLimit,
 } from "daisyturn/forwarding";
 
 /** What {@link createProcessQuotas} needs. */
@@ -24,7 +24,7 @@
         peers: coordination.peers,
         countProcesses: coordination.countProcesses,
         refreshPeers: coordination.refreshPeers,
-        onNews: news => recordTargetNews(limits, news),
+        onAnnounced: rate => recordAnnouncedLimit(limits, rate),
         clock,
         eventLog,
         signal,
--- a/packages/daisyturn/src/process/quotas/__fixtures__/createQuotaFleet.ts
+++ b/packages/daisyturn/src/process/quotas/__fixtures__/createQuotaFleet.ts
@@ -27,7 +27,7 @@
         const ended = new AbortController();
         const quotas = createQuotas({
             ...coordination,
-            onNews: ({ perSecond }) => heard.push(perSecond),
+            onAnnounced: ({ perSecond }) => heard.push(perSecond),
             clock,
             eventLog,
             signal: ended.signal,
--- a/packages/daisyturn/src/process/quotas/createQuotaHomes.ts
+++ b/packages/daisyturn/src/process/quotas/createQuotaHomes.ts
@@ -3,7 +3,7 @@
 import type { PeerAddress } from "../forwarding/coordination/peerChannel.js";
 import { createHeldHomes } from "./createHeldHomes.js";
 import type { PeerContacts } from "./createPeerContacts.js";
-import { createQuotaNews } from "./createQuotaNews.js";
+import { createRateAnnouncer } from "./createRateAnnouncer.js";
 import { createTokenBucket, type TokenAnswer } from "./createTokenBucket.js";
 import {
     encodeHoldReply,
@@ -70,7 +70,7 @@
     const { self } = peers;
     const states = new Map<string, QuotaState>();
     const heldHomes = createHeldHomes(clock);
-    const tellAll = createQuotaNews(peers, clock);
+    const announce = createRateAnnouncer(peers, clock);
     const startedAt = clock.monotonicNow();
     let isRenewing = false;
 
@@ -167,7 +167,7 @@
             pursue(quota, state);
             log(quota, state);
             if (isHome(state)) {
-                tellAll(quota, state);
+                announce(quota, state);
             }
         }
     };
--- a/packages/daisyturn/src/process/quotas/createQuotas.ts
+++ b/packages/daisyturn/src/process/quotas/createQuotas.ts
@@ -6,16 +6,16 @@
 import { createQuotaHomes } from "./createQuotaHomes.js";
 import type { TokenAnswer } from "./createTokenBucket.js";
 import {
+    type AnnouncedRate,
     encodePing,
     encodeTokenReply,
     encodeTokenRequest,
     isQuotaMessage,
     type KnownQuota,
     type NamedPeer,
-    type QuotaNews,
+    readAnnouncement,
     readHoldReply,
     readHoldRequest,
-    readNews,
     readPing,
     readTokenReply,
     readTokenRequest,
@@ -31,7 +31,7 @@
     /** Requests that the registry be read again. */
     readonly refreshPeers: () => void;
     /** Receives what another process has learned about a quota. */
-    readonly onNews: (news: QuotaNews) => void;
+    readonly onAnnounced: (rate: AnnouncedRate) => void;
     readonly clock: Clock;
     readonly eventLog: EventLog;
     /** Aborted when the process ends. */
@@ -68,7 +68,7 @@
 
 /** Creates the access of one process to the quotas, and its part in keeping them. */
 export function createQuotas(options: QuotasOptions): Quotas {
-    const { peers, refreshPeers, onNews, clock } = options;
+    const { peers, refreshPeers, onAnnounced, clock } = options;
     const { self } = peers;
     const contacts = createPeerContacts(self.peerId, peers.send, clock);
     const homes = createQuotaHomes({ ...options, contacts });
@@ -133,9 +133,9 @@
         if (ping && !ping.isAnswer) {
             peers.send(from, encodePing({ from: self.peerId, isAnswer: true }));
         }
-        const news = readNews(notification);
-        if (news) {
-            onNews(news);
+        const announced = readAnnouncement(notification);
+        if (announced) {
+            onAnnounced(announced);
         }
     };
 
--- a/packages/daisyturn/src/process/quotas/createTargetQuotas.ts
+++ b/packages/daisyturn/src/process/quotas/createTargetQuotas.ts
@@ -2,7 +2,7 @@
 import type { TargetLimits } from "../forwarding/limits/requests/createTargetLimits.js";
 import type { TargetAvailability } from "../forwarding/targets/createTargetAvailability.js";
 import type { Quotas } from "./createQuotas.js";
-import type { QuotaNews } from "./quotaMessages.js";
+import type { AnnouncedRate } from "./quotaMessages.js";
 
 /** How a request for a token ended. Used as a metric label. */
 export enum TokenResult {
@@ -57,9 +57,9 @@
 }
 
 /** Records the limit of a target that another process has learned. */
-export function recordTargetNews(
+export function recordAnnouncedLimit(
     limits: Pick<TargetLimits, "recordRemote">,
-    { quota, perSecond, age }: QuotaNews,
+    { quota, perSecond, age }: AnnouncedRate,
 ): void {
     if (quota.startsWith(targetPrefix)) {
         limits.recordRemote(quota.slice(targetPrefix.length), perSecond, age);
--- a/packages/daisyturn/src/process/quotas/createTokenBucket.ts
+++ b/packages/daisyturn/src/process/quotas/createTokenBucket.ts
@@ -23,7 +23,7 @@
  */
 const minPerSecond = 0.05;
 /**
- * Those who get no token are told different times, one token apart, so that they do not all come at once. The last of
+ * Requests that get no token get different times, one token apart, so that they do not all come at once. The last of
  * them comes at most this long after the next token, since the others may need none by then.
  */
 const maxSpreadMilliseconds = 500;
@@ -36,7 +36,7 @@
 export function createTokenBucket(startedAt: number): TokenBucket {
     let tokens = 0;
     let filledAt = startedAt;
-    /** Monotonic time that the next request without a token is told. */
+    /** Monotonic time given to the next request that gets no token. */
     let nextTurnAt = -Infinity;
 
     return {
--- a/packages/daisyturn/src/process/quotas/quotaMessages.ts
+++ b/packages/daisyturn/src/process/quotas/quotaMessages.ts
@@ -62,7 +62,7 @@
 }
 
 /** Tells all processes the rate of a quota. */
-export interface QuotaNews extends KnownQuota {
+export interface AnnouncedRate extends KnownQuota {
     readonly from: string;
 }
 
@@ -72,7 +72,7 @@
     hold: "hold_home",
     held: "home_held",
     ping: "quota_ping",
-    news: "quota_named",
+    rate: "quota_named",
 };
 
 export const encodeTokenRequest = (message: TokenRequest) => encodeNotification(methods.request, message);
@@ -80,7 +80,7 @@
 export const encodeHoldRequest = (message: HoldRequest) => encodeNotification(methods.hold, message);
 export const encodeHoldReply = (message: HoldReply) => encodeNotification(methods.held, message);
 export const encodePing = (message: Ping) => encodeNotification(methods.ping, message);
-export const encodeNews = (message: QuotaNews) => encodeNotification(methods.news, message);
+export const encodeAnnouncement = (message: AnnouncedRate) => encodeNotification(methods.rate, message);
 
 /** Decodes a message. Returns undefined if it is another one, or if a field is missing or invalid. */
 export const readTokenRequest = (notification: Notification): TokenRequest | undefined =>
@@ -114,8 +114,8 @@
         isAnswer: params["isAnswer"] === true,
     }));
 
-export const readNews = (notification: Notification): QuotaNews | undefined =>
-    read(notification, methods.news, readKnownQuota);
+export const readAnnouncement = (notification: Notification): AnnouncedRate | undefined =>
+    read(notification, methods.rate, readKnownQuota);
 
 const quotaMethods: ReadonlySet<string> = new Set(Object.values(methods));
 
@@ -134,7 +134,7 @@
     return method === expected ? readOrUndefined(() => decode(params)) : undefined;
 }
 
-function readKnownQuota(params: Params): QuotaNews {
+function readKnownQuota(params: Params): AnnouncedRate {
     return {
         from: readName(params["from"]),
         quota: readName(params["quota"]),
--- a/packages/daisyturn/src/process/quotas/quotaState.ts
+++ b/packages/daisyturn/src/process/quotas/quotaState.ts
@@ -15,8 +15,8 @@
     homeUntil: number;
     /** Part of the quota that this process may grant. */
     share: number;
-    toldAt: number;
-    toldPerSecond: number | undefined;
+    announcedAt: number;
+    announcedPerSecond: number | undefined;
     isLogged: boolean;
 }
 
@@ -33,8 +33,8 @@
         claimedAt: -Infinity,
         homeUntil: -Infinity,
         share: 1,
-        toldAt: -Infinity,
-        toldPerSecond: undefined,
+        announcedAt: -Infinity,
+        announcedPerSecond: undefined,
         isLogged: false,
     };
 }
