Wait for a log file that is opened asynchronously in its test

Traced in the test's stack. Change: a file that does not exist yet counts as empty; the polls still end with a failure.

--- a/packages/daisyturn-daemon/src/entry/__tests__/createLogWriter.test.ts
+++ b/packages/daisyturn-daemon/src/entry/__tests__/createLogWriter.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
@@ -15,7 +15,9 @@
         const file = join(folder, "entry.log");
         const writer = createLogWriter(file);
         const waitUntilWritten = async (text: string) => {
-            for (let polls = 0; readFileSync(file, "utf8") !== text; polls++) {
+            // The file is opened asynchronously, so it may not exist at the first poll.
+            const read = () => existsSync(file) ? readFileSync(file, "utf8") : "";
+            for (let polls = 0; read() !== text; polls++) {
                 assert.ok(polls < maxPolls, "the lines were not written");
                 await sleep(pollMilliseconds);
             }
