Know the fleet by the reports of all groups together

Cause: with processor time counted, 27 of 29 processes of a zone read the registry before it listed more than 20 processes, took the whole fleet for one group and reported to the coordinator of another zone. Change: a group message says how many processes it covers (reporting, absent in earlier versions); the fleet is known if all groups' reports together cover three quarters of it. How processes choose their group is unchanged.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/fleetKnowledge.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/fleetKnowledge.test.ts
@@ -1,5 +1,8 @@
+import { FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createGroupSizes } from "../../fleet/createGroupSizes.js";
+import { knowsFleet } from "../../fleet/knowsFleet.js";
 import { createFleet } from "../__fixtures__/createFleet.js";
 
 // Guards against giving engines back on the demand of a part of the fleet.
@@ -33,3 +36,37 @@
     assert.equal(acting.coordination.knowsFleet(), false);
     await fleet.stop();
 });
+
+// Guards against a holder that never orders engines, because processes of its zone report to a coordinator of another zone.
+test("a coordinator knows the fleet if the reports of all groups together cover it", async () => {
+    const clock = new FakeClock();
+    const groupSizes = createGroupSizes(clock, 2_500);
+    const peers = Array.from({ length: 40 }, (value, index) => ({
+        peerId: `p${index}`,
+        host: `10.0.0.${index}`,
+        port: 1,
+        availabilityZone: index < 20 ? "a" : "b",
+        strength: 1,
+    }));
+    const link = {
+        isCandidate: () => true,
+        countListed: () => 40,
+        listPeers: () => peers,
+        listOtherCandidates: () => [peers[20]!],
+    };
+    const knows = () =>
+        knowsFleet({
+            link,
+            members: { list: () => [] },
+            otherCoordinators: { has: peerId => peerId === "p20" },
+            groupSizes,
+        });
+    assert.equal(knows(), false);
+    groupSizes.record("p20", 28);
+    assert.equal(knows(), false, "29 of 40 are too few");
+    groupSizes.record("p20", 30);
+    assert.equal(knows(), true);
+    await clock.advance(2_500);
+    groupSizes.record("p21", undefined);
+    assert.equal(knows(), false, "the report has expired");
+});
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -4,6 +4,7 @@
 import type { ForwardService } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { StreamOrigins, VersionHistory } from "../../origins/index.js";
+import { createGroupSizes } from "../fleet/createGroupSizes.js";
 import { knowsFleet } from "../fleet/knowsFleet.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import { createExpiringSet } from "../links/createExpiringSet.js";
@@ -120,7 +121,7 @@
     const client = createPlacementClient({ selfId: self.peerId, send, link, clock });
     const shared = { selfId: self.peerId, link, evidence: crashEvidence, send, clock };
     const loadPublisher = createLoadPublisher({ ...shared, views, sizeFairness, lastReceived: client.lastReceived });
-    const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views });
+    const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views, members });
     const evidencePublisher = createEvidencePublisher({ ...shared, members });
     const { links, speeds } = views;
     const statePublisher = createStatePublisher({
@@ -134,6 +135,7 @@
     });
     /** Coordinators of other groups, and those of this group whose links to most targets are lost. */
     const otherCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
+    const groupSizes = createGroupSizes(clock, otherCoordinatorMilliseconds);
     const cutOffCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
 
     const { refreshRequest, refreshPeers, refreshEntry } = createRefreshRequest(clock);
@@ -193,6 +195,7 @@
         evidencePublisher,
         statePublisher,
         otherCoordinators,
+        groupSizes,
         cutOffCoordinators,
         isRegistered,
         isKnownPeer,
@@ -233,7 +236,7 @@
         relayedTable: tables.find,
         tableReader: reader,
         isReader: link.isCandidate,
-        knowsFleet: () => knowsFleet({ self, link, members, otherCoordinators }),
+        knowsFleet: () => knowsFleet({ link, members, otherCoordinators, groupSizes }),
         closingReportInterval: () => groupReportMilliseconds,
         isCoordinator,
         isFleetCoordinator: () => {
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -2,6 +2,7 @@
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
+import type { Members } from "./createMembers.js";
 import { encodeLoadMessage, type LoadMessage } from "./messages/loadMessage.js";
 import type { PeerAddress } from "./peerChannel.js";
 
@@ -9,6 +10,7 @@
 export interface GroupLoadPublisherOptions {
     readonly selfId: string;
     readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "links" | "speeds">;
+    readonly members: Pick<Members, "list">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
     readonly evidence: Pick<CrashEvidence, "digest">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
@@ -28,7 +30,7 @@
 
 /** Creates the publisher of one process, which sends only while the process coordinates its group. */
 export function createGroupLoadPublisher(
-    { selfId, views, link, evidence, send, clock }: GroupLoadPublisherOptions,
+    { selfId, views, members, link, evidence, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
     const { loads, health, caches, demand, closed, links, speeds } = views;
     let kept: LoadMessage["kept"][number][] = [];
@@ -55,6 +57,7 @@
         prefills: [],
         pauses: [],
         ended: [],
+        reporting: members.list().length + 1,
         speeds: [],
         groupSpeeds: speeds.listGroupEstimates(),
         evidence: evidence.digest(),
--- a/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
@@ -1,3 +1,4 @@
+import type { GroupSizes } from "../../fleet/createGroupSizes.js";
 import type { SizeFairness } from "../../limits/createSizeFairness.js";
 import type { ExpiringSet } from "../../links/createExpiringSet.js";
 import type { TargetViews } from "../../views/createTargetViews.js";
@@ -29,6 +30,8 @@
     readonly statePublisher: StatePublisher;
     /** Coordinators of other groups, and those of this group whose links to most targets are lost. */
     readonly otherCoordinators: ExpiringSet;
+    /** How many processes the reports of other groups cover. */
+    readonly groupSizes: GroupSizes;
     readonly cutOffCoordinators: ExpiringSet;
     /** Whether a process is in the registry at this address. */
     readonly isRegistered: (peerId: string, from: PeerAddress) => boolean;
@@ -42,7 +45,7 @@
 /** Creates the function that applies the notifications of other processes to the views of this one. */
 export function createNotificationHandler(options: NotificationHandlerOptions): NotificationReceiver {
     const { selfId, views, sizeFairness, link, members, tables, client, placementServer, send } = options;
-    const { evidencePublisher, statePublisher, otherCoordinators, cutOffCoordinators, receivers } = options;
+    const { evidencePublisher, statePublisher, otherCoordinators, groupSizes, cutOffCoordinators, receivers } = options;
     const { isRegistered, isKnownPeer } = options;
     const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, health, speeds } = views;
 
@@ -53,6 +56,7 @@
         message.kept.forEach(([targetId, partId, tokens]) => caches.recordRemote(targetId, partId, tokens));
         if (message.isGroup) {
             recordPresence(otherCoordinators, message.from, message.isCutOff !== true);
+            groupSizes.record(message.from, message.reporting);
             loads.recordGroup(message.from, message.work, message.pause);
             demand.recordGroup(message.from, message.demand, message.pause);
             speeds.recordEstimates(message.from, message.groupSpeeds);
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -54,6 +54,8 @@
     readonly pauses: readonly EventIntervalObservation[];
     /** Prompts that have ended since the last message. */
     readonly ended: readonly EndedPrompt[];
+    /** Number of processes whose load a group message covers; absent otherwise, and if the sender's version lacks it. */
+    readonly reporting?: number;
     /** What the sender has learned of the speed of plain targets since the last message; empty if `isGroup`. */
     readonly speeds: readonly SpeedSample[];
     /** What the sender's group knows of it; empty unless `isGroup`. */
@@ -116,6 +118,7 @@
         prefills: readList(params["prefills"] ?? [], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
+        reporting: readOptionalAmount(params["reporting"]),
         speeds: readSamples(params["speeds"]),
         groupSpeeds: readEstimates(params["groupSpeeds"]),
         evidence: readOptionalAmount(params["evidence"]),
