--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -118,7 +118,7 @@
         prefills: readList(params["prefills"] ?? [], [isName, isLoad, isLoad, isLoad]),
         pauses: readList(params["pauses"], [isName, isLoad]),
         ended: readList(params["ended"], [isName, isLoad, isFlag]),
-        reporting: readOptionalAmount(params["reporting"]),
+        ...(params["reporting"] !== undefined && { reporting: readAmount(params["reporting"]) }),
         speeds: readSamples(params["speeds"]),
         groupSpeeds: readEstimates(params["groupSpeeds"]),
         evidence: readOptionalAmount(params["evidence"]),
