--- a/packages/daisyturn/src/process/duties/__tests__/dutyInterleavings.test.ts
+++ b/packages/daisyturn/src/process/duties/__tests__/dutyInterleavings.test.ts
@@ -180,7 +180,7 @@
     received: readonly ReceivedCall[],
     pauses: readonly { incarnation: number; from: number; to: number; }[],
 ): readonly string[] {
-    // Shorter pauses can't be told from a busy event loop.
+    // Shorter pauses can't be distinguished from a busy event loop.
     return pauses.filter(({ from, to }) => to - from > 400).flatMap(({ incarnation, from, to }) =>
         received
             .filter(call => call.incarnation === incarnation && call.at > from && call.at < to + thawMilliseconds)
--- a/packages/daisyturn/src/process/forwarding/limits/requests/__tests__/createTargetLimits.test.ts
+++ b/packages/daisyturn/src/process/forwarding/limits/requests/__tests__/createTargetLimits.test.ts
@@ -38,7 +38,7 @@
     assert.equal(limits.find("t"), undefined);
 });
 
-// Guards against a process that sends without tokens until its own first answer, and against old news that revive a limit.
+// Guards against a process that sends without tokens until its own first answer, and against an outdated announcement that revives a limit.
 test("a limit that another process has seen holds, unless it is older than what is known", async () => {
     const { clock, limits } = createScene();
     await clock.advance(10_000);
--- a/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/drawnFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/__fixtures__/drawnFleet.ts
@@ -24,7 +24,7 @@
     readonly load: number;
     readonly seconds: number;
     readonly meanWork?: number;
-    /** Interval at which all deciders are told of all targets, with reports of that age; undefined if they are not. */
+    /** Interval at which all deciders receive the reports of all targets, which are that old; undefined if they receive none. */
     readonly shareMilliseconds?: number;
 }
 
--- a/packages/daisyturn/src/process/forwarding/speeds/createPlainSpeedCost.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createPlainSpeedCost.ts
@@ -26,7 +26,7 @@
  * Creates the cost of a plain call at a target: the milliseconds until its end, and a part of what it delays others.
  *
  * Many processes choose with the same old reports, and would all send their calls to the target that was reported as the
- * fastest until they are told of its queue. Each one therefore draws the calls at each target from what they may be by
+ * fastest until they receive its queue length. Each one therefore draws the calls at each target from what they may be by
  * now, and adds a random number, by which targets are chosen in proportion to their speed where the costs differ by
  * less than the calls of other processes since the reports can change.
  */
--- a/packages/daisyturn/src/process/forwarding/speeds/createSpeedNotices.ts
+++ b/packages/daisyturn/src/process/forwarding/speeds/createSpeedNotices.ts
@@ -10,7 +10,7 @@
     readonly factor: number;
 }
 
-/** What operators are told of the speeds of targets. */
+/** Log lines and metrics on the speeds of targets. */
 export interface SpeedNotices {
     /** Logs that a target has become slow or has recovered. */
     checkLog(speed: TargetSpeed): void;
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetAvailability.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetAvailability.test.ts
@@ -91,7 +91,7 @@
     assert.equal(availability.nextAt("unknown"), undefined);
 });
 
-// Guards against a full target that is taken for a resting one, or that callers are told a wrong time for.
+// Guards against a full target that is taken for a resting one, or for which callers get a wrong time.
 test("a target without tokens takes no work until the first time that was named", async () => {
     const { clock, availability } = createBench({ a: undefined, b: undefined });
     assert.equal(availability.nextThrottleEnd("s"), undefined);
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetAvailability.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetAvailability.ts
@@ -119,7 +119,7 @@
             }
         },
         recordThrottle: (targetId, until) => {
-            // Calls that ask at the same time are told different times; the first one is enough to ask again.
+            // Calls that ask at the same time get different times; the earliest one is enough to ask again.
             throttleEnds.set(
                 targetId,
                 isThrottled(targetId) ? Math.min(throttleEnds.get(targetId) ?? until, until) : until,
--- a/packages/daisyturn/src/process/quotas/__tests__/createQuotas.test.ts
+++ b/packages/daisyturn/src/process/quotas/__tests__/createQuotas.test.ts
@@ -50,7 +50,7 @@
     await fleet.stop();
 });
 
-// Guards against a target that nobody may use, or that all may use, once its home has ended.
+// Guards against a target that no process may use, or that all may use without tokens, once its home has ended.
 test("another process becomes the home after the end of the home", () =>
     assertKept(fleet => fleet.end(fleet.indexOf(0))));
 
--- a/packages/daisyturn/src/process/quotas/createQuotaHomes.ts
+++ b/packages/daisyturn/src/process/quotas/createQuotaHomes.ts
@@ -55,7 +55,7 @@
 const claimIntervalMilliseconds = 120;
 /** A process that is asked for the first time reads the registry before it becomes a home. */
 const settleMilliseconds = 300;
-/** A home that nobody asks ends. */
+/** A home that receives no requests ends. */
 const idleMilliseconds = 10_000;
 /** Time after which a process that knows no home asks again. */
 const unknownWaitMilliseconds = 100;
--- a/packages/daisyturn/src/process/quotas/createQuotas.ts
+++ b/packages/daisyturn/src/process/quotas/createQuotas.ts
@@ -44,7 +44,7 @@
     readonly isUnanswered: boolean;
 }
 
-/** Quantities that all processes of the fleet share. Nothing is sent while nobody takes a token. */
+/** Quantities that all processes of the fleet share. Nothing is sent while no process takes a token. */
 export interface Quotas {
     /** Takes a token of a quota from its home. Resolves within some 100 ms. */
     take(known: KnownQuota): Promise<QuotaAnswer>;
--- a/packages/daisyturn/src/process/quotas/createRateAnnouncer.ts
+++ b/packages/daisyturn/src/process/quotas/createRateAnnouncer.ts
@@ -5,7 +5,7 @@
 
 /** Interval at which a home tells all processes the rate, for those that have started since. */
 const announcementMilliseconds = 2_000;
-/** A rate that nobody has named for this time may have ended. */
+/** A rate that was not named for this time may have ended. */
 const maxAnnouncementAgeMilliseconds = 4_000;
 /** Creates the function by which a home tells all processes the rate of a quota when it changes, and now and then. */
 export function createRateAnnouncer(
--- a/packages/daisyturn/src/process/shortage/__fixtures__/simulateSurge.ts
+++ b/packages/daisyturn/src/process/shortage/__fixtures__/simulateSurge.ts
@@ -19,7 +19,7 @@
     /** Whether the product's queue is used; otherwise all calls are sent at once. */
     readonly hasQueue: boolean;
     readonly timeout: number;
-    /** Whether refused callers repeat their call at once, as often as their time allows, in place of when they were told. */
+    /** Whether refused callers repeat their call at once, as often as their time allows, in place of the time in Retry-After. */
     readonly repeatsAtOnce?: boolean;
 }
 
--- a/packages/daisyturn/src/process/shortage/createCallQueue.ts
+++ b/packages/daisyturn/src/process/shortage/createCallQueue.ts
@@ -32,7 +32,7 @@
 const durationWeight = 0.1;
 /** Lowest rate at which calls are assumed to start, while few have ended. */
 const minPerSecond = 2;
-/** Callers are told no later time than this. */
+/** Latest time that callers are given. */
 const maxRetryDelayMilliseconds = 2_000;
 const maxAccounts = 256;
 const millisecondsPerSecond = 1_000;
@@ -47,7 +47,7 @@
     const accounts = new Map<string | undefined, AccountRates>();
     const ends = createDecayingRate(memoryMilliseconds, startedAt);
     let duration = initialDurationMilliseconds;
-    /** Time that was told to the last refused call. */
+    /** Time that the last refused call was given. */
     let retryTurnAt = -Infinity;
 
     const findAccount = (account: string | undefined, now: number): AccountRates => {
--- a/packages/daisyturn/src/version/forwarding/createAccountTable.ts
+++ b/packages/daisyturn/src/version/forwarding/createAccountTable.ts
@@ -4,7 +4,7 @@
 export interface AccountTable {
     /** Returns the account that holds a key; undefined if none does, or several do. */
     find(key: string): ForwardAccount | undefined;
-    /** Accounts that share a key with another one. The shared keys identify nobody. */
+    /** Accounts that share a key with another one. The shared keys identify no account. */
     readonly ambiguousAccounts: readonly string[];
     /** Number of keys, without those of several accounts. */
     readonly keyCount: number;
