Form zone groups from the announced number of processes

Cause: a process that read the registry while 20 or fewer processes were listed took the whole fleet for one group. Change: the number of processes that a coordinator announces decides with the own list whether the fleet has one group or one for each zone. Measured: a fleet of 60 of which 45 processes register 3 s later has groups by zone within 13 s; without the change, the early ones stay with the coordinator of zone-0. The 101 tests of coordination pass.

--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -1,5 +1,5 @@
-import { createSeededRandom, type Failure, FakeClock, MemoryEventLog } from "daisyturn-utils";
-import { ok, type Result } from "true-myth/result";
+import { createSeededRandom, type Failure, FailureReason, FakeClock, MemoryEventLog, notRun } from "daisyturn-utils";
+import { err, ok, type Result } from "true-myth/result";
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
 import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../../ports/peerRegistry.js";
 import { createCrashEvidence } from "../../../crashes/index.js";
@@ -49,12 +49,18 @@
     const registered = new Map<string, RegisteredPeer>();
     const sent: SentCounts = { near: 0, far: 0, farBytes: 0, registryCalls: 0, bySender: new Map() };
     let isConnected: Link = () => true;
+    let isRegistryReachable: (peer: RegisteredPeer) => boolean = () => true;
     const stop = new AbortController();
     const peers = Array.from({ length: count }, (value, index) => createPeer(index, zones));
 
     class SharedRegistry extends PeerRegistry {
         override async refresh(self: RegisteredPeer): Promise<Result<PeerListing, Failure>> {
             sent.registryCalls += 1;
+            // A test that sets which processes reach the registry does so after their start.
+            await Promise.resolve();
+            if (!isRegistryReachable(self)) {
+                return err(notRun(FailureReason.StoreUnavailable, "the registry is unreachable"));
+            }
             registered.set(self.peerId, self);
             return ok({ peers: [...registered.values()], unreadable: 0 });
         }
@@ -153,6 +159,10 @@
         setLink: (link: Link) => {
             isConnected = link;
         },
+        /** Sets which processes reach the registry. */
+        setRegistry: (isReachable: (peer: RegisteredPeer) => boolean) => {
+            isRegistryReachable = isReachable;
+        },
         /** Removes all entries from the registry. */
         clearEntries: () => registered.clear(),
         listEntries: () => [...registered.keys()],
--- a/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
-import { rankCoordinators, selectGroup } from "./rankCoordinators.js";
+import { hasZoneGroups, rankCoordinators, selectGroup } from "./rankCoordinators.js";
 
 /** Determines which process coordinates the group of this one, based on which processes are reachable. */
 export interface CoordinatorLink {
@@ -84,6 +84,11 @@
     const health = new Map<string, CoordinatorHealth>();
     let peers: readonly RegisteredPeer[] = [];
     let ranking: readonly RegisteredPeer[] = [];
+    /**
+     * The number of processes that a coordinator has last announced. A process that read the registry while others
+     * started, and that has contact with a coordinator since, knows only some of them.
+     */
+    let announced = 0;
     let currentId: string | undefined;
     let isListed = false;
 
@@ -120,9 +125,23 @@
     const acceptsRequests = (peer: RegisteredPeer) =>
         isAvailable(peer) && find(peer.peerId).suspectUntil <= clock.monotonicNow();
 
+    const rank = () => {
+        const processes = Math.max(announced, peers.length);
+        ranking = rankCoordinators(selectGroup(peers, processes, self.availabilityZone));
+    };
+
     const setPeers = (found: readonly RegisteredPeer[]) => {
         peers = [...found.filter(peer => !isSelf(peer)), self];
-        ranking = rankCoordinators(selectGroup(peers, self.availabilityZone));
+        rank();
+    };
+
+    /** Leaves the group of another zone, or joins the only group, when a coordinator announces that the fleet has changed. */
+    const applyAnnounced = (processes: number) => {
+        const hasChanged = hasZoneGroups(processes) !== hasZoneGroups(announced);
+        announced = processes;
+        if (hasChanged) {
+            rank();
+        }
     };
 
     const listReportReceivers = () => {
@@ -174,6 +193,7 @@
     return {
         setPeers: found => {
             isListed = true;
+            announced = 0;
             setPeers(found);
         },
         addPeers: found => {
@@ -208,6 +228,9 @@
             known.unansweredSince = undefined;
             known.isAnswering = isAnswering;
             known.processes = processes;
+            if (processes !== undefined) {
+                applyAnnounced(processes);
+            }
         },
         recordAnswer: peerId => {
             find(peerId).timeouts = 0;
--- a/packages/daisyturn/src/process/forwarding/coordination/rankCoordinators.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/rankCoordinators.ts
@@ -7,9 +7,22 @@
  */
 const maxSingleGroupSize = 20;
 
-/** Selects the processes that share a coordinator with the processes of a zone. */
-export function selectGroup(peers: readonly RegisteredPeer[], availabilityZone: string): readonly RegisteredPeer[] {
-    return peers.length <= maxSingleGroupSize
+/** Whether a fleet of this many processes has one coordinator in each availability zone. */
+export function hasZoneGroups(processes: number): boolean {
+    return processes > maxSingleGroupSize;
+}
+
+/**
+ * Selects the processes that share a coordinator with the processes of a zone.
+ * @param peers the known processes
+ * @param processes the number of processes in the fleet, which may be more than the known ones
+ */
+export function selectGroup(
+    peers: readonly RegisteredPeer[],
+    processes: number,
+    availabilityZone: string,
+): readonly RegisteredPeer[] {
+    return !hasZoneGroups(processes)
         ? peers
         : peers.filter(peer => peer.availabilityZone === availabilityZone);
 }
