Watch for suspensions only while the duties' lease is run

Cause: every process with duties checked its clocks ten times a second, and whether it is the coordinator as often, although one process holds the lease. Change: the watch runs with the lease; a process that is not due checks 2.5 times a second.

--- a/packages/daisyturn/src/process/duties/createDutyHolder.ts
+++ b/packages/daisyturn/src/process/duties/createDutyHolder.ts
@@ -38,6 +38,8 @@
 export const dutyLeaseMarginMilliseconds = 500;
 export const dutyRenewalMilliseconds = 1_000;
 const checkIntervalMilliseconds = 100;
+/** Interval of the check in a process that neither holds the lease nor is due to: all but one in a large fleet. */
+const idleCheckIntervalMilliseconds = 400;
 const callTimeoutMilliseconds = 2_000;
 /** A renewal that is overdue by this time shows that the link to the store is lost. */
 const renewalSlackMilliseconds = 500;
@@ -157,13 +159,14 @@
     const run = async (signal: AbortSignal) => {
         let stop: AbortController | undefined;
         let leaseRun = Promise.resolve();
-        const watching = new AbortController();
-        void stallWatch.run(watching.signal);
         const start = () => {
             const started = new AbortController();
+            const watching = new AbortController();
             stop = started;
+            void stallWatch.run(watching.signal);
             leaseRun = leaseManager.run(started.signal).then(() => {
                 stop = undefined;
+                watching.abort();
             });
         };
         /** Monotonic time since which this process has, or has not, been the coordinator. */
@@ -183,11 +186,11 @@
             else if (!stop) {
                 start();
             }
-            await clock.sleepUntil(clock.monotonicNow() + checkIntervalMilliseconds, signal);
+            const interval = stop || isCoordinator ? checkIntervalMilliseconds : idleCheckIntervalMilliseconds;
+            await clock.sleepUntil(clock.monotonicNow() + interval, signal);
         }
         stop?.abort();
         await leaseRun;
-        watching.abort();
     };
 
     return {
