Order fewer engines while caches are cold, and keep the lease where the store answers

From 18 to 28 s no process held the duties: the fleet coordinator alone was cut off from the store, and no other one may acquire the lease. Then 8 s passed until it planned again. Change: first reads are measured by themselves (load messages, field firstReads) and count 1.1 times. Coordinators tell each other that the store does not answer them (isStoreLost); the lease goes to the first that it answers, and stays with any coordinator of a group that can renew it. A process that acquires the lease again, with no holder in between, keeps its orders.

--- a/packages/daisyturn-daemon/src/forwarding/createDuties.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createDuties.ts
@@ -21,7 +21,7 @@
     readonly adapters: ForwardingAdapters;
     readonly parts: Pick<ForwardingProcessParts, "links">;
     readonly incarnation: string;
-    readonly coordination: Pick<Coordination, "isFleetCoordinator" | "peers">;
+    readonly coordination: Pick<Coordination, "isLeaseCoordinator" | "mayKeepLease" | "peers">;
     readonly onReported: (answer: DutyAnswer) => void;
     readonly clock: Clock;
     readonly random: Random;
@@ -62,7 +62,7 @@
         return undefined;
     }
     const stopping = new AbortController();
-    const isCoordinator = () => !stopping.signal.aborted && coordination.isFleetCoordinator();
+    const isCoordinator = () => !stopping.signal.aborted && coordination.isLeaseCoordinator();
     const storeClient = createStoreClient({
         tableService,
         clock,
@@ -99,6 +99,7 @@
         duties: fleetDuties,
         leaseManager,
         isCoordinator,
+        mayKeep: coordination.mayKeepLease,
         isCutOff: parts.links.isCutOff,
         leaseMilliseconds,
         clock,
--- a/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
@@ -11,7 +11,10 @@
 
 /** What {@link startEngineOrders} needs. */
 export interface EngineOrdersOptions {
-    readonly parts: Pick<ForwardingProcessParts, "configurationManager" | "targets" | "demand" | "loads" | "caches">;
+    readonly parts: Pick<
+        ForwardingProcessParts,
+        "configurationManager" | "targets" | "demand" | "firstReads" | "loads" | "caches"
+    >;
     readonly coordination: Pick<Coordination, "knowsFleet" | "listPeers">;
     /** Sends orders under the lease of the fleet's duties. */
     readonly calls: EngineOrderCalls;
--- a/packages/daisyturn/src/process/duties/__fixtures__/dutyFleet.ts
+++ b/packages/daisyturn/src/process/duties/__fixtures__/dutyFleet.ts
@@ -86,6 +86,7 @@
             duties: createDuties(host, incarnation),
             leaseManager,
             isCoordinator,
+            mayKeep: () => false,
             isCutOff: () => false,
             leaseMilliseconds: dutyLeaseMilliseconds,
             checksFences,
--- a/packages/daisyturn/src/process/duties/createDutyHolder.ts
+++ b/packages/daisyturn/src/process/duties/createDutyHolder.ts
@@ -14,6 +14,8 @@
     readonly leaseManager: LeaseManager;
     /** Whether this process may acquire the lease. */
     readonly isCoordinator: () => boolean;
+    /** Whether this process may keep the lease although another one is the coordinator: it knows the fleet as well. */
+    readonly mayKeep: () => boolean;
     /** Whether this process is cut off from the targets. */
     readonly isCutOff: () => boolean;
     readonly leaseMilliseconds: number;
@@ -46,8 +48,8 @@
 /** Lengths of the lease for which a process that has given it up leaves it to others. */
 const lengthsAfterGivingUp = 2;
 /**
- * While a fleet starts, several processes take themselves for its coordinator in turn. The lease follows the coordinator,
- * which alone knows the load of the whole fleet, but not each short change of it.
+ * While a fleet starts, several processes take themselves for its coordinator in turn. The lease follows the processes that
+ * know the load of the whole fleet, but not each short change among them.
  */
 const settleMilliseconds = 2_500;
 const usageSubject = "usage";
@@ -178,7 +180,7 @@
             wasCoordinator = isCoordinator;
             const isSettled = clock.monotonicNow() - changedAt >= settleMilliseconds;
             const isDue = leaseManager.current()
-                ? current() !== undefined && (isCoordinator || !isSettled)
+                ? current() !== undefined && (isCoordinator || options.mayKeep() || !isSettled)
                 : isCoordinator && clock.monotonicNow() >= acquirableAt;
             if (!isDue) {
                 stop?.abort();
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -14,6 +14,7 @@
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
 import { coordinatorsPerGroup, createCoordinatorLink } from "./createCoordinatorLink.js";
 import { createEvidencePublisher } from "./createEvidencePublisher.js";
+import { createFleetElection, type FleetElection } from "./createFleetElection.js";
 import { createGroupLoadPublisher, groupReportMilliseconds } from "./createGroupLoadPublisher.js";
 import { createLoadPublisher } from "./createLoadPublisher.js";
 import { createMembers } from "./createMembers.js";
@@ -60,7 +61,7 @@
 /**
  * Participation of a process in its group, in which one process places prompts and reads the store's tables for all.
  */
-export interface Coordination {
+export interface Coordination extends FleetElection {
     /** For parts that have messages of their own. */
     readonly peers: PeerExchange;
     readonly decisions: PromptDecisions;
@@ -87,12 +88,6 @@
     closingReportInterval(): number;
     /** Whether this process places prompts for its group, according to its own information. */
     isCoordinator(): boolean;
-    /**
-     * Whether this process is the one that acts for the whole fleet: it reaches the targets and coordinates its group,
-     * and its name sorts before those of all such coordinators of other groups. In a fleet of one group, the next process
-     * in the ranking stands in for a coordinator that is cut off from most targets.
-     */
-    isFleetCoordinator(): boolean;
     run(signal: AbortSignal): void;
     /** Lists all known processes, including this one. */
     listPeers(): readonly RegisteredPeer[];
@@ -121,7 +116,7 @@
     const client = createPlacementClient({ selfId: self.peerId, send, link, clock });
     const shared = { selfId: self.peerId, link, evidence: crashEvidence, send, clock };
     const loadPublisher = createLoadPublisher({ ...shared, views, sizeFairness, lastReceived: client.lastReceived });
-    const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views, members });
+    const groupLoadPublisher = createGroupLoadPublisher({ ...shared, views, members, reader });
     const evidencePublisher = createEvidencePublisher({ ...shared, members });
     const { links, speeds } = views;
     const statePublisher = createStatePublisher({
@@ -137,6 +132,16 @@
     const otherCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
     const groupSizes = createGroupSizes(clock, otherCoordinatorMilliseconds);
     const cutOffCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
+    const storelessCoordinators = createExpiringSet(clock, otherCoordinatorMilliseconds);
+    const election = createFleetElection({
+        selfId: self.peerId,
+        link,
+        links,
+        reader,
+        otherCoordinators,
+        storelessCoordinators,
+        cutOffCoordinators,
+    });
 
     const { refreshRequest, refreshPeers, refreshEntry } = createRefreshRequest(clock);
 
@@ -197,6 +202,7 @@
         otherCoordinators,
         groupSizes,
         cutOffCoordinators,
+        storelessCoordinators,
         isRegistered,
         isKnownPeer,
         receivers,
@@ -205,12 +211,6 @@
 
     const isCoordinator = () => link.current()?.peerId === self.peerId;
 
-    /** Whether this process is next in the ranking after a coordinator that is cut off from most targets. */
-    const isStandIn = () => {
-        const leader = link.leader();
-        return leader !== undefined && link.isCandidate() && cutOffCoordinators.has(leader.peerId);
-    };
-
     channel.onDatagram((datagram, from) => {
         const notification = parseNotification(datagram);
         if (notification) {
@@ -239,11 +239,7 @@
         knowsFleet: () => knowsFleet({ link, members, otherCoordinators, groupSizes }),
         closingReportInterval: () => groupReportMilliseconds,
         isCoordinator,
-        isFleetCoordinator: () => {
-            const others = otherCoordinators.list();
-            const isFirst = link.leader()?.peerId === self.peerId && others.every(peerId => peerId > self.peerId);
-            return (isFirst || (others.length === 0 && isStandIn())) && !links.isCutOff();
-        },
+        ...election,
         run: signal => {
             void watchPeers({ self, registry: options.registry, link, refreshRequest, clock, eventLog }, signal);
             void loadPublisher.run(signal);
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -1,18 +1,24 @@
 import { type Clock, createSignal } from "daisyturn-utils";
 import type { CrashEvidence } from "../../crashes/index.js";
+import { roundRates } from "../views/createPrefillDemand.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import type { Members } from "./createMembers.js";
+import type { TableReader } from "./createTableReader.js";
 import { encodeLoadMessage, type LoadMessage } from "./messages/loadMessage.js";
 import type { PeerAddress } from "./peerChannel.js";
 
 /** What {@link createGroupLoadPublisher} needs. */
 export interface GroupLoadPublisherOptions {
     readonly selfId: string;
-    readonly views: Pick<TargetViews, "loads" | "health" | "caches" | "demand" | "closed" | "links" | "speeds">;
+    readonly views: Pick<
+        TargetViews,
+        "loads" | "health" | "caches" | "demand" | "firstReads" | "closed" | "links" | "speeds"
+    >;
     readonly members: Pick<Members, "list">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
     readonly evidence: Pick<CrashEvidence, "digest">;
+    readonly reader: Pick<TableReader, "isLost">;
     readonly send: (to: PeerAddress, datagram: Buffer) => void;
     readonly clock: Clock;
 }
@@ -30,9 +36,9 @@
 
 /** Creates the publisher of one process, which sends only while the process coordinates its group. */
 export function createGroupLoadPublisher(
-    { selfId, views, members, link, evidence, send, clock }: GroupLoadPublisherOptions,
+    { selfId, views, members, link, evidence, reader, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
-    const { loads, health, caches, demand, closed, links, speeds } = views;
+    const { loads, health, caches, demand, firstReads, closed, links, speeds } = views;
     let kept: LoadMessage["kept"][number][] = [];
     const changed = createSignal();
     let wasBusy = false;
@@ -47,9 +53,11 @@
         pause: idleMilliseconds,
         isGroup: true,
         isCutOff: links.isCutOff(),
+        isStoreLost: reader.isLost(),
         placed: 0,
         work: loads.listGroup(),
-        demand: demand.listGroup().map(([service, rate]) => [service, Math.round(rate)] as const),
+        demand: roundRates(demand.listGroup()),
+        firstReads: roundRates(firstReads.listGroup()),
         closed: closed.listOwn(),
         failing: health.listGroupFailing(),
         kept,
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
@@ -3,6 +3,7 @@
 import type { CrashEvidence } from "../../crashes/index.js";
 import type { SizeFairness } from "../limits/createSizeFairness.js";
 import type { SpeedSample } from "../speeds/speedEntries.js";
+import { roundRates } from "../views/createPrefillDemand.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import type { CoordinatorLink } from "./createCoordinatorLink.js";
 import { encodeLoadMessage, type LoadMessage } from "./messages/loadMessage.js";
@@ -13,7 +14,16 @@
     readonly selfId: string;
     readonly views: Pick<
         TargetViews,
-        "loads" | "health" | "caches" | "demand" | "closed" | "slowdowns" | "prefillRates" | "eventIntervals" | "speeds"
+        | "loads"
+        | "health"
+        | "caches"
+        | "demand"
+        | "firstReads"
+        | "closed"
+        | "slowdowns"
+        | "prefillRates"
+        | "eventIntervals"
+        | "speeds"
     >;
     readonly sizeFairness: SizeFairness;
     readonly link: Pick<CoordinatorLink, "listReportReceivers" | "current" | "isSilent">;
@@ -55,7 +65,8 @@
 
 export function createLoadPublisher(options: LoadPublisherOptions): LoadPublisher {
     const { selfId, views, sizeFairness, link, evidence, clock } = options;
-    const { loads, health, caches, demand, closed, slowdowns, prefillRates, eventIntervals, speeds } = views;
+    const { loads, health, caches, demand, firstReads, closed, slowdowns, prefillRates, eventIntervals, speeds } =
+        views;
     const changed = createSignal();
     const unsent = new Map<string, Updates>();
     const sentAt = new Map<string, number>();
@@ -102,7 +113,8 @@
                 isGroup: false,
                 placed: options.lastReceived(peer.peerId),
                 work: loads.listOwn(),
-                demand: demand.listOwn().map(([service, rate]) => [service, Math.round(rate)] as const),
+                demand: roundRates(demand.listOwn()),
+                firstReads: roundRates(firstReads.listOwn()),
                 closed: closed.listOwn(),
                 failing: health.listOwnFailing(),
                 evidence: evidence.digest(),
--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -9,6 +9,8 @@
     recordAnswer(table: string, page: FeedPage, after: StorePosition | undefined): void;
     recordFailure(table: string): void;
     listStates(): readonly TableState[];
+    /** Whether the store fails and has answered no read of this process for some time. */
+    isLost(): boolean;
     /** Registers a listener that is called with changed rows. */
     onRows(listener: (message: Omit<RowsMessage, "from">) => void): void;
 }
@@ -16,6 +18,9 @@
 /** A failure of the store longer ago than this no longer explains the removal of a row. */
 const recentFailureMilliseconds = 5_000;
 
+/** Longer than the losses of single answers, and shorter than a lease. */
+const lostMilliseconds = 1_500;
+
 interface KnownTable {
     changedVersion: number;
     position: StorePosition;
@@ -97,6 +102,11 @@
                     age: Math.round(now - answeredAt),
                 }));
         },
+        isLost: () => {
+            const known = [...tables.values()];
+            const lostSince = clock.monotonicNow() - lostMilliseconds;
+            return known.length > 0 && known.every(({ isFailing, answeredAt }) => isFailing && answeredAt < lostSince);
+        },
         onRows: listener => void listeners.push(listener),
     };
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
@@ -33,6 +33,8 @@
     /** How many processes the reports of other groups cover. */
     readonly groupSizes: GroupSizes;
     readonly cutOffCoordinators: ExpiringSet;
+    /** Coordinators of other groups that the store does not answer. */
+    readonly storelessCoordinators: ExpiringSet;
     /** Whether a process is in the registry at this address. */
     readonly isRegistered: (peerId: string, from: PeerAddress) => boolean;
     /** Whether a process is in the registry or reports to this one. */
@@ -46,8 +48,9 @@
 export function createNotificationHandler(options: NotificationHandlerOptions): NotificationReceiver {
     const { selfId, views, sizeFairness, link, members, tables, client, placementServer, send } = options;
     const { evidencePublisher, statePublisher, otherCoordinators, groupSizes, cutOffCoordinators, receivers } = options;
-    const { isRegistered, isKnownPeer } = options;
-    const { loads, caches, demand, closed, slowdowns, prefillRates, eventIntervals, health, speeds } = views;
+    const { storelessCoordinators, isRegistered, isKnownPeer } = options;
+    const { loads, caches, demand, firstReads, closed, slowdowns, prefillRates, eventIntervals, health, speeds } =
+        views;
 
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
         evidencePublisher.compareDigest(message.from, from, message.evidence);
@@ -56,15 +59,18 @@
         message.kept.forEach(([targetId, partId, tokens]) => caches.recordRemote(targetId, partId, tokens));
         if (message.isGroup) {
             recordPresence(otherCoordinators, message.from, message.isCutOff !== true);
+            recordPresence(storelessCoordinators, message.from, message.isStoreLost === true);
             groupSizes.record(message.from, message.reporting);
             loads.recordGroup(message.from, message.work, message.pause);
             demand.recordGroup(message.from, message.demand, message.pause);
+            firstReads.recordGroup(message.from, message.firstReads ?? [], message.pause);
             speeds.recordEstimates(message.from, message.groupSpeeds);
             return;
         }
         placementServer.acknowledge(message.from, message.placed);
         loads.recordPeer(message.from, message.work, message.pause);
         demand.recordPeer(message.from, message.demand, message.pause);
+        firstReads.recordPeer(message.from, message.firstReads ?? [], message.pause);
         message.paces.forEach(slowdowns.recordRemote);
         message.prefills.forEach(prefillRates.recordRemote);
         message.pauses.forEach(eventIntervals.recordRemote);
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -34,6 +34,8 @@
     readonly isGroup: boolean;
     /** Whether the sender's links to most targets are lost; absent if its version does not send it. */
     readonly isCutOff?: boolean;
+    /** Whether the store has not answered the sender for some time; absent if its version does not send it. */
+    readonly isStoreLost?: boolean;
     /**
      * Number of the last placement that the sender received from the receiver; `work` includes it and all earlier ones.
      */
@@ -43,6 +45,8 @@
     readonly kept: readonly CachedPart[];
     /** Prefill demand by service. */
     readonly demand: readonly ServiceDemand[];
+    /** The part of the demand that prefills shared parts at engines that lack them; absent if its version lacks it. */
+    readonly firstReads?: readonly ServiceDemand[];
     readonly closed: readonly ClosingList[];
     /** Targets at which calls fail, at the sender or, if `isGroup`, at any process of its group. */
     readonly failing: readonly string[];
@@ -108,10 +112,12 @@
         pause: readAmount(params["pause"], maxPauseMilliseconds),
         isGroup: params["isGroup"] === true,
         isCutOff: readOptionalFlag(params["isCutOff"]),
+        isStoreLost: readOptionalFlag(params["isStoreLost"]),
         placed: readAmount(params["placed"]),
         work: readList<WorkEntry>(params["work"], [isName, isLoad, isLoad, isLoad, isLoad]).map(decodeWork),
         kept: readList(params["kept"], [isName, isName, isLoad]),
         demand: readList(params["demand"], [isName, isLoad]),
+        ...(params["firstReads"] !== undefined && { firstReads: readList(params["firstReads"], [isName, isLoad]) }),
         closed: readClosingLists(params["closed"]),
         failing: readList<readonly [string]>(params["failing"] ?? [], [isName]).map(([targetId]) => targetId),
         paces: readList(params["paces"], [isName, isLoad, isLoad, isLoad]),
--- a/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__fixtures__/createFleetScene.ts
@@ -141,7 +141,7 @@
         listEngines: () => engines.filter(engine => engine.servesAt <= now() && !isUnlisted(engine)),
         measureWork: () => {
             const work = options.work?.(now());
-            return work && { prefill: smoothedPrefill, decode: work.decode, countCacheEngines: () => 0 };
+            return work && { prefill: smoothedPrefill, firstReads: 0, decode: work.decode, countCacheEngines: () => 0 };
         },
         countProcesses: () => new Map(zones.map(zone => [zone, 20])),
         calls: {
@@ -210,8 +210,9 @@
         setUnlisted: (lacks: (engine: ListedTarget) => boolean) => {
             isUnlisted = lacks;
         },
-        changeHolder: () => {
-            fencingNumber += 1;
+        /** Lets this process acquire the lease again, after another holder or none. */
+        renewLease: (hadOtherHolder: boolean) => {
+            fencingNumber += hadOtherHolder ? 2 : 1;
         },
     };
 }
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/chooseOrders.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/chooseOrders.test.ts
@@ -6,7 +6,7 @@
 import { forecastNeeds } from "../forecastNeeds.js";
 
 const work = { prefill: 6, decode: 8 };
-const needs = forecastNeeds({ mean: work, recent: work, cacheEngines: 0 });
+const needs = forecastNeeds({ mean: { ...work, firstReads: 0 }, recent: work, cacheEngines: 0 });
 
 function createFleet(regular: number, reclaimable = 0): FleetNumbers {
     return new Map(zones.map(zone => [zone, { regular, reclaimable }]));
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/measureWork.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/measureWork.test.ts
@@ -31,6 +31,7 @@
     const measure = (tokens: number) =>
         measureWork("s", engines, 1_000, {
             demand: { engines: () => 3 },
+            firstReads: { engines: () => 0 },
             loads: { calls: () => 8, tokens: () => tokens },
             caches,
         });
@@ -46,6 +47,7 @@
     const measure = () =>
         measureWork("s", engines, 1_000, {
             demand: { engines: () => 1 },
+            firstReads: { engines: () => 0 },
             loads: { calls: () => 0, tokens: () => 0 },
             caches,
         }).countCacheEngines();
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/orderEngines.test.ts
@@ -52,7 +52,7 @@
     const scene = createFleetScene({ work: steady });
     await scene.pass(5_000);
     const before = scene.orders.length;
-    scene.changeHolder();
+    scene.renewLease(true);
     await scene.pass(3_500);
     assert.ok(scene.orders.slice(before).every(order => !order.isReclaimable ? false : order.desired > 0));
     await scene.pass(settledMilliseconds);
@@ -60,6 +60,21 @@
     await scene.end();
 });
 
+// Guards against a holder that was cut from the store for seconds and then ordered nothing for the time of a start.
+test("a process that acquires the lease again, with no holder in between, still knows its orders", async () => {
+    const scene = createFleetScene({ work: steady });
+    await scene.pass(settledMilliseconds);
+    scene.setHeld(false);
+    await scene.pass(4_000);
+    scene.reclaim("a");
+    scene.setHeld(true);
+    scene.renewLease(false);
+    const before = scene.orders.length;
+    await scene.pass(1_500);
+    assert.ok(scene.orders.length > before);
+    await scene.end();
+});
+
 // Orders state totals, so one by an incomplete list would take away engines that are not listed yet.
 test("a new holder orders nothing until the list has what an earlier one may have ordered", async () => {
     const scene = createFleetScene({ enginesPerZone: 0, work: steady });
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/planNumbers.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/planNumbers.test.ts
@@ -59,13 +59,27 @@
 
 test("the numbers leave enough engines for prefill beside the minimum of decode engines", () => {
     const work = { prefill: 20, decode: 1 };
-    const { total } = forecastNeeds({ mean: work, recent: work, cacheEngines: 0 });
+    const { total } = forecastNeeds({ mean: { ...work, firstReads: 0 }, recent: work, cacheEngines: 0 });
     assert.ok(total * 0.7 >= 40, `${total}`);
 });
 
 test("prefill engines whose caches hold the shared parts in use are needed", () => {
     const work = { prefill: 2, decode: 2 };
-    const few = forecastNeeds({ mean: work, recent: work, cacheEngines: 0 }).total;
-    const many = forecastNeeds({ mean: work, recent: work, cacheEngines: 12 }).total;
+    const few = forecastNeeds({ mean: { ...work, firstReads: 0 }, recent: work, cacheEngines: 0 }).total;
+    const many = forecastNeeds({ mean: { ...work, firstReads: 0 }, recent: work, cacheEngines: 12 }).total;
     assert.ok(many - few >= 7);
 });
+
+// Guards against a fleet of twice its size after a start, when all engines read the shared parts of prompts at once.
+test("first reads of shared parts need engines, but no reserve for a surge", () => {
+    const work = { prefill: 6, decode: 4 };
+    const forecast = (firstReads: number) => {
+        const prefill = work.prefill + firstReads;
+        const mean = { ...work, prefill, firstReads };
+        return forecastNeeds({ mean, recent: { ...work, prefill }, cacheEngines: 0 });
+    };
+    const added = forecast(20).total - forecast(0).total;
+    // The minimum of decode engines is three tenths of all.
+    assert.ok(added >= 20 && added <= Math.ceil(20 * 1.1 / 0.7), `${added}`);
+    assert.ok(forecast(20).afterLoss >= 32);
+});
--- a/packages/daisyturn/src/process/forwarding/fleet/createDemandWindow.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createDemandWindow.ts
@@ -1,12 +1,11 @@
-import type { StageWork } from "./forecastNeeds.js";
-import { sumWork } from "./forecastNeeds.js";
+import { type SampledWork, sumWork } from "./forecastNeeds.js";
 
 /** Samples of the work of one service over the last seconds. Times are monotonic milliseconds. */
 export interface DemandWindow {
     /** Adds a sample; undefined if the work is not known, which discards what was measured. */
-    record(work: StageWork | undefined, now: number): void;
+    record(work: SampledWork | undefined, now: number): void;
     /** The mean work over the last `milliseconds`; undefined without a sample. */
-    mean(milliseconds: number, now: number): StageWork | undefined;
+    mean(milliseconds: number, now: number): SampledWork | undefined;
     /** Whether the work was known, with traffic, for long enough to give engines back. */
     isMeasured(now: number): boolean;
 }
@@ -24,7 +23,7 @@
 
 /** @param rateDecay time constant of the decaying rate in which prefill work is measured, in milliseconds */
 export function createDemandWindow(rateDecay: number): DemandWindow {
-    let samples: { readonly at: number; readonly work: StageWork; }[] = [];
+    let samples: { readonly at: number; readonly work: SampledWork; }[] = [];
     /** Monotonic time of the first sample with traffic since the work was last unknown. */
     let since: number | undefined;
 
@@ -41,14 +40,18 @@
             }
             // A decaying rate approaches the true one from zero after the first traffic.
             const risen = 1 - Math.exp((since - now) / rateDecay);
-            samples.push({ at: now, work: { prefill: work.prefill / risen, decode: work.decode } });
+            const { prefill, firstReads, decode } = work;
+            samples.push({ at: now, work: { prefill: prefill / risen, firstReads: firstReads / risen, decode } });
             samples = samples.filter(sample => sample.at > now - demandWindowMilliseconds);
         },
         mean: (milliseconds, now) => {
             const used = samples.filter(sample => sample.at > now - milliseconds);
+            const average = (amount: (work: SampledWork) => number) =>
+                used.reduce((sum, { work }) => sum + amount(work), 0) / used.length;
             return used.length === 0 ? undefined : {
-                prefill: used.reduce((sum, { work }) => sum + work.prefill, 0) / used.length,
-                decode: used.reduce((sum, { work }) => sum + work.decode, 0) / used.length,
+                prefill: average(({ prefill }) => prefill),
+                firstReads: average(({ firstReads }) => firstReads),
+                decode: average(({ decode }) => decode),
             };
         },
         isMeasured: now => since !== undefined && now - since >= measuredMilliseconds,
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -25,6 +25,8 @@
 const planMilliseconds = 1_000;
 /** Margin beyond the start of engines, after which the list has those that an earlier holder has ordered. */
 const settleMilliseconds = 3_000;
+/** Work that was not measured for this long, because the lease was lost, is measured anew. */
+const maxGapMilliseconds = 1_500;
 /** Losses are replaced by the last known needs for this long while the work is not known; nothing is given back then. */
 const keptNeedsMilliseconds = 30_000;
 /** Orders for a zone that are no shortage, in a minute. */
@@ -42,6 +44,7 @@
     const ledger = createEngineLedger({ bootMilliseconds: () => bootMilliseconds, clock });
     let listed: readonly ListedEngines[] = [];
     let recentNeeds: { readonly at: number; readonly needs: EngineNeeds; }[] = [];
+    let measuredAt = -Infinity;
     let lastNeeds: { readonly at: number; readonly needs: EngineNeeds; } | undefined;
     let returnAt = -Infinity;
     let planAt = -Infinity;
@@ -52,6 +55,11 @@
 
     const measureNeeds = (): EngineNeeds | undefined => {
         const now = clock.monotonicNow();
+        if (now - measuredAt > maxGapMilliseconds) {
+            window.record(undefined, now);
+            recentNeeds = [];
+        }
+        measuredAt = now;
         const work = measureWork(service);
         window.record(work, now);
         const mean = window.mean(demandWindowMilliseconds, now);
--- a/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/forecastNeeds.ts
@@ -6,10 +6,19 @@
     readonly decode: number;
 }
 
+/** The work of a service at one time, or its mean over some time. */
+export interface SampledWork extends StageWork {
+    /**
+     * The part of the prefill work that reads shared parts of prompts at engines that lack them. A surge of calls hardly
+     * raises it, because each engine reads each part once while it is in use.
+     */
+    readonly firstReads: number;
+}
+
 /** What was measured of the work of one service. */
 export interface MeasuredWork {
     /** Mean over a window that spans swings of the mix. */
-    readonly mean: StageWork;
+    readonly mean: SampledWork;
     /** Mean over the last seconds, which shows a rise earlier. */
     readonly recent: StageWork;
     /** Prefill engines whose memory the shared parts of prompts in use would fill. */
@@ -36,6 +45,8 @@
  * their aims up to nine tenths of its capacity. With a factor of 2, one caller in 100 was late in drawn surges of 2.
  */
 const surgeFactor = 2.2;
+/** An engine serves its callers by their aims up to nine tenths of its capacity. */
+const firstReadFactor = 1.1;
 /** Spare capacity over the work of the last seconds, for arrivals that bunch. */
 const recentFactor = 1.3;
 /** Spare capacity over the mean work after a loss, and of one stage while engines are given back. */
@@ -51,15 +62,17 @@
 
 /** Forecasts the engines that serve the measured work with a margin for surges. */
 export function forecastNeeds({ mean, recent, cacheEngines }: MeasuredWork): EngineNeeds {
-    const prefill = Math.max(mean.prefill * surgeFactor, cacheEngines);
+    const scalePrefill = (factor: number) =>
+        Math.max(0, mean.prefill - mean.firstReads) * factor + mean.firstReads * firstReadFactor;
+    const prefill = Math.max(scalePrefill(surgeFactor), cacheEngines);
     const decode = mean.decode * surgeFactor;
     const forStages = Math.max(minEngines, Math.ceil(Math.max(prefill + decode, sumWork(recent) * recentFactor)));
     return {
         total: addMinDecoders(forStages, Math.ceil(prefill)),
-        afterLoss: Math.max(minEngines, Math.ceil(sumWork(mean) * lossFactor)),
+        afterLoss: Math.max(minEngines, Math.ceil(scalePrefill(lossFactor) + mean.decode * lossFactor)),
         work: mean,
-        stages: { prefill: Math.max(1, mean.prefill * lossFactor), decode: Math.max(2, mean.decode * lossFactor) },
-        stageReserves: { prefill: mean.prefill * stageFactor, decode: mean.decode * stageFactor },
+        stages: { prefill: Math.max(1, scalePrefill(lossFactor)), decode: Math.max(2, mean.decode * lossFactor) },
+        stageReserves: { prefill: scalePrefill(stageFactor), decode: mean.decode * stageFactor },
     };
 }
 
--- a/packages/daisyturn/src/process/forwarding/fleet/orderEngines.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/orderEngines.ts
@@ -18,18 +18,27 @@
     const fleets = new Map<string, ServiceFleet>();
     let fencingNumber: number | undefined;
 
+    const forget = () => {
+        fleets.clear();
+        fencingNumber = undefined;
+    };
+
     const tick = () => {
         const lease = calls.current();
-        if (!lease || !options.mayOrder()) {
-            fleets.clear();
-            fencingNumber = undefined;
+        if (!options.mayOrder()) {
+            forget();
+            return;
+        }
+        if (!lease) {
             return;
         }
-        if (lease.fencingNumber !== fencingNumber) {
-            // A new holder doesn't know the orders of the previous one, and begins with what is listed.
-            fleets.clear();
-            fencingNumber = lease.fencingNumber;
+        const isSameHolder = fencingNumber === lease.fencingNumber || fencingNumber === lease.fencingNumber - 1;
+        if (!isSameHolder) {
+            // A new holder doesn't know the orders of the previous one, and begins with what is listed. A process that has
+            // lost the lease and acquired it again, with no other holder in between, still knows its own.
+            forget();
         }
+        ({ fencingNumber } = lease);
         const services = options.listServices();
         [...fleets.keys()].filter(name => !services.some(service => service.name === name))
             .forEach(name => fleets.delete(name));
@@ -52,6 +61,6 @@
                 await clock.sleepUntil(clock.monotonicNow() + tickMilliseconds, signal);
             }
         },
-        list: () => [...fleets.values()].flatMap(fleet => fleet.list()),
+        list: () => calls.current() ? [...fleets.values()].flatMap(fleet => fleet.list()) : [],
     };
 }
--- a/packages/daisyturn/src/process/forwarding/fleet/orderEnginesOptions.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/orderEnginesOptions.ts
@@ -4,7 +4,7 @@
 import type { EngineScaling } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { Lease } from "../../lease/index.js";
 import type { EngineKind } from "./fleetNumbers.js";
-import type { StageWork } from "./forecastNeeds.js";
+import type { SampledWork } from "./forecastNeeds.js";
 
 /** Sends orders under the lease of the fleet's duties. */
 export interface EngineOrderCalls {
@@ -21,7 +21,7 @@
 }
 
 /** The work of a service as this process knows it. */
-export interface KnownWork extends StageWork {
+export interface KnownWork extends SampledWork {
     /** Counts the prefill engines whose memory the shared parts of prompts in use would fill; takes longer. */
     countCacheEngines(): number;
 }
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -32,6 +32,7 @@
 export * from "./placement/createLeastRunningPlacement.js";
 export * from "./placement/decidePrompt.js";
 export { normalizePrefillMilliseconds } from "./placement/estimatePrefill.js";
+export { countSharedTokens } from "./placement/groupEngines.js";
 export * from "./reportArrivals.js";
 export * from "./reportSizeCounts.js";
 export * from "./retries/createWindowedRetryBudget.js";
--- a/packages/daisyturn/src/process/forwarding/views/createPrefillDemand.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPrefillDemand.ts
@@ -24,6 +24,11 @@
 const minReportValidityMilliseconds = 3_000;
 const millisecondsPerSecond = 1_000;
 
+/** Rounds the rates to whole milliseconds a second, to keep messages short. */
+export function roundRates(demand: readonly ServiceDemand[]): readonly ServiceDemand[] {
+    return demand.map(([service, rate]) => [service, Math.round(rate)] as const);
+}
+
 interface ReportedDemand {
     /** Monotonic time. */
     readonly expiresAt: number;
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -28,6 +28,11 @@
     readonly availability: TargetAvailability;
     readonly limits: TargetLimits;
     readonly demand: PrefillDemand;
+    /**
+     * The part of the demand that prefills shared parts of prompts at engines that lack them, for services whose engines
+     * are ordered.
+     */
+    readonly firstReads: PrefillDemand;
     readonly speeds: TargetSpeeds;
 }
 
@@ -74,6 +79,7 @@
         closed,
         availability,
         demand: createPrefillDemand(clock),
+        firstReads: createPrefillDemand(clock),
         speeds,
     };
 }
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -4,6 +4,7 @@
 import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
 import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
 import {
+    countSharedTokens,
     countTokens,
     measureSize,
     normalizePrefillMilliseconds,
@@ -11,6 +12,7 @@
     type PromptPlacement,
     type TrackedPrompt,
 } from "../../process/forwarding/index.js";
+import type { ForwardService } from "../../version/forwarding/forwardingConfiguration.js";
 import { admitPrompt } from "./admitPrompt.js";
 import { type CallAnswer, finishStream } from "./callAnswer.js";
 import { type CallContext, createFinalFailure, hasReachedTarget, isRepeatable } from "./callContext.js";
@@ -76,7 +78,7 @@
         prefills += placement.prefill ? 1 : 0;
         context.arrivals.keepFor(placement.prefill !== undefined);
         if (!isPlacedAgain) {
-            parts.demand.record(context.service.name, placement.prefillMilliseconds);
+            recordDemand(parts, context.service, prompt, placement);
         }
         const answer = await executePlacement(parts, context, prompt, placement, relay);
         if (answer.isOk) {
@@ -270,3 +272,18 @@
     const urgency = minUrgency + Math.min(context.priority, priorityCount - 1);
     return placement.isDeferred ? urgency + priorityCount : urgency;
 }
+
+function recordDemand(
+    { demand, firstReads }: ForwardingParts,
+    { name, scaling }: ForwardService,
+    prompt: PromptDescription,
+    { prefill, decode, prefillMilliseconds }: PromptPlacement,
+): void {
+    demand.record(name, prefillMilliseconds);
+    if (scaling) {
+        const { keptTokens } = prefill ?? decode;
+        const missingShared = Math.max(0, countSharedTokens(prompt) - keptTokens);
+        const missing = Math.max(1, prompt.promptTokens - keptTokens);
+        firstReads.record(name, prefillMilliseconds * missingShared / missing);
+    }
+}
