Measure the work for engine orders without the slowdowns of engines

Slowdowns of engines contain queues of a surge that no process has reported, so the work that they were applied to was about twice that of the prompts themselves. Change: load messages carry the demand without slowdowns (leastDemand) for services whose engines are ordered; the plan for engines uses it, the plan for stages the demand as before.

--- a/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
+++ b/packages/daisyturn-daemon/src/forwarding/startEngineOrders.ts
@@ -13,7 +13,7 @@
 export interface EngineOrdersOptions {
     readonly parts: Pick<
         ForwardingProcessParts,
-        "configurationManager" | "targets" | "demand" | "firstReads" | "loads" | "caches"
+        "configurationManager" | "targets" | "leastDemand" | "firstReads" | "loads" | "caches"
     >;
     readonly coordination: Pick<Coordination, "knowsFleet" | "listPeers">;
     /** Sends orders under the lease of the fleet's duties. */
--- a/packages/daisyturn-standins/src/measure/measureEngineOrders.ts
+++ b/packages/daisyturn-standins/src/measure/measureEngineOrders.ts
@@ -91,7 +91,7 @@
                 tokens: 100,
             }));
             views.loads.recordPeer(`p${peer}`, work.slice(peer % 2), reportMilliseconds);
-            views.demand.recordPeer(`p${peer}`, [["s", 40_000 / processes]], reportMilliseconds);
+            views.leastDemand.recordPeer(`p${peer}`, [["s", 40_000 / processes]], reportMilliseconds);
         }
         for (const { targetId } of engines) {
             countUpTo(partsPerEngine).forEach(part => views.caches.recordRemote(targetId, `part-${part}`, 1_000));
--- a/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createGroupLoadPublisher.ts
@@ -13,7 +13,7 @@
     readonly selfId: string;
     readonly views: Pick<
         TargetViews,
-        "loads" | "health" | "caches" | "demand" | "firstReads" | "closed" | "links" | "speeds"
+        "loads" | "health" | "caches" | "demand" | "leastDemand" | "firstReads" | "closed" | "links" | "speeds"
     >;
     readonly members: Pick<Members, "list">;
     readonly link: Pick<CoordinatorLink, "listOtherCandidates" | "current">;
@@ -38,7 +38,7 @@
 export function createGroupLoadPublisher(
     { selfId, views, members, link, evidence, reader, send, clock }: GroupLoadPublisherOptions,
 ): GroupLoadPublisher {
-    const { loads, health, caches, demand, firstReads, closed, links, speeds } = views;
+    const { loads, health, caches, demand, leastDemand, firstReads, closed, links, speeds } = views;
     let kept: LoadMessage["kept"][number][] = [];
     const changed = createSignal();
     let wasBusy = false;
@@ -57,6 +57,7 @@
         placed: 0,
         work: loads.listGroup(),
         demand: roundRates(demand.listGroup()),
+        leastDemand: roundRates(leastDemand.listGroup()),
         firstReads: roundRates(firstReads.listGroup()),
         closed: closed.listOwn(),
         failing: health.listGroupFailing(),
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
@@ -18,6 +18,7 @@
         | "health"
         | "caches"
         | "demand"
+        | "leastDemand"
         | "firstReads"
         | "closed"
         | "slowdowns"
@@ -65,8 +66,19 @@
 
 export function createLoadPublisher(options: LoadPublisherOptions): LoadPublisher {
     const { selfId, views, sizeFairness, link, evidence, clock } = options;
-    const { loads, health, caches, demand, firstReads, closed, slowdowns, prefillRates, eventIntervals, speeds } =
-        views;
+    const {
+        loads,
+        health,
+        caches,
+        demand,
+        leastDemand,
+        firstReads,
+        closed,
+        slowdowns,
+        prefillRates,
+        eventIntervals,
+        speeds,
+    } = views;
     const changed = createSignal();
     const unsent = new Map<string, Updates>();
     const sentAt = new Map<string, number>();
@@ -114,6 +126,7 @@
                 placed: options.lastReceived(peer.peerId),
                 work: loads.listOwn(),
                 demand: roundRates(demand.listOwn()),
+                leastDemand: roundRates(leastDemand.listOwn()),
                 firstReads: roundRates(firstReads.listOwn()),
                 closed: closed.listOwn(),
                 failing: health.listOwnFailing(),
--- a/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/exchange/createNotificationHandler.ts
@@ -49,8 +49,19 @@
     const { selfId, views, sizeFairness, link, members, tables, client, placementServer, send } = options;
     const { evidencePublisher, statePublisher, otherCoordinators, groupSizes, cutOffCoordinators, receivers } = options;
     const { storelessCoordinators, isRegistered, isKnownPeer } = options;
-    const { loads, caches, demand, firstReads, closed, slowdowns, prefillRates, eventIntervals, health, speeds } =
-        views;
+    const {
+        loads,
+        caches,
+        demand,
+        leastDemand,
+        firstReads,
+        closed,
+        slowdowns,
+        prefillRates,
+        eventIntervals,
+        health,
+        speeds,
+    } = views;
 
     const applyLoad = (message: LoadMessage, from: PeerAddress) => {
         evidencePublisher.compareDigest(message.from, from, message.evidence);
@@ -63,6 +74,7 @@
             groupSizes.record(message.from, message.reporting);
             loads.recordGroup(message.from, message.work, message.pause);
             demand.recordGroup(message.from, message.demand, message.pause);
+            leastDemand.recordGroup(message.from, message.leastDemand ?? [], message.pause);
             firstReads.recordGroup(message.from, message.firstReads ?? [], message.pause);
             speeds.recordEstimates(message.from, message.groupSpeeds);
             return;
@@ -70,6 +82,7 @@
         placementServer.acknowledge(message.from, message.placed);
         loads.recordPeer(message.from, message.work, message.pause);
         demand.recordPeer(message.from, message.demand, message.pause);
+        leastDemand.recordPeer(message.from, message.leastDemand ?? [], message.pause);
         firstReads.recordPeer(message.from, message.firstReads ?? [], message.pause);
         message.paces.forEach(slowdowns.recordRemote);
         message.prefills.forEach(prefillRates.recordRemote);
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/__tests__/loadMessage.test.ts
@@ -14,6 +14,7 @@
     work: [{ targetId: "i-1", calls: 3, work: 40, deferredWork: 0, tokens: 900 }],
     kept: [["i-1", "part", 600]],
     demand: [["engines", 1_800]],
+    leastDemand: [["engines", 1_500]],
     firstReads: [["engines", 600]],
     failing: ["i-3"],
     closed: [{ closerId: "run-1", revision: 3, closings: [["i-2", 5_000]] }],
--- a/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/loadMessage.ts
@@ -45,7 +45,9 @@
     readonly kept: readonly CachedPart[];
     /** Prefill demand by service. */
     readonly demand: readonly ServiceDemand[];
-    /** The part of the demand that prefills shared parts at engines that lack them; absent if its version lacks it. */
+    /** Demand without the slowdowns of engines; absent if the sender's version lacks it. */
+    readonly leastDemand?: readonly ServiceDemand[];
+    /** The part of it that prefills shared parts at engines that lack them; absent likewise. */
     readonly firstReads?: readonly ServiceDemand[];
     readonly closed: readonly ClosingList[];
     /** Targets at which calls fail, at the sender or, if `isGroup`, at any process of its group. */
@@ -117,6 +119,7 @@
         work: readList<WorkEntry>(params["work"], [isName, isLoad, isLoad, isLoad, isLoad]).map(decodeWork),
         kept: readList(params["kept"], [isName, isName, isLoad]),
         demand: readList(params["demand"], [isName, isLoad]),
+        ...(params["leastDemand"] !== undefined && { leastDemand: readList(params["leastDemand"], [isName, isLoad]) }),
         ...(params["firstReads"] !== undefined && { firstReads: readList(params["firstReads"], [isName, isLoad]) }),
         closed: readClosingLists(params["closed"]),
         failing: readList<readonly [string]>(params["failing"] ?? [], [isName]).map(([targetId]) => targetId),
--- a/packages/daisyturn/src/process/forwarding/fleet/__tests__/measureWork.test.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/__tests__/measureWork.test.ts
@@ -30,7 +30,7 @@
     const caches = createCacheEstimates(new FakeClock());
     const measure = (tokens: number) =>
         measureWork("s", engines, 1_000, {
-            demand: { engines: () => 3 },
+            leastDemand: { engines: () => 3 },
             firstReads: { engines: () => 0 },
             loads: { calls: () => 8, tokens: () => tokens },
             caches,
@@ -46,7 +46,7 @@
     const caches = createCacheEstimates(clock);
     const measure = () =>
         measureWork("s", engines, 1_000, {
-            demand: { engines: () => 1 },
+            leastDemand: { engines: () => 1 },
             firstReads: { engines: () => 0 },
             loads: { calls: () => 0, tokens: () => 0 },
             caches,
--- a/packages/daisyturn/src/process/forwarding/fleet/measureWork.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/measureWork.ts
@@ -6,7 +6,7 @@
 
 /** What {@link measureWork} needs. */
 export interface WorkSources {
-    readonly demand: Pick<PrefillDemand, "engines">;
+    readonly leastDemand: Pick<PrefillDemand, "engines">;
     readonly firstReads: Pick<PrefillDemand, "engines">;
     readonly loads: Pick<TargetLoads, "calls" | "tokens">;
     readonly caches: Pick<CacheEstimates, "sharedTokens">;
@@ -23,7 +23,7 @@
     service: string,
     engines: readonly ListedTarget[],
     kvTokens: number,
-    { demand, firstReads, loads, caches }: WorkSources,
+    { leastDemand, firstReads, loads, caches }: WorkSources,
 ): KnownWork {
     const readers = engines.filter(({ stage }) => stage === EngineStage.Prefill);
     const decoders = engines.filter(({ stage }) => stage !== EngineStage.Prefill);
@@ -40,7 +40,7 @@
         return Math.min(openReaders, Math.ceil(shared / (kvTokens * sharedPart)));
     };
     return {
-        prefill: demand.engines(service),
+        prefill: leastDemand.engines(service),
         firstReads: firstReads.engines(service),
         decode: Math.max(slotsUsed, kvTokens > 0 ? tokens / kvTokens : 0),
         countCacheEngines: () => kvTokens > 0 ? countCacheEngines() : 0,
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -29,9 +29,11 @@
     readonly limits: TargetLimits;
     readonly demand: PrefillDemand;
     /**
-     * The part of the demand that prefills shared parts of prompts at engines that lack them, for services whose engines
-     * are ordered.
+     * The demand without the slowdowns of engines, for services whose engines are ordered. Slowdowns grow with the queues
+     * of a short surge, so that orders by them would follow each surge.
      */
+    readonly leastDemand: PrefillDemand;
+    /** The part of the least demand that prefills shared parts of prompts at engines that lack them. */
     readonly firstReads: PrefillDemand;
     readonly speeds: TargetSpeeds;
 }
@@ -79,6 +81,7 @@
         closed,
         availability,
         demand: createPrefillDemand(clock),
+        leastDemand: createPrefillDemand(clock),
         firstReads: createPrefillDemand(clock),
         speeds,
     };
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -49,6 +49,7 @@
     readonly prefillRates: PrefillRates;
     readonly eventIntervals: EventIntervals;
     readonly demand: PrefillDemand;
+    readonly leastDemand: PrefillDemand;
     readonly firstReads: PrefillDemand;
     readonly closed: ClosedTargets;
     readonly availability: TargetAvailability;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -274,16 +274,18 @@
 }
 
 function recordDemand(
-    { demand, firstReads }: ForwardingParts,
+    { demand, leastDemand, firstReads }: ForwardingParts,
     { name, scaling }: ForwardService,
     prompt: PromptDescription,
     { prefill, decode, prefillMilliseconds }: PromptPlacement,
 ): void {
     demand.record(name, prefillMilliseconds);
     if (scaling) {
-        const { keptTokens } = prefill ?? decode;
+        const { keptTokens, work, leastWork } = prefill ?? decode;
+        const least = work > 0 ? prefillMilliseconds * leastWork / work : prefillMilliseconds;
         const missingShared = Math.max(0, countSharedTokens(prompt) - keptTokens);
         const missing = Math.max(1, prompt.promptTokens - keptTokens);
-        firstReads.record(name, prefillMilliseconds * missingShared / missing);
+        leastDemand.record(name, least);
+        firstReads.record(name, least * missingShared / missing);
     }
 }
