Relay the version of changes that were themselves received by relay

A process that takes over from a coordinator reads on from its last known position. It reported as the table's last change the one that it had read from the store itself, not later ones that the coordinator had relayed. A member that had missed the rows of such a change advanced to the reported position without them. The reader now records relayed rows too. Test: without it, tableReader.test.ts sees 5 in place of 8 as the version of the last change.

--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -8,6 +8,8 @@
     /** Records an answer of the store; `after` is undefined if the table was read in full. */
     recordAnswer(table: string, page: FeedPage, after: StorePosition | undefined): void;
     recordFailure(table: string): void;
+    /** Records rows that a coordinator has relayed: this process relays changes after them if it reads the table next. */
+    recordRelayed(table: string, page: FeedPage): void;
     listStates(): readonly TableState[];
     /** Whether the store fails and has answered no read of this process for some time. */
     isLost(): boolean;
@@ -91,6 +93,11 @@
             known.failedAt = clock.monotonicNow();
             known.isFailing = true;
         },
+        recordRelayed: (table, { rows, position }) => {
+            if (rows.length > 0) {
+                find(table).changedVersion = position.version;
+            }
+        },
         listStates: () => {
             const now = clock.monotonicNow();
             return [...tables]
--- a/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
@@ -51,7 +51,7 @@
     /** Changes relayed by another process; while it relays them, the store is not called. */
     readonly relay?: RelayedTable;
     /** Receives the store's answers, to relay them to other processes. */
-    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure">;
+    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure" | "recordRelayed">;
 }
 
 /** Time that a call may take beyond its wait before its connection counts as silent. */
@@ -164,6 +164,11 @@
         return applyPage(answer.value);
     };
 
+    const applyRelayed = (page: RelayedPage): number => {
+        options.reader?.recordRelayed(options.name, page);
+        return applyPage(page);
+    };
+
     /** Applies changes that coordinators relay, if any, while the store is not called. */
     const applyRelayedUntil = async (until: number) => {
         while (position !== undefined && clock.monotonicNow() < until && !signal.aborted) {
@@ -171,7 +176,7 @@
             if (!relayed) {
                 return;
             }
-            applyPage(relayed);
+            applyRelayed(relayed);
         }
     };
 
@@ -186,7 +191,7 @@
     while (!signal.aborted) {
         const relayed = position === undefined ? undefined : await followRelay(position);
         if (relayed) {
-            const delay = applyPage(relayed);
+            const delay = applyRelayed(relayed);
             if (position === undefined) {
                 await clock.sleepUntil(clock.monotonicNow() + delay, signal);
             }
