--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -23,6 +23,8 @@
     farBytes: number;
     /** Calls to the registry. */
     registryCalls: number;
+    /** Requests to the store that these calls make: one for each page of the table, and one for a new entry. */
+    registryRequests: number;
     /** Datagrams by sender. */
     readonly bySender: Map<string, number>;
 }
@@ -33,6 +35,16 @@
 const retryAllowance: RetryAllowance = { ratio: 0.2, windowMilliseconds: 10_000, slack: 176 };
 export const maxStateAgeMilliseconds = 1_500;
 const portOffset = 7_000;
+/** Entries in one page of the registry's table. */
+export const rowsPerPage = 50;
+
+/** What a test may set about the processes of a fleet. */
+export interface FleetOptions {
+    readonly clock?: FakeClock;
+    readonly maxStateAgeMilliseconds?: number;
+    /** Called when a process starts, with a signal that is aborted when it ends. */
+    readonly onStarted?: (self: RegisteredPeer, coordination: Coordination, signal: AbortSignal) => void;
+}
 
 /**
  * Creates processes that receive each other's datagrams after a millisecond, unless the test cuts a link, and engines
@@ -43,11 +55,22 @@
     zones = 1,
     enginesPerZone = 4,
     softwareVersions: readonly string[] = ["v1"],
+    {
+        clock = new FakeClock(),
+        maxStateAgeMilliseconds: maxStateAge = maxStateAgeMilliseconds,
+        onStarted,
+    }: FleetOptions = {},
 ) {
-    const clock = new FakeClock();
     const listeners = new Map<number, (datagram: Buffer, from: PeerAddress) => void>();
     const registered = new Map<string, RegisteredPeer>();
-    const sent: SentCounts = { near: 0, far: 0, farBytes: 0, registryCalls: 0, bySender: new Map() };
+    const sent: SentCounts = {
+        near: 0,
+        far: 0,
+        farBytes: 0,
+        registryCalls: 0,
+        registryRequests: 0,
+        bySender: new Map(),
+    };
     let isConnected: Link = () => true;
     let isRegistryReachable: (peer: RegisteredPeer) => boolean = () => true;
     const stop = new AbortController();
@@ -61,6 +84,8 @@
             if (!isRegistryReachable(self)) {
                 return err(notRun(FailureReason.StoreUnavailable, "the registry is unreachable"));
             }
+            sent.registryRequests += Math.max(1, Math.ceil(registered.size / rowsPerPage));
+            sent.registryRequests += registered.has(self.peerId) ? 0 : 1;
             registered.set(self.peerId, self);
             return ok({ peers: [...registered.values()], unreadable: 0 });
         }
@@ -124,7 +149,7 @@
             random: createSeededRandom(index),
             decideLocally: request => decidePrompt({ placement, longPrefillTimes, switchedOff }, request),
             findService: () => engineService,
-            maxStateAgeMilliseconds: () => maxStateAgeMilliseconds,
+            maxStateAgeMilliseconds: () => maxStateAge,
             utilization: () => processor.utilization,
             clock,
             eventLog,
@@ -132,6 +157,7 @@
         const ended = new AbortController();
         stop.signal.addEventListener("abort", () => ended.abort());
         coordination.run(ended.signal);
+        onStarted?.(self, coordination, ended.signal);
         return {
             self,
             ...views,
--- /dev/null
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/storeCalls.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { createStoreFleet, type StoreFleet, type StoreRequests } from "../__fixtures__/createStoreFleet.js";
+
+/** The size for which a test has enough time; larger fleets are measured by hand. */
+const count = Number(process.env["STORE_CALLS_PROCESSES"] ?? 45);
+const zones = 3;
+
+/** Counts the requests to the store during some seconds. */
+async function countRequests(
+    context: TestContext,
+    fleet: StoreFleet,
+    phase: string,
+    run: () => Promise<void>,
+    isFirst = false,
+) {
+    const before = isFirst ? { pages: 0, feeds: 0, registry: 0 } : fleet.requests();
+    await run();
+    const after = fleet.requests();
+    const made: StoreRequests = {
+        pages: after.pages - before.pages,
+        feeds: after.feeds - before.feeds,
+        registry: after.registry - before.registry,
+    };
+    context.diagnostic(`${phase}: ${made.pages} pages, ${made.feeds} feeds, ${made.registry} registry`);
+    return made;
+}
+
+/** Ends all processes and starts them again after a second. */
+async function restartAll(fleet: StoreFleet, areEntriesKept: boolean) {
+    fleet.processes.forEach(({ end }) => end());
+    if (!areEntriesKept) {
+        fleet.clearEntries();
+    }
+    await fleet.clock.advance(1_000);
+    fleet.processes.forEach((...[, index]) => fleet.restart(index));
+    await fleet.clock.advance(6_000);
+}
+
+test("requests of a fleet to the store stay few", async context => {
+    const fleet = createStoreFleet(count, zones);
+    const { clock } = fleet;
+    const started = await countRequests(context, fleet, "start of all, 6 s", () => clock.advance(6_000), true);
+    const resting = await countRequests(context, fleet, "at rest, 20 s", () => clock.advance(20_000));
+    const changing = await countRequests(context, fleet, "targets change each second, 10 s", async () => {
+        for (let change = 0; change < 10; change++) {
+            fleet.put("targets", "i-1", String(change));
+            await clock.advance(1_000);
+        }
+    });
+    const [coordinator] = fleet.listCoordinators();
+    assert.ok(coordinator);
+    const losing = await countRequests(context, fleet, "loss of a coordinator, 10 s", () => {
+        coordinator.end();
+        fleet.setLink((from, to) => from !== coordinator.self && to !== coordinator.self);
+        return clock.advance(10_000);
+    });
+    fleet.setLink(() => true);
+    await countRequests(context, fleet, "start of one process, 6 s", () => {
+        fleet.restart(fleet.processes.indexOf(coordinator));
+        return clock.advance(6_000);
+    });
+    await countRequests(context, fleet, "restart of all, killed, 7 s", () => restartAll(fleet, true));
+    await countRequests(context, fleet, "restart of all, with notice, 7 s", () => restartAll(fleet, false));
+    assert.ok(started.feeds <= count * 3 && resting.feeds <= 200 && changing.feeds <= 120 && losing.feeds <= 170);
+    await fleet.stop();
+});
