--- a/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
@@ -30,6 +30,11 @@
     readonly waitMilliseconds: () => number;
     /** Delay after a change, so that changes in quick succession arrive in one answer. */
     readonly mergeMilliseconds: number;
+    /**
+     * Whether other processes rely on the store's answers to this one, and turn to the store when the last answer grows
+     * old. The wait of a call then includes the delay after a change.
+     */
+    readonly isReader?: () => boolean;
     /** Delay before the full read after a store rollback; randomized so that processes don't all read at once. */
     readonly rereadDelayMilliseconds?: () => number;
 }
@@ -51,7 +56,7 @@
     /** Changes relayed by another process; while it relays them, the store is not called. */
     readonly relay?: RelayedTable;
     /** Receives the store's answers, to relay them to other processes. */
-    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure">;
+    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure" | "recordRelayed">;
 }
 
 /** Time that a call may take beyond its wait before its connection counts as silent. */
@@ -81,6 +86,8 @@
     let rollback: Rollback | undefined;
     let retryMilliseconds = firstRetryMilliseconds;
     let isReachable = true;
+    /** Monotonic time. */
+    let answeredAt = -Infinity;
 
     const recordRollback = (fromEra: number) => {
         rollback = { fromEra, detectedAt: clock.monotonicNow() };
@@ -140,10 +147,18 @@
         }
     };
 
+    const computeWait = () => {
+        if (!isReachable) {
+            // The first call after a failure does not wait for changes, so that a rollback is detected at once.
+            return 0;
+        }
+        const delay = timing.isReader?.() ? Math.min(timing.mergeMilliseconds, clock.monotonicNow() - answeredAt) : 0;
+        return Math.max(0, timing.waitMilliseconds() - delay);
+    };
+
     const requestPage = () => {
         const now = clock.monotonicNow();
-        // The first call after a failure does not wait for changes, so that a rollback is detected at once.
-        const wait = isReachable ? timing.waitMilliseconds() : 0;
+        const wait = computeWait();
         return position === undefined
             ? feed.readAll(now + readTimeoutMilliseconds)
             : feed.waitForChanges(position, wait, now + wait + answerSlackMilliseconds);
@@ -158,12 +173,18 @@
             retryMilliseconds = Math.min(maxRetryMilliseconds, retryMilliseconds * 2);
             return delay;
         }
+        answeredAt = clock.monotonicNow();
         options.reader?.recordAnswer(options.name, answer.value, position);
         options.confirmation?.recordAnswer();
         retryMilliseconds = firstRetryMilliseconds;
         return applyPage(answer.value);
     };
 
+    const applyRelayed = (page: RelayedPage): number => {
+        options.reader?.recordRelayed(options.name, page);
+        return applyPage(page);
+    };
+
     /** Applies changes that coordinators relay, if any, while the store is not called. */
     const applyRelayedUntil = async (until: number) => {
         while (position !== undefined && clock.monotonicNow() < until && !signal.aborted) {
@@ -171,7 +192,7 @@
             if (!relayed) {
                 return;
             }
-            applyPage(relayed);
+            applyRelayed(relayed);
         }
     };
 
@@ -186,7 +207,7 @@
     while (!signal.aborted) {
         const relayed = position === undefined ? undefined : await followRelay(position);
         if (relayed) {
-            const delay = applyPage(relayed);
+            const delay = applyRelayed(relayed);
             if (position === undefined) {
                 await clock.sleepUntil(clock.monotonicNow() + delay, signal);
             }
