Wait for every group's usage counts, and keep the fleet's time

Cause: several orders of events made a usage window wrong. - Members sent their counts to the first two of the group's ranking, and the holder of the duties asked only those. Entries of ended processes stay in the registry for 15 minutes, so a group whose first two had ended reported nothing. - The holder stored the merge after 0.9 s, whether or not all groups had answered, and took a window without answers for one without counts. - A coordinator that restarted under its name was not sent again what its earlier incarnation had acknowledged. - Counts of an ended process were lost with the coordinators that had received them when these changed or stopped. - A receipt that was read late after a suspension set a process's time back, and a coordinator that had just started moved its group to its own clock. - A plain call of more than 2.2 s could be counted after its window was collected.

Change: counts go to the coordinators that are not silent. The holder also asks former coordinators and those that other groups have announced. It waits for one settled answer from each group up to 3 s before the report is due (usageLateS), and at least 2 s. Receipts name the receiver's incarnation. A coordinator that stops hands over the counts it holds. Times are applied only if their possible error is small, and medians only of enough clocks. A holder without an agreed time reports nothing. Windows are collected 2.5 s after their end, 1.6 s before. A silent receiver gets one message at a time. Earlier versions' messages are still read; they ignore the new fields, but don't accept a receipt without a time and ask again.

The fixture of createUsageExchange.test.ts moved to a file of its own; its cases are unchanged. The fake of createUsageReporter.test.ts returns whether a collection is complete.

--- a/packages/daisyturn/src/process/duties/usage/__tests__/createUsageExchange.test.ts
+++ b/packages/daisyturn/src/process/duties/usage/__tests__/createUsageExchange.test.ts
@@ -1,76 +1,11 @@
-import { createSeededRandom, FakeClock } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
-import type { NotificationReceiver, PeerExchange } from "../../../forwarding/coordination/exchange/peerExchange.js";
-import { parseNotification } from "../../../forwarding/coordination/messages/notification.js";
-import { createUsageExchange } from "../createUsageExchange.js";
-
-const windowMilliseconds = 5_000;
-
-/** A clock with a wall clock of its own. */
-class OffsetClock extends FakeClock {
-    offset = 0;
-    constructor(private readonly base: FakeClock) {
-        super();
-    }
-    override monotonicNow(): number {
-        return this.base.monotonicNow();
-    }
-    override wallNow(): number {
-        return this.base.wallNow() + this.offset;
-    }
-    override sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
-        return this.base.sleepUntil(deadline, signal);
-    }
-}
+import { createUsageFleet } from "../__fixtures__/usageFleet.js";
 
 /** Creates processes whose first two are the coordinator and the standby, over a network that loses datagrams. */
 function createFleet(size: number, lostFraction = 0, clockOffsets: readonly number[] = []) {
-    const clock = new FakeClock();
-    const random = createSeededRandom(7);
-    const receivers = new Map<string, NotificationReceiver>();
-    const peers = Array.from({ length: size }, (value, index): RegisteredPeer => (
-        { peerId: `p${index}`, host: `h${index}`, port: 1, availabilityZone: "z", strength: 1 }
-    ));
-    let sent = 0;
-    const processes = peers.map((self, index) => {
-        const ownClock = new OffsetClock(clock);
-        ownClock.offset = clockOffsets[index] ?? 0;
-        let isDead = false;
-        const exchange: PeerExchange = {
-            self,
-            listPeers: () => peers,
-            listCoordinators: () => peers.slice(0, 2),
-            isKnown: () => true,
-            send: (to, datagram) => {
-                const notification = parseNotification(datagram);
-                sent += 1;
-                if (!isDead && notification && random.fraction() >= lostFraction) {
-                    const name = peers.find(({ host }) => host === to.host)!.peerId;
-                    queueMicrotask(() => receivers.get(name)?.(notification, self));
-                }
-            },
-            addReceiver: receiver => receivers.set(self.peerId, receiver),
-        };
-        const stopper = new AbortController();
-        const incarnation = `${self.peerId}-1`;
-        const usage = createUsageExchange({ peers: exchange, incarnation, windowMilliseconds, clock: ownClock });
-        void usage.run(stopper.signal);
-        const kill = () => {
-            isDead = true;
-            receivers.delete(self.peerId);
-            stopper.abort();
-        };
-        return { usage, clock: ownClock, kill };
-    });
-    const currentWindow = () => Math.floor(clock.wallNow() / windowMilliseconds);
-    const collect = async (index: number, window: number) => {
-        const collected = processes[index]!.usage.collect(window);
-        await clock.advance(1_000);
-        return Object.fromEntries(await collected);
-    };
-    return { clock, processes, currentWindow, collect, countSent: () => sent };
+    const fleet = createUsageFleet({ size, lostFraction, clockOffsets });
+    return { ...fleet, collect: async (index: number, window: number) => (await fleet.collect(index, window)).counts };
 }
 
 describe("createUsageExchange", () => {
--- a/packages/daisyturn/src/process/duties/usage/__tests__/createUsageReporter.test.ts
+++ b/packages/daisyturn/src/process/duties/usage/__tests__/createUsageReporter.test.ts
@@ -7,10 +7,15 @@
 import { createUsageReporter } from "../createUsageReporter.js";
 
 const windowMilliseconds = 5_000;
+const dueMilliseconds = 10_000;
 
 /** Creates a fleet whose windows have the counts that `count` returns at the moment. */
-function createReportingFleet(count: (window: number) => ReadonlyMap<string, number>) {
+function createReportingFleet(
+    count: (window: number) => ReadonlyMap<string, number>,
+    isComplete: (window: number) => boolean = () => true,
+) {
     const fleet = createDutyFleet();
+    const clockError = { milliseconds: 0, isAgreed: true };
     const { clock, received } = fleet;
     const startReporter = (process: DutyProcess) => {
         const stopper = new AbortController();
@@ -20,12 +25,16 @@
             exchange: {
                 collect: async window => {
                     await host.clock.sleepUntil(host.clock.monotonicNow() + 100);
-                    return count(window);
+                    return { counts: count(window), isComplete: isComplete(window) };
+                },
+                time: {
+                    at: monotonic => monotonic + clock.wallNow() - clock.monotonicNow() + clockError.milliseconds,
+                    isAgreed: () => clockError.isAgreed,
                 },
-                time: { at: monotonic => monotonic + clock.wallNow() - clock.monotonicNow() },
             },
             storeClient: process.storeClient,
             windowMilliseconds,
+            dueMilliseconds,
             ids: createIdSource(`${process.name}-${received.length}`),
             clock: host.clock,
             eventLog: process.eventLog,
@@ -40,7 +49,7 @@
         }
         return versions;
     };
-    return { ...fleet, startReporter, listVersions };
+    return { ...fleet, startReporter, listVersions, clockError };
 }
 
 describe("createUsageReporter", () => {
@@ -118,4 +127,57 @@
         assert.ok(received.length > listVersions().size);
         assert.ok([...listVersions().values()].every(({ size }) => size === 1));
     });
+
+    // A report would be stored without the counts of a group, and could not be corrected.
+    it("waits for groups that have not answered, up to shortly before the report is due", async () => {
+        for (const answeredAfter of [5_000, Infinity]) {
+            let endOfWait = Infinity;
+            const isComplete = () => clock.monotonicNow() >= endOfWait;
+            const { clock, start, startReporter, received } = createReportingFleet(
+                () => new Map([["a", isComplete() ? 2 : 1]]),
+                isComplete,
+            );
+            startReporter(start("a", () => true));
+            await clock.advance(60_000);
+            const { window } = received.at(-1)!.call as UsageReport;
+            await clock.advance((window + 2) * windowMilliseconds - clock.wallNow());
+            endOfWait = clock.monotonicNow() + answeredAfter;
+            await clock.advance(9_000);
+            const report = received.find(({ call }) => (call as UsageReport).window === window + 1)!;
+            const expected = answeredAfter === Infinity ? 1 : 2;
+            assert.deepEqual([...(report.call as UsageReport).counts], [["a", expected]]);
+            assert.ok(report.at < clock.monotonicNow() - 1_000, "sent within 8 s after the end of the window");
+        }
+    });
+
+    // A holder that no group answers knows no counts, which does not mean that there are none.
+    it("does not take a window without answers for one without counts", async () => {
+        let isAnswered = false;
+        const { clock, start, startReporter, received } = createReportingFleet(
+            () => new Map(isAnswered ? [["a", 1]] : []),
+            () => isAnswered,
+        );
+        startReporter(start("a", () => true));
+        await clock.advance(windowMilliseconds - clock.wallNow() % windowMilliseconds + windowMilliseconds + 6_000);
+        const window = Math.floor(clock.wallNow() / windowMilliseconds) - 2;
+        isAnswered = true;
+        await clock.advance(3_000);
+        assert.ok(received.some(({ call }) => (call as UsageReport).window === window));
+    });
+
+    // A process that started with a wrong clock would store windows that have not ended.
+    it("reports nothing before the fleet has agreed on a time", async () => {
+        const { clock, start, startReporter, received, clockError } = createReportingFleet(() => new Map([["a", 1]]));
+        Object.assign(clockError, { milliseconds: 9_000, isAgreed: false });
+        startReporter(start("a", () => true));
+        await clock.advance(6_000);
+        assert.equal(received.length, 0);
+        Object.assign(clockError, { milliseconds: 0, isAgreed: true });
+        await clock.advance(10_000);
+        assert.ok(received.length > 0);
+        received.forEach(({ at, call }) => {
+            const receivedAt = clock.wallNow() - clock.monotonicNow() + at;
+            assert.ok(receivedAt >= ((call as UsageReport).window + 1) * windowMilliseconds);
+        });
+    });
 });
--- a/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
@@ -2,18 +2,10 @@
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
 import type { PeerExchange } from "../../forwarding/coordination/exchange/peerExchange.js";
 import { createFleetTime, type FleetTime } from "./createFleetTime.js";
+import { type CollectedUsage, createUsageCollection } from "./createUsageCollection.js";
 import { type AccountCounts, createUsageCounts } from "./createUsageCounts.js";
-import {
-    encodeUsage,
-    encodeUsageEnd,
-    encodeUsageQuery,
-    encodeUsageReceipt,
-    readUsage,
-    readUsageEnd,
-    readUsageQuery,
-    readUsageReceipt,
-    usagePartMethod,
-} from "./usageMessages.js";
+import { createUsageReceipts } from "./createUsageReceipts.js";
+import { encodeUsage, encodeUsageReceipt, readUsage, readUsageReceipt } from "./usageMessages.js";
 
 /** What {@link createUsageExchange} needs. */
 export interface UsageExchangeOptions {
@@ -25,32 +17,30 @@
 
 /** Counts the requests of this process, and collects the counts of the others. */
 export interface UsageExchange {
-    readonly time: FleetTime;
+    readonly time: Pick<FleetTime, "at" | "isAgreed">;
     /** Counts a request that began to run at a monotonic time. */
     record(account: string, beganAt: number): void;
     /** Asks the coordinators and standbys of all groups for a window, and returns its merged totals. */
-    collect(window: number): Promise<AccountCounts>;
+    collect(window: number): Promise<CollectedUsage>;
     /** Sends the counts whenever they have changed, until the signal is aborted. */
     run(signal: AbortSignal): Promise<void>;
-    /** Sends the counts until a coordinator has acknowledged them, or until the deadline (monotonic). */
+    /**
+     * Sends the counts of this process, and those that it has received as a coordinator, until a coordinator has
+     * acknowledged them, or until the deadline (monotonic).
+     */
     handOver(deadline: number): Promise<void>;
 }
 
 const sendIntervalMilliseconds = 500;
 /** A process without requests also takes part in the median of the clocks. */
 const clockIntervalMilliseconds = 10_000;
+/** After this time as coordinator, all processes that run have sent their clocks; the other entries are of ended ones. */
+const allClocksMilliseconds = 12_000;
 /** A window that waits for a silent store is reported from these counts. */
 const retainedMilliseconds = 60_000;
 const handOverIntervalMilliseconds = 50;
-const queryIntervalMilliseconds = 150;
-const maxQueries = 6;
-/** The coordinator and the standby of the group are listed first. */
-const receiversPerGroup = 2;
-
-interface QueryState {
-    readonly parts: Map<string, Set<string>>;
-    readonly expected: Map<string, number>;
-}
+/** Windows whose counts of other processes are handed over: later ones than those that are reported by then. */
+const handedOverMilliseconds = 15_000;
 
 /** Creates the exchange of one process. Nothing is sent before `run` is called. */
 export function createUsageExchange(options: UsageExchangeOptions): UsageExchange {
@@ -58,132 +48,142 @@
     const { self } = peers;
     const time = createFleetTime(clock);
     const counts = createUsageCounts();
-    /** Largest total of each window that each receiver has acknowledged. */
-    const acknowledged = new Map<string, Map<number, number>>();
-    const queries = new Map<number, QueryState>();
+    const receipts = createUsageReceipts(clock);
+    /** Incarnations that sent their counts to this process itself, and did not only appear in a collected window. */
+    const senders = new Set<string>();
     let clockSentAt = -Infinity;
+    /** Monotonic time since which this process coordinates its group. */
+    let coordinatorSince: number | undefined;
+    /** Whether this process knows enough clocks itself, and does not follow another coordinator's time. */
+    let hasMedian = false;
 
     const isOther = ({ peerId }: RegisteredPeer) => peerId !== self.peerId;
-    const listReceivers = () => peers.listCoordinators().slice(0, receiversPerGroup).filter(isOther);
+    const listReceivers = () => peers.listGroupCoordinators().filter(isOther);
     const findWindow = (at: number) => Math.floor(time.at(at) / windowMilliseconds);
+    const find = (window: number, source: string): AccountCounts => counts.list(window).get(source) ?? new Map();
 
-    const describe = (window: number, source: string, own: AccountCounts) => ({
-        from: self.peerId,
-        source,
-        wall: clock.wallNow(),
-        window,
-        total: sum(own),
-        counts: [...own],
-    });
-
-    const listUnacknowledged = ({ peerId }: RegisteredPeer) => {
-        const known = acknowledged.get(peerId);
-        return counts.listWindows().filter(window => sumOwn(window) > (known?.get(window) ?? 0));
+    const describe = (window: number, source: string) => {
+        const known = find(window, source);
+        return {
+            from: self.peerId,
+            source,
+            wall: clock.wallNow(),
+            window,
+            total: sum(known),
+            counts: [...known],
+            sentAt: clock.monotonicNow(),
+            isRelayed: source !== incarnation,
+        };
     };
 
-    const sumOwn = (window: number) => sum(counts.list(window).get(incarnation) ?? new Map());
+    const collection = createUsageCollection({ peers, counts, describe, clock });
+
+    const listUnacknowledged = ({ peerId }: RegisteredPeer, source = incarnation) =>
+        counts.listWindows().filter(window => sum(find(window, source)) > receipts.find(peerId, source, window));
+
+    const sendTo = (receiver: RegisteredPeer) => {
+        const changed = listUnacknowledged(receiver);
+        // One message is enough to find out whether a process that has been silent receives messages again.
+        const sent = receipts.isSilent(receiver.peerId) ? changed.slice(-1) : changed;
+        sent.forEach(window => peers.send(receiver, encodeUsage(describe(window, incarnation))));
+        return sent.length > 0;
+    };
 
     const sendChanges = () => {
         const isClockDue = clock.monotonicNow() - clockSentAt >= clockIntervalMilliseconds;
         for (const receiver of listReceivers()) {
-            const changed = listUnacknowledged(receiver);
-            changed.forEach(window => {
-                const own = counts.list(window).get(incarnation) ?? new Map<string, number>();
-                peers.send(receiver, encodeUsage(describe(window, incarnation, own)));
-            });
-            if (changed.length > 0 || isClockDue) {
+            const hasSent = sendTo(receiver);
+            if (hasSent || isClockDue) {
                 clockSentAt = clock.monotonicNow();
             }
-            if (changed.length === 0 && isClockDue) {
-                peers.send(receiver, encodeUsage(describe(findWindow(clock.monotonicNow()), incarnation, new Map())));
+            if (!hasSent && isClockDue) {
+                const message = describe(findWindow(clock.monotonicNow()), incarnation);
+                peers.send(receiver, encodeUsage({ ...message, total: 0, counts: [] }));
             }
         }
     };
 
+    /** A coordinator's own time is the median that it sends to the others. */
+    const followClocks = () => {
+        const now = clock.monotonicNow();
+        coordinatorSince = peers.listGroupCoordinators().every(isOther) ? undefined : coordinatorSince ?? now;
+        const knowsAll = coordinatorSince !== undefined && now - coordinatorSince > allClocksMilliseconds;
+        hasMedian = coordinatorSince !== undefined && time.adoptMedian(knowsAll ? 1 : peers.listPeers().length);
+    };
+
     const prune = () => {
         const first = findWindow(clock.monotonicNow() - retainedMilliseconds);
         counts.prune(first);
-        acknowledged.forEach(known =>
-            [...known.keys()].filter(window => window < first).forEach(window => known.delete(window))
-        );
+        receipts.prune(first);
     };
 
     peers.addReceiver((notification, from) => {
         const message = readUsage(notification);
         if (message && peers.isKnown(message.from, from)) {
-            time.recordClock(message.from, message.wall);
+            const { source, window, total, sentAt } = message;
+            if (message.isRelayed !== true) {
+                time.recordClock(source, message.wall, sentAt);
+            }
             if (message.counts.length > 0) {
-                counts.merge(message.window, message.source, new Map(message.counts));
+                counts.merge(window, source, new Map(message.counts));
+                senders.add(source);
             }
-            const { source, window, total } = message;
-            peers.send(from, encodeUsageReceipt({ from: self.peerId, source, window, total, time: time.median() }));
+            const receipt = { from: self.peerId, receiver: incarnation, source, window, total, sentAt };
+            const told = time.isAgreed() ? time.at(clock.monotonicNow()) : undefined;
+            peers.send(from, encodeUsageReceipt({ ...receipt, time: told }));
         }
         const receipt = readUsageReceipt(notification);
-        if (receipt?.source === incarnation && peers.isKnown(receipt.from, from)) {
-            time.adopt(receipt.time);
-            const known = acknowledged.get(receipt.from) ?? new Map<number, number>();
-            known.set(receipt.window, Math.max(receipt.total, known.get(receipt.window) ?? 0));
-            acknowledged.set(receipt.from, known);
-        }
-        const query = readUsageQuery(notification);
-        if (query && peers.isKnown(query.from, from)) {
-            const sources = counts.list(query.window);
-            sources.forEach((known, source) =>
-                peers.send(from, encodeUsage(describe(query.window, source, known), usagePartMethod))
-            );
-            peers.send(from, encodeUsageEnd({ from: self.peerId, window: query.window, sources: sources.size }));
-        }
-        const part = readUsage(notification, usagePartMethod);
-        if (part && peers.isKnown(part.from, from)) {
-            counts.merge(part.window, part.source, new Map(part.counts));
-            const parts = queries.get(part.window)?.parts;
-            parts?.set(part.from, (parts.get(part.from) ?? new Set()).add(part.source));
-        }
-        const end = readUsageEnd(notification);
-        if (end && peers.isKnown(end.from, from)) {
-            queries.get(end.window)?.expected.set(end.from, end.sources);
+        if (receipt && peers.isKnown(receipt.from, from)) {
+            const isNew = receipts.record(receipt);
+            if (receipt.source === incarnation && receipt.time !== undefined && !hasMedian) {
+                time.adopt(receipt.time, receipt.sentAt ?? clock.monotonicNow());
+            }
+            const receiver = listReceivers().find(({ peerId }) => peerId === receipt.from);
+            if (isNew && receiver) {
+                sendTo(receiver);
+            }
         }
+        collection.receive(notification, from);
     });
 
+    const listHeld = () => {
+        const first = findWindow(clock.monotonicNow() - handedOverMilliseconds);
+        return [...senders].map(source => ({ source, first }));
+    };
+
+    /** Lists what a process has not acknowledged, including the counts of the processes that this one coordinates. */
+    const listToHandOver = (receiver: RegisteredPeer) => [
+        ...listUnacknowledged(receiver).map(window => ({ window, source: incarnation })),
+        ...listHeld().flatMap(({ source, first }) =>
+            listUnacknowledged(receiver, source).filter(window => window >= first).map(window => ({ window, source }))
+        ),
+    ];
+
     return {
         time,
         record: (account, beganAt) => counts.add(findWindow(beganAt), incarnation, account),
-        collect: async window => {
-            const state: QueryState = { parts: new Map(), expected: new Map() };
-            queries.set(window, state);
-            const isAnswered = ({ peerId }: RegisteredPeer) => {
-                const expected = state.expected.get(peerId);
-                return expected !== undefined && (state.parts.get(peerId)?.size ?? 0) >= expected;
-            };
-            for (let query = 0; query < maxQueries; query++) {
-                const missing = peers.listCoordinators().filter(peer => isOther(peer) && !isAnswered(peer));
-                if (missing.length === 0) {
-                    break;
-                }
-                missing.forEach(peer => peers.send(peer, encodeUsageQuery({ from: self.peerId, window })));
-                await clock.sleepUntil(clock.monotonicNow() + queryIntervalMilliseconds);
-            }
-            queries.delete(window);
-            return counts.total(window);
-        },
+        collect: collection.collect,
         run: async signal => {
             while (!signal.aborted) {
-                if (listReceivers().length < receiversPerGroup) {
-                    // A coordinator's own time is the median that it sends to the others.
-                    time.adopt(time.median());
-                }
+                followClocks();
+                collection.observe();
                 sendChanges();
                 prune();
                 await clock.sleepUntil(clock.monotonicNow() + sendIntervalMilliseconds, signal);
             }
         },
         handOver: async deadline => {
-            const isHandedOver = () => {
+            while (clock.monotonicNow() < deadline) {
                 const receivers = listReceivers();
-                return receivers.length === 0 || receivers.some(peer => listUnacknowledged(peer).length === 0);
-            };
-            while (!isHandedOver() && clock.monotonicNow() < deadline) {
-                sendChanges();
+                const remaining = receivers.map(receiver => ({ receiver, entries: listToHandOver(receiver) }));
+                if (receivers.length === 0 || remaining.some(({ entries }) => entries.length === 0)) {
+                    return;
+                }
+                for (const { receiver, entries } of remaining) {
+                    entries.forEach(({ window, source }) =>
+                        peers.send(receiver, encodeUsage(describe(window, source)))
+                    );
+                }
                 await clock.sleepUntil(clock.monotonicNow() + handOverIntervalMilliseconds);
             }
         },
--- a/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
@@ -11,9 +11,11 @@
 /** What {@link createUsageReporter} needs. */
 export interface UsageReporterOptions {
     readonly calls: DutyCalls;
-    readonly exchange: Pick<UsageExchange, "collect"> & { readonly time: Pick<FleetTime, "at">; };
+    readonly exchange: Pick<UsageExchange, "collect"> & { readonly time: Pick<FleetTime, "at" | "isAgreed">; };
     readonly storeClient: StoreClient;
     readonly windowMilliseconds: number;
+    /** Time from the end of a window until its report is due. */
+    readonly dueMilliseconds: number;
     /** Called after each report, with the platform's answer. */
     readonly onReported?: (answer: DutyAnswer) => void;
     readonly ids: IdSource;
@@ -42,11 +44,20 @@
     reports: StoredReport[];
     /** The next window to collect. */
     next: number;
+    /** Monotonic time at which that window was first collected; undefined before. */
+    firstCollectedAt?: number;
 }
 
 const checkIntervalMilliseconds = 250;
-/** Counts arrive within a message's interval and its repetitions. */
-const settlingMilliseconds = 1_600;
+/**
+ * Counts arrive within a message's interval and its repetitions. A plain call of 2 s is counted up to 1 s after its time,
+ * and a process that was suspended for some time sends its counts afterwards.
+ */
+const settlingMilliseconds = 2_500;
+/** Time before a report is due that is left to store and send it, also by the next holder. */
+const reserveMilliseconds = 3_000;
+/** An overdue window waits at least this long for the groups that have not answered. */
+const minWaitMilliseconds = 2_000;
 /** Counts of this time are kept by coordinators, so a new holder looks for windows that were not reported. */
 const lookBackMilliseconds = 30_000;
 const storeTimeoutMilliseconds = 2_000;
@@ -60,7 +71,7 @@
 
 /** Creates the task that reports each window once while this process holds the duties. */
 export function createUsageReporter(options: UsageReporterOptions) {
-    const { calls, exchange, storeClient, windowMilliseconds, ids, clock, eventLog } = options;
+    const { calls, exchange, storeClient, windowMilliseconds, dueMilliseconds, ids, clock, eventLog } = options;
     let known: KnownReports | undefined;
 
     const now = () => exchange.time.at(clock.monotonicNow());
@@ -103,15 +114,25 @@
         return true;
     };
 
+    /** Whether the next window may still wait for groups that have not answered. */
+    const mayWait = ({ next, firstCollectedAt = clock.monotonicNow() }: KnownReports) =>
+        now() < (next + 1) * windowMilliseconds + dueMilliseconds - reserveMilliseconds
+        || clock.monotonicNow() < firstCollectedAt + minWaitMilliseconds;
+
     /** Stores the report of the next window before it is sent. Its counts are final from then on. */
     const storeNext = async (row: KnownReports, lease: Lease) => {
         const window = row.next;
-        const counts = await exchange.collect(window);
-        if (calls.current()?.fencingNumber !== lease.fencingNumber) {
+        row.firstCollectedAt ??= clock.monotonicNow();
+        const { counts, isComplete } = await exchange.collect(window);
+        if (calls.current()?.fencingNumber !== lease.fencingNumber || (!isComplete && mayWait(row))) {
             return;
         }
+        if (!isComplete) {
+            eventLog.record(EventKind.Fault, { reason: "not all groups have sent their counts", window });
+        }
         if (counts.size === 0) {
             row.next = window + 1;
+            row.firstCollectedAt = undefined;
             return;
         }
         const reports = [...row.reports.slice(-retainedReports), { window, isAccepted: false, counts: [...counts] }];
@@ -125,7 +146,8 @@
             Math.min(clock.monotonicNow() + storeTimeoutMilliseconds, lease.deadline()),
         );
         if (answer.outcome === TransactionOutcome.Committed && answer.version !== undefined) {
-            known = { ...row, version: answer.version, reports, next: window + 1 };
+            const { fencingNumber } = row;
+            known = { fencingNumber, version: answer.version, reports, next: window + 1 };
         }
         else {
             known = undefined;
@@ -134,7 +156,8 @@
 
     const step = async () => {
         const lease = calls.current();
-        if (!lease) {
+        // The clock of a process that has just started may be wrong, and a window that has not ended would be stored.
+        if (!lease || !exchange.time.isAgreed()) {
             known = undefined;
             return;
         }
--- a/packages/daisyturn/src/process/duties/usage/usageMessages.ts
+++ b/packages/daisyturn/src/process/duties/usage/usageMessages.ts
@@ -6,6 +6,8 @@
     readAmount,
     readList,
     readName,
+    readOptionalAmount,
+    readOptionalFlag,
     readOrUndefined,
 } from "../../forwarding/coordination/messages/notification.js";
 
@@ -18,6 +20,10 @@
     /** Total of the counts, which tells a later message of the window from an earlier one. */
     readonly total: number;
     readonly counts: readonly (readonly [account: string, count: number])[];
+    /** The sender's monotonic clock, in milliseconds; undefined from earlier versions. */
+    readonly sentAt?: number;
+    /** Whether another process than the sender has counted: its clock is not the sender's. */
+    readonly isRelayed?: boolean;
 }
 
 /** Says that the counts up to this total were received. */
@@ -26,8 +32,12 @@
     readonly source: string;
     readonly window: number;
     readonly total: number;
-    /** The fleet's time, in milliseconds since the start of 1970. */
-    readonly time: number;
+    /** Incarnation of the sender: counts that only an earlier one received are sent again. */
+    readonly receiver?: string;
+    /** The fleet's time, in milliseconds since the start of 1970; undefined while the sender does not know it. */
+    readonly time?: number;
+    /** `sentAt` of the message that was received. */
+    readonly sentAt?: number;
 }
 
 /** Asks for the counts of a window. Each incarnation is answered by one {@link UsageMessage}, and then a {@link UsageEnd}. */
@@ -41,6 +51,8 @@
     readonly from: string;
     readonly window: number;
     readonly sources: number;
+    /** Whether the sender has been a coordinator for long enough to have the counts of its whole group. */
+    readonly isSettled?: boolean;
 }
 
 export const usageMethod = "usage";
@@ -74,6 +86,8 @@
         window: readAmount(params["window"]),
         total: readAmount(params["total"]),
         counts: readList<[string, number]>(params["counts"], [isName, count => isAmount(count)]),
+        sentAt: readOptionalAmount(params["sentAt"]),
+        isRelayed: readOptionalFlag(params["isRelayed"]),
     }));
 }
 
@@ -84,7 +98,9 @@
         source: readName(params["source"]),
         window: readAmount(params["window"]),
         total: readAmount(params["total"]),
-        time: readAmount(params["time"]),
+        receiver: params["receiver"] === undefined ? undefined : readName(params["receiver"]),
+        time: readOptionalAmount(params["time"]),
+        sentAt: readOptionalAmount(params["sentAt"]),
     }));
 }
 
@@ -102,5 +118,6 @@
         from: readName(params["from"]),
         window: readAmount(params["window"]),
         sources: readAmount(params["sources"]),
+        isSettled: readOptionalFlag(params["isSettled"]),
     }));
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -12,7 +12,7 @@
 import type { WindowedRetryBudget } from "../retries/createWindowedRetryBudget.js";
 import type { TargetViews } from "../views/createTargetViews.js";
 import { CoordinatedDecisions, recordRetained } from "./coordinatedDecisions.js";
-import { coordinatorsPerGroup, createCoordinatorLink } from "./createCoordinatorLink.js";
+import { createCoordinatorLink } from "./createCoordinatorLink.js";
 import { createEvidencePublisher } from "./createEvidencePublisher.js";
 import { createFleetElection, type FleetElection } from "./createFleetElection.js";
 import { createGroupLoadPublisher, groupReportMilliseconds } from "./createGroupLoadPublisher.js";
@@ -209,6 +209,8 @@
         send,
     });
 
+    const listGroupCoordinators = () => [...(link.isCandidate() ? [self] : []), ...link.listReportReceivers()];
+
     const isCoordinator = () => link.current()?.peerId === self.peerId;
 
     channel.onDatagram((datagram, from) => {
@@ -222,8 +224,15 @@
         peers: {
             self,
             listPeers: link.listPeers,
-            listCoordinators:
-                () => [...link.listCandidates().slice(0, coordinatorsPerGroup), ...link.listOtherCandidates()],
+            listGroupCoordinators,
+            listCoordinators: () => [
+                // The first in a ranking may have ended, long before their entries are removed.
+                ...new Set([
+                    ...listGroupCoordinators(),
+                    ...link.listOtherCandidates(),
+                    ...otherCoordinators.list().flatMap(peerId => link.find(peerId) ?? []),
+                ]),
+            ],
             isKnown: isKnownPeer,
             send,
             addReceiver: receiver => void receivers.push(receiver),
--- a/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
@@ -67,7 +67,7 @@
 const timeoutsForSuspicion = 2;
 const suspicionMilliseconds = 1_000;
 /** The coordinator, and the standby that takes over from it. */
-export const coordinatorsPerGroup = 2;
+const coordinatorsPerGroup = 2;
 const announcedCandidates = 4;
 
 interface CoordinatorHealth {
--- a/packages/daisyturn/src/process/forwarding/coordination/exchange/peerExchange.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/exchange/peerExchange.ts
@@ -10,7 +10,9 @@
     readonly self: RegisteredPeer;
     /** Lists all known processes, including this one. */
     listPeers(): readonly RegisteredPeer[];
-    /** Lists the coordinator and the standby of this process's group, and those of each other group. */
+    /** Lists the processes that act as coordinators and standbys of this process's group, and silent ones ahead of them. */
+    listGroupCoordinators(): readonly RegisteredPeer[];
+    /** Lists the same, and the coordinators and standbys of all other groups. */
     listCoordinators(): readonly RegisteredPeer[];
     /** Whether a process is known under this name at the host of the sender. */
     isKnown(peerId: string, from: PeerAddress): boolean;
