Load zod when a schema is first used, and less of Node.js at a start

Cause: the bundle set up zod with all its locales and created schemas at each start, although only processes that hold a lease or report usage parse with them. It also loaded node:assert for undici, and worker threads and node:module for transports of pino. Change: schemas of the entry process are created on first use, and the bundle loads zod then, without locales. A check looks at the loaded modules and at zod's registry.

--- a/packages/daisyturn-utils/src/index.ts
+++ b/packages/daisyturn-utils/src/index.ts
@@ -1,4 +1,5 @@
 export { allocateLoopbackHost } from "./allocateLoopbackHost.js";
+export { createOnFirstUse } from "./createOnFirstUse.js";
 export { createBoundedEventLog, defaultEventLogBounds, type EventLogBounds } from "./events/boundedEventLog.js";
 export { type EventFields, EventKind, EventLog, MemoryEventLog, type RecordedEvent } from "./events/eventLog.js";
 export { createLogfmtEventLog, type EventLogOptions } from "./events/logfmtEventLog.js";
--- a/packages/daisyturn/src/connection/peerHandshake.ts
+++ b/packages/daisyturn/src/connection/peerHandshake.ts
@@ -21,7 +21,7 @@
 const nonceBytes = 16;
 const maxTextLength = 256;
 const text = z.string().min(1).max(maxTextLength);
-const helloSchema = z.object({ identity: processIdentitySchema, nonce: text });
+const helloSchema = z.object({ identity: processIdentitySchema(), nonce: text });
 const helloAnswerSchema = helloSchema.extend({ proof: text });
 const proofSchema = z.object({ proof: text });
 
--- a/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
@@ -1,4 +1,4 @@
-import { type Clock, EventKind, type EventLog, type IdSource } from "daisyturn-utils";
+import { type Clock, createOnFirstUse, EventKind, type EventLog, type IdSource } from "daisyturn-utils";
 import { z } from "zod";
 import { DutyAnswer } from "../../../ports/duties/fleetDuties.js";
 import { absentVersion, TransactionOutcome } from "../../../ports/tableService.js";
@@ -24,16 +24,18 @@
 /** Key of the row with the reports that were stored last, oldest first. */
 export const usageRowKey = "duties/usage";
 
-const rowSchema = z.object({
-    reports: z.array(z.object({
-        window: z.number().int().nonnegative(),
-        isAccepted: z.boolean(),
-        counts: z.array(z.tuple([z.string(), z.number().int().positive()])),
-    })),
-});
+const rowSchema = createOnFirstUse(() =>
+    z.object({
+        reports: z.array(z.object({
+            window: z.number().int().nonnegative(),
+            isAccepted: z.boolean(),
+            counts: z.array(z.tuple([z.string(), z.number().int().positive()])),
+        })),
+    })
+);
 
 /** The stored report of one window. Its counts never change, since the platform may have received them. */
-export type StoredReport = z.infer<typeof rowSchema>["reports"][number];
+export type StoredReport = z.infer<ReturnType<typeof rowSchema>>["reports"][number];
 
 /** What a holder knows of the row; read anew by each holder, and after a write of unknown outcome. */
 interface KnownReports {
@@ -55,7 +57,7 @@
 
 /** Parses the row; no reports if it is absent or invalid. */
 export function parseUsageRow(value: unknown): StoredReport[] {
-    return rowSchema.safeParse(value).data?.reports ?? [];
+    return rowSchema().safeParse(value).data?.reports ?? [];
 }
 
 /** Creates the task that reports each window once while this process holds the duties. */
--- a/packages/daisyturn/src/process/lease/leaseRows.ts
+++ b/packages/daisyturn/src/process/lease/leaseRows.ts
@@ -1,14 +1,16 @@
-import type { JsonValue } from "daisyturn-utils";
+import { createOnFirstUse, type JsonValue } from "daisyturn-utils";
 import { z } from "zod";
 import { type ProcessIdentity, processIdentitySchema } from "../peers/index.js";
 
-const fencingValueSchema = z.object({
-    holder: processIdentitySchema,
-    fencingNumber: z.number().int().positive(),
-    leaseMilliseconds: z.number().positive(),
-    released: z.boolean(),
-    era: z.number().int().nonnegative().optional(),
-});
+const fencingValueSchema = createOnFirstUse(() =>
+    z.object({
+        holder: processIdentitySchema(),
+        fencingNumber: z.number().int().positive(),
+        leaseMilliseconds: z.number().positive(),
+        released: z.boolean(),
+        era: z.number().int().nonnegative().optional(),
+    })
+);
 
 /** Value of the row that changes only at takeover and release. */
 export interface FencingValue {
@@ -34,5 +36,5 @@
 
 /** Parses the value of a fencing row; undefined if it is invalid. */
 export function parseFencingValue(value: JsonValue): FencingValue | undefined {
-    return fencingValueSchema.safeParse(value).data;
+    return fencingValueSchema().safeParse(value).data;
 }
--- a/packages/daisyturn/src/process/membership/heartbeatMessage.ts
+++ b/packages/daisyturn/src/process/membership/heartbeatMessage.ts
@@ -22,7 +22,7 @@
 const maxMembersPerMessage = 1_024;
 
 const memberEntrySchema = z.object({
-    identity: processIdentitySchema,
+    identity: processIdentitySchema(),
     ended: z.enum(EndProof).optional(),
 });
 
--- a/packages/daisyturn/src/process/orders/rows/parseOrderRows.ts
+++ b/packages/daisyturn/src/process/orders/rows/parseOrderRows.ts
@@ -39,7 +39,7 @@
 const recordSchema = z.object({
     order: orderSchema,
     state: z.enum(OrderState),
-    sender: processIdentitySchema,
+    sender: processIdentitySchema(),
     statement: z.enum(OrderCallStatus).optional(),
     engineIncarnation: z.string(),
     plannedAt: z.number(),
--- a/packages/daisyturn/src/process/store/writeMarker.ts
+++ b/packages/daisyturn/src/process/store/writeMarker.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Failure, FailureReason, type JsonValue, notRun } from "daisyturn-utils";
+import { type Clock, createOnFirstUse, type Failure, FailureReason, type JsonValue, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { z } from "zod";
 import { absentVersion, type Row, type Transaction, TransactionOutcome } from "../../ports/tableService.js";
@@ -14,7 +14,7 @@
 const abortSuffix = "/abandoned";
 
 /** `madeAt` is the wall-clock time at which the marker was created. It determines when the marker is removed. */
-const markerValueSchema = z.object({ madeAt: z.number() });
+const markerValueSchema = createOnFirstUse(() => z.object({ madeAt: z.number() }));
 
 /** Key of the marker row of a transaction. */
 export function writeMarkerKey(writeId: string): string {
@@ -101,6 +101,6 @@
 
 /** A marker with an unreadable value is never removed. */
 function readMadeAt(value: JsonValue): number {
-    const parsed = markerValueSchema.safeParse(value);
+    const parsed = markerValueSchema().safeParse(value);
     return parsed.success ? parsed.data.madeAt : Number.POSITIVE_INFINITY;
 }
--- a/scripts/__tests__/bundle.test.js
+++ b/scripts/__tests__/bundle.test.js
@@ -29,3 +29,14 @@
     const loaded = spawnSync(process.execPath, [...nodeOptions, "-e", program], { encoding: "utf8" });
     assert.equal(loaded.stdout, "");
 });
+
+// Loading and setting up unused modules is a fifth of the bundle's part of a start. A module-level schema would load zod.
+test("loads neither zod nor modules of Node.js that only checks and worker threads need to start", () => {
+    const program = `
+        const { readFileSync } = require("node:fs");
+        require("./target/loadBundle.cjs").loadBundle();
+        process.stdout.write(process.moduleLoadList.filter(name => / (assert|worker_threads)$/.test(name)).join());
+        process.stdout.write(String(globalThis.__zod_globalRegistry));`;
+    const loaded = spawnSync(process.execPath, [...nodeOptions, "-e", program], { encoding: "utf8" });
+    assert.equal(loaded.stdout, "undefined");
+});
--- /dev/null
+++ b/scripts/bundle/noLocales.cjs
@@ -0,0 +1,2 @@
+// Replaces the index of zod's locales in the bundle; its English messages are loaded by themselves.
+module.exports = {};
