Order cheaper engines from the first second of traffic on

Cause: cheaper engines were ordered in place of others only once engines could be given back, after 4 s of traffic. Change: a replacement is ordered as soon as the needs are known; engines are given back after 4 s of traffic as before.

--- a/packages/daisyturn/src/process/forwarding/fleet/chooseOrders.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/chooseOrders.ts
@@ -24,6 +24,8 @@
     readonly stages: (zone: string, kind: EngineKind) => StageWork;
     /** What is needed now; undefined while the demand is not known. */
     readonly needs: EngineNeeds | undefined;
+    /** Whether cheaper engines may be ordered in place of others now; needs less knowledge than giving these back. */
+    readonly mayReplace: boolean;
     /** The most that was needed in the last seconds; undefined if nothing may be given back now. */
     readonly needsBeforeReturn: EngineNeeds | undefined;
 }
@@ -72,15 +74,17 @@
         const total = Math.ceil(needs.total * shortageMargin);
         return raise(view, planNumbers(scaling, zones, { ...needs, total }), OrderReason.Shortage);
     }
-    if (!needsBeforeReturn) {
+    const needsToMeet = needsBeforeReturn ?? needs;
+    if (!view.mayReplace) {
         return [];
     }
-    const plan = planNumbers(scaling, zones, needsBeforeReturn);
+    const plan = planNumbers(scaling, zones, needsToMeet);
     const isCheaper = priceOfFleet(scaling, plan) < priceOfFleet(scaling, ordered) * cheaperPart;
-    if (!isCheaper || isShort(plan, needsBeforeReturn)) {
+    if (!isCheaper || isShort(plan, needsToMeet)) {
         return [];
     }
-    return [...raise(view, plan, OrderReason.Replacement), ...giveBack(view, plan, needsBeforeReturn)];
+    const replacements = raise(view, plan, OrderReason.Replacement);
+    return needsBeforeReturn ? [...replacements, ...giveBack(view, plan, needsBeforeReturn)] : replacements;
 }
 
 function isShort(fleet: FleetNumbers, needs: EngineNeeds): boolean {
--- a/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/fleet/createServiceFleet.ts
@@ -89,8 +89,9 @@
         ledger.update(listed);
         const shares = computeShares(zoneNames, countProcesses());
         const needs = measureNeeds();
-        const mayGiveBack = window.isMeasured(now) && now >= Math.max(returnAt, planAt);
-        planAt = mayGiveBack ? now + planMilliseconds : planAt;
+        const mayReplace = needs !== undefined && now >= Math.max(returnAt, planAt);
+        planAt = mayReplace ? now + planMilliseconds : planAt;
+        const mayGiveBack = mayReplace && window.isMeasured(now);
         const isReclaimableOffered = scaling.reclaimablePrice !== undefined;
         return {
             scaling,
@@ -103,6 +104,7 @@
             serving: sumListed(listed),
             stages: (zone, kind) => countStages(engines, zone, kind),
             needs,
+            mayReplace,
             needsBeforeReturn: needs && mayGiveBack ? mergeNeeds(recentNeeds.map(recent => recent.needs)) : undefined,
         };
     };
