--- a/packages/daisyturn-daemon/src/__tests__/startEngineOrders.test.ts
+++ b/packages/daisyturn-daemon/src/__tests__/startEngineOrders.test.ts
@@ -75,7 +75,7 @@
         signal: stop.signal,
     });
     for (let passed = 0; passed < 10_000; passed += 100) {
-        views.demand.record(service.name, 400);
+        views.leastDemand.record(service.name, 400);
         await clock.advance(100);
     }
     stop.abort();
--- a/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
@@ -8,15 +8,20 @@
 import { ProbeResult } from "../probeAddress.js";
 
 const clock = new SystemClock();
-const barrierMilliseconds = 80;
 const resetMilliseconds = 20;
 
-/** A barrier that is passed late, as in a process that falls behind. */
+/** A barrier that is passed once a connection has closed, as in a process that falls behind. */
 function createSlowBarrier() {
-    const passedAt = clock.monotonicNow() + barrierMilliseconds;
+    let isClosed = false;
+    let pass = () => undefined as void;
+    const closed = new Promise<void>(resolve => pass = resolve);
     return {
-        isPassed: () => clock.monotonicNow() >= passedAt,
-        nextRead: () => clock.sleepUntil(passedAt),
+        isPassed: () => isClosed,
+        nextRead: () => closed,
+        recordClosed: () => {
+            isClosed = true;
+            pass();
+        },
     };
 }
 
@@ -26,17 +31,18 @@
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const barrier = createSlowBarrier();
     const dial = async () => {
         const opened = await openSocket(address, { deadline: clock.monotonicNow() + 400, clock });
         return opened
-            .map(socket => ({ socket }))
+            .map(socket => ({ socket: socket.once("close", barrier.recordClosed) }))
             .mapErr(({ message }) => notRun(FailureReason.TargetFailed, message));
     };
     const connections = createTargetConnections(
         clock,
         { recordAnswered: () => undefined, isLost: () => false, hasLost: () => false },
         { dial, retryLink: () => undefined, probePeer: () => Promise.resolve(ProbeResult.Accepted) },
-        createSlowBarrier(),
+        barrier,
     );
     const result = await connections.send(address, ConnectionPolicy.Reuse, {
         head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
