Refuse callers that resume the stream of another account

Cause: the account's name is part of a stream's identifier, so a caller of another account that resumed a stream found no origin. It was answered 503 and asked to retry, where 401 is due. (By the code, a process that has long seen one software version would have served it; this was not run.)

Change: a stream of an account has a second origin, which is found without the account and names it. It is looked up only if the caller's own stream is not found and the call has an account or its route is public. If it names another account, the call is refused with 401. A caller's own stream takes precedence, since callers choose the identifiers of their calls. Origins sent to peers have a fifth field where they name an account.

--- a/packages/daisyturn/src/process/forwarding/coordination/messages/originMessages.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/messages/originMessages.ts
@@ -14,6 +14,8 @@
     readonly streamId: string;
     readonly service: string;
     readonly softwareVersion: string;
+    /** `StreamOrigin.account`. */
+    readonly account?: string;
     /** Milliseconds for which the caller may still resume the stream. */
     readonly remaining: number;
 }
@@ -48,14 +50,18 @@
 /** As many origins as fit a datagram that networks deliver in one piece. */
 const maxOriginsPerDatagram = 12;
 
-/** Stream, service, software version, remaining milliseconds. */
-type OriginEntry = readonly [string, string, string, number];
+/** Stream, service, software version, remaining milliseconds, account. */
+type OriginEntry = readonly [string, string, string, number, string?];
 
 /** Encodes a message as one or more notifications. */
 export function encodeOrigins({ from, origins }: OriginsMessage): Buffer[] {
     const entries = origins.map((
-        { streamId, service, softwareVersion, remaining },
-    ): OriginEntry => [streamId, service, softwareVersion, Math.round(remaining)]);
+        { streamId, service, softwareVersion, remaining, account },
+    ): OriginEntry => {
+        const entry = [streamId, service, softwareVersion, Math.round(remaining)] as const;
+        // Earlier versions skip entries that have an account.
+        return account === undefined ? entry : [...entry, account];
+    });
     return Array.from({ length: Math.ceil(entries.length / maxOriginsPerDatagram) }, (value, index) => {
         const first = index * maxOriginsPerDatagram;
         return encodeNotification(originsMethod, {
@@ -76,15 +82,17 @@
 /** Decodes a message. Returns undefined if it has no sender or no list; invalid origins are skipped. */
 export function readOrigins({ method, params }: Notification): OriginsMessage | undefined {
     const isRemaining = (value: unknown) => isAmount(value, maxOriginLifetimeMilliseconds);
+    const isAccount = (value: unknown) => value === undefined || isName(value);
     return method === originsMethod
         ? readOrUndefined(() => ({
             from: readName(params["from"]),
-            origins: readList<OriginEntry>(params["origins"], [isName, isName, isVersion, isRemaining])
-                .map(([streamId, service, softwareVersion, remaining]) => ({
+            origins: readList<OriginEntry>(params["origins"], [isName, isName, isVersion, isRemaining, isAccount])
+                .map(([streamId, service, softwareVersion, remaining, account]) => ({
                     streamId,
                     service,
                     softwareVersion,
                     remaining,
+                    ...(account === undefined ? {} : { account }),
                 })),
         }))
         : undefined;
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -29,7 +29,7 @@
 }
 
 /** Which targets may continue a stream. */
-export interface FoundOrigin extends Pick<StreamOrigin, "service" | "softwareVersion"> {
+export interface FoundOrigin extends Pick<StreamOrigin, "service" | "softwareVersion" | "account"> {
     /** The process that has the record; absent if no process has it, but the service has had only one version. */
     readonly knownBy?: string;
 }
@@ -137,7 +137,11 @@
 
     const describeFound = (streamId: string, knownBy: string): FoundOrigin | undefined => {
         const origin = origins.find(streamId);
-        return origin && { service: origin.service, softwareVersion: origin.softwareVersion, knownBy };
+        if (!origin) {
+            return undefined;
+        }
+        const { service, softwareVersion, account } = origin;
+        return { service, softwareVersion, knownBy, ...(account === undefined ? {} : { account }) };
     };
 
     const find = async (streamId: string, service: string): Promise<FoundOrigin | undefined> => {
--- a/packages/daisyturn/src/process/origins/createStreamOrigins.ts
+++ b/packages/daisyturn/src/process/origins/createStreamOrigins.ts
@@ -7,6 +7,8 @@
     readonly service: string;
     /** Software version of the target that made the first event. */
     readonly softwareVersion: string;
+    /** Account that began the stream; only where the identifier is the same for the callers of all accounts. */
+    readonly account?: string;
     /** Monotonic time until which the caller may resume the stream. */
     readonly deadline: number;
 }
--- a/packages/daisyturn/src/request/forwarding/resumption/__tests__/resumeCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/__tests__/resumeCall.test.ts
@@ -84,6 +84,16 @@
         assert.ok(delay !== undefined && delay <= 300);
     });
 
+    // A public route has callers without an account, which must not read the streams of accounts either.
+    it("is refused if another account began it", async () => {
+        const origin = { service: "engines", softwareVersion: "v1", account: "acme" };
+        for (const [call, route] of [[{ account: "zoe" }, {}], [{}, { isPublic: true }]] as const) {
+            assert.equal((await choose({ origin, call, route })).reason, FailureReason.Unauthenticated);
+        }
+        assert.ok((await choose({ origin, call: { account: "acme" } })).destination);
+        assert.equal((await choose({ origin })).lookups.length, 1, "no second lookup without accounts");
+    });
+
     it("is refused if the route has moved away from its service", async () => {
         const origin = { service: "old", softwareVersion: "v1", knownBy: "entry-1" };
         assert.equal((await choose({ origin })).reason, FailureReason.NoTarget);
--- a/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
@@ -13,8 +13,20 @@
  */
 export function identifyStream(call: ForwardedCall): string {
     const { callId, resumedCallId, host } = call;
-    const identity = JSON.stringify([host.toLowerCase(), readCredentials(call), resumedCallId ?? callId]);
-    return createHash("sha256").update(identity).digest().subarray(0, streamIdBytes).toString("base64url");
+    return digest([host.toLowerCase(), readCredentials(call), resumedCallId ?? callId]);
+}
+
+/**
+ * Identifies a stream among those of all accounts, to find out that another account began it. Callers choose the
+ * identifiers of their calls, so streams of two accounts may have the same one.
+ */
+export function identifyOwnedStream({ callId, resumedCallId, host }: ForwardedCall): string {
+    return digest(["any account", host.toLowerCase(), resumedCallId ?? callId]);
+}
+
+function digest(identity: readonly unknown[]): string {
+    const hash = createHash("sha256").update(JSON.stringify(identity)).digest();
+    return hash.subarray(0, streamIdBytes).toString("base64url");
 }
 
 /** Records which software version began a stream, before its first event is sent to the caller. */
@@ -24,10 +36,13 @@
         return;
     }
     context.softwareVersion = target.softwareVersion;
-    origins.record({
-        streamId: identifyStream(call),
+    const origin = {
         service: context.service.name,
         softwareVersion: target.softwareVersion,
         deadline: call.deadline,
-    });
+    };
+    origins.record({ ...origin, streamId: identifyStream(call) });
+    if (call.account !== undefined) {
+        origins.record({ ...origin, streamId: identifyOwnedStream(call), account: call.account });
+    }
 }
--- a/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/resumeCall.ts
@@ -6,7 +6,7 @@
 import { CallKind, type ForwardRoute } from "../../../version/forwarding/forwardingConfiguration.js";
 import type { ForwardingParts } from "../forwardingParts.js";
 import type { RequestTrace } from "../requestTrace.js";
-import { identifyStream } from "./recordOrigin.js";
+import { identifyOwnedStream, identifyStream } from "./recordOrigin.js";
 
 /** The targets that may serve a call. */
 export interface CallDestination extends Partial<Pick<FoundOrigin, "softwareVersion">> {
@@ -46,7 +46,9 @@
     }
     const streamId = identifyStream(call);
     const origin = await parts.findOrigin(streamId, service);
-    const destination = checkOrigin(parts, route, origin);
+    const destination = await isForeign(parts, route, call, service, origin)
+        ? err(notRun(FailureReason.Unauthenticated, "Another account began the stream."))
+        : checkOrigin(parts, route, origin);
     parts.metrics.recordResumption(destination.isOk ? "placed" : destination.error.reason);
     trace.record(EventKind.RequestResumed, {
         resumes: call.resumedCallId?.slice(0, maxLoggedIdLength),
@@ -60,6 +62,24 @@
     return destination;
 }
 
+/**
+ * Whether a process knows that another account began the stream. Only then is it looked up once more: a caller's own
+ * stream is found by the first lookup.
+ */
+async function isForeign(
+    parts: ResumptionParts,
+    { isPublic }: ForwardRoute,
+    call: ForwardedCall,
+    service: string,
+    origin: FoundOrigin | undefined,
+): Promise<boolean> {
+    if (origin?.knownBy !== undefined || (call.account === undefined && !isPublic)) {
+        return false;
+    }
+    const owned = await parts.findOrigin(identifyOwnedStream(call), service);
+    return owned?.account !== undefined && owned.account !== call.account;
+}
+
 function checkOrigin(
     { clock }: ResumptionParts,
     route: ForwardRoute,
