Catch up with overdue usage windows while a group is silent

Cause: a holder that took over waited 2 s anew for each overdue window that a silent group kept incomplete, so that later windows became overdue too. Processes that coordinate nothing ranked the coordinators of all groups twice a second.

Change: the wait counts from the first window that a holder collects. Processes without a group to coordinate only note the coordinators of their own.

--- a/packages/daisyturn/src/process/duties/usage/__tests__/createUsageReporter.test.ts
+++ b/packages/daisyturn/src/process/duties/usage/__tests__/createUsageReporter.test.ts
@@ -150,6 +150,17 @@
         }
     });
 
+    // Each of the overdue windows would wait anew, and those that are not overdue yet would become so.
+    it("catches up with overdue windows while a group stays silent", async () => {
+        const { clock, start, startReporter, received } = createReportingFleet(() => new Map([["a", 1]]), () => false);
+        await clock.advance(60_000);
+        startReporter(start("a", () => true));
+        await clock.advance(10_000);
+        const last = received.at(-1)?.call as UsageReport | undefined;
+        const due = Math.floor((clock.wallNow() - dueMilliseconds) / windowMilliseconds) - 1;
+        assert.ok(last && last.window >= due, `${last?.window} of ${due}`);
+    });
+
     // A holder that no group answers knows no counts, which does not mean that there are none.
     it("does not take a window without answers for one without counts", async () => {
         let isAnswered = false;
--- a/packages/daisyturn/src/process/duties/usage/createUsageCollection.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageCollection.ts
@@ -63,11 +63,15 @@
     /** Monotonic time since which this process coordinates its group. */
     let coordinatorSince: number | undefined;
 
-    const observe = () => {
+    const observe = (isCollecting = false) => {
         const seenAt = clock.monotonicNow();
         const own = new Set(peers.listGroupCoordinators().map(({ peerId }) => peerId));
         coordinatorSince = own.has(self.peerId) ? coordinatorSince ?? seenAt : undefined;
-        for (const peer of peers.listCoordinators()) {
+        // The others only have to know the coordinators of their own group, should they follow them.
+        const listed = isCollecting || coordinatorSince !== undefined
+            ? peers.listCoordinators()
+            : peers.listGroupCoordinators();
+        for (const peer of listed) {
             const group = own.has(peer.peerId) ? ownGroup : peer.availabilityZone;
             coordinators.set(peer.peerId, { peer, group, seenAt });
         }
@@ -124,12 +128,12 @@
 
     return {
         receive,
-        observe,
+        observe: () => observe(),
         collect: async window => {
             const state: QueryState = { parts: new Map(), ends: new Map() };
             queries.set(window, state);
             for (let query = 0; query < maxQueries; query++) {
-                observe();
+                observe(true);
                 const missing = [...coordinators.values()].filter(({ peer: { peerId } }) =>
                     peerId !== self.peerId && !isAnswered(state, peerId)
                 );
--- a/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageReporter.ts
@@ -44,7 +44,7 @@
     reports: StoredReport[];
     /** The next window to collect. */
     next: number;
-    /** Monotonic time at which that window was first collected; undefined before. */
+    /** Monotonic time at which a window was first collected; undefined before. */
     firstCollectedAt?: number;
 }
 
@@ -56,7 +56,7 @@
 const settlingMilliseconds = 2_500;
 /** Time before a report is due that is left to store and send it, also by the next holder. */
 const reserveMilliseconds = 3_000;
-/** An overdue window waits at least this long for the groups that have not answered. */
+/** A holder asks for at least this long before it goes without a group, also if windows are overdue. */
 const minWaitMilliseconds = 2_000;
 /** Counts of this time are kept by coordinators, so a new holder looks for windows that were not reported. */
 const lookBackMilliseconds = 30_000;
@@ -132,7 +132,6 @@
         }
         if (counts.size === 0) {
             row.next = window + 1;
-            row.firstCollectedAt = undefined;
             return;
         }
         const reports = [...row.reports.slice(-retainedReports), { window, isAccepted: false, counts: [...counts] }];
@@ -146,8 +145,7 @@
             Math.min(clock.monotonicNow() + storeTimeoutMilliseconds, lease.deadline()),
         );
         if (answer.outcome === TransactionOutcome.Committed && answer.version !== undefined) {
-            const { fencingNumber } = row;
-            known = { fencingNumber, version: answer.version, reports, next: window + 1 };
+            known = { ...row, version: answer.version, reports, next: window + 1 };
         }
         else {
             known = undefined;
