Sum the work of other processes once between changes

Cause: a placement asks four times for the work of other processes at each engine. Each time, the sums of the group and of the other groups were added up again, and the clock was read twice or three times, which is a call to the system. Change: the sum of an engine is kept until a report arrives, is removed or expires, and the clock is read once for both halves. Without calls in a target's own report, its decay is not computed.

--- a/packages/daisyturn-standins/src/measure/measurePromptPlacement.ts
+++ b/packages/daisyturn-standins/src/measure/measurePromptPlacement.ts
@@ -34,6 +34,14 @@
     engine: { kvTokens: 385_000, bytesPerToken: 163_840, linkMegabits: 1_300_000, tokensPerEvent: 9 },
 };
 
+/** Reads the system's clock as well, because a process does so for each time that a placement needs. */
+class ReadClock extends FakeClock {
+    override monotonicNow(): number {
+        performance.now();
+        return super.monotonicNow();
+    }
+}
+
 function createEngines(count: number): ListedTarget[] {
     return [...Array(count).keys()].map(index => ({
         targetId: `engine-${index}`,
@@ -103,7 +111,7 @@
 }
 
 async function measureFleet({ members, engines: count }: (typeof fleets)[number]): Promise<string> {
-    const clock = new FakeClock();
+    const clock = new ReadClock();
     const views = createTargetViews(
         (...[, text]) => JSON.parse(text) as ListedTarget,
         clock,
--- a/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createPeerLoads.ts
@@ -9,8 +9,16 @@
      */
     record(peerId: string, underWay: readonly WorkUnderWay[], expiresAt: number): void;
     forget(peerId: string): void;
-    /** Undefined while there is no report of any peer. */
-    sum(targetId: string): PeerLoad | undefined;
+    /**
+     * Returns a number that differs from an earlier one if a sum may have changed, also by the expiry of a report.
+     * @param now monotonic time
+     */
+    revision(now: number): number;
+    /**
+     * Undefined while there is no report of any peer.
+     * @param now monotonic time; read from the clock by default
+     */
+    sum(targetId: string, now?: number): PeerLoad | undefined;
     /** The sums of all targets at which peers have work under way. */
     list(): readonly WorkUnderWay[];
 }
@@ -28,6 +36,7 @@
     const peers = new Map<string, { readonly expiresAt: number; readonly underWay: readonly WorkUnderWay[]; }>();
     const sums = new Map<string, PeerLoad>();
     let nextExpiryAt = Infinity;
+    let revision = 0;
 
     const add = (underWay: readonly WorkUnderWay[], sign: 1 | -1) => {
         for (const entry of underWay) {
@@ -48,12 +57,12 @@
     };
 
     const forget = (peerId: string) => {
+        revision += 1;
         add(peers.get(peerId)?.underWay ?? [], -1);
         peers.delete(peerId);
     };
 
-    const removeExpired = () => {
-        const now = clock.monotonicNow();
+    const removeExpired = (now: number) => {
         if (now <= nextExpiryAt) {
             return;
         }
@@ -69,12 +78,16 @@
             add(underWay, 1);
             nextExpiryAt = Math.min(nextExpiryAt, expiresAt);
         },
-        sum: targetId => {
-            removeExpired();
+        revision: now => {
+            removeExpired(now);
+            return revision;
+        },
+        sum: (targetId, now = clock.monotonicNow()) => {
+            removeExpired(now);
             return peers.size > 0 ? sums.get(targetId) ?? noLoad : undefined;
         },
         list: () => {
-            removeExpired();
+            removeExpired(clock.monotonicNow());
             return [...sums].map(([targetId, sum]) => ({ targetId, ...sum }));
         },
     };
--- a/packages/daisyturn/src/process/forwarding/views/createTargetLoads.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetLoads.ts
@@ -77,6 +77,9 @@
     const own = new Map<string, TargetLoad>();
     const peers = createPeerLoads(clock);
     const groups = createPeerLoads(clock);
+    /** Results of `findOthers` since the last change, as a placement asks several times for each engine. */
+    const others = new Map<string, PeerLoad>();
+    let othersRevision = 0;
     const listeners: (() => void)[] = [];
     const notifyChanged = () => listeners.forEach(listener => listener());
 
@@ -98,7 +101,9 @@
     };
 
     const reportedOthers = (load: TargetLoad | undefined) =>
-        load ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportDecayMilliseconds) : 0;
+        load && load.reportedOthers !== 0
+            ? load.reportedOthers * Math.exp((load.reportedAt - clock.monotonicNow()) / reportDecayMilliseconds)
+            : 0;
 
     const begin = (targetId: string, { work, isDeferred, tokens }: CallCost): PlacedWork => {
         const load = find(targetId);
@@ -150,9 +155,23 @@
 
     /** Work of other processes at the target; undefined while there is no report of any process. */
     const findOthers = (targetId: string): PeerLoad | undefined => {
-        const ofGroup = peers.sum(targetId);
-        const ofOthers = groups.sum(targetId);
-        return ofGroup && ofOthers ? addLoads(ofGroup, ofOthers) : ofGroup ?? ofOthers;
+        const now = clock.monotonicNow();
+        const revision = peers.revision(now) + groups.revision(now);
+        if (revision !== othersRevision) {
+            othersRevision = revision;
+            others.clear();
+        }
+        const known = others.get(targetId);
+        if (known) {
+            return known;
+        }
+        const ofGroup = peers.sum(targetId, now);
+        const ofOthers = groups.sum(targetId, now);
+        const sum = ofGroup && ofOthers ? addLoads(ofGroup, ofOthers) : ofGroup ?? ofOthers;
+        if (sum) {
+            others.set(targetId, sum);
+        }
+        return sum;
     };
 
     const listGroup = () => {
