Count only a group's processes when a coordinator needs clocks

Cause: a coordinator waited for five clocks, or more than half of the fleet's, although only its own group sends to it. In groups of three it never had them, and after 12 s took the median of any number, also of two, which is the later one. Lost messages at the start left it without clocks for 10 s.

Change: the processes of the group count, and at least three clocks are needed where there are three. A process that does not know the fleet's time yet sends its clock once a second.

The fixture drops the unread messages of a process that is restarted, as its socket would. The random case counts 50 ms away from the ends of windows, which times need not meet exactly.

--- a/packages/daisyturn/src/process/duties/usage/__fixtures__/usageFleet.ts
+++ b/packages/daisyturn/src/process/duties/usage/__fixtures__/usageFleet.ts
@@ -116,6 +116,7 @@
         /** Ends a process and starts it again under the same name, without any of its state. */
         restart: (index: number, offset = 0) => {
             processes[index]!.kill();
+            unread.delete(peers[index]!.peerId);
             processes[index] = start(peers[index]!, offset);
         },
         /** Keeps a process from reading datagrams. */
--- a/packages/daisyturn/src/process/duties/usage/__tests__/usageFaults.test.ts
+++ b/packages/daisyturn/src/process/duties/usage/__tests__/usageFaults.test.ts
@@ -110,7 +110,7 @@
             const { clock, processes, collect } = fleet;
             const random = createSeededRandom(1_000 + seed);
             const pick = (count: number) => Math.floor(random.fraction() * count);
-            await clock.advance(windowMilliseconds - clock.wallNow() % windowMilliseconds + 10_000);
+            await clock.advance(windowMilliseconds - clock.wallNow() % windowMilliseconds + 10_050);
             const window = fleet.currentWindow();
             let counted = 0;
             // Processes 0 to 5 are the coordinators; 6 to 8 count, and then the third of each zone takes over.
--- a/packages/daisyturn/src/process/duties/usage/createFleetTime.ts
+++ b/packages/daisyturn/src/process/duties/usage/createFleetTime.ts
@@ -18,7 +18,7 @@
     /**
      * Applies the median of the clocks received recently and of this process's own.
      *
-     * @param processes number of processes in the fleet
+     * @param processes number of processes that send their clocks to this one, and itself
      * @returns whether enough clocks are known for that
      */
     adoptMedian(processes: number): boolean;
@@ -36,6 +36,8 @@
 const clockLifetimeMilliseconds = 30_000;
 /** The median of this many clocks is right although two of them are wrong. */
 const sufficientClocks = 5;
+/** The median of this many clocks is right although one of them is wrong; that of two is the later one. */
+const fewestClocks = 3;
 /** How much faster than needed the possible error of a time grows, as a part of its age. Steady clocks differ by less. */
 const errorGrowth = 0.01;
 
@@ -81,7 +83,8 @@
             });
             const offsets = [...clocks.values()].map(known => known.offset);
             offsets.push(clock.wallNow() - now);
-            if (offsets.length < Math.min(sufficientClocks, Math.floor(processes / 2) + 1)) {
+            const majority = Math.floor(processes / 2) + 1;
+            if (offsets.length < Math.min(sufficientClocks, Math.max(majority, Math.min(processes, fewestClocks)))) {
                 return false;
             }
             offsets.sort((left, right) => left - right);
--- a/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
@@ -35,7 +35,7 @@
 /** A process without requests also takes part in the median of the clocks. */
 const clockIntervalMilliseconds = 10_000;
 /**
- * Interval of messages of a process that has counted a while ago, so that a coordinator which has restarted soon gets counts
+ * Interval of messages of a process that does not know the fleet's time, or has counted a while ago, so that a coordinator which has restarted soon gets counts
  * that its earlier incarnation had acknowledged.
  */
 const recentIntervalMilliseconds = 1_000;
@@ -102,7 +102,7 @@
 
     const sendChanges = () => {
         const now = clock.monotonicNow();
-        const interval = hasRecentCounts() ? recentIntervalMilliseconds : clockIntervalMilliseconds;
+        const interval = hasRecentCounts() || !time.isAgreed() ? recentIntervalMilliseconds : clockIntervalMilliseconds;
         for (const receiver of listReceivers()) {
             const isClockDue = now - (sentAt.get(receiver.peerId) ?? -Infinity) >= interval;
             if (sendTo(receiver)) {
@@ -116,12 +116,19 @@
         }
     };
 
+    /** Counts the listed processes of this process's group, including those that have ended. */
+    const countGroup = () => {
+        const group = new Set(peers.listGroupCoordinators().map(({ peerId }) => peerId));
+        const isOnlyGroup = peers.listCoordinators().every(({ peerId }) => group.has(peerId));
+        return peers.listPeers().filter(peer => isOnlyGroup || peer.availabilityZone === self.availabilityZone).length;
+    };
+
     /** A coordinator's own time is the median that it sends to the others. */
     const followClocks = () => {
         const now = clock.monotonicNow();
         coordinatorSince = peers.listGroupCoordinators().every(isOther) ? undefined : coordinatorSince ?? now;
         const knowsAll = coordinatorSince !== undefined && now - coordinatorSince > allClocksMilliseconds;
-        hasMedian = coordinatorSince !== undefined && time.adoptMedian(knowsAll ? 1 : peers.listPeers().length);
+        hasMedian = coordinatorSince !== undefined && time.adoptMedian(knowsAll ? 1 : countGroup());
     };
 
     const prune = () => {
