Put the election of coordinators into a folder of its own

Cause: the folder of coordination had 16 files, and its tests as well, where 15 are allowed. Change: rankCoordinators, createFleetElection and their tests are in coordination/election. Measured: sourceLayout and the moved tests pass.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/groupCoordinators.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/groupCoordinators.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { it } from "node:test";
 import { createFleet } from "../__fixtures__/createFleet.js";
-import { rankCoordinators } from "../rankCoordinators.js";
+import { rankCoordinators } from "../election/rankCoordinators.js";
 
 // Entries of ended processes stay in the registry for minutes. The members of a group whose first two coordinators had
 // ended sent their usage counts to these, and the holder of the duties asked only these.
--- a/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createCoordinatorLink.ts
@@ -1,6 +1,6 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
-import { hasZoneGroups, rankCoordinators, selectGroup } from "./rankCoordinators.js";
+import { hasZoneGroups, rankCoordinators, selectGroup } from "./election/rankCoordinators.js";
 
 /** Determines which process coordinates the group of this one, based on which processes are reachable. */
 export interface CoordinatorLink {
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/actingCoordinator.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/election/__tests__/actingCoordinator.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createFleet, type Fleet, type FleetProcess } from "../__fixtures__/createFleet.js";
+import { createFleet, type Fleet, type FleetProcess } from "../../__fixtures__/createFleet.js";
 
 function listActing({ processes }: Fleet) {
     return processes.filter(({ coordination }) => coordination.isFleetCoordinator());
--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/groupFormation.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/election/__tests__/groupFormation.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createFleet } from "../__fixtures__/createFleet.js";
+import { createFleet } from "../../__fixtures__/createFleet.js";
 
 // Guards against processes that read the registry while few entries were listed, and then followed the coordinator of
 // another zone for as long as it answered them.
--- a/packages/daisyturn/src/process/forwarding/coordination/createFleetElection.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/election/createFleetElection.ts
@@ -1,7 +1,7 @@
-import type { ExpiringSet } from "../links/createExpiringSet.js";
-import type { TargetLinks } from "../links/createTargetLinks.js";
-import type { CoordinatorLink } from "./createCoordinatorLink.js";
-import type { TableReader } from "./createTableReader.js";
+import type { ExpiringSet } from "../../links/createExpiringSet.js";
+import type { TargetLinks } from "../../links/createTargetLinks.js";
+import type { CoordinatorLink } from "../createCoordinatorLink.js";
+import type { TableReader } from "../createTableReader.js";
 
 /** What {@link createFleetElection} needs. */
 export interface FleetElectionOptions {
--- a/packages/daisyturn/src/process/forwarding/coordination/rankCoordinators.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/election/rankCoordinators.ts
@@ -1,5 +1,5 @@
 import { hashTextTo32Bits } from "daisyturn-utils";
-import type { RegisteredPeer } from "../../../ports/peerRegistry.js";
+import type { RegisteredPeer } from "../../../../ports/peerRegistry.js";
 
 /**
  * Up to this many processes share one coordinator across all availability zones. Larger fleets have one coordinator in
