Report to coordinators as soon as they are known, and read the registry once

Cause: a process sent its first load report one second after its start, at the moment at which it read the registry again for want of contact. So each process read the registry twice, also where the first read had listed all. With contact, it reads the registry again only while a coordinator counts more processes than it knows, up to three reads. All processes know all others 6 s after each.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/storeCalls.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/storeCalls.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { rowsPerPage } from "../__fixtures__/createFleet.js";
 import { createStoreFleet, type StoreFleet, type StoreRequests } from "../__fixtures__/createStoreFleet.js";
 
 /** The size for which a test has enough time; larger fleets are measured by hand. */
@@ -35,12 +36,20 @@
     await fleet.clock.advance(1_000);
     fleet.processes.forEach((...[, index]) => fleet.restart(index));
     await fleet.clock.advance(6_000);
+    checkLists(fleet);
+}
+
+/** Guards against processes that have contact with a coordinator before the registry lists the others. */
+function checkLists(fleet: StoreFleet) {
+    const counts = fleet.processes.map(({ coordination }) => coordination.listPeers().length);
+    assert.ok(counts.every(listed => listed === count), `processes known to each: ${counts.join(" ")}`);
 }
 
 test("requests of a fleet to the store stay few", async context => {
     const fleet = createStoreFleet(count, zones);
     const { clock } = fleet;
     const started = await countRequests(context, fleet, "start of all, 6 s", () => clock.advance(6_000), true);
+    checkLists(fleet);
     const resting = await countRequests(context, fleet, "at rest, 20 s", () => clock.advance(20_000));
     const changing = await countRequests(context, fleet, "targets change each second, 10 s", async () => {
         for (let change = 0; change < 10; change++) {
@@ -65,9 +74,14 @@
         fleet.restart(fleet.processes.indexOf(coordinator));
         return clock.advance(6_000);
     });
-    await countRequests(context, fleet, "restart of all, killed, 7 s", () => restartAll(fleet, true));
+    const killed = await countRequests(context, fleet, "restart of all, killed, 7 s", () => restartAll(fleet, true));
     await countRequests(context, fleet, "restart of all, with notice, 7 s", () => restartAll(fleet, false));
     assert.ok(started.feeds <= count + 30 && resting.feeds <= 100 && changing.feeds <= 60 && losing.feeds <= 60);
+    // Guards against processes that read a complete registry twice.
+    assert.ok(
+        killed.registry <= count * Math.ceil(count / rowsPerPage) + 20,
+        `${killed.registry} requests of the registry`,
+    );
     // Guards against members that read the store after each change, because the coordinator's next answer comes too late.
     assert.ok(changedOnce.feeds <= resting.feeds / 2 + 12, `${changedOnce.feeds} calls for one change`);
     await fleet.stop();
--- a/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createLoadPublisher.ts
@@ -143,6 +143,10 @@
                 const nextAt = clock.monotonicNow() + coordinatorMilliseconds;
                 await clock.sleepUntil(nextAt, signal);
                 const isPending = [...unsent.values()].some(updates => countUpdates(updates) > 0);
+                if (sentAt.size === 0) {
+                    // The first report goes out when the registry has been read, so that it is not read again.
+                    continue;
+                }
                 const idleUntil = nextAt + (isPending ? standbyMilliseconds : idleMilliseconds)
                     - coordinatorMilliseconds;
                 if (!hasChanged) {
--- a/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
@@ -28,6 +28,11 @@
 const searchMilliseconds = 1_000;
 /** Interval at which coordinators look for each other; each refresh is a call to the store, which has a price. */
 const coordinatorMilliseconds = 10_000;
+/**
+ * Number of reads in a row after which a process with an incomplete list no longer reads the registry for it: the
+ * coordinator may count processes that have just ended.
+ */
+const maxReadsToSettle = 3;
 /** Interval at which a process checks that it still has contact with a coordinator. */
 const checkMilliseconds = 2_000;
 const timeoutMilliseconds = 1_000;
@@ -66,6 +71,7 @@
     /** Monotonic time until which unlisted peers are retained. */
     let retainUnlistedUntil = -Infinity;
     let found: readonly RegisteredPeer[] = [];
+    let reads = 0;
 
     const recordUnreadable = (count: number) => {
         if (count !== unreadable) {
@@ -88,6 +94,7 @@
             return searchMilliseconds;
         }
         mustRefresh = false;
+        reads += 1;
         const { peers, unreadable: unreadableNow } = listing.value;
         // Processes start together, so the first reads of the registry return only some of the others.
         const isSettled = peers.length > 1 && peers.length === found.length;
@@ -102,10 +109,13 @@
         return isSettled && link.isCandidate() ? coordinatorMilliseconds : searchMilliseconds;
     };
 
+    /** Whether a coordinator counts more processes than this one has found at its start. */
+    const isIncomplete = () => reads < maxReadsToSettle && (link.countProcesses() ?? 0) > (link.countListed() ?? 0);
+
     while (!signal.aborted) {
         const isRefreshDue = mustRefresh || refreshRequest.isPending || refreshRequest.isReadPending
             || found.length === 0 || link.isCandidate()
-            || !link.hasContact();
+            || !link.hasContact() || isIncomplete();
         const interval = isRefreshDue ? await refresh() : checkMilliseconds;
         if (!refreshRequest.isPending && !refreshRequest.isReadPending) {
             await refreshRequest.requested.wait(clock, clock.monotonicNow() + interval, signal);
