--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -86,7 +86,13 @@
         const byReplica = new Map<RegisteredPeer, StreamOrigin[]>();
         for (const origin of published.filter(({ deadline }) => deadline > clock.monotonicNow())) {
             for (const replica of selectReplicas(origin.streamId, peers)) {
-                byReplica.set(replica, [...byReplica.get(replica) ?? [], origin]);
+                const sent = byReplica.get(replica);
+                if (sent) {
+                    sent.push(origin);
+                }
+                else {
+                    byReplica.set(replica, [origin]);
+                }
             }
         }
         byReplica.forEach((sent, replica) => replica.peerId !== self.peerId && sendTo(replica, sent));
