Count relayed rows no longer as answers of the store

Cause: a coordinator that the store did not answer followed what others relayed, and this counted as contact with the store. Change: following a coordinator's reports and applying rows that are relayed during an outage are recorded apart; only the first shows that the store need not be read. Measured: a new case of tableReader fails on the former rule by its construction (the rows were recorded as the last contact); 34 tests of tables and elections pass.

--- a/packages/daisyturn/src/process/forwarding/coordination/__tests__/tableReader.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__tests__/tableReader.test.ts
@@ -18,3 +18,16 @@
     reader.recordAnswer("t", page(12), { era: 1, version: 10 });
     assert.deepEqual(reader.listStates(), [{ table: "t", era: 1, changedVersion: 8, version: 12, age: 0 }]);
 });
+
+// Guards against a coordinator that keeps the lease's work although the store does not answer it, because others relay.
+test("the store is lost for a process that fails to read it, whatever is relayed, and not for one that follows", async () => {
+    const clock = new FakeClock();
+    const reader = createTableReader(clock);
+    reader.recordAnswer("t", page(5, "a"), undefined);
+    reader.recordFailure("t");
+    await clock.advance(1_600);
+    reader.recordRelayed("t", page(8, "b"));
+    assert.equal(reader.isLost(), true);
+    reader.recordFollowed("t");
+    assert.equal(reader.isLost(), false);
+});
--- a/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/createTableReader.ts
@@ -12,13 +12,15 @@
      */
     recordAnswer(table: string, page: FeedPage, after: StorePosition | undefined, isResumed?: boolean): void;
     recordFailure(table: string): void;
+    /** Records that a coordinator's reports of the table were followed until now, in place of reading the store. */
+    recordFollowed(table: string): void;
+    /** Records rows that a coordinator has relayed: this process relays changes after them if it reads the table next. */
+    recordRelayed(table: string, page: FeedPage): void;
+    listStates(): readonly TableState[];
     /**
-     * Records that a coordinator's reports of the table were followed until now, and the rows that it has relayed: this
-     * process relays the changes after them if it reads the table next.
+     * Whether the store fails and has answered no read of this process for some time. Rows that other processes relay
+     * meanwhile change nothing in this.
      */
-    recordRelayed(table: string, page?: FeedPage): void;
-    listStates(): readonly TableState[];
-    /** Whether the store fails and has answered no read of this process for some time. */
     isLost(): boolean;
     /** Registers a listener that is called with changed rows. */
     onRows(listener: (message: Omit<RowsMessage, "from">) => void): void;
@@ -38,7 +40,7 @@
     /** Monotonic time of the store's last answer. */
     answeredAt: number;
     /** Monotonic time until which a coordinator's reports were followed. */
-    relayedAt: number;
+    followedAt: number;
     /** Monotonic time of the store's last failure, or of the first answer after it: an outage may have lasted until then. */
     failedAt: number;
     isFailing: boolean;
@@ -56,7 +58,7 @@
                 changedVersion: 0,
                 position: { era: 0, version: 0 },
                 answeredAt: -Infinity,
-                relayedAt: -Infinity,
+                followedAt: -Infinity,
                 failedAt: -Infinity,
                 isFailing: false,
             };
@@ -109,11 +111,12 @@
             known.failedAt = clock.monotonicNow();
             known.isFailing = true;
         },
-        recordRelayed: (table, page) => {
-            const known = find(table);
-            known.relayedAt = clock.monotonicNow();
-            if (page && page.rows.length > 0) {
-                known.changedVersion = page.position.version;
+        recordFollowed: table => {
+            find(table).followedAt = clock.monotonicNow();
+        },
+        recordRelayed: (table, { rows, position }) => {
+            if (rows.length > 0) {
+                find(table).changedVersion = position.version;
             }
         },
         listStates: () => {
@@ -131,8 +134,8 @@
             const known = [...tables.values()];
             const lostSince = clock.monotonicNow() - lostMilliseconds;
             return known.length > 0
-                && known.every(({ isFailing, answeredAt, relayedAt }) =>
-                    isFailing && Math.max(answeredAt, relayedAt) < lostSince
+                && known.every(({ isFailing, answeredAt, followedAt }) =>
+                    isFailing && Math.max(answeredAt, followedAt) < lostSince
                 );
         },
         onRows: listener => void listeners.push(listener),
--- a/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
@@ -57,7 +57,7 @@
     /** Changes relayed by another process; while it relays them, the store is not called. */
     readonly relay?: RelayedTable;
     /** Receives the store's answers, to relay them to other processes. */
-    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure" | "recordRelayed">;
+    readonly reader?: Pick<TableReader, "recordAnswer" | "recordFailure" | "recordFollowed" | "recordRelayed">;
 }
 
 /** Time that a call may take beyond its wait before its connection counts as silent. */
@@ -208,6 +208,9 @@
         endRelay?.(wasFollowed);
         if (wasFollowed) {
             isResuming = true;
+            options.reader?.recordFollowed(options.name);
+        }
+        if (page) {
             options.reader?.recordRelayed(options.name, page);
         }
         return page;
