--- a/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
+++ b/packages/daisyturn/src/process/duties/usage/createUsageExchange.ts
@@ -35,8 +35,8 @@
 /** A process without requests also takes part in the median of the clocks. */
 const clockIntervalMilliseconds = 10_000;
 /**
- * Interval of messages of a process that does not know the fleet's time, or has counted a while ago, so that a coordinator which has restarted soon gets counts
- * that its earlier incarnation had acknowledged.
+ * Interval of messages of a process that does not know the fleet's time or has counted a while ago. A coordinator that has
+ * restarted soon gets the counts that its earlier incarnation had acknowledged.
  */
 const recentIntervalMilliseconds = 1_000;
 /** After this time as coordinator, all processes that run have sent their clocks; the other entries are of ended ones. */
