Log and count connections that the listener refuses itself

Change: request_unreadable (status, Node's code, the caller's address), request_after_refusal (the call's identifier, the same address), daisyturn_unreadable_requests_total. The state of a caller's connection moves into a file of its own; what is served is unchanged.

--- a/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
@@ -22,7 +22,7 @@
 
 /** Creates the server for callers and the guard of its connections. */
 export function createCallerServer({ settings, protocol, parts, ...checks }: CallerServerOptions) {
-    const { clock, eventLog } = parts;
+    const { clock, eventLog, metrics } = parts;
     const connectionGuard = createConnectionGuard({
         busyMilliseconds: () => performance.eventLoopUtilization().active,
         hasRoomElsewhere: checks.hasRoomElsewhere,
@@ -38,6 +38,7 @@
         connectionGuard,
         clock,
         eventLog,
+        metrics,
     });
     return { server, connectionGuard };
 }
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -61,7 +61,12 @@
         labelNames: ["progress", "reason"],
         registers,
     });
-
+    const unreadable = new Counter({
+        name: "daisyturn_unreadable_requests_total",
+        help: "Connections from which no request could be read in time or at all, by the status that was sent",
+        labelNames: ["status"],
+        registers,
+    });
     const requests = new Counter({
         name: "daisyturn_requests_total",
         help: "Calls of callers by service",
@@ -151,6 +156,10 @@
             abandonedSends.inc({ progress, reason });
         }
 
+        override recordUnreadable(status: string): void {
+            unreadable.inc({ status });
+        }
+
         override recordRequest(service: string): void {
             requests.inc({ service });
         }
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -56,6 +56,10 @@
     TargetAnswered = "target_answered",
     /** A send was given up because its caller has left, its deadline has passed or its target is silent. */
     SendAbandoned = "send_abandoned",
+    /** The listener for callers answered or closed a connection itself, since no request could be read from it in time. */
+    RequestUnreadable = "request_unreadable",
+    /** A request became complete on a connection after {@link EventKind.RequestUnreadable}. */
+    RequestAfterRefusal = "request_after_refusal",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
     /** A request, or a part of prompts, is kept out of targets, because several of them ended while they ran it. */
--- a/packages/daisyturn/src/connection/caller/answerProtocolError.ts
+++ b/packages/daisyturn/src/connection/caller/answerProtocolError.ts
@@ -16,16 +16,22 @@
     HPE_HEADER_OVERFLOW: { status: "431 Request Header Fields Too Large", message: "The header is too long." },
     ERR_HTTP_REQUEST_TIMEOUT: { status: "408 Request Timeout", message: "The request did not arrive in time." },
 };
+const statusLength = 3;
 const malformed: ProtocolRefusal = { status: "400 Bad Request", message: "This is not a valid HTTP/1.1 request." };
 
 /**
  * Answers bytes that Node could not parse as a request, and closes the connection.
  * @param isAnswering whether an answer is being sent on the connection; the connection is then closed without an answer
+ * @returns the status that was sent; undefined if the connection was closed without one
  */
-export function answerProtocolError(error: ProtocolError, socket: Duplex, isAnswering: boolean): void {
+export function answerProtocolError(
+    error: ProtocolError,
+    socket: Duplex,
+    isAnswering: boolean,
+): string | undefined {
     if (!socket.writable || isAnswering || error.code === "ECONNRESET") {
         socket.destroy();
-        return;
+        return undefined;
     }
     const { status, message } = refusals[error.code ?? ""] ?? malformed;
     const body = JSON.stringify(buildErrorBody(notRun(FailureReason.BadRequest, message)));
@@ -33,4 +39,5 @@
         `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n`
             + `Connection: close\r\n\r\n${body}`,
     );
+    return status.slice(0, statusLength);
 }
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -2,16 +2,9 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Duplex } from "node:stream";
 import { answerProtocolError, type ProtocolError } from "./answerProtocolError.js";
+import { type CallerConnection, createCallerConnection } from "./callerConnection.js";
 import type { CallerLimits, TlsMaterial } from "./callerServerOptions.js";
-
-/** A connection of a caller. */
-export interface CallerConnection {
-    /**
-     * Called once the caller has closed the connection, one for each unfinished answer. Node emits `close` only for the
-     * answer that is currently being sent, not for those of the pipelined requests behind it.
-     */
-    readonly closeListeners: Set<() => void>;
-}
+import type { ListenerLog } from "./createListenerLog.js";
 
 /** Handles one request. */
 export type RequestListener = (
@@ -23,10 +16,13 @@
 /** Upper limit of the interval at which Node checks for requests that have not arrived in time. */
 const maxCheckIntervalMilliseconds = 1_000;
 
+const closedWithoutAnswer = "closed";
+
 /** Creates the HTTP listener. Node's limits are set so that a caller can't occupy a connection without a request. */
 export function createCallerListener(
     tls: TlsMaterial | undefined,
     limits: CallerLimits,
+    log: ListenerLog,
     listener: RequestListener,
 ): Server {
     const httpOptions = {
@@ -46,32 +42,39 @@
         })
         : createPlainServer(httpOptions);
     const connections = new WeakMap<Duplex, CallerConnection>();
+    /** Connections that sent bytes from which no request could be read. */
+    const refused = new WeakSet<Duplex>();
 
     const findConnection = (socket: Duplex): CallerConnection => {
         const known = connections.get(socket);
         if (known) {
             return known;
         }
-        const connection: CallerConnection = { closeListeners: new Set() };
+        const connection = createCallerConnection(socket);
         connections.set(socket, connection);
-        // Node.js answers no request on a connection that its caller has closed, and emits `close` only later.
-        for (const event of ["end", "error", "close"]) {
-            socket.once(event, () => connection.closeListeners.forEach(listener => listener()));
-        }
         return connection;
     };
 
-    const listen = (incoming: IncomingMessage, outgoing: ServerResponse) =>
-        listener(incoming, outgoing, findConnection(incoming.socket));
+    const listen = (incoming: IncomingMessage, outgoing: ServerResponse) => {
+        const connection = findConnection(incoming.socket);
+        if (refused.has(incoming.socket)) {
+            log.recordLateRequest(incoming);
+        }
+        listener(incoming, outgoing, connection);
+    };
+
+    const handleProtocolError = (error: ProtocolError, socket: Duplex) => {
+        const connection = findConnection(socket);
+        refused.add(socket);
+        const status = answerProtocolError(error, socket, connection.isAnswering());
+        log.recordUnreadable(socket, status ?? closedWithoutAnswer, error.code);
+    };
 
     // Node would silently drop fields beyond its limit, possibly an Idempotency-Key. validateHeaderFields refuses them.
     server.maxHeadersCount = 0;
     server.maxConnections = limits.maxConnections;
     server.on("request", listen);
     server.on("checkContinue", listen);
-    server.on("clientError", (error: ProtocolError, socket: Duplex) => {
-        const isAnswering = (connections.get(socket)?.closeListeners.size ?? 0) > 0;
-        answerProtocolError(error, socket, isAnswering);
-    });
+    server.on("clientError", handleProtocolError);
     return server;
 }
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -5,8 +5,10 @@
 import type { RequestParts } from "../../request/requestParts.js";
 import { createResumeTokens } from "../../request/resumption/resumeToken.js";
 import { listenAt } from "../listenAt.js";
+import type { CallerConnection } from "./callerConnection.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
-import { type CallerConnection, createCallerListener } from "./createCallerListener.js";
+import { createCallerListener } from "./createCallerListener.js";
+import { createListenerLog } from "./createListenerLog.js";
 import { createHttpExchange, type HttpExchange } from "./httpExchange.js";
 import { refuseExchange, serveExchange } from "./serveExchange.js";
 import { validateHeaderFields } from "./validateHeaderFields.js";
@@ -99,7 +101,7 @@
         refuseExchange(parts, exchange, failure);
     };
 
-    const server = createCallerListener(options.tls, limits, (incoming, outgoing, connection) => {
+    const server = createCallerListener(options.tls, limits, createListenerLog({ eventLog }), (incoming, outgoing, connection) => {
         void serve(incoming, outgoing, connection);
     });
 
--- a/packages/daisyturn/src/connection/caller/httpExchange.ts
+++ b/packages/daisyturn/src/connection/caller/httpExchange.ts
@@ -1,8 +1,8 @@
 import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { AnswerHeaders, CallerAnswer, CallerExchange } from "../../request/callerExchange.js";
+import type { CallerConnection } from "./callerConnection.js";
 import type { CallerLimits } from "./callerServerOptions.js";
-import type { CallerConnection } from "./createCallerListener.js";
 import { createEventWriter } from "./eventWriter.js";
 import { readBody } from "./readBody.js";
 
@@ -38,18 +38,19 @@
     const cancellation = new AbortController();
     const { path, query } = splitUrl(incoming.url ?? "/");
 
+    let resolveClosed: () => void = () => undefined;
     const closed = new Promise<void>(resolve => {
-        const { closeListeners } = options.connection;
-        const finish = () => {
-            closeListeners.delete(finish);
-            if (!outgoing.writableFinished) {
-                cancellation.abort(mayHaveRun(FailureReason.Cancelled, "The caller has closed the connection."));
-            }
-            resolve();
-        };
-        closeListeners.add(finish);
-        outgoing.once("close", finish);
+        resolveClosed = resolve;
     });
+    const finish = () => {
+        request.end();
+        if (!outgoing.writableFinished) {
+            cancellation.abort(mayHaveRun(FailureReason.Cancelled, "The caller has closed the connection."));
+        }
+        resolveClosed();
+    };
+    const request = options.connection.beginRequest(incoming, finish);
+    outgoing.once("close", finish);
 
     const buildHeaders = (contentType: string, headers: AnswerHeaders = {}): OutgoingHttpHeaders => {
         const fields: OutgoingHttpHeaders = { "X-Request-Id": requestId, ...headers };
--- a/packages/daisyturn/src/connection/forwarding/__tests__/forwardExchange.test.ts
+++ b/packages/daisyturn/src/connection/forwarding/__tests__/forwardExchange.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 import { test } from "node:test";
-import type { CallerConnection } from "../../caller/createCallerListener.js";
+import { createCallerConnection } from "../../caller/callerConnection.js";
 import { createForwardExchange } from "../forwardExchange.js";
 
 /** Creates an exchange whose chunks are written at the given times, in milliseconds. */
@@ -13,8 +14,8 @@
         writeHead: () => undefined,
         write: () => true,
     }) as unknown as ServerResponse;
-    const connection = { closeListeners: new Set() } as unknown as CallerConnection;
-    const exchange = createForwardExchange(outgoing, connection, () => false, () => now);
+    const connection = createCallerConnection(new EventEmitter() as unknown as Duplex);
+    const exchange = createForwardExchange({} as IncomingMessage, outgoing, connection, () => false, () => now);
     exchange.begin(200, []);
     for (const time of times) {
         now = time;
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -2,12 +2,14 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
-import type { ConnectionGuard } from "../../process/forwarding/index.js";
+import type { ConnectionGuard, ForwardingMetrics } from "../../process/forwarding/index.js";
 import type { CallHead } from "../../request/forwarding/checkCallHead.js";
 import { refuseCall } from "../../request/forwarding/refuseCall.js";
 import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
+import type { CallerConnection } from "../caller/callerConnection.js";
 import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
-import { type CallerConnection, createCallerListener } from "../caller/createCallerListener.js";
+import { createCallerListener } from "../caller/createCallerListener.js";
+import { createListenerLog } from "../caller/createListenerLog.js";
 import { readBytes } from "../caller/readBody.js";
 import { listenAt } from "../listenAt.js";
 import { createForwardExchange, type ForwardExchange } from "./forwardExchange.js";
@@ -39,6 +41,7 @@
     readonly connectionGuard: Pick<ConnectionGuard, "shouldClose" | "recordRequest">;
     readonly clock: Clock;
     readonly eventLog: EventLog;
+    readonly metrics: Pick<ForwardingMetrics, "recordUnreadable">;
 }
 
 /** Node's limit can't change after start. The configured limit is smaller and is checked for each request. */
@@ -74,7 +77,7 @@
 
     const serveRequest = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
         running += 1;
-        const exchange = createForwardExchange(outgoing, connection, () => isClosing, () => clock.monotonicNow());
+        const exchange = createForwardExchange(incoming, outgoing, connection, () => isClosing, () => clock.monotonicNow());
         let bodyBytes = 0;
         const reserve = (byteCount: number) => {
             bodyBytes += byteCount;
@@ -173,9 +176,15 @@
         refuseCall(exchange, mayHaveRun(FailureReason.Internal, "The request failed inside daisyturn."), clock);
     };
 
+    const listenerLog = createListenerLog({
+        eventLog,
+        identify: rawFields => protocol.describeCall(rawFields).map(({ callId }) => callId).unwrapOr(undefined),
+        recordUnreadable: status => options.metrics.recordUnreadable(status),
+    });
     const server: Server = createCallerListener(
         undefined,
         { ...defaultCallerLimits, maxHeaderBytes: listenerHeaderBytes },
+        listenerLog,
         (incoming, outgoing, connection) => void serveRequest(incoming, outgoing, connection),
     );
 
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -1,7 +1,7 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HeaderFields } from "../../ports/forwardedCall.js";
-import type { CallerConnection } from "../caller/createCallerListener.js";
+import type { CallerConnection } from "../caller/callerConnection.js";
 
 /** Sends the answer to one forwarded request. */
 export interface ForwardExchange {
@@ -34,6 +34,7 @@
 
 /** Creates the exchange for one request. */
 export function createForwardExchange(
+    incoming: IncomingMessage,
     outgoing: ServerResponse,
     connection: CallerConnection,
     isClosing: () => boolean,
@@ -46,22 +47,24 @@
     let firstChunkAt: number | undefined;
     let chunkCount = 0;
     let closedAt: number | undefined;
+    let resolveClosed: () => void = () => undefined;
     const closed = new Promise<void>(resolve => {
-        const finish = () => {
-            connection.closeListeners.delete(handleClose);
-            resolve();
-        };
-        const handleClose = () => {
-            if (!outgoing.writableFinished) {
-                closedAt ??= now();
-                cancellation.abort(notRun(FailureReason.Cancelled, "The caller closed the connection."));
-            }
-            finish();
-        };
-        connection.closeListeners.add(handleClose);
-        outgoing.once("finish", finish);
-        outgoing.once("error", handleClose);
+        resolveClosed = resolve;
     });
+    const finish = () => {
+        request.end();
+        resolveClosed();
+    };
+    const handleClose = () => {
+        if (!outgoing.writableFinished) {
+            closedAt ??= now();
+            cancellation.abort(notRun(FailureReason.Cancelled, "The caller closed the connection."));
+        }
+        finish();
+    };
+    const request = connection.beginRequest(incoming, handleClose);
+    outgoing.once("finish", finish);
+    outgoing.once("error", handleClose);
 
     const writeHead = (status: number, fields: HeaderFields) => {
         firstByteAt = now();
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -30,6 +30,8 @@
     abstract recordSend(result: string): void;
     /** Records one send that was given up, by how much of it was sent and why. */
     abstract recordAbandonedSend(progress: string, reason: string): void;
+    /** Records one connection that the listener refused itself: the status, or `closed` if it sent none. */
+    abstract recordUnreadable(status: string): void;
     /** Records one call of a caller for a service. */
     abstract recordRequest(service: string): void;
     abstract recordArrival(arrival: Arrival): void;
@@ -51,6 +53,7 @@
     override recordAccountCall(): void {}
     override recordSend(): void {}
     override recordAbandonedSend(): void {}
+    override recordUnreadable(): void {}
     override recordRequest(): void {}
     override recordArrival(): void {}
     override recordRetry(): void {}
