--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -49,24 +49,19 @@
         buckets: latencyBuckets,
         registers,
     });
-    const sends = new Counter({
-        name: "daisyturn_sends_total",
-        help: "Sends to targets by result",
-        labelNames: ["result"],
-        registers,
-    });
-    const abandonedSends = new Counter({
-        name: "daisyturn_abandoned_sends_total",
-        help: "Sends that were given up, by how much of the request was sent and by the reason",
-        labelNames: ["progress", "reason"],
-        registers,
-    });
-    const unreadable = new Counter({
-        name: "daisyturn_unreadable_requests_total",
-        help: "Connections from which no request could be read in time or at all, by the status that was sent",
-        labelNames: ["status"],
-        registers,
-    });
+    const createCounter = <Label extends string>(name: string, help: string, labelNames: Label[]) =>
+        new Counter({ name, help, labelNames, registers });
+    const sends = createCounter("daisyturn_sends_total", "Sends to targets by result", ["result"]);
+    const abandonedSends = createCounter(
+        "daisyturn_abandoned_sends_total",
+        "Sends that were given up, by how much of the request was sent and by the reason",
+        ["progress", "reason"],
+    );
+    const unreadable = createCounter(
+        "daisyturn_unreadable_requests_total",
+        "Connections from which no request could be read in time or at all, by the status that was sent",
+        ["status"],
+    );
     const requests = new Counter({
         name: "daisyturn_requests_total",
         help: "Calls of callers by service",
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -101,9 +101,14 @@
         refuseExchange(parts, exchange, failure);
     };
 
-    const server = createCallerListener(options.tls, limits, createListenerLog({ eventLog }), (incoming, outgoing, connection) => {
-        void serve(incoming, outgoing, connection);
-    });
+    const server = createCallerListener(
+        options.tls,
+        limits,
+        createListenerLog({ eventLog }),
+        (incoming, outgoing, connection) => {
+            void serve(incoming, outgoing, connection);
+        },
+    );
 
     const start = async () => {
         await listenAt(server, options.listen);
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -77,7 +77,13 @@
 
     const serveRequest = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
         running += 1;
-        const exchange = createForwardExchange(incoming, outgoing, connection, () => isClosing, () => clock.monotonicNow());
+        const exchange = createForwardExchange(
+            incoming,
+            outgoing,
+            connection,
+            () => isClosing,
+            () => clock.monotonicNow(),
+        );
         let bodyBytes = 0;
         const reserve = (byteCount: number) => {
             bodyBytes += byteCount;
