Serve nothing from a connection after the listener has refused it

What callers saw: a call that may run once was answered 408 and ran (REFUSED); the same for a later call of a kept connection. Cause: Node reports a request whose head is late as clientError, the listener answered 408 and half-closed the socket, and the parser went on reading. The rest of the head completed the request, which was served like any other. The class: an answer that promises was chosen by one who does not own whether the request can still be sent. Change: CallerConnection owns what is served of the bytes that arrive; once the listener has refused, endService, and requests that become complete later are only logged (request_after_refusal). The connection is closed after lingerMilliseconds. A late head behind a call that is being answered no longer cuts that answer: the 408 follows it. Why it works: the request listener is the only way from the parser to the request path, and it asks the owner first. The operators' port has no listener of its own for clientError; Node then destroys the socket, so nothing is read on.

--- a/packages/daisyturn/src/connection/caller/answerProtocolError.ts
+++ b/packages/daisyturn/src/connection/caller/answerProtocolError.ts
@@ -20,16 +20,17 @@
 const malformed: ProtocolRefusal = { status: "400 Bad Request", message: "This is not a valid HTTP/1.1 request." };
 
 /**
- * Answers bytes that Node could not parse as a request, and closes the connection.
- * @param isAnswering whether an answer is being sent on the connection; the connection is then closed without an answer
- * @returns the status that was sent; undefined if the connection was closed without one
+ * Answers bytes that Node could not parse as a request, and closes the connection. The parser goes on reading, so the
+ * connection's service must have ended before.
+ * @param lingerMilliseconds time for which what the caller still sends is dropped, so that it receives the answer
+ * @returns the status that was sent; undefined if the caller has closed the connection
  */
 export function answerProtocolError(
     error: ProtocolError,
     socket: Duplex,
-    isAnswering: boolean,
+    lingerMilliseconds: number,
 ): string | undefined {
-    if (!socket.writable || isAnswering || error.code === "ECONNRESET") {
+    if (!socket.writable) {
         socket.destroy();
         return undefined;
     }
@@ -39,5 +40,6 @@
         `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n`
             + `Connection: close\r\n\r\n${body}`,
     );
+    setTimeout(() => socket.destroy(), lingerMilliseconds).unref();
     return status.slice(0, statusLength);
 }
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -16,6 +16,8 @@
 /** Upper limit of the interval at which Node checks for requests that have not arrived in time. */
 const maxCheckIntervalMilliseconds = 1_000;
 
+/** Node's error for a request whose head or body does not arrive in time. */
+const lateRequestCode = "ERR_HTTP_REQUEST_TIMEOUT";
 const closedWithoutAnswer = "closed";
 
 /** Creates the HTTP listener. Node's limits are set so that a caller can't occupy a connection without a request. */
@@ -57,17 +59,30 @@
 
     const listen = (incoming: IncomingMessage, outgoing: ServerResponse) => {
         const connection = findConnection(incoming.socket);
-        if (refused.has(incoming.socket)) {
+        if (connection.isOpen()) {
+            listener(incoming, outgoing, connection);
+        }
+        else {
             log.recordLateRequest(incoming);
         }
-        listener(incoming, outgoing, connection);
     };
 
     const handleProtocolError = (error: ProtocolError, socket: Duplex) => {
         const connection = findConnection(socket);
+        const isRefused = refused.has(socket);
         refused.add(socket);
-        const status = answerProtocolError(error, socket, connection.isAnswering());
-        log.recordUnreadable(socket, status ?? closedWithoutAnswer, error.code);
+        connection.endService();
+        const isLateHead = error.code === lateRequestCode && !connection.isReadingBody();
+        if (!socket.writable || error.code === "ECONNRESET" || (connection.isAnswering() && !isLateHead)) {
+            log.recordUnreadable(socket, closedWithoutAnswer, error.code);
+            socket.destroy();
+        }
+        else if (!isRefused) {
+            connection.onceAnswered(() => {
+                const status = answerProtocolError(error, socket, limits.lingerMilliseconds);
+                log.recordUnreadable(socket, status ?? closedWithoutAnswer, error.code);
+            });
+        }
     };
 
     // Node would silently drop fields beyond its limit, possibly an Idempotency-Key. validateHeaderFields refuses them.
