Close a connection only after the last of its pipelined answers

What callers saw: of several pipelined calls, only the first was answered when the process was stopping; the others ran in vain. Cause: each answer of a stopping process closed its connection, also while later requests of it were being served. Change: only the answer to the latest request closes the connection, which then serves no further request (endService). Evidence: pipelinedCalls failed before (1 answer of 2) and passes now; same rule in the own interface (no test of its own).

--- a/packages/daisyturn/src/connection/caller/httpExchange.ts
+++ b/packages/daisyturn/src/connection/caller/httpExchange.ts
@@ -58,8 +58,10 @@
             fields["Content-Type"] = contentType;
         }
         // Bytes of an unread body would be parsed as the next request, and a stopping process accepts no next request.
-        if (options.isClosing() || !isBodyRead(incoming)) {
+        // Requests that are being served already are answered.
+        if (request.isLatest() && (options.isClosing() || !isBodyRead(incoming))) {
             fields["Connection"] = "close";
+            options.connection.endService();
         }
         return fields;
     };
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -69,9 +69,13 @@
     const writeHead = (status: number, fields: HeaderFields) => {
         firstByteAt = now();
         outgoing.sendDate = false;
-        if (isClosing()) {
+        // A close here would leave the pipelined requests behind this one without an answer.
+        if (isClosing() && request.isLatest()) {
             outgoing.shouldKeepAlive = false;
         }
+        if (!outgoing.shouldKeepAlive) {
+            connection.endService();
+        }
         outgoing.writeHead(status, [...fields]);
     };
 
