--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -1,7 +1,7 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HeaderFields } from "../../ports/forwardedCall.js";
-import { createDispatchGate, type DispatchGate } from "../../request/forwarding/dispatchGate.js";
+import { createDispatchGate, type DispatchGate } from "../../request/forwarding/sending/dispatchGate.js";
 import type { CallerConnection } from "../caller/callerConnection.js";
 
 /** Sends the answer to one forwarded request. */
--- a/packages/daisyturn/src/request/forwarding/__tests__/dispatchGate.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/dispatchGate.test.ts
@@ -1,7 +1,7 @@
 import { ExecutionVerdict } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createDispatchGate } from "../dispatchGate.js";
+import { createDispatchGate } from "../sending/dispatchGate.js";
 
 test("nothing is sent after a gate is closed", () => {
     const gate = createDispatchGate();
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ForwardExchange } from "../../../connection/forwarding/forwardExchange.js";
-import { createDispatchGate } from "../dispatchGate.js";
 import { createEventRelay } from "../eventRelay.js";
+import { createDispatchGate } from "../sending/dispatchGate.js";
 
 function createRecorder() {
     const written: string[] = [];
--- a/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import type { ForwardExchange } from "../../../connection/forwarding/forwardExchange.js";
 import type { HeaderFields } from "../../../ports/forwardedCall.js";
-import { createDispatchGate } from "../dispatchGate.js";
 import { refuseCall } from "../refuseCall.js";
+import { createDispatchGate } from "../sending/dispatchGate.js";
 
 /** Creates an exchange that records its answer. */
 function createExchange(isHeadSent = false) {
--- a/packages/daisyturn/src/request/forwarding/refuseCall.ts
+++ b/packages/daisyturn/src/request/forwarding/refuseCall.ts
@@ -1,7 +1,7 @@
 import { type Clock, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import { buildErrorBody, statusOfFailure } from "../answer/answer.js";
-import { impliesNotRun } from "./dispatchGate.js";
+import { impliesNotRun } from "./sending/dispatchGate.js";
 
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -7,11 +7,11 @@
 import { UnavailableReason } from "../../../process/forwarding/index.js";
 import type { CallContext } from "../callContext.js";
 import { checkListed } from "../checkListed.js";
-import type { Dispatch } from "../dispatchGate.js";
 import type { ForwardingParts } from "../forwardingParts.js";
 import { acquireToken } from "./acquireToken.js";
 import { type CallAttempt, describePart, type SendRoute, type TargetReply } from "./callAttempt.js";
 import { countRun } from "./countRun.js";
+import type { Dispatch } from "./dispatchGate.js";
 import {
     determineRunEnd,
     endArrival,
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -10,7 +10,6 @@
 import { type CallContext, createCallContext, estimateReturn, isRepeatable } from "./callContext.js";
 import { createNoRouteFailure, findRoute } from "./checkCallHead.js";
 import { checkListed } from "./checkListed.js";
-import { impliesNotRun } from "./dispatchGate.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { identifyCaller } from "./identifyCaller.js";
 import { refuseCall, settleVerdict } from "./refuseCall.js";
@@ -19,6 +18,7 @@
 import { runPlainCall } from "./runPlainCall.js";
 import { runPromptCall } from "./runPromptCall.js";
 import type { TargetReply } from "./sending/callAttempt.js";
+import { impliesNotRun } from "./sending/dispatchGate.js";
 
 /** The answer to a call; undefined if it was relayed to the caller as it arrived. */
 type Answer = TargetReply | undefined;
