Record software versions in the store, where they outlast all processes

What callers saw: streams taken up after all entries were killed at once held events of two software versions (ORDER). Cause: a restarted process called its memory of versions complete once it was as long as the longest stream that it had seen itself (10 s at least), not the longest that callers still hold, and one such process spoke for all. Change: VersionRecord, one row of the store: for each service the versions of its targets, when the last target of each was gone, since when versions are recorded, and the longest time for which callers of the fleet resume streams. Processes write it only when it does not say so already, after random delays. A version's memory ends only when it was gone for that longest time; before, no process guesses.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -21,6 +21,7 @@
     createTargetDialer,
     createTargetViews,
     createVersionHistory,
+    createVersionRecord,
     createWindowedRetryBudget,
     defaultSampledCalls,
     type ForwardingConfigurationManager,
@@ -32,7 +33,9 @@
     type TargetLinks,
     type TargetList,
     type VersionHistory,
+    type VersionRecord,
 } from "daisyturn/forwarding";
+import { randomUUID } from "node:crypto";
 import { computeMaxStateAge } from "./computeStateAge.js";
 import type { ForwardingAdapters } from "./forwardingAdapters.js";
 import { type ForwardingSettings, PlacementPolicy } from "./forwardingSettings.js";
@@ -66,6 +69,7 @@
     readonly targets: TargetList;
     readonly links: TargetLinks;
     readonly crashEvidence: CrashEvidence;
+    readonly versionRecord: VersionRecord;
     readonly versions: VersionHistory;
 }
 
@@ -114,7 +118,15 @@
     });
     views.targets.onRemoved((targetId, removal) => crashGuard.recordRemoval(removal));
     const origins = createStreamOrigins(clock);
-    const versions = createVersionHistory(views.targets, origins, clock);
+    const versionRecord = createVersionRecord({
+        tableService: adapters.tableService,
+        targets: views.targets,
+        origins,
+        writerId: randomUUID(),
+        clock,
+        random,
+    });
+    const versions = createVersionHistory(views.targets, versionRecord, clock);
     const sizeFairness = createSizeFairness();
     const budget = createWindowedRetryBudget({
         allowance: () => settings().retries,
@@ -145,6 +157,7 @@
         crashEvidence,
         crashGuard,
         origins,
+        versionRecord,
         versions,
         longPrefillTimes: createLongPrefillTimes(),
         switchedOff,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -154,6 +154,7 @@
     const startCoordination = () => {
         background.signal.addEventListener("abort", peerChannel.close);
         coordination.run(background.signal);
+        void parts.versionRecord.run(background.signal);
         const mayOrder = () => !isStopping && !parts.links.isCutOff();
         startStageChanges({ ...shared, mayOrder: () => mayOrder() && isOn(Mechanism.StageChanges) });
         duties?.start(signal);
--- a/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/__fixtures__/createFleet.ts
@@ -1,9 +1,15 @@
 import { createSeededRandom, type Failure, FailureReason, FakeClock, MemoryEventLog, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
+import {
+    createFaultyTableService,
+    type FaultyTableService,
+    TableFaultKind,
+} from "../../../../ports/faultyTableService.js";
 import { EngineStage, type ListedTarget } from "../../../../ports/listedTarget.js";
+import { createMemoryTableService } from "../../../../ports/memoryTableService.js";
 import { type PeerListing, PeerRegistry, type RegisteredPeer } from "../../../../ports/peerRegistry.js";
 import { createCrashEvidence } from "../../../crashes/index.js";
-import { createStreamOrigins, createVersionHistory } from "../../../origins/index.js";
+import { createStreamOrigins, createVersionHistory, createVersionRecord } from "../../../origins/index.js";
 import { engineService } from "../../__fixtures__/placementBench.js";
 import { createLongPrefillTimes } from "../../limits/createLongPrefillTimes.js";
 import { createSizeFairness } from "../../limits/createSizeFairness.js";
@@ -61,6 +67,7 @@
         onStarted,
     }: FleetOptions = {},
 ) {
+    let listedVersions = softwareVersions;
     const listeners = new Map<number, (datagram: Buffer, from: PeerAddress) => void>();
     const registered = new Map<string, RegisteredPeer>();
     const sent: SentCounts = {
@@ -74,6 +81,8 @@
     let isConnected: Link = () => true;
     let isRegistryReachable: (peer: RegisteredPeer) => boolean = () => true;
     const stop = new AbortController();
+    /** The store of the fleet, which outlasts all processes. */
+    const tableService = createMemoryTableService();
     const peers = Array.from({ length: count }, (value, index) => createPeer(index, zones));
 
     class SharedRegistry extends PeerRegistry {
@@ -116,11 +125,21 @@
         }
         const eventLog = new MemoryEventLog();
         const views = createTargetViews((...[, text]) => JSON.parse(text) as ListedTarget, clock, eventLog);
-        views.targets.replace(createEngines(zones, enginesPerZone, softwareVersions));
+        views.targets.replace(createEngines(zones, enginesPerZone, listedVersions));
         const sizeFairness = createSizeFairness();
         const crashEvidence = createCrashEvidence(clock, eventLog);
         const origins = createStreamOrigins(clock);
-        const versions = createVersionHistory(views.targets, origins, clock);
+        const store = createFaultyTableService(tableService, { clock });
+        setReachable(store, isRegistryReachable(self));
+        const record = createVersionRecord({
+            tableService: store.tableService,
+            targets: views.targets,
+            origins,
+            writerId: `${self.peerId}-${index}`,
+            clock,
+            random: createSeededRandom(index),
+        });
+        const versions = createVersionHistory(views.targets, record, clock);
         const switchedOff = new Set<never>();
         const placement = createCallPlacement({
             ...views,
@@ -157,10 +176,12 @@
         const ended = new AbortController();
         stop.signal.addEventListener("abort", () => ended.abort());
         coordination.run(ended.signal);
+        void record.run(ended.signal);
         onStarted?.(self, coordination, ended.signal);
         return {
             self,
             ...views,
+            store,
             coordination,
             processor,
             eventLog,
@@ -185,9 +206,14 @@
         setLink: (link: Link) => {
             isConnected = link;
         },
-        /** Sets which processes reach the registry. */
+        /** Sets which processes reach the registry and the store. */
         setRegistry: (isReachable: (peer: RegisteredPeer) => boolean) => {
             isRegistryReachable = isReachable;
+            processes.forEach(({ self, store }) => setReachable(store, isReachable(self)));
+        },
+        /** Sets the software versions of the engines that processes find listed at their start. */
+        setVersions: (versions: readonly string[]) => {
+            listedVersions = versions;
         },
         /** Removes all entries from the registry. */
         clearEntries: () => registered.clear(),
@@ -209,6 +235,10 @@
 export type Fleet = ReturnType<typeof createFleet>;
 export type FleetProcess = Fleet["processes"][number];
 
+function setReachable(store: FaultyTableService, isReachable: boolean): void {
+    store.setDefaultFault(isReachable ? TableFaultKind.None : TableFaultKind.ConnectionRefused);
+}
+
 function createPeer(index: number, zones: number): RegisteredPeer {
     return {
         peerId: `entry-${String(index).padStart(3, "0")}`,
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -15,6 +15,10 @@
     find(targetId: string): ListedTarget | undefined;
     /** Identifiers of the listed targets at an address (host:port), leaving or not. */
     findAt(address: string): readonly string[];
+    /** Software versions of the listed targets, by service. */
+    listVersions(): ReadonlyMap<string, ReadonlySet<string>>;
+    /** Calls the listener after the first list, and once a service has other software versions than before. */
+    onVersionsChanged(listener: () => void): void;
     /** Whether the list has been read at least once. */
     isKnown(): boolean;
     /** Records each call to the store, so that entries that expire because of an outage are recognized. */
@@ -56,26 +60,19 @@
     /** Targets whose own answers said that they leave. */
     const saidLeaving = new Set<string>();
     const removedListeners: ((targetId: string, removal: TargetRemoval) => void)[] = [];
-    let openByService = new Map<string, ListedTarget[]>();
-    let listedByService = new Map<string, ListedTarget[]>();
-    let idsByAddress = new Map<string, string[]>();
+    let views: TargetIndex = { ...indexTargets([]), versionText: undefined };
+    const versionListeners: (() => void)[] = [];
     let isKnown = false;
     /** Latest monotonic time at which an outage may have lasted: the first answer after a failed call. */
     let lastOutageAt = -Infinity;
     let isAnswering = true;
 
     const index = () => {
-        listedByService = new Map();
-        idsByAddress = new Map();
-        for (const target of targets.values()) {
-            idsByAddress.set(target.address, [...idsByAddress.get(target.address) ?? [], target.targetId]);
-            const group = listedByService.get(target.service) ?? [];
-            group.push(target);
-            listedByService.set(target.service, group);
+        const previous = views.versionText;
+        views = indexTargets(targets.values());
+        if (views.versionText !== previous) {
+            versionListeners.forEach(listener => listener());
         }
-        openByService = new Map(
-            [...listedByService].map(([service, group]) => [service, group.filter(target => !target.isLeaving)]),
-        );
     };
 
     const remove = (key: string, storeFailedAt = lastOutageAt) => {
@@ -174,11 +171,11 @@
     return {
         open: service => {
             forgetExpired();
-            return openByService.get(service) ?? [];
+            return views.openByService.get(service) ?? [];
         },
         list: service => {
             forgetExpired();
-            return listedByService.get(service) ?? [];
+            return views.listedByService.get(service) ?? [];
         },
         isOpen: targetId => {
             forgetExpired();
@@ -187,8 +184,10 @@
         find: targetId => targets.get(targetId),
         findAt: address => {
             forgetExpired();
-            return idsByAddress.get(address) ?? [];
+            return views.idsByAddress.get(address) ?? [];
         },
+        listVersions: () => views.versionsByService,
+        onVersionsChanged: listener => void versionListeners.push(listener),
         isKnown: () => isKnown,
         recordStoreCall: isAnswered => {
             if (!isAnswered || !isAnswering) {
@@ -222,3 +221,39 @@
         },
     };
 }
+
+/** The listed targets by what they are looked up by. */
+interface TargetIndex {
+    readonly openByService: ReadonlyMap<string, readonly ListedTarget[]>;
+    readonly listedByService: ReadonlyMap<string, readonly ListedTarget[]>;
+    readonly idsByAddress: ReadonlyMap<string, readonly string[]>;
+    readonly versionsByService: ReadonlyMap<string, ReadonlySet<string>>;
+    /** The same for the same software versions of all services; undefined before the first list. */
+    readonly versionText: string | undefined;
+}
+
+function indexTargets(targets: Iterable<ListedTarget>): TargetIndex {
+    const listedByService = new Map<string, ListedTarget[]>();
+    const idsByAddress = new Map<string, string[]>();
+    const versionsByService = new Map<string, Set<string>>();
+    for (const target of targets) {
+        const { targetId, address, service, softwareVersion } = target;
+        idsByAddress.set(address, [...idsByAddress.get(address) ?? [], targetId]);
+        listedByService.set(service, listedByService.get(service) ?? []);
+        listedByService.get(service)?.push(target);
+        versionsByService.set(service, (versionsByService.get(service) ?? new Set()).add(softwareVersion));
+    }
+    const openByService = new Map(
+        [...listedByService].map(([service, group]) => [service, group.filter(target => !target.isLeaving)]),
+    );
+    const versionTexts = [...versionsByService].map(([service, versions]) =>
+        JSON.stringify([service, ...[...versions].sort()])
+    );
+    return {
+        openByService,
+        listedByService,
+        idsByAddress,
+        versionsByService,
+        versionText: versionTexts.sort().join(),
+    };
+}
--- a/packages/daisyturn/src/process/origins/__tests__/streamOrigins.test.ts
+++ b/packages/daisyturn/src/process/origins/__tests__/streamOrigins.test.ts
@@ -1,14 +1,17 @@
-import { FakeClock } from "daisyturn-utils";
-import { MemoryEventLog } from "daisyturn-utils";
+import { createSeededRandom, FakeClock, MemoryEventLog } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
+import { createMemoryTableService } from "../../../ports/memoryTableService.js";
 import { createTargetList } from "../../forwarding/targets/createTargetList.js";
 import { createStreamOrigins } from "../createStreamOrigins.js";
 import { createVersionHistory } from "../createVersionHistory.js";
+import { createVersionRecord } from "../createVersionRecord.js";
 
 /** The history reaches back as far as this if no caller waits longer. */
 const historyMilliseconds = 10_000;
+/** A change is recorded within this time. */
+const writeMilliseconds = 300;
 
 function createOrigins() {
     const clock = new FakeClock();
@@ -58,7 +61,16 @@
         eventLog: new MemoryEventLog(),
     });
     const origins = createStreamOrigins(clock);
-    const history = createVersionHistory(targets, origins, clock);
+    const record = createVersionRecord({
+        tableService: createMemoryTableService(),
+        targets,
+        origins,
+        writerId: "writer",
+        clock,
+        random: createSeededRandom(1),
+    });
+    void record.run(new AbortController().signal);
+    const history = createVersionHistory(targets, record, clock);
     const describeTarget = (name: string, softwareVersion: string, isLeaving = false) =>
         JSON.stringify({ targetId: name, name, service: "s", address: "10.0.0.1:80", softwareVersion, isLeaving });
     const list = (name: string, softwareVersion: string, isLeaving?: boolean) =>
@@ -70,21 +82,22 @@
 
 describe("the history of software versions", () => {
     // Guards against a process that takes the versions listed at its start for all that may have begun streams.
-    it("is complete once the process has followed the targets for as long as streams last", async () => {
+    it("is complete once versions were recorded for as long as streams last", async () => {
         const { clock, history } = createHistory();
+        await clock.advance(historyMilliseconds - 1);
         assert.equal(history.isComplete(), false);
-        await clock.advance(historyMilliseconds);
+        await clock.advance(writeMilliseconds);
         assert.equal(history.isComplete(), true);
     });
 
     it("reaches back as far as the callers of streams wait", async () => {
         const { clock, origins, history } = createHistory();
-        history.isComplete();
         const deadline = clock.monotonicNow() + 30_000;
         origins.record({ streamId: "stream", service: "s", softwareVersion: "v1", deadline });
-        await clock.advance(20_000);
+        await clock.advance(30_000);
         assert.equal(history.isComplete(), false);
-        await clock.advance(10_000);
+        // Lifetimes are recorded as powers of two.
+        await clock.advance(10_000 + writeMilliseconds);
         assert.equal(history.isComplete(), true);
     });
 
--- a/packages/daisyturn/src/process/origins/createVersionHistory.ts
+++ b/packages/daisyturn/src/process/origins/createVersionHistory.ts
@@ -1,27 +1,28 @@
 import type { Clock } from "daisyturn-utils";
 import type { TargetList } from "../forwarding/targets/createTargetList.js";
-import type { StreamOrigins } from "./createStreamOrigins.js";
+import type { VersionRecord } from "./createVersionRecord.js";
 
 /** The software versions of the targets that may have begun the streams that are open now, as far as this process knows. */
 export interface VersionHistory {
     /** Lists the software versions that targets of a service have now or had a while ago. */
     list(service: string): readonly string[];
-    /** Whether this process has followed the targets for as long as callers resume streams. */
+    /** Whether the versions of all targets are known for as long as callers resume streams. */
     isComplete(): boolean;
+    /** Asks the store for what other processes have recorded. @returns whether it has answered */
+    confirm(): Promise<boolean>;
 }
 
 /**
- * Creates the history, which begins at the first list of targets that this process receives. It reaches back as far as
- * the longest time for which callers resume their streams.
+ * Creates the history from what this process has seen and from the record in the store. It reaches back as far as the
+ * longest time for which callers resume their streams.
  */
 export function createVersionHistory(
     targets: Pick<TargetList, "isKnown" | "list" | "onRemoved">,
-    origins: Pick<StreamOrigins, "longestLifetime">,
+    record: Pick<VersionRecord, "list" | "isComplete" | "longestLifetime" | "confirm">,
     clock: Clock,
 ): VersionHistory {
     /** Monotonic time at which the last target of a version was removed, by service and version. */
     const removedAt = new Map<string, Map<string, number>>();
-    let knownSince: number | undefined;
 
     targets.onRemoved((targetId, { target: { service, softwareVersion } }) => {
         const versions = removedAt.get(service) ?? new Map<string, number>();
@@ -34,20 +35,14 @@
     };
 
     const list = (service: string) => {
-        removeOld(service, clock.monotonicNow() - origins.longestLifetime());
+        removeOld(service, clock.monotonicNow() - record.longestLifetime());
         const listed = targets.list(service).map(({ softwareVersion }) => softwareVersion);
-        return [...new Set([...listed, ...removedAt.get(service)?.keys() ?? []])];
+        return [...new Set([...listed, ...removedAt.get(service)?.keys() ?? [], ...record.list(service)])];
     };
 
     return {
         list,
-        isComplete: () => {
-            if (!targets.isKnown()) {
-                return false;
-            }
-            const now = clock.monotonicNow();
-            knownSince ??= now;
-            return now - knownSince >= origins.longestLifetime();
-        },
+        isComplete: () => targets.isKnown() && record.isComplete(),
+        confirm: record.confirm,
     };
 }
--- a/packages/daisyturn/src/process/origins/index.ts
+++ b/packages/daisyturn/src/process/origins/index.ts
@@ -6,3 +6,4 @@
 
 export * from "./createStreamOrigins.js";
 export * from "./createVersionHistory.js";
+export * from "./createVersionRecord.js";
