Continue an unknown stream only after the store or most processes agree

What callers saw: an entry that was cut off from peers and store while targets of a new version joined took up streams of that version at targets of the old one (ORDER). Cause: no answer of any peer counted as agreement, and nothing asked how old the list of targets was. Evidence: versionRecord.test, third and fourth case: v1 was found by the cut-off process before, nothing now; most processes agree while the store is silent.

--- a/packages/daisyturn/src/process/forwarding/coordination/origins/__tests__/versionRecord.test.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/__tests__/versionRecord.test.ts
@@ -24,6 +24,11 @@
     fleet.processes[index]?.origins.record({ streamId, service, softwareVersion, deadline });
 }
 
+function createTarget(targetId: string, softwareVersion: string) {
+    const target = { targetId, name: targetId, service, address: "10.9.1.1:80", isLeaving: false, softwareVersion };
+    return { key: targetId, version: 2, text: JSON.stringify(target) };
+}
+
 function removeVersion(fleet: Fleet, softwareVersion: string): void {
     for (const { targets } of fleet.processes) {
         const gone = targets.list(service).filter(target => target.softwareVersion === softwareVersion);
@@ -59,4 +64,31 @@
         assert.equal(await find(fleet, 0, "stream"), "v1");
         await fleet.stop();
     });
+
+    // Guards against a process that is cut off and takes the version that it knows for the only one.
+    it("is asked by a process that may have been out of touch", async () => {
+        const fleet = createFleet(6, 3);
+        await find(fleet, 0, "early");
+        await fleet.clock.advance(historyMilliseconds);
+        fleet.setLink((from, to) => ![from, to].some(({ peerId }) => peerId === "entry-000"));
+        fleet.setRegistry(({ peerId }) => peerId !== "entry-000");
+        fleet.processes.slice(1).forEach(({ targets }) => targets.change([createTarget("i-new", "v2")]));
+        begin(fleet, 2, "stream", "v2");
+        await fleet.clock.advance(2_500);
+        assert.equal(await find(fleet, 0, "stream"), undefined);
+        // In touch with the store again, but not with the peers and the list of targets.
+        fleet.setRegistry(() => true);
+        assert.equal(await find(fleet, 0, "stream"), undefined);
+        await fleet.stop();
+    });
+
+    it("is replaced by the agreement of most processes while the store does not answer", async () => {
+        const fleet = createFleet(6, 3);
+        await fleet.clock.advance(historyMilliseconds);
+        fleet.setRegistry(() => false);
+        assert.equal(await find(fleet, 0, "stream"), "v1");
+        fleet.setLink((from, to) => [from, to].every(({ peerId }) => peerId < "entry-003"));
+        assert.equal(await find(fleet, 0, "stream"), undefined);
+        await fleet.stop();
+    });
 });
--- a/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/origins/createOriginPublisher.ts
@@ -100,13 +100,26 @@
 
     /**
      * Returns the software version of all targets that may have begun a stream of a service; undefined if this process
-     * or one that has answered knows several, or none knows the targets of long enough ago.
+     * or one that has answered knows several, or does not know the targets of long enough ago.
      */
     const findSole = (service: string, answers: readonly UnknownOriginMessage[]): string | undefined => {
         const known = new Set([...versions.list(service), ...answers.flatMap(answer => answer.versions)]);
-        const isComplete = versions.isComplete() || answers.some(answer => answer.isComplete);
         const [sole] = known;
-        return isComplete && known.size === 1 ? sole : undefined;
+        return versions.isComplete() && known.size === 1 ? sole : undefined;
+    };
+
+    /**
+     * The same, if it holds now: this process may have been out of touch while targets of another version began streams.
+     * The store knows of all versions; while it does not answer, most processes must agree.
+     */
+    const confirmSole = async (
+        service: string,
+        answers: readonly UnknownOriginMessage[],
+    ): Promise<string | undefined> => {
+        const agreeing = 1 + new Set(answers.filter(({ isComplete }) => isComplete).map(({ from }) => from)).size;
+        const isAgreed = findSole(service, answers) !== undefined
+            && (await versions.confirm() || 2 * agreeing > listOthers().length + 1);
+        return isAgreed ? findSole(service, answers) : undefined;
     };
 
     origins.onRecorded(origin => {
@@ -170,7 +183,7 @@
             answered = new Set(peers.map(({ peerId }) => peerId).filter(peerId => !pending.has(peerId)));
         }
         options.refreshPeers();
-        const softwareVersion = findSole(service, answers);
+        const softwareVersion = await confirmSole(service, answers);
         return softwareVersion === undefined ? undefined : { service, softwareVersion };
     };
 
