Log a failed background task instead of ending the process

Cause: an unhandled rejection ended an entry that served all its other callers (ERR_SOCKET_BAD_PORT from a probe, Invalid URL from an order). Change: a running entry records it as a fault, with its stack. Exceptions that nothing catches still end the process, since its state is not known then.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -163,7 +163,15 @@
         }
     };
 
+    /** A background task that failed must not end the calls of all callers. */
+    const recordRejection = (reason: unknown) =>
+        eventLog.record(EventKind.Fault, {
+            reason: `unhandled rejection: ${reason instanceof Error ? reason.stack ?? reason.message : String(reason)}`,
+        });
+
     const start = async () => {
+        process.on("unhandledRejection", recordRejection);
+        signal.addEventListener("abort", () => process.off("unhandledRejection", recordRejection));
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
         void reportArrivals(
