Log no unread request where the caller has reset its connection

Cause: Node reports a reset of an idle connection as clientError too; each would have been a line and a count of request_unreadable. Change: only connections that the process itself answers or closes are recorded.

--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -58,7 +58,7 @@
     SendAbandoned = "send_abandoned",
     /** The listener for callers answered or closed a connection itself, since no request could be read from it in time. */
     RequestUnreadable = "request_unreadable",
-    /** A request became complete on a connection after {@link EventKind.RequestUnreadable}. */
+    /** A request became complete on a connection that serves no more, mostly after {@link EventKind.RequestUnreadable}. */
     RequestAfterRefusal = "request_after_refusal",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -73,7 +73,10 @@
         refused.add(socket);
         connection.endService();
         const isLateHead = error.code === lateRequestCode && !connection.isReadingBody();
-        if (!socket.writable || error.code === "ECONNRESET" || (connection.isAnswering() && !isLateHead)) {
+        if (!socket.writable || error.code === "ECONNRESET") {
+            socket.destroy();
+        }
+        else if (connection.isAnswering() && !isLateHead) {
             log.recordUnreadable(socket, closedWithoutAnswer, error.code);
             socket.destroy();
         }
