--- /dev/null
+++ b/review/lib/script.js
@@ -0,0 +1,43 @@
+// The frame of a script: the record, the time limit and the exit code.
+import { appendFileSync, writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+
+/** Whether the disruption is played; it is left out with TROUBLE=0. */
+export const hasTrouble = process.env.TROUBLE !== "0";
+
+const maxMilliseconds = 110_000;
+
+/**
+ * Runs a case and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
+ * @param play gets `record` and `onEnd`; returns what was broken, undefined if nothing
+ */
+export async function runCase(metaUrl, play) {
+    const file = fileURLToPath(new URL("record.txt", metaUrl));
+    const startedAt = performance.now();
+    const ends = [];
+    writeFileSync(file, `trouble: ${hasTrouble ? "yes" : "no"}\n`);
+    const record = text => {
+        const line = `${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`;
+        appendFileSync(file, `${line}\n`);
+    };
+    const finish = async (code, text) => {
+        record(text);
+        process.stdout.write(`${text}\n`);
+        for (const end of ends.reverse()) {
+            await end();
+        }
+        process.exit(code);
+    };
+    const timer = setTimeout(() => void finish(2, "could not run: it took too long"), maxMilliseconds);
+    timer.unref();
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.on(signal, () => void finish(2, `could not run: ${signal}`));
+    }
+    try {
+        const broken = await play({ record, onEnd: end => ends.push(end) });
+        await finish(broken ? 1 : 0, broken ? `BROKEN: ${broken}` : "held");
+    }
+    catch (error) {
+        await finish(2, `could not run: ${error.stack ?? error}`);
+    }
+}
