--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -30,5 +30,5 @@
     const fleet = await startEntries({ hosts, storeAddresses: store.addresses, zones, settings, record });
     onEnd(fleet.close);
     await fleet.untilReady();
-    return { store, workers, entries: fleet.entries };
+    return { store, workers, entries: fleet.entries, untilReady: fleet.untilReady };
 }
--- a/review/lib/workers.js
+++ b/review/lib/workers.js
@@ -87,16 +87,37 @@
         }
     };
 
-    const server = createServer((incoming, outgoing) => void handle(incoming, outgoing).catch(() => outgoing.destroy()));
-    server.listen(0, host);
-    await once(server, "listening");
+    const open = async port => {
+        const server = createServer((incoming, outgoing) => void handle(incoming, outgoing).catch(() => outgoing.destroy()));
+        server.listen(port, host);
+        await once(server, "listening");
+        return server;
+    };
+    let server = await open(0);
+    const { port } = server.address();
+    let isClosed = false;
+    const close = () => {
+        server.close();
+        server.closeAllConnections();
+    };
     return {
         id,
-        address: `${host}:${server.address().port}`,
+        address: `${host}:${port}`,
         runs,
         close: () => {
-            server.close();
-            server.closeAllConnections();
+            isClosed = true;
+            close();
+        },
+        /** Breaks all connections off, and listens again after a time. */
+        crash: milliseconds => {
+            close();
+            setTimeout(() => {
+                if (!isClosed) {
+                    void open(port).then(opened => {
+                        server = opened;
+                    });
+                }
+            }, milliseconds);
         },
     };
 }
