--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,97 +1,76 @@
-// A request that crashes its workers comes again after all processes of the system were killed at the same moment.
+// An engine's stream has an event without end, in small chunks.
 import { setTimeout as sleep } from "node:timers/promises";
 import { call } from "../lib/clients.js";
 import { startFleet } from "../lib/fleet.js";
+import { confirm, dossier, lookup, query } from "../lib/load.js";
 import { hasTrouble, runCase } from "../lib/script.js";
+import { writeWithoutEnd } from "../lib/workers.js";
 
-const contactMilliseconds = 3_000;
-/** The request comes again after this time, at any machine. */
-const againMilliseconds = 4_000;
-const restartMilliseconds = 2_000;
-const maxRetries = 3;
-const poison = "/lookup/poison";
-/** How often the request comes, each time with one retry of its client, and after which time all processes are killed. */
-const rounds = 6;
-const roundBeforeKill = 3;
+const seconds = 60;
+/** The disruption lasts for 5 s and comes again every 15 s. */
+const faultSeconds = 5;
+const periodSeconds = 15;
+/** Meanwhile, one in fifty answers of two of four engines has an event without end: 2 in 100. */
+const answersPerFault = 50;
+const chunkBytes = 4;
+const timeoutMilliseconds = 1_000;
+const graceMilliseconds = 500;
+/** Clients wait longer than the operator wants them kept waiting. */
+const deadline = 2_500;
 
 await runCase(import.meta.url, async ({ record, onEnd }) => {
-    const crashes = [];
-    let workers = [];
-    const answerPoison = (request, outgoing) => {
-        if (request.url !== poison) {
+    const beganAt = performance.now();
+    const isDisturbed = () => hasTrouble && (performance.now() - beganAt) / 1_000 % periodSeconds < faultSeconds;
+    let answers = 0;
+    const answerFaulty = (request, outgoing) => {
+        answers += isDisturbed() ? 1 : 0;
+        if (!isDisturbed() || answers % answersPerFault !== 0) {
             return false;
         }
-        const worker = workers.find(({ runs }) => runs.includes(request));
-        setTimeout(() => {
-            record(`${worker.id} crashes under ${request.attempt}`);
-            crashes.push({ attempt: request.attempt, at: performance.now() });
-            worker.crash(restartMilliseconds);
-        }, 30);
-        return outgoing !== undefined;
+        record(`engine answers ${request.attempt} with an event without end`);
+        outgoing.writeHead(200, { "Content-Type": "text/event-stream" });
+        outgoing.write("id: 1\ndata: ");
+        writeWithoutEnd(outgoing, chunkBytes, bytes => record(`${request.attempt} was closed after ${bytes} bytes`));
+        return true;
     };
-    const { workers: started, entries, untilReady } = await startFleet({
+    const { entries, workers } = await startFleet({
         record,
         onEnd,
-        zones: ["kacyiru", "remera", "nyarutarama"],
-        desks: Array.from({ length: 8 }, () => ({ workMilliseconds: 150, answer: answerPoison })),
-        engines: [],
+        zones: ["kacyiru", "remera"],
+        desks: [{}, {}, {}],
+        engines: [answerFaulty, undefined, answerFaulty, undefined].map(answer => ({ stage: "decode", answer })),
     });
-    workers = started;
 
-    let isSending = true;
+    const results = [];
+    const startedAt = performance.now();
+    const open = [];
     let number = 0;
-    const counts = new Map();
-    const usual = (async () => {
-        const open = [];
-        while (isSending) {
-            const entry = entries[number++ % entries.length];
-            open.push(call({ entry, path: `/confirm/${number}`, method: "POST", body: "x", deadline: 1_000 }).then(answer => {
-                const result = answer.isComplete ? String(answer.status) : `${answer.status} cut ${answer.error ?? ""}`;
-                counts.set(result, (counts.get(result) ?? 0) + 1);
-                if (answer.status === 502) {
-                    record(`${answer.attempt} /confirm ran at a worker that crashed: 502`);
-                }
-            }));
-            await sleep(25);
+    const send = async request => {
+        const entry = entries[number++ % entries.length];
+        const answer = await call({ entry, ...request });
+        results.push({ entry: entry.name, request, ...answer });
+        if (answer.status !== 200 || !answer.isComplete || answer.milliseconds > timeoutMilliseconds) {
+            const { attempt, status, isComplete, error, milliseconds } = answer;
+            const text = isComplete ? status : `${status} cut ${error ?? ""}`;
+            record(`${attempt} ${request.path} at ${entry.name}: ${text} after ${milliseconds} ms`);
         }
-        await Promise.all(open);
-    })();
-
-    let inTouchFrom = -Infinity;
-    const sent = new Map();
-    let machine = 0;
-    const sendPoison = async round => {
-        const entry = entries[++machine % entries.length];
-        const sentAt = performance.now();
-        const answer = await call({ entry, path: poison, deadline: 1_000 });
-        sent.set(answer.attempt, { isInTouch: sentAt > inTouchFrom });
-        record(`round ${round}: ${answer.attempt} at ${entry.name}: ${answer.status} ${answer.error ?? ""}`);
-        return answer;
     };
-    for (let round = 1; round <= rounds; round++) {
-        await sleep(againMilliseconds);
-        const answer = await sendPoison(round);
-        // Clients retry idempotent requests after any failure, and are told here when to come back after a refusal.
-        if (answer.status === 502 || answer.status === 0) {
-            await sendPoison(round);
-        }
-        if (hasTrouble && round === roundBeforeKill) {
-            await sleep(500);
-            entries.forEach(({ signal }) => signal("SIGKILL"));
-            await sleep(700);
-            await untilReady();
-            inTouchFrom = performance.now() + contactMilliseconds;
-            record("all processes are back");
-        }
+    while (performance.now() - startedAt < seconds * 1_000) {
+        open.push(send(query(number)), send(query(number)), send(dossier(number)));
+        open.push(send({ ...lookup(number), deadline }), send({ ...confirm(number), deadline }));
+        await sleep(100);
     }
-    isSending = false;
-    await usual;
-    record(`usual requests: ${JSON.stringify(Object.fromEntries(counts))}`);
+    await Promise.all(open);
 
-    const third = crashes[2]?.at ?? Infinity;
-    const retries = crashes.filter(({ attempt, at }) => at > third + contactMilliseconds && sent.get(attempt)?.isInTouch);
-    record(`${crashes.length} crashes, ${retries.length} of them later than contactMs after the third, by machines in touch`);
-    return retries.length > maxRetries
-        ? `the request reached workers in ${retries.length} retries, sent later than contactMs after its third crash`
+    const plain = results.filter(({ request }) => request.path.startsWith("/lookup") || request.path.startsWith("/confirm"));
+    const answered = plain.filter(({ status }) => status === 200).length;
+    // Requests that found no connection were not read, so the machine did not keep them waiting.
+    const waiting = plain.filter(({ milliseconds }) => milliseconds >= timeoutMilliseconds);
+    const late = waiting.filter(({ milliseconds }) => milliseconds >= timeoutMilliseconds + graceMilliseconds);
+    record(`run: ${JSON.stringify(Object.fromEntries(workers.map(({ id, runs }) => [id, runs.length])))}`);
+    record(`${plain.length} plain requests, ${answered} answered with 200`);
+    record(`${waiting.length} unanswered at their route's timeoutMs, ${late.length} of them half a second later`);
+    return late.length > waiting.length / 2
+        ? `${late.length} of ${waiting.length} requests without an answer at timeoutMs had none half a second later`
         : undefined;
 });
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -8,8 +8,9 @@
  * Starts the deployment and waits until its processes are ready.
  * @param options.desks one object of worker options for each plain worker
  * @param options.engines the same for each engine, with its stage
+ * @param options.describe returns fields of a worker's entry that differ from the usual ones
  */
-export async function startFleet({ record, onEnd, zones, desks, engines, changes, settings, onRows }) {
+export async function startFleet({ record, onEnd, zones, desks, engines, changes, settings, onRows, describe }) {
     const hosts = createHosts();
     const store = await startStore(hosts(), zones.length, onRows);
     onEnd(store.close);
@@ -19,9 +20,19 @@
         onEnd(worker.close);
         const zone = zones[index % zones.length];
         const { stage } = options;
-        const stopBeats = beat(store, id, () => createEntry(worker.address, zone, stage && { stage }));
-        onEnd(stopBeats);
-        return { ...worker, stopBeats };
+        let born = Date.now();
+        const createFields = () => createEntry(worker.address, zone, { ...stage && { stage }, born, ...describe?.(id) });
+        const beats = beat(store, id, createFields);
+        onEnd(beats.stop);
+        /** Crashes and starts again under the same identifier; registers as soon as it listens. */
+        const restart = async (milliseconds, prepare) => {
+            beats.pause();
+            await worker.crash(milliseconds);
+            born = Date.now();
+            prepare();
+            beats.resume();
+        };
+        return { ...worker, stopBeats: beats.stop, restart };
     };
     const workers = await Promise.all([
         ...desks.map((options, index) => start(options, index, `i-desk-${index}`, deskEntry)),
--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -84,11 +84,19 @@
     ...more,
 });
 
-/** Registers a worker and renews its entry at each heartbeat, until the returned function is called. */
-export function beat(store, id, entry) {
+/** Registers a worker and renews its entry at each heartbeat. Its counts start anew after a pause. */
+export function beat(store, id, createEntry) {
     let sequence = 0;
-    const write = () => store.put("servers", id, { ...entry(), sequence: sequence++ });
-    write();
-    const timer = setInterval(write, 1_200);
-    return () => clearInterval(timer);
+    let timer;
+    const write = () => store.put("servers", id, { ...createEntry(), sequence: sequence++ });
+    const pause = () => {
+        clearInterval(timer);
+        sequence = 0;
+    };
+    const resume = () => {
+        write();
+        timer = setInterval(write, 1_200);
+    };
+    resume();
+    return { pause, resume, stop: pause };
 }
--- a/review/lib/workers.js
+++ b/review/lib/workers.js
@@ -82,7 +82,7 @@
         runs.push(call);
         outgoing.setHeader("X-Response-Stamp", `${id}.${runs.length}`);
         outgoing.setHeader("Keep-Alive", "timeout=5");
-        if (!answer(call, outgoing)) {
+        if (!answer(call, outgoing, id)) {
             await (stage ? answerPrompt : answerPlain)(call, outgoing);
         }
     };
@@ -108,21 +108,18 @@
             isClosed = true;
             close();
         },
-        /** Breaks all connections off, and listens again after a time. */
-        crash: milliseconds => {
+        /** Breaks all connections off, and listens again after a time. Resolves once it does. */
+        crash: async milliseconds => {
             close();
-            setTimeout(() => {
-                if (!isClosed) {
-                    void open(port).then(opened => {
-                        server = opened;
-                    });
-                }
-            }, milliseconds);
+            await sleep(milliseconds);
+            if (!isClosed) {
+                server = await open(port);
+            }
         },
     };
 }
 
-export const formatEvent = event => `id: ${event}\ndata: piece ${event}\n\n`;
+export const formatEvent = (event, data = `piece ${event}`) => `id: ${event}\ndata: ${data}\n\n`;
 
 /**
  * Writes a chunked body without end, `chunkBytes` a chunk, until the caller closes the connection.
