review: case 3 shows the requests that are lost at the worker's exit

Cause: the worker of the script served on so long that every late request was answered. Change: it exits 4.1 s after its entry was removed, and its work takes 0.6 s.

--- a/review/3/case.js
+++ b/review/3/case.js
@@ -5,8 +5,9 @@
 import { hasTrouble, runCase } from "../lib/script.js";
 
 const drainMilliseconds = 2_000;
-/** The worker serves on for "many seconds" after its entry was removed, and then exits. */
-const servesOnMilliseconds = 7_000;
+/** The worker serves on for `drainMs` "and a little longer" after its entry was removed, and then exits. */
+const servesOnMilliseconds = 4_100;
+const workMilliseconds = 600;
 /** Age of the copy, and how long the store is away. */
 const copyAgeMilliseconds = 3_500;
 const awayMilliseconds = 500;
@@ -34,7 +35,7 @@
         onEnd,
         zones,
         onRows,
-        desks: [0, 1, 2].map(() => ({ workMilliseconds: 200, fields: sayLeaving })),
+        desks: [0, 1, 2].map(() => ({ workMilliseconds, fields: sayLeaving })),
         engines: [],
     });
 
@@ -82,7 +83,7 @@
         record(`the removal of ${leaver.id} is written again`);
     }
     await exit;
-    await sleep(1_000);
+    await sleep(2_000);
     isSending = false;
     await sending;
 
@@ -96,6 +97,7 @@
     }
     let late = 0;
     let lateAfterWord = 0;
+    let lost = 0;
     for (const run of leaver.runs) {
         const { index, sentAt } = sent.get(run.attempt) ?? {};
         const answer = answers.get(run.attempt);
@@ -104,6 +106,7 @@
         late += sentAt > told + drainMilliseconds ? 1 : 0;
         lateAfterWord += sentAt > passedOn + drainMilliseconds ? 1 : 0;
         if (sentAt > Math.min(told, passedOn) + drainMilliseconds) {
+            lost += answer.status === 200 && answer.isComplete ? 0 : 1;
             const times = [told, passedOn].map(at => at === Infinity ? "not" : `${Math.round(sentAt - at)} ms before`);
             record(`${run.url} was sent and ran at ${leaver.id}; process ${index + 1} was told by the store ${times[0]}, `
                 + `and had passed on the worker's word ${times[1]}; answer: ${answer.status} ${answer.isComplete ? "" : "cut"}`);
@@ -112,6 +115,7 @@
     record(`${leaver.runs.length} runs at ${leaver.id}, left for ${Math.round(performance.now() - leftAt)} ms`);
     return late + lateAfterWord > 0
         ? `of the requests that reached the worker that had left, ${late} were sent over drainMs after their process was told `
-            + `by the store, and ${lateAfterWord} over drainMs after it had passed on an answer with Server-Leaving`
+            + `by the store, and ${lateAfterWord} over drainMs after it had passed on an answer with Server-Leaving; `
+            + `${lost} were lost when the worker exited`
         : undefined;
 });
