review: the scripts record each request, answer and run

Cause: record.txt held counts and failures only. Change: clients and workers record what is sent, answered and run.

--- a/review/lib/clients.js
+++ b/review/lib/clients.js
@@ -1,5 +1,6 @@
 // Clients of the platform: one request on a connection of its own.
 import { request } from "node:http";
+import { recorder } from "./recorder.js";
 
 let lastAttempt = 0;
 
@@ -12,7 +13,13 @@
 export function call({ entry, agent = false, path, method = "GET", headers = {}, body, deadline = 1_000, attempt = nextAttempt() }) {
     return new Promise(resolve => {
         const startedAt = performance.now();
-        const finish = result => resolve({ attempt, milliseconds: Math.round(performance.now() - startedAt), ...result });
+        recorder.record(`sent ${attempt} ${method} ${path} to ${entry.name}`);
+        const finish = result => {
+            const milliseconds = Math.round(performance.now() - startedAt);
+            const cut = result.isComplete ? "" : ` cut ${result.error ?? ""}`;
+            recorder.record(`answered ${attempt} ${result.status}${cut} after ${milliseconds} ms`);
+            resolve({ attempt, milliseconds, ...result });
+        };
         const outgoing = request({
             host: entry.host,
             port: entry.port,
--- a/review/lib/script.js
+++ b/review/lib/script.js
@@ -1,11 +1,13 @@
 // The frame of a script: the record, the time limit and the exit code.
 import { appendFileSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
+import { recorder } from "./recorder.js";
 
 /** Whether the disruption is played; it is left out with TROUBLE=0. */
 export const hasTrouble = process.env.TROUBLE !== "0";
 
 const maxMilliseconds = 110_000;
+const flushMilliseconds = 200;
 
 /**
  * Runs a case and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
@@ -15,17 +17,22 @@
     const file = fileURLToPath(new URL("record.txt", metaUrl));
     const startedAt = performance.now();
     const ends = [];
+    const lines = [];
     writeFileSync(file, `trouble: ${hasTrouble ? "yes" : "no"}\n`);
     const record = text => {
-        const line = `${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`;
-        appendFileSync(file, `${line}\n`);
+        lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}\n`);
     };
+    const flush = () => appendFileSync(file, lines.splice(0).join(""));
+    const flushing = setInterval(flush, flushMilliseconds);
+    flushing.unref();
+    recorder.record = record;
     const finish = async (code, text) => {
         record(text);
         process.stdout.write(`${text}\n`);
         for (const end of ends.reverse()) {
             await end();
         }
+        flush();
         process.exit(code);
     };
     const timer = setTimeout(() => void finish(2, "could not run: it took too long"), maxMilliseconds);
--- a/review/lib/streams.js
+++ b/review/lib/streams.js
@@ -2,6 +2,7 @@
 import { request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { nextAttempt } from "./clients.js";
+import { recorder } from "./recorder.js";
 
 const giveUpMilliseconds = 300;
 
@@ -9,9 +10,13 @@
 function readStream({ entry, path, headers, deadline }) {
     const attempt = nextAttempt();
     const events = [];
+    const resumed = headers.Resumes ? ` after event ${headers["Last-Event-Id"]} of ${headers.Resumes}` : "";
+    recorder.record(`sent ${attempt} POST ${path} to ${entry.name}${resumed}`);
     return new Promise(resolve => {
         const finish = (status, isComplete) => {
             clearTimeout(timer);
+            const cut = isComplete ? "" : " cut";
+            recorder.record(`answered ${attempt} ${status}${cut}, events ${events.map(([id]) => id).join(",")}`);
             resolve({ attempt, status, isComplete, events });
         };
         const outgoing = request({
--- a/review/lib/workers.js
+++ b/review/lib/workers.js
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { recorder } from "./recorder.js";
 
 const report = stage => ({
     stage,
@@ -80,6 +81,7 @@
             receivedAt: performance.now(),
         };
         runs.push(call);
+        recorder.record(`${call.isPrefill ? "prefilled" : "run"} ${attempt} ${url} at ${id}`);
         outgoing.setHeader("X-Response-Stamp", `${id}.${runs.length}`);
         outgoing.setHeader("Keep-Alive", "timeout=5");
         if (!answer(call, outgoing, id)) {
