review: a fault of a script ends its processes too

Cause: an exception outside a case's own run ended the script at once; a trial that is not kept left three processes behind, which were ended by their ids. Change: the frame ends all processes and exits with 2 in that case.

--- a/review/lib/script.js
+++ b/review/lib/script.js
@@ -27,7 +27,12 @@
     const flushing = setInterval(flush, flushMilliseconds);
     flushing.unref();
     recorder.record = record;
+    let isFinishing = false;
     const finish = async (code, text) => {
+        if (isFinishing) {
+            return;
+        }
+        isFinishing = true;
         record(text);
         process.stdout.write(`${text}\n`);
         for (const end of ends.reverse()) {
@@ -41,6 +46,10 @@
     for (const signal of ["SIGINT", "SIGTERM"]) {
         process.on(signal, () => void finish(2, `could not run: ${signal}`));
     }
+    // A fault of the script must not leave the processes that it started behind.
+    for (const event of ["uncaughtException", "unhandledRejection"]) {
+        process.on(event, error => void finish(2, `could not run: ${error?.stack ?? error}`));
+    }
     try {
         const broken = await play({ record, onEnd: end => ends.push(end) });
         await finish(broken ? 1 : 0, broken ? `BROKEN: ${broken}` : "held");
