Keep the system clock's sleeps from ending before their deadline

Cause: SystemClock.sleepUntil trusted one timer. Node.js cuts the delay to whole milliseconds and counts it from the time of the event loop's turn, not from now. The contract of Clock says that the deadline has been reached. Change: delays are rounded up, and a timer that fires early is started again. A deadline at infinity no longer fires after 1 ms.

--- a/packages/daisyturn-utils/src/time/clock.ts
+++ b/packages/daisyturn-utils/src/time/clock.ts
@@ -13,6 +13,9 @@
     abstract sleepUntil(deadline: number, signal?: WaitSignal): Promise<void>;
 }
 
+/** Node.js fires a timer with a longer delay at once. */
+const maxTimerMilliseconds = 2_147_483_647;
+
 /** The system's clocks. */
 export class SystemClock extends Clock {
     override monotonicNow(): number {
@@ -34,7 +37,18 @@
                 stopWaiting?.();
                 resolve();
             };
-            const timer = setTimeout(wake, Math.max(0, deadline - this.monotonicNow()));
+            const remaining = () => Math.max(0, Math.ceil(deadline - this.monotonicNow()));
+            const startTimer = () => setTimeout(wakeAtDeadline, Math.min(remaining(), maxTimerMilliseconds));
+            // A timer counts whole milliseconds from the start of the event loop's turn, so it can fire too early.
+            const wakeAtDeadline = () => {
+                if (remaining() > 0) {
+                    timer = startTimer();
+                }
+                else {
+                    wake();
+                }
+            };
+            let timer = startTimer();
             const stopWaiting = signal && onInterrupted(signal, wake);
         });
     }
