Hold callers' bodies and peers' lines in blocks, whatever their pieces

What callers saw: a process that read a body in pieces of one byte ended by its heap limit after 1 to 2 MB of it, and all its calls with it. Cause: readBody and the line reader of peers kept each piece as an object of its own; their bounds count bytes, but memory goes by the number of pieces.

Evidence, smallPieces.test.ts on the code before: one million pieces of one byte hold 106,451,656 bytes in a caller's body and 105,485,640 bytes in a peer's line; the heap limit of a process is 160 MB.

Their bounds in bytes are unchanged.

--- a/packages/daisyturn/src/connection/caller/readBody.ts
+++ b/packages/daisyturn/src/connection/caller/readBody.ts
@@ -1,6 +1,7 @@
 import { type Failure, FailureReason, notRun } from "daisyturn-utils";
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "true-myth/result";
+import { CollectFault, createByteCollector } from "../bytes/createByteCollector.js";
 
 /** Limits of one body. */
 export interface BodyLimits {
@@ -27,8 +28,8 @@
     }
     limits.sendContinue();
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let byteCount = 0;
+        const { maxBytes, reserve } = limits;
+        const collector = createByteCollector({ maxBytes, reserve });
 
         const finish = (result: Result<Buffer, Failure>) => {
             clearTimeout(timer);
@@ -36,18 +37,12 @@
             resolve(result);
         };
         const addChunk = (chunk: Buffer) => {
-            byteCount += chunk.length;
-            if (byteCount > limits.maxBytes) {
-                finish(err(tooLarge(limits.maxBytes)));
-            }
-            else if (!limits.reserve(chunk.length)) {
-                finish(err(notRun(FailureReason.Overloaded, "The process holds too many bodies at the moment.")));
-            }
-            else {
-                chunks.push(chunk);
+            const fault = collector.add(chunk);
+            if (fault) {
+                finish(err(fault === CollectFault.TooLong ? tooLarge(maxBytes) : noMemory()));
             }
         };
-        const end = () => finish(ok(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
+        const end = () => finish(ok(collector.join()));
         const handleClose = () =>
             finish(err(notRun(FailureReason.Cancelled, "The connection closed within the body.")));
         const expire = () => finish(err(notRun(FailureReason.BadRequest, "The body did not arrive in time.")));
@@ -66,6 +61,10 @@
     }
 }
 
+function noMemory(): Failure {
+    return notRun(FailureReason.Overloaded, "The process holds too many bodies at the moment.");
+}
+
 function tooLarge(maxBytes: number): Failure {
     return notRun(FailureReason.BodyTooLarge, `The body is longer than ${maxBytes} bytes.`);
 }
--- a/packages/daisyturn/src/connection/lineReader.ts
+++ b/packages/daisyturn/src/connection/lineReader.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "true-myth/result";
+import { createByteCollector } from "./bytes/createByteCollector.js";
 
 const lineFeed = 0x0a;
 
@@ -23,40 +24,40 @@
 export function createLineReader(maxBytes: number): LineReader {
     const decoder = new TextDecoder("utf-8", { fatal: true, ignoreBOM: true });
     let limit = maxBytes;
-    let pending: Uint8Array[] = [];
-    let pendingBytes = 0;
+    /** Bytes of a line that is not complete yet. */
+    const pending = createByteCollector({ maxBytes: Infinity });
 
-    const append = (piece: Uint8Array): boolean => {
-        pending.push(piece);
-        pendingBytes += piece.length;
-        return pendingBytes <= limit;
-    };
-
-    const drainLine = (): string => {
-        const line = decoder.decode(pending.length === 1 ? pending[0] : Buffer.concat(pending));
-        pending = [];
-        pendingBytes = 0;
+    const drainLine = (rest: Buffer): string => {
+        if (pending.byteCount() === 0) {
+            return decoder.decode(rest);
+        }
+        pending.add(rest);
+        const line = decoder.decode(pending.join());
+        pending.clear();
         return line;
     };
 
-    const push = (chunk: Uint8Array): Result<readonly string[], LineFault> => {
+    const push = (bytes: Uint8Array): Result<readonly string[], LineFault> => {
+        const chunk = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
         const lines: string[] = [];
         let start = 0;
         for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, start)) {
-            if (!append(chunk.subarray(start, end))) {
+            if (pending.byteCount() + end - start > limit) {
                 return err(LineFault.TooLong);
             }
             try {
-                lines.push(drainLine());
+                lines.push(drainLine(chunk.subarray(start, end)));
             }
             catch {
                 return err(LineFault.NotUtf8);
             }
             start = end + 1;
         }
-        if (start < chunk.length && !append(chunk.subarray(start))) {
+        const rest = chunk.subarray(start);
+        if (pending.byteCount() + rest.length > limit) {
             return err(LineFault.TooLong);
         }
+        pending.add(rest);
         return ok(lines);
     };
 
