Keep for good that an incarnation of a target has left

Cause: what a process knew of a target's leaving was stored with its entry. Removing the entry removed it too, so the entry of the older copy counted as that of a new target. The word of a target that had just been removed was ignored, and a row that said `ready` again opened a target that had said that it leaves.

Change: Departures records by incarnation (name and start) what showed that it left, beside the entries and beyond them. Row, answer and restart hold for good. A removal holds until the row is written again, since the store also removes targets that are cut off from it; a row that a restored store lists is not such a write until a later version of it arrives. A row that contradicts it is a line target_kept_closed, and daisyturn_targets_kept_closed counts such targets.

Changed test: "a leaving target stays closed after a store rollback until it reports its state again" demanded that a row `ready` opens a target that had said `draining` in the same incarnation. It now demands that only a restart does.

--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -35,7 +35,6 @@
 export function registerGauges(parts: ObservedParts, registers: Registry[]): void {
     const {
         configurationManager,
-        targets,
         budget,
         links,
         limits,
@@ -160,6 +159,19 @@
             this.set(configurationManager.current()?.configuration.version ?? 0);
         },
     });
+    registerTargetNumbers(parts, registers);
+    registerEngineNumbers(parts, registers);
+}
+
+function registerTargetNumbers({ configurationManager, targets }: ObservedParts, registers: Registry[]): void {
+    new Gauge({
+        name: "daisyturn_targets_kept_closed",
+        help: "Listed targets that get no work, although their rows list them as open, since they have left before",
+        registers,
+        collect() {
+            this.set(targets.countKeptClosed());
+        },
+    });
     new Gauge({
         name: "daisyturn_open_engines",
         help: "Engines that take new work, by service and stage",
@@ -187,7 +199,6 @@
             [...services].forEach(service => this.set({ service }, targets.open(service).length));
         },
     });
-    registerEngineNumbers(parts, registers);
 }
 
 function registerEngineNumbers({ listEngineNumbers = () => [] }: ObservedParts, registers: Registry[]): void {
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -86,6 +86,8 @@
     TargetResting = "target_resting",
     /** An answer of a target says that it leaves, which its entry in the store does not say yet. */
     TargetLeaving = "target_leaving",
+    /** A row lists a target as open that is known to have left in this incarnation; it gets no work. */
+    TargetKeptClosed = "target_kept_closed",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/createTargetList.test.ts
@@ -14,7 +14,7 @@
     return { clock, eventLog, list, removedTargets };
 }
 
-function row(name: string, isLeaving = false, startedAt?: number): FeedRow {
+function row(name: string, isLeaving = false, startedAt?: number, version = 1): FeedRow {
     const target: ListedTarget = {
         targetId: startedAt === undefined ? name : `${name}@${startedAt}`,
         name,
@@ -26,7 +26,7 @@
         isLeaving,
         softwareVersion: "v1",
     };
-    return { key: name, version: 1, text: JSON.stringify(target) };
+    return { key: name, version, text: JSON.stringify(target) };
 }
 
 const removed = (targetId: string): FeedRow => ({ key: targetId, version: 2, text: undefined });
@@ -162,16 +162,15 @@
 });
 
 // Guards against new work for a leaving target whose leaving state was lost in a store rollback.
-test("a leaving target stays closed after a store rollback until it reports its state again", () => {
+test("a leaving target stays closed after a store rollback, whatever its entry says, until it has restarted", () => {
     const { list } = createBench();
     list.replace([row("a", false, 1_000), row("b", false, 1_000)]);
     list.change([row("a", true, 1_000)]);
     list.replace([row("a", false, 1_000), row("b", false, 1_000)], true);
     assert.equal(list.isOpen("a@1000"), false);
     assert.equal(list.isOpen("b@1000"), true);
-    list.change([row("a", false, 1_000)]);
-    assert.equal(list.isOpen("a@1000"), true);
-    list.change([row("a", true, 1_000)]);
+    list.change([row("a", false, 1_000, 2)]);
+    assert.equal(list.isOpen("a@1000"), false);
     list.replace([row("a", false, 2_000)], true);
     assert.equal(list.isOpen("a@2000"), true);
 });
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -1,6 +1,8 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import type { FeedRow } from "../../../ports/changeFeed.js";
 import type { ListedTarget, TargetRemoval } from "../../../ports/listedTarget.js";
+import { createDepartures, Departure } from "./createDepartures.js";
+import { createTargetListLog } from "./createTargetListLog.js";
 import type { TableObserver } from "./watchTable.js";
 
 /** The targets that the platform lists, as last received by this process. */
@@ -23,8 +25,10 @@
     isKnown(): boolean;
     /** Records each call to the store, so that entries that expire because of an outage are recognized. */
     recordStoreCall(isAnswered: boolean): void;
-    /** Records that a target has said itself that it leaves. It counts as leaving until it is removed or has restarted. */
+    /** Records that a target has said itself that it leaves, which holds until it has restarted. */
     recordLeaving(targetId: string): void;
+    /** Number of listed targets that get no work, although their rows list them as open, since they have left before. */
+    countKeptClosed(): number;
     /** Calls the listener once a target is removed or has restarted, so that all state about it can be discarded. */
     onRemoved(listener: (targetId: string, removal: TargetRemoval) => void): void;
 }
@@ -42,9 +46,6 @@
  * a missing entry does not show that its target has been removed.
  */
 const expiryGraceMilliseconds = 2_200;
-/** Maximum number of unreadable keys that are logged, so that a table full of them does not fill the log. */
-const maxLoggedUnreadable = 64;
-const maxLoggedKeyLength = 80;
 
 /** Creates the list. */
 export function createTargetList(options: TargetListOptions): TargetList {
@@ -55,10 +56,8 @@
     const targets = new Map<string, ListedTarget>();
     /** Keys whose entry expired around an outage, and the monotonic time at which their targets count as removed. */
     const expired = new Map<string, number>();
-    /** Keys whose entry can't be decoded; each is logged once, not at each heartbeat. */
-    const unreadable = new Set<string>();
-    /** Targets whose own answers said that they leave. */
-    const saidLeaving = new Set<string>();
+    const departures = createDepartures();
+    const log = createTargetListLog(eventLog);
     const removedListeners: ((targetId: string, removal: TargetRemoval) => void)[] = [];
     let views: TargetIndex = { ...indexTargets([]), versionText: undefined };
     const versionListeners: (() => void)[] = [];
@@ -76,22 +75,27 @@
     };
 
     const remove = (key: string, storeFailedAt = lastOutageAt) => {
-        unreadable.delete(key);
+        log.recordReadable(key);
         const graceEnd = storeFailedAt + expiryGraceMilliseconds;
         if (graceEnd > clock.monotonicNow()) {
             expired.set(key, graceEnd);
             return;
         }
-        forget(key, "entry removed");
+        forget(key, "entry removed", Departure.Removal);
     };
 
-    const forget = (key: string, reason: string, isRestarted = false) => {
+    /** @param departure what the loss of the entry shows of its target; undefined if nothing */
+    const forget = (key: string, reason: string, departure?: Departure) => {
         expired.delete(key);
         const target = entries.get(key);
         if (target) {
             entries.delete(key);
             targets.delete(target.targetId);
-            saidLeaving.delete(target.targetId);
+            log.recordKeptClosed(target.targetId, undefined);
+            if (departure) {
+                departures.record(target.targetId, departure);
+            }
+            const isRestarted = departure === Departure.Restart;
             eventLog.record(EventKind.TargetGone, { target: target.targetId, reason });
             removedListeners.forEach(listener => listener(target.targetId, { target, isRestarted }));
         }
@@ -103,58 +107,43 @@
             return;
         }
         try {
-            apply(row.key, options.decode(row.key, row.text), isAfterRollback);
+            apply(row, options.decode(row.key, row.text), isAfterRollback);
         }
         catch (error) {
             reject(row.key, String(error));
         }
     };
 
-    const apply = (key: string, target: ListedTarget, isAfterRollback: boolean) => {
-        unreadable.delete(key);
+    const apply = ({ key, version }: FeedRow, target: ListedTarget, isAfterRollback: boolean) => {
+        log.recordReadable(key);
         const known = entries.get(key);
         if (known && (known.startedAt ?? 0) > (target.startedAt ?? 0)) {
             // A late entry of the previous incarnation must not restore a target that has ended.
             return;
         }
         if (known && known.targetId !== target.targetId) {
-            forget(key, "restarted", true);
+            forget(key, "restarted", Departure.Restart);
+        }
+        const { targetId } = target;
+        const saysLeaving = target.isLeaving || target.leavesInMilliseconds !== undefined;
+        if (saysLeaving) {
+            departures.record(targetId, Departure.Row);
         }
-        // The snapshot may predate the start of leaving, so the target stays closed until it reports its state again.
-        const wasLeaving = isAfterRollback && known?.targetId === target.targetId && known.isLeaving;
-        const hasEnd = target.leavesInMilliseconds !== undefined;
-        const isLeaving = target.isLeaving || hasEnd || saidLeaving.has(target.targetId) || wasLeaving;
-        const updated = { ...target, isLeaving };
+        const departure = departures.checkRow(targetId, version, isAfterRollback);
+        const updated = { ...target, isLeaving: departure !== undefined };
         expired.delete(key);
         entries.set(key, updated);
-        targets.set(target.targetId, updated);
-        recordChange(known, updated);
+        targets.set(targetId, updated);
+        log.recordChange(known, updated);
+        log.recordKeptClosed(targetId, saysLeaving ? undefined : departure);
     };
 
     /** An entry that can't be decoded removes its target, whatever the entry contained before. */
     const reject = (key: string, reason: string) => {
-        if (!unreadable.has(key) && unreadable.size < maxLoggedUnreadable) {
-            unreadable.add(key);
-            const target = key.slice(0, maxLoggedKeyLength);
-            eventLog.record(EventKind.Fault, { target, reason: `unreadable entry: ${reason}` });
-        }
+        log.recordUnreadable(key, reason);
         forget(key, "entry can't be decoded");
     };
 
-    const recordChange = (known: ListedTarget | undefined, target: ListedTarget) => {
-        const isNew = known?.targetId !== target.targetId;
-        if (isNew || known.isLeaving !== target.isLeaving || known.stage !== target.stage) {
-            eventLog.record(EventKind.TargetListed, {
-                target: target.targetId,
-                service: target.service,
-                address: target.address,
-                leaving: target.isLeaving,
-                softwareVersion: target.softwareVersion,
-                stage: target.stage,
-            });
-        }
-    };
-
     /** Called on use, so that no timer is needed. */
     const forgetExpired = () => {
         if (expired.size === 0) {
@@ -162,7 +151,7 @@
         }
         const now = clock.monotonicNow();
         const due = [...expired].filter(([, removedAt]) => removedAt <= now);
-        due.forEach(([key]) => forget(key, "entry was not listed again after the outage"));
+        due.forEach(([key]) => forget(key, "entry was not listed again after the outage", Departure.Removal));
         if (due.length > 0) {
             index();
         }
@@ -196,20 +185,26 @@
             isAnswering = isAnswered;
         },
         recordLeaving: targetId => {
-            const [key, target] = [...entries].find(([, entry]) => entry.targetId === targetId) ?? [];
-            if (key === undefined || !target || target.isLeaving) {
+            const target = targets.get(targetId);
+            if (target || departures.has(targetId)) {
+                departures.record(targetId, Departure.Answer);
+            }
+            if (!target || target.isLeaving) {
                 return;
             }
             const leaving = { ...target, isLeaving: true };
-            saidLeaving.add(targetId);
-            entries.set(key, leaving);
+            entries.set(target.name, leaving);
             targets.set(targetId, leaving);
             index();
             eventLog.record(EventKind.TargetLeaving, { target: targetId });
         },
+        countKeptClosed: log.countKeptClosed,
         onRemoved: listener => removedListeners.push(listener),
         replace: (rows, isAfterRollback = false) => {
             isKnown = true;
+            if (isAfterRollback) {
+                departures.recordRollback();
+            }
             const present = new Set(rows.map(row => row.key));
             [...entries.keys()].filter(key => !present.has(key)).forEach(key => remove(key));
             rows.forEach(row => put(row, undefined, isAfterRollback));
