Receive signals from the first statement of a program

What callers saw: a process that gets SIGHUP within its first 160 to 200 ms ends, with all the calls that are sent to it; SIGTERM ends it by the signal rather than with exit code 0. SIGINT and SIGUSR2 end a serving process, and SIGUSR1 opens a debugger port.

Cause: the listeners were installed by the program after it had been loaded and the settings had been read. The soak excused each end by SIGHUP before the first line of output, so it could not find this.

Change: the first statement of main.js, launch.cjs and daisyturn-daemon calls receiveSignals, in a module without imports, and the program takes over when it has been loaded. ProcessLife names the phases; the log says phase, signal, exit code and reason.

--- a/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
@@ -1,3 +1,4 @@
+import { receiveSignals } from "../life/receiveSignals.js";
 import type { DaemonSettings } from "../settings/daemonSettings.js";
 import { untilStopSignal } from "../untilStopSignal.js";
 import { createEntryProcess } from "./createEntryProcess.js";
@@ -6,7 +7,7 @@
 /** Runs an entry process until SIGTERM or SIGINT; prints its URLs once it accepts callers. */
 export async function serveEntryProcess(settings: DaemonSettings, policies?: EntryPolicies): Promise<void> {
     const entry = createEntryProcess(settings, policies);
-    const stopSignal = untilStopSignal("SIGTERM", "SIGINT");
+    const stopSignal = untilStopSignal(receiveSignals());
     const addresses = await entry.start();
     const callers = formatUrl(settings.callers, addresses.callerPort);
     const operators = formatUrl(settings.operators, addresses.operatorPort);
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -1,12 +1,4 @@
-import {
-    createBoundedEventLog,
-    createHybridLogicalClock,
-    createLogfmtEventLog,
-    createSeededRandom,
-    EventKind,
-    SystemClock,
-    UserError,
-} from "daisyturn-utils";
+import { createSeededRandom, EventKind, SystemClock, UserError } from "daisyturn-utils";
 import {
     coordinate,
     createOverloadGuard,
@@ -22,10 +14,10 @@
     reportArrivals,
     reportSizeCounts,
 } from "daisyturn/forwarding";
-import { randomBytes, randomInt } from "node:crypto";
+import { randomInt } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { performance } from "node:perf_hooks";
-import { createLogWriter } from "../entry/createLogWriter.js";
+import { createProcessLog } from "../life/createProcessLog.js";
 import { computeMaxStateAge } from "./computeStateAge.js";
 import { createCallerServer } from "./createCallerServer.js";
 import { createDuties } from "./createDuties.js";
@@ -56,26 +48,22 @@
 /** Limits the removal of the peer entry, so that an unavailable store does not delay the shutdown. */
 const leaveTimeoutMilliseconds = 200;
 const seedLimit = 0x7fffffff;
-const incarnationBytes = 6;
 
-/** Creates the process; nothing listens or runs before `start`. */
+/**
+ * Creates the process; nothing listens or runs before `start`.
+ * @param log log of the process; one of its own, as the settings say, if absent
+ */
 export function createForwardingProcess(
     initialSettings: ForwardingSettings,
     adapters: ForwardingAdapters,
+    log = createProcessLog(new SystemClock(), initialSettings.logFile),
 ): ForwardingProcess {
     let settings = initialSettings;
     const clock = new SystemClock();
     const random = createSeededRandom(randomInt(seedLimit));
-    const incarnation = randomBytes(incarnationBytes).toString("hex");
-    const logWriter = createLogWriter(settings.logFile);
+    const { eventLog, incarnation } = log;
+    log.setProcessId(settings.processId);
     const metricsServer = settings.metrics && createMetricsServer(settings.metrics);
-    const lines = createLogfmtEventLog({
-        processId: settings.processId,
-        incarnation,
-        hybridClock: createHybridLogicalClock(clock),
-        writeLine: logWriter.writeLine,
-    });
-    const eventLog = createBoundedEventLog(lines, clock);
     const parts = createForwardingParts({
         adapters,
         settings: () => settings,
@@ -222,7 +210,7 @@
         tunnels.close();
         parts.connections.close();
         await adapters.close();
-        logWriter.flush();
+        log.flush();
     };
 
     let stopping: Promise<void> | undefined;
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -7,6 +7,11 @@
     ProcessReady = "process_ready",
     ProcessDraining = "process_draining",
     ProcessStopped = "process_stopped",
+    /** A phase of the process begins. */
+    PhaseEntered = "phase_entered",
+    SignalReceived = "signal_received",
+    /** Last line of a process; `code` is its exit code. */
+    ProcessEnded = "process_ended",
     OutOfService = "out_of_service",
     /** The load exceeds the process's processor time, so it refuses some of the calls. */
     Overloaded = "overloaded",
--- a/packages/daisyturn-utils/src/events/logfmtEventLog.ts
+++ b/packages/daisyturn-utils/src/events/logfmtEventLog.ts
@@ -3,6 +3,7 @@
 import { type EventFields, type EventKind, EventLog } from "./eventLog.js";
 
 export interface EventLogOptions {
+    /** Read for each line. */
     readonly processId: string;
     readonly incarnation: string;
     readonly hybridClock: HybridLogicalClock;
@@ -14,12 +15,18 @@
 
 /** Creates a log that writes one key=value line per event, with the timestamp and the event first. */
 export function createLogfmtEventLog(options: EventLogOptions): EventLog {
-    const { processId: process, incarnation, hybridClock, writeLine } = options;
+    const { incarnation, hybridClock, writeLine } = options;
 
     class LogfmtEventLog extends EventLog {
         override record(kind: EventKind, fields: EventFields = {}): void {
             const stamp = hybridClock.stamp();
-            const line: Record<string, unknown> = { stamp, event: kind, level, process, incarnation };
+            const line: Record<string, unknown> = {
+                stamp,
+                event: kind,
+                level,
+                process: options.processId,
+                incarnation,
+            };
             for (const [name, value] of Object.entries(fields)) {
                 if (value !== undefined && name !== "event") {
                     line[name] = formatValue(value);
--- a/scripts/__tests__/bundle.test.js
+++ b/scripts/__tests__/bundle.test.js
@@ -1,5 +1,9 @@
 import assert from "node:assert/strict";
-import { execFileSync, spawnSync } from "node:child_process";
+import { execFileSync, spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
+import * as fs from "node:fs";
+import { tmpdir } from "node:os";
+import * as path from "node:path";
 import { test } from "node:test";
 import { readNodeOptions } from "../bundle/readNodeOptions.js";
 
@@ -40,3 +44,44 @@
     const loaded = spawnSync(process.execPath, [...nodeOptions, "-e", program], { encoding: "utf8" });
     assert.equal(loaded.stdout, "undefined");
 });
+
+/** Replaces the loader of the bundle: says that it loads, and goes on once the file `continue` exists. */
+const heldLoader = `
+    const fs = require("node:fs");
+    exports.loadBundle = () => {
+        fs.writeSync(1, "loading");
+        while (!fs.existsSync(__dirname + "/continue")) {}
+        const waiting = setInterval(() => undefined, 1_000);
+        let received = 0;
+        const handle = signal => {
+            fs.writeSync(1, " " + signal);
+            if (++received === 4) {
+                clearInterval(waiting);
+            }
+        };
+        return { entry: { runEntry: signals => signals.handOver(handle) } };
+    };`;
+
+// Guards against signals that end the bundled process because its listeners are installed after the bundle was loaded.
+test("signals while the bundle is loaded do not end the process, and reach the program", async () => {
+    const folder = fs.mkdtempSync(path.join(tmpdir(), "daisyturn-bundle-"));
+    ["daisyturn.cjs", "receiveSignals.cjs"].forEach(name => fs.copyFileSync(`target/${name}`, path.join(folder, name)));
+    fs.writeFileSync(path.join(folder, "loadBundle.cjs"), heldLoader);
+    const child = spawn(process.execPath, [path.join(folder, "daisyturn.cjs")], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    try {
+        let output = "";
+        child.stdout.on("data", data => output += data);
+        await once(child.stdout, "data");
+        ["SIGHUP", "SIGUSR1", "SIGUSR2"].forEach(signal => child.kill(signal));
+        child.kill("SIGTERM");
+        fs.writeFileSync(path.join(folder, "continue"), "");
+        await once(child, "close");
+        assert.deepEqual(output.split(" ").sort(), ["SIGHUP", "SIGTERM", "SIGUSR1", "SIGUSR2", "loading"]);
+    }
+    finally {
+        child.kill("SIGKILL");
+        fs.rmSync(folder, { recursive: true });
+    }
+});
--- a/scripts/bundle/bundle.js
+++ b/scripts/bundle/bundle.js
@@ -11,6 +11,7 @@
 const nodeOptions = readNodeOptions();
 
 await bundleProgram("platform/dist/program/runEntry.js", "target/entry.cjs");
+await bundleProgram("packages/daisyturn-daemon/dist/life/receiveSignals.js", "target/receiveSignals.cjs");
 copyFileSync(sibling("launch.cjs"), "target/daisyturn.cjs");
 copyFileSync(sibling("loadBundle.cjs"), "target/loadBundle.cjs");
 copyFileSync(sibling("writeCodeCache.cjs"), "target/writeCodeCache.cjs");
