Read past interim answers of targets

Callers heard 502 for calls that had run and been answered whole, when a target sent a 1xx answer (100, 102, 103) before the final one. Streams, prefills and the way over a peer failed alike, as did the own interface after a 100.

Cause: onResponseStart of undici is called for interim heads as well, and the first one was taken for the answer; it names no call, so the connection was closed. undici itself treats an unasked 100 as an error.

A 1xx head no longer resets the count of undelivered bytes. A head that stops anywhere after interim answers, by a close of the connection, still fails the call.

--- a/packages/daisyturn/src/connection/target/__fixtures__/rawTarget.ts
+++ b/packages/daisyturn/src/connection/target/__fixtures__/rawTarget.ts
@@ -12,7 +12,7 @@
 }
 
 /** Starts a target. `onRequest` is called with the connection once the head of a request has arrived. */
-export async function startRawTarget(onRequest: (socket: Socket, count: number) => void): Promise<RawTarget> {
+export async function startRawTarget(onRequest: (socket: Socket, count: number) => unknown): Promise<RawTarget> {
     const connections: Socket[] = [];
     let text = "";
     let count = 0;
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -12,6 +12,8 @@
 interface Exchange {
     readonly result: Result<AnswerEnd, Failure>;
     readonly body: string;
+    /** The statuses of all heads that were passed on. */
+    readonly statuses: readonly number[];
 }
 
 function open(address: string): TargetConnection {
@@ -30,22 +32,26 @@
 
 async function exchange(connection: TargetConnection, signal = new AbortController().signal): Promise<Exchange> {
     let body = "";
+    const statuses: number[] = [];
     const result = await connection.send({
         head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
         body: undefined,
         signal,
         sink: {
-            onHead: () => undefined,
+            onHead: status => {
+                statuses.push(status);
+                return undefined;
+            },
             onChunk: chunk => {
                 body += chunk.toString("latin1");
             },
         },
     });
-    return { result, body };
+    return { result, body, statuses };
 }
 
 async function withTarget(
-    onRequest: (socket: Socket, count: number) => void,
+    onRequest: (socket: Socket, count: number) => unknown,
     run: (connection: TargetConnection, target: RawTarget) => Promise<void>,
 ): Promise<void> {
     const target = await startRawTarget(onRequest);
@@ -137,6 +143,68 @@
         async connection => assertFailed(await exchange(connection), ExecutionVerdict.MayHaveRun),
     ));
 
+// Guards against a call that fails although it ran and was answered, because an interim answer came first.
+for (const status of [100, 102, 103, 199]) {
+    test(`reads past interim answers (${status}) before the final one, also in pieces of a byte`, () =>
+        withTarget(
+            async (socket, count) => {
+                const interim = `HTTP/1.1 ${status} Wait\r\nLink: </a>; rel=preload\r\nContent-Length: 9\r\n\r\n`;
+                const answer =
+                    `${interim}${interim}HTTP/1.1 100 \r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello`;
+                for (const piece of count === 1 ? [answer] : answer) {
+                    socket.write(piece);
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+            },
+            async connection => {
+                for (const attempt of [1, 2, 3]) {
+                    const { result, body, statuses } = await exchange(connection);
+                    assert.ok(result.isOk, `call ${attempt}: ${JSON.stringify(result)}`);
+                    assert.equal(body, "hello");
+                    assert.deepEqual(statuses, [200]);
+                }
+            },
+        ));
+}
+
+// Guards against an interim answer, or the begin of a head after it, that is taken for an answer when the target ends.
+test("rejects interim answers whose final answer stops within its head, wherever it stops", async () => {
+    const answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+    for (let length = 0; length < answer.length; length++) {
+        await withTarget(
+            socket => void socket.end(answer.slice(0, length)),
+            async connection => {
+                const received = await exchange(connection);
+                assertFailed(received, ExecutionVerdict.MayHaveRun);
+                assert.deepEqual(received.statuses, []);
+            },
+        );
+    }
+});
+
+// Guards against a target that keeps a call for as long as it sends interim answers, and against a switch of protocols.
+for (
+    const [name, text] of [
+        ["without end", "HTTP/1.1 102 Processing\r\n\r\n".repeat(20_000)],
+        [
+            "that switch the protocol",
+            "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ],
+    ] as const
+) {
+    test(`rejects interim answers ${name}`, () =>
+        withTarget(
+            socket => void socket.write(text),
+            async connection => {
+                const received = await exchange(connection, AbortSignal.timeout(3_000));
+                assertFailed(received, ExecutionVerdict.MayHaveRun);
+                assert.ok(received.result.isErr && received.result.error.reason === FailureReason.TargetFailed);
+                await new Promise(resolve => setTimeout(resolve, 20));
+                assert.equal(connection.isAlive(), false);
+            },
+        ));
+}
+
 test("closes the connection when bytes follow a complete answer, so that they reach no other call", () =>
     withTarget(
         socket => {
--- /dev/null
+++ b/packages/daisyturn/src/connection/target/interimAnswers.ts
@@ -0,0 +1,33 @@
+import { type Failure, FailureReason, mayHaveRun } from "daisyturn-utils";
+
+/** Counts the interim answers (RFC 9110, section 15.2) that precede a final one. */
+export interface InterimAnswers {
+    /** @returns a failure if the final answer is not to be waited for */
+    record(status: number): Failure | undefined;
+}
+
+const firstFinalStatus = 200;
+const switchingProtocolsStatus = 101;
+/** A target that reports its progress sends a few a second at most. */
+const maxInterimAnswers = 1_000;
+
+/** Whether a status is that of an interim answer, which the final one follows. */
+export function isInterim(status: number): boolean {
+    return status < firstFinalStatus;
+}
+
+/** Creates the count of one call. */
+export function createInterimAnswers(): InterimAnswers {
+    let count = 0;
+    return {
+        record: status => {
+            count += 1;
+            if (status === switchingProtocolsStatus) {
+                return mayHaveRun(FailureReason.TargetFailed, "The target switched to another protocol.");
+            }
+            return count > maxInterimAnswers
+                ? mayHaveRun(FailureReason.TargetFailed, "The target sends interim answers without end.")
+                : undefined;
+        },
+    };
+}
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -4,12 +4,17 @@
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
 import type { DialedConnection } from "./createTargetDialer.js";
+import { createInterimAnswers, isInterim } from "./interimAnswers.js";
 import { isReset } from "./isReset.js";
+import { readPastContinue } from "./readPastContinue.js";
 import { resetConnection } from "./resetConnection.js";
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
-    /** @returns a failure if the answer is not acceptable; the connection is then closed and the send fails with it */
+    /**
+     * Called with the head of the final answer; interim ones are read past.
+     * @returns a failure if the answer is not acceptable; the connection is then closed and the send fails with it
+     */
     onHead(status: number, fields: IncomingFields): Failure | undefined;
     /** @returns a failure if no more of the answer is acceptable; the connection is then closed and the send fails with it */
     onChunk(chunk: Buffer): Failure | undefined;
@@ -89,7 +94,7 @@
     let isAlive = true;
     let isEnded = false;
     let lastAnsweredAt: number | undefined;
-    /** Bytes read since the last ones that belong to the head or the body of an answer. */
+    /** Bytes read since the last ones that belong to the head or the body of a final answer. */
     let undeliveredBytes = 0;
 
     /** The parser bounds neither the text of a status line nor the extensions of chunks. */
@@ -114,6 +119,7 @@
             ({ socket, relayId } = dialed.value);
             // undici takes any close, also a reset, for the end of an answer without a length.
             const opened = socket;
+            readPastContinue(opened);
             boundUndelivered(opened);
             opened.once("end", () => {
                 isEnded = !isReset(opened);
@@ -150,6 +156,7 @@
             let isStarted = false;
             let answerEnd = AnswerEnd.Framed;
             let fault: Failure | undefined;
+            const interimAnswers = createInterimAnswers();
 
             const settle = (result: Result<AnswerEnd, Failure>) => {
                 signal.removeEventListener("abort", abandon);
@@ -196,6 +203,10 @@
                     onStarted?.(relayId);
                 },
                 onResponseStart: (controller, status, fields) => {
+                    if (isInterim(status)) {
+                        reject(controller, interimAnswers.record(status));
+                        return;
+                    }
                     answerEnd = determineEnd(status, fields as IncomingFields);
                     undeliveredBytes = 0;
                     reject(controller, sink.onHead(status, fields as IncomingFields));
@@ -251,8 +262,6 @@
     }
 }
 
-const firstBodyStatus = 200;
-
 /** undici's connector requires null where there is no value. */
 // eslint-disable-next-line no-restricted-syntax
 const noError = null;
@@ -262,7 +271,7 @@
 const resetMessage = "The connection was reset within an answer without a length.";
 
 function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
-    const isBodyless = status < firstBodyStatus || status === 204 || status === 304;
+    const isBodyless = status === 204 || status === 304;
     const isChunked = String(fields["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
     return isBodyless || isChunked || fields["content-length"] !== undefined
         ? AnswerEnd.Framed
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -7,6 +7,7 @@
 import { DialPlan } from "../../../process/forwarding/index.js";
 import { type RawTarget, startRawTarget } from "../../target/__fixtures__/rawTarget.js";
 import type { DialedConnection } from "../../target/createTargetDialer.js";
+import { openTargetConnection } from "../../target/openTargetConnection.js";
 import { ProbeResult } from "../../target/probeAddress.js";
 import { type BenchRelay, createBenchDialer, LinkFault, startRelay } from "../__fixtures__/createTunnelBench.js";
 
@@ -74,6 +75,43 @@
         }));
 }
 
+// Guards against a call that fails on the way over a peer, because an interim answer came before the final one.
+test("interim answers are read past on the way over a peer", async () => {
+    const target = await startRawTarget(socket =>
+        void socket.write(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+        )
+    );
+    const relay = await startRelay("peer-0");
+    const { dialer, state } = createBenchDialer([relay]);
+    state.fault = LinkFault.Refused;
+    const connection = openTargetConnection({
+        address: target.address,
+        now: () => performance.now(),
+        dial: () => dialer.dial(target.address),
+        onClosed: () => undefined,
+    });
+    const statuses: number[] = [];
+    const sent = await connection.send({
+        head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
+        body: undefined,
+        signal: AbortSignal.timeout(2_000),
+        sink: {
+            onHead: status => {
+                statuses.push(status);
+                return undefined;
+            },
+            onChunk: () => undefined,
+        },
+    });
+    assert.equal(connection.relayId(), "peer-0");
+    connection.close();
+    relay.server.close();
+    await target.close();
+    assert.ok(sent.isOk, JSON.stringify(sent));
+    assert.deepEqual(statuses, [204]);
+});
+
 test("a working link is used directly, and no peer is asked", () =>
     withRelays(1, async (target, relays) => {
         const { dialer } = createBenchDialer(relays);
--- a/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
@@ -108,6 +108,19 @@
             script: ({ socket }) => writeAnswer(socket, 503, "", echo),
             expected: "ok",
         },
+        {
+            name: "interim answers before a whole one",
+            script: ({ socket }) => {
+                socket.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 X\r\n\r\n");
+                writeAnswer(socket, 200, "whole", echo);
+            },
+            expected: "ok",
+        },
+        {
+            name: "interim answers without a final one",
+            script: ({ socket }) => void socket.write("HTTP/1.1 102 Processing\r\n\r\n".repeat(2_000)),
+            expected: failed,
+        },
         {
             name: "a chunked answer",
             script: ({ socket }) => {
--- a/packages/daisyturn/src/ports/http/requestProgress.ts
+++ b/packages/daisyturn/src/ports/http/requestProgress.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { createInterimAnswers, isInterim } from "../../connection/target/interimAnswers.js";
 
 /** Progress of a request. It determines the verdict of a failure, so it is updated before the first byte is written. */
 export interface RequestProgress {
@@ -26,6 +27,7 @@
     progress: RequestProgress,
     handler: Dispatcher.DispatchHandler,
 ): Dispatcher.DispatchHandler {
+    const interimAnswers = createInterimAnswers();
     return {
         onRequestStart: (controller, context) => {
             if (progress.started || progress.abandoned || progress.mayStart?.() === false) {
@@ -37,7 +39,14 @@
             handler.onRequestStart?.(controller, context);
         },
         onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
-        onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
+        onResponseStart: (controller, status, ...parameters) => {
+            const failure = isInterim(status) ? interimAnswers.record(status) : undefined;
+            if (failure) {
+                controller.abort(new Error(failure.message));
+                return;
+            }
+            handler.onResponseStart?.(controller, status, ...parameters);
+        },
         onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
         onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
         onResponseError: (...parameters) => handler.onResponseError?.(...parameters),
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -2,6 +2,7 @@
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth/result";
 import { Agent, buildConnector, type Dispatcher } from "undici";
+import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 
 const connectTimeoutMilliseconds = 2_000;
@@ -57,7 +58,8 @@
 /** undici opens the connections. Those over TLS are closed in order also after an abort. */
 function createDirectConnector(): buildConnector.connector {
     const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
-    return (options, callback) => connect(options, options.protocol === "https:" ? callback : passWithReset(callback));
+    return (options, callback) =>
+        connect(options, options.protocol === "https:" ? passReadingPast(callback) : passWithReset(callback));
 }
 
 /**
@@ -71,6 +73,19 @@
             return;
         }
         resetOnError(socket, connection ?? socket);
+        readPastContinue(socket);
+        callback(nothing, socket);
+    };
+}
+
+/** Passes on a connection on which interim answers with status 100 are read past. */
+function passReadingPast(callback: buildConnector.Callback): buildConnector.Callback {
+    return (...[error, socket]) => {
+        if (error) {
+            callback(error, nothing);
+            return;
+        }
+        readPastContinue(socket);
         callback(nothing, socket);
     };
 }
