Collect the bytes of targets in blocks everywhere

The places that join bytes of targets held each piece as an object, or joined all of them again for each piece.

Cause: bounds count bytes, while memory and time went by the number of pieces.

Evidence, before: a line of a million pieces of one byte took 284 MB (" bytes"); an event of 1 MiB in pieces of four bytes took 29.9 s. Both tests are new and failed with this.

Change: sendToTarget, the relay of events, readWhole and readLines use the byte collector. The relay searches only new bytes for the end of an event; an end whose two line feeds come in two pieces is found by the last byte that is held.

After: both tests pass (less than 40 MB; less than 1 s), and the tests of these modules as before.

--- a/packages/daisyturn/src/ports/http/__tests__/readLines.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/readLines.test.ts
@@ -31,4 +31,23 @@
         await assert.rejects(collectLines([Buffer.from("123456\n")], 5), LineTooLongError);
         await assert.rejects(collectLines([Buffer.from("1234"), Buffer.from("56")], 5), LineTooLongError);
     });
+
+    // Guards against an end of the process by a line in pieces of a byte, each of which was held as an object of its own.
+    it("holds a line in pieces of a byte in little more memory than its bytes", async () => {
+        const pieceCount = 1_000_000;
+        const source = Buffer.alloc(64 * 1024, "x");
+        const before = process.memoryUsage();
+        let grown = 0;
+        async function* yieldPieces() {
+            for (let index = 0; index < pieceCount; index++) {
+                yield source.subarray(0, 1);
+            }
+            const after = process.memoryUsage();
+            grown = after.heapUsed + after.external - before.heapUsed - before.external;
+        }
+        for await (const line of readLines(yieldPieces(), pieceCount)) {
+            assert.fail(`a line of ${line.length} characters`);
+        }
+        assert.ok(grown < 40 * pieceCount, `${grown} bytes`);
+    });
 });
--- a/packages/daisyturn/src/ports/http/readLines.ts
+++ b/packages/daisyturn/src/ports/http/readLines.ts
@@ -1,3 +1,5 @@
+import { createByteCollector } from "../../connection/bytes/createByteCollector.js";
+
 const lineFeed = 0x0a;
 
 /** Thrown when a line exceeds the maximum length. */
@@ -9,28 +11,20 @@
  * @param maxBytes maximum length of a line
  */
 export async function* readLines(body: AsyncIterable<Buffer>, maxBytes: number): AsyncGenerator<string> {
-    let rest: Buffer[] = [];
-    let restLength = 0;
+    const rest = createByteCollector({ maxBytes });
+    const append = (piece: Buffer) => {
+        if (rest.add(piece)) {
+            throw new LineTooLongError(`A line exceeds ${maxBytes} bytes.`);
+        }
+    };
     for await (const chunk of body) {
         let start = 0;
         for (let end = chunk.indexOf(lineFeed); end !== -1; end = chunk.indexOf(lineFeed, start)) {
-            const piece = chunk.subarray(start, end);
-            checkLength(restLength + piece.length, maxBytes);
-            yield rest.length === 0 ? piece.toString("utf8") : Buffer.concat([...rest, piece]).toString("utf8");
-            rest = [];
-            restLength = 0;
+            append(chunk.subarray(start, end));
+            yield rest.join().toString("utf8");
+            rest.clear();
             start = end + 1;
         }
-        if (start < chunk.length) {
-            rest.push(chunk.subarray(start));
-            restLength += chunk.length - start;
-            checkLength(restLength, maxBytes);
-        }
-    }
-}
-
-function checkLength(length: number, maxBytes: number): void {
-    if (length > maxBytes) {
-        throw new LineTooLongError(`A line exceeds ${maxBytes} bytes.`);
+        append(chunk.subarray(start));
     }
 }
--- a/packages/daisyturn/src/ports/http/targetHttpClient.ts
+++ b/packages/daisyturn/src/ports/http/targetHttpClient.ts
@@ -1,6 +1,7 @@
 import { type Clock, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import Result from "true-myth/result";
 import type { Dispatcher } from "undici";
+import { createByteCollector } from "../../connection/bytes/createByteCollector.js";
 import { passReadBarrier, type ReadBarrier } from "../../connection/createReadBarrier.js";
 import { AbortReason, type Operation } from "./operation.js";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
@@ -122,22 +123,19 @@
         answer.body.destroy();
         return Result.err(mayHaveRun(FailureReason.TargetFailed, "The answer's length is not given."));
     }
-    const chunks: Buffer[] = [];
-    let byteCount = 0;
+    const collected = createByteCollector({ maxBytes });
     try {
         for await (const chunk of answer.body as AsyncIterable<Buffer>) {
             operation.recordActivity();
-            byteCount += chunk.length;
-            if (byteCount > maxBytes) {
+            if (collected.add(chunk)) {
                 return Result.err(mayHaveRun(FailureReason.BodyTooLarge, `The answer exceeds ${maxBytes} bytes.`));
             }
-            chunks.push(chunk);
         }
     }
     catch (error) {
         return Result.err(describeFailure(error, operation, ExecutionVerdict.MayHaveRun));
     }
-    return Result.ok({ status, headers, body: Buffer.concat(chunks).toString("utf8") });
+    return Result.ok({ status, headers, body: collected.join().toString("utf8") });
 }
 
 /**
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -31,6 +31,7 @@
     return { exchange, written, counts: () => ({ begun, ended }) };
 }
 
+const maxEventBytes = 1024 * 1024;
 const event = (id: number) => `id: ${id}\ndata: text ${id}\n\n`;
 
 test("only complete events are relayed, however the stream is split into chunks", () => {
@@ -82,3 +83,16 @@
     assert.equal(lastEventIdOf("data: x\nid:"), "");
     assert.equal(lastEventIdOf("data: id: 8"), undefined);
 });
+
+// Guards against an event in pieces of a few bytes, whose cost grew with the square of their number.
+test("takes an event without end in pieces of four bytes within a second", () => {
+    const relay = createEventRelay(createRecorder().exchange, () => undefined);
+    const piece = Buffer.from("xxxx");
+    const startedAt = performance.now();
+    for (let bytes = 0; bytes < maxEventBytes; bytes += piece.length) {
+        relay.write(200, [], piece);
+    }
+    const milliseconds = performance.now() - startedAt;
+    assert.equal(relay.heldBytes(), maxEventBytes);
+    assert.ok(milliseconds < 1_000, `${milliseconds} ms`);
+});
--- a/packages/daisyturn/src/request/forwarding/eventRelay.ts
+++ b/packages/daisyturn/src/request/forwarding/eventRelay.ts
@@ -1,3 +1,4 @@
+import { createByteCollector } from "../../connection/bytes/createByteCollector.js";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { HeaderFields } from "../../ports/forwardedCall.js";
 
@@ -29,7 +30,9 @@
  * @param onStart called before the first byte is sent to the caller
  */
 export function createEventRelay(exchange: ForwardExchange, onStart: () => void): EventRelay {
-    let partial: Buffer | undefined;
+    /** The event that is not complete. The sender of the stream bounds it by `heldBytes`. */
+    const partial = createByteCollector({ maxBytes: Infinity });
+    let lastHeldByte: number | undefined;
     let lastEventId: string | undefined;
 
     const forward = (status: number, fields: HeaderFields, events: Buffer) => {
@@ -40,6 +43,30 @@
         exchange.write(events);
     };
 
+    /** Number of bytes of a piece up to the end of its last event, which may have begun in the piece before. */
+    const countCompleteBytes = (piece: Buffer) => {
+        const end = piece.lastIndexOf(eventEnd);
+        if (end >= 0) {
+            return end + eventEnd.length;
+        }
+        return partial.byteCount() > 0 && lastHeldByte === lineFeed && piece[0] === lineFeed ? 1 : 0;
+    };
+
+    const hold = (piece: Buffer) => {
+        partial.add(piece);
+        lastHeldByte = piece.at(-1) ?? lastHeldByte;
+    };
+
+    const takePartial = (rest: Buffer) => {
+        if (partial.byteCount() === 0) {
+            return rest;
+        }
+        partial.add(rest);
+        const bytes = partial.join();
+        partial.clear();
+        return bytes;
+    };
+
     /** Reads the last identifier among the events. */
     const recordEventIds = (events: Buffer) => {
         let start = events.lastIndexOf(idField);
@@ -58,27 +85,24 @@
 
     return {
         write: (status, fields, piece) => {
-            const bytes = partial ? Buffer.concat([partial, piece]) : piece;
-            const end = bytes.lastIndexOf(eventEnd);
-            if (end < 0) {
-                partial = bytes;
+            const completeBytes = countCompleteBytes(piece);
+            if (completeBytes === 0) {
+                hold(piece);
                 return;
             }
-            const events = bytes.subarray(0, end + eventEnd.length);
-            partial = events.length < bytes.length ? bytes.subarray(events.length) : undefined;
+            const events = takePartial(piece.subarray(0, completeBytes));
+            hold(piece.subarray(completeBytes));
             recordEventIds(events);
             forward(status, fields, events);
         },
         lastEventId: () => lastEventId,
         hasStarted: () => exchange.isHeadSent(),
-        hasPartialEvent: () => partial !== undefined,
-        heldBytes: () => partial?.length ?? 0,
-        discardPartialEvent: () => {
-            partial = undefined;
-        },
+        hasPartialEvent: () => partial.byteCount() > 0,
+        heldBytes: partial.byteCount,
+        discardPartialEvent: partial.clear,
         end: (status, fields) => {
-            if (partial || !exchange.isHeadSent()) {
-                forward(status, fields, partial ?? Buffer.alloc(0));
+            if (partial.byteCount() > 0 || !exchange.isHeadSent()) {
+                forward(status, fields, takePartial(Buffer.alloc(0)));
             }
             exchange.end();
         },
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -1,5 +1,6 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
+import { createByteCollector } from "../../../connection/bytes/createByteCollector.js";
 import { ConnectionPolicy } from "../../../connection/target/createTargetConnections.js";
 import { AbandonedSend, AnswerEnd } from "../../../connection/target/openTargetConnection.js";
 import type { ReplyHead } from "../../../ports/forwardedCall.js";
@@ -70,7 +71,7 @@
         context.target = target;
     }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
-    const chunks: Buffer[] = [];
+    const collected = createByteCollector({ maxBytes: maxCollectedBytes });
     const work = loads.begin(target.targetId, attempt.cost);
     const run = context.service.engine ? undefined : parts.speeds.beginRun(target);
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
@@ -160,7 +161,7 @@
                         attempt.onChunk(reply.head, chunk);
                     }
                     else {
-                        chunks.push(chunk);
+                        collected.add(chunk);
                     }
                     return checkLength(attempt, reply);
                 },
@@ -175,11 +176,7 @@
     run?.end(isMeasurable(attempt, route, reply.head, result));
     // Counts an answer without a body.
     countRun(parts, context, attempt, reply.head, sentAt);
-    const outcome = determineResult(
-        result,
-        reply.head,
-        Buffer.concat(chunks),
-    );
+    const outcome = determineResult(result, reply.head, collected.join());
     if (outcome.isErr && outcome.error.verdict === ExecutionVerdict.NotRun) {
         dispatch?.markNotRun();
     }
