Bound the time that a connection to a target takes of a turn

Cause: a read of 64 KiB holds some 10,000 chunks, all of them were handled one by one within the turn, and what the target had sent meanwhile was read at once afterwards. No bound applied to a connection's share of the time, so the process also refused calls of others as overloaded.

Change: reads of connections to targets are bounded (boundReads), and one budget of time is shared among them in the order in which they were cut (createReadTurns). A connection that costs more than any correct answer shares a fifth of the time with its like. Chunks of a read are passed on as one. `end` is emitted only after the last bytes, since these stay in the socket's buffer. The library's dispatcher bounds its connections in the same way.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -11,6 +11,7 @@
     createLongPrefillTimes,
     createPlainShortage,
     createReadBarrier,
+    createReadTurns,
     createRelays,
     createSizeCounts,
     createSizeFairness,
@@ -27,6 +28,7 @@
     type ForwardingConfigurationManager,
     type ForwardingMetrics,
     type ForwardingParts,
+    type ReadTurns,
     type RegisteredPeer,
     switchOffViews,
     type TableConfirmation,
@@ -68,6 +70,7 @@
     readonly keyConfirmation: TableConfirmation;
     readonly targets: TargetList;
     readonly links: TargetLinks;
+    readonly readTurns: ReadTurns;
     readonly crashEvidence: CrashEvidence;
     readonly versionRecord: VersionRecord;
     readonly versions: VersionHistory;
@@ -96,7 +99,8 @@
     const openTunnel = createHttpTunnels(settings().peers.address);
     const dialer = createTargetDialer({ links: views.links, relays, openTunnel, clock });
     const readBarrier = createReadBarrier(clock);
-    const connections = createTargetConnections(clock, views.links, dialer, readBarrier);
+    const readTurns = createReadTurns();
+    const connections = createTargetConnections(clock, views.links, dialer, readBarrier, readTurns);
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
@@ -149,6 +153,7 @@
         budget,
         connections,
         readBarrier,
+        readTurns,
         protocol: adapters.targetProtocol,
         metrics,
         arrivalCounts: createArrivalCounts(),
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -13,9 +13,11 @@
     type TunnelServer,
 } from "daisyturn/forwarding";
 import { Gauge, type Registry } from "prom-client";
+import { type ObservedAnswers, registerAnswerGauges } from "./registerAnswerGauges.js";
 
 /** The parts from which gauges are read. */
-export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
+export interface ObservedParts
+    extends ObservedAnswers, Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly limits: Pick<TargetLimits, "count">;
     readonly speeds: Pick<TargetSpeeds, "listNotable">;
@@ -48,6 +50,7 @@
         connectionGuard,
         holdsDuties,
     } = parts;
+    registerAnswerGauges(parts, registers);
     new Gauge({
         name: "daisyturn_duties_held",
         help: "1 while this process has the duties of the fleet, otherwise 0",
--- /dev/null
+++ b/packages/daisyturn/src/connection/bytes/__tests__/boundReads.test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { Duplex } from "node:stream";
+import { test } from "node:test";
+import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
+import { boundReads } from "../boundReads.js";
+import { createReadTurns } from "../createReadTurns.js";
+
+const endOfStream = null; // eslint-disable-line no-restricted-syntax
+const megabyte = 1024 * 1024;
+
+/** Turns whose reads take a time that the test states. */
+function createTestTurns() {
+    const time = { now: 0 };
+    return { time, turns: createReadTurns(() => time.now) };
+}
+
+/** A connection that has always more bytes, and whose reads take some milliseconds each. */
+function joinGreedy(
+    { time, turns }: ReturnType<typeof createTestTurns>,
+    milliseconds: number,
+    log: string[],
+    name = "",
+) {
+    const read = () => {
+        while (turn.begin() > 0) {
+            log.push(name);
+            time.now += milliseconds;
+            turn.end(1);
+        }
+    };
+    const turn = turns.join(read);
+    return { read, turn };
+}
+
+function createStream(): Duplex {
+    return new Duplex({ read: () => undefined, write: (bytes, encoding, done) => done() });
+}
+
+// Guards against a connection that keeps all others of its process waiting.
+test("ends the turn of a connection that has always more bytes, and serves others in the order in which they came", async () => {
+    const bench = createTestTurns();
+    const log: string[] = [];
+    const connections = ["a", "b", "c"].map(name => joinGreedy(bench, 5, log, name));
+    connections.forEach(({ read }) => read());
+    assert.equal(log.join(""), "aa", "ten milliseconds");
+    for (let count = 0; count < 4; count++) {
+        await nextTurn();
+    }
+    assert.equal(log.join("").slice(0, 8), "aaaabbcc");
+    connections.forEach(({ turn }) => turn.leave());
+});
+
+// Guards against calls that are refused because one target's answer takes all time of the process.
+test("leaves a connection that has used its credit a part of the time, and renews the credit with the next answer", async () => {
+    const bench = createTestTurns();
+    const log: string[] = [];
+    const { read, turn } = joinGreedy(bench, 25, log);
+    read();
+    while (bench.turns.counts().throttled === 0) {
+        await nextTurn();
+        read();
+    }
+    assert.equal(log.length, 3, "the credit is 50 ms");
+    const startedAt = performance.now();
+    await sleep(30);
+    const pauses = (performance.now() - startedAt) / 100;
+    assert.ok(log.length <= 3 + 1 + pauses, "each read is followed by a pause of four times its duration");
+    turn.renew();
+    const renewedAt = log.length;
+    while (log.length < renewedAt + 2) {
+        await sleep(5);
+    }
+    turn.leave();
+});
+
+// Guards against an answer without a length that ends before its last bytes were given.
+test("emits the end of a stream after all its bytes, in their order, however long each read takes", async () => {
+    const { time, turns } = createTestTurns();
+    const stream = createStream();
+    boundReads(stream, turns);
+    const bytes = Buffer.alloc(megabyte, "0123456789");
+    const pieces: Buffer[] = [];
+    stream.on("readable", () => {
+        for (let piece = stream.read() as Buffer | null; piece; piece = stream.read() as Buffer | null) {
+            time.now += 3;
+            pieces.push(piece);
+        }
+    });
+    const ended = once(stream, "end");
+    for (let start = 0; start < bytes.length; start += 50_000) {
+        stream.push(bytes.subarray(start, start + 50_000));
+    }
+    stream.push(endOfStream);
+    // Reads without credit come by timers that keep no process running.
+    const timer = setInterval(() => {
+        time.now += 100;
+    }, 1);
+    await ended;
+    clearInterval(timer);
+    assert.ok(Buffer.concat(pieces).equals(bytes));
+    assert.ok(turns.counts().cut > 0);
+});
+
+test("reads nothing more of a stream whose observer refuses it, until it is resumed", async () => {
+    const stream = createStream();
+    let isRefused = true;
+    const reads = boundReads(stream, createReadTurns(), { beforeRead: () => !isRefused });
+    const pieces: string[] = [];
+    stream.on("readable", () => {
+        for (let piece = stream.read() as Buffer | null; piece; piece = stream.read() as Buffer | null) {
+            pieces.push(piece.toString());
+        }
+    });
+    stream.push("abc");
+    await sleep(5);
+    assert.deepEqual(pieces, []);
+    isRefused = false;
+    reads.resume();
+    assert.deepEqual(pieces, ["abc"]);
+});
--- a/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
+import { createReadTurns } from "../../bytes/createReadTurns.js";
 import { ConnectionPolicy, createTargetConnections } from "../createTargetConnections.js";
 import { openSocket } from "../openSocket.js";
 import { ProbeResult } from "../probeAddress.js";
@@ -43,6 +44,7 @@
         { recordAnswered: () => undefined, isLost: () => false, hasLost: () => false },
         { dial, retryLink: () => undefined, probePeer: () => Promise.resolve(ProbeResult.Accepted) },
         barrier,
+        createReadTurns(),
     );
     const result = await connections.send(address, ConnectionPolicy.Reuse, {
         head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { Result } from "true-myth/result";
+import { createReadTurns } from "../../bytes/createReadTurns.js";
 import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
 import { openSocket } from "../openSocket.js";
 import { AnswerEnd, openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
@@ -18,6 +19,7 @@
     return openTargetConnection({
         address,
         now: () => performance.now(),
+        turns: createReadTurns(),
         dial: async () => {
             const opened = await openSocket(address, { deadline: performance.now() + 400, clock: new SystemClock() });
             return opened
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import type { TargetLinks } from "../../process/forwarding/index.js";
+import type { ReadTurns } from "../bytes/createReadTurns.js";
 import type { ReadBarrier } from "../createReadBarrier.js";
 import { createSpareSockets } from "./createSpareSockets.js";
 import type { DialedConnection, TargetDialer } from "./createTargetDialer.js";
@@ -47,6 +48,7 @@
     links: Pick<TargetLinks, "recordAnswered" | "isLost" | "hasLost">,
     dialer: Pick<TargetDialer, "dial" | "retryLink" | "probePeer">,
     readBarrier: ReadBarrier,
+    turns: ReadTurns,
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
     const spareSockets = createSpareSockets(recentAnswerMilliseconds);
@@ -84,6 +86,7 @@
         const connection = openTargetConnection({
             address,
             now: () => clock.monotonicNow(),
+            turns,
             dial: async () => {
                 const spare = spareSockets.take(address);
                 return waitForCaller(spare ? ok(spare) : await dialer.dial(address));
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -3,6 +3,9 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
+import { type BoundReads, boundReads } from "../bytes/boundReads.js";
+import { createChunkBatch } from "../bytes/createChunkBatch.js";
+import type { ReadTurns } from "../bytes/createReadTurns.js";
 import type { DialedConnection } from "./createTargetDialer.js";
 import { isReset } from "./isReset.js";
 import { resetConnection } from "./resetConnection.js";
@@ -66,6 +69,8 @@
     readonly address: string;
     readonly now: () => number;
     readonly dial: () => Promise<Result<DialedConnection, Failure>>;
+    /** The turns that all connections of the process share. */
+    readonly turns: ReadTurns;
     /** Called once the connection can carry no further call. */
     readonly onClosed: () => void;
 }
@@ -92,18 +97,21 @@
     /** Bytes read since the last ones that belong to the head or the body of an answer. */
     let undeliveredBytes = 0;
 
+    let reads: BoundReads | undefined;
+    /** Delivers what was read of the running answer; false if no more of it is acceptable. */
+    let deliver: () => boolean = () => true;
+
     /** The parser bounds neither the text of a status line nor the extensions of chunks. */
-    const boundUndelivered = (opened: Socket) => {
-        const read = opened.read.bind(opened);
-        opened.read = size => {
-            const bytes = read(size) as Buffer | null;
-            undeliveredBytes += bytes?.length ?? 0;
-            if (undeliveredBytes > maxUndeliveredBytes) {
-                opened.destroy(new Error("The target sends bytes that are no answer."));
-            }
-            return bytes;
-        };
-    };
+    const bound = (opened: Socket) =>
+        boundReads(opened, options.turns, {
+            beforeRead: () => deliver(),
+            onRead: byteCount => {
+                undeliveredBytes += byteCount;
+                if (undeliveredBytes > maxUndeliveredBytes) {
+                    opened.destroy(new Error("The target sends bytes that are no answer."));
+                }
+            },
+        });
 
     const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) =>
         void options.dial().then(dialed => {
@@ -114,7 +122,7 @@
             ({ socket, relayId } = dialed.value);
             // undici takes any close, also a reset, for the end of an answer without a length.
             const opened = socket;
-            boundUndelivered(opened);
+            reads = bound(opened);
             opened.once("end", () => {
                 isEnded = !isReset(opened);
             });
@@ -124,15 +132,7 @@
             done(noError, socket);
         });
 
-    const client = new Client(`http://${options.address}`, {
-        connect: connectSocket as never,
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        keepAliveTimeout: defaultIdleMilliseconds,
-        keepAliveMaxTimeout: maxIdleMilliseconds,
-        keepAliveTimeoutThreshold: idleMarginMilliseconds,
-    });
+    const client = createClient(options.address, connectSocket as never);
 
     const close = () => {
         if (isAlive) {
@@ -150,8 +150,12 @@
             let isStarted = false;
             let answerEnd = AnswerEnd.Framed;
             let fault: Failure | undefined;
+            let isSettled = false;
+            let controller: Dispatcher.DispatchController | undefined;
+            const batch = createChunkBatch();
 
             const settle = (result: Result<AnswerEnd, Failure>) => {
+                isSettled = true;
                 signal.removeEventListener("abort", abandon);
                 resolve(result);
             };
@@ -186,25 +190,36 @@
                 }
                 return failure !== undefined;
             };
+            const deliverBatch = () => {
+                const chunk = isSettled ? undefined : batch.take();
+                return chunk === undefined || controller === undefined || !reject(controller, sink.onChunk(chunk));
+            };
             const handler: Dispatcher.DispatchHandler = {
-                onRequestStart: controller => {
-                    if (reject(controller, checkStart?.())) {
+                onRequestStart: started => {
+                    if (reject(started, checkStart?.())) {
                         return;
                     }
                     isStarted = true;
                     undeliveredBytes = 0;
+                    controller = started;
+                    deliver = deliverBatch;
+                    reads?.renew();
                     onStarted?.(relayId);
                 },
-                onResponseStart: (controller, status, fields) => {
+                onResponseStart: (started, status, fields) => {
                     answerEnd = determineEnd(status, fields as IncomingFields);
                     undeliveredBytes = 0;
-                    reject(controller, sink.onHead(status, fields as IncomingFields));
+                    reject(started, sink.onHead(status, fields as IncomingFields));
                 },
-                onResponseData: (controller, chunk) => {
+                onResponseData: (unused, chunk) => {
                     undeliveredBytes = 0;
-                    reject(controller, sink.onChunk(chunk));
+                    batch.add(chunk);
                 },
                 onResponseEnd: () => {
+                    if (!deliverBatch() && fault) {
+                        settle(err(fault));
+                        return;
+                    }
                     if (answerEnd === AnswerEnd.Framed) {
                         lastAnsweredAt = now();
                         settle(ok(answerEnd));
@@ -213,7 +228,7 @@
                     settle(isEnded ? ok(answerEnd) : err(mayHaveRun(FailureReason.TargetFailed, resetMessage)));
                     close();
                 },
-                onResponseError: (controller, error) => fail(error),
+                onResponseError: (unused, error) => fail(error),
             };
 
             if (signal.aborted) {
@@ -244,6 +259,18 @@
     };
 }
 
+function createClient(address: string, connect: Client.Options["connect"]): Client {
+    return new Client(`http://${address}`, {
+        connect,
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: defaultIdleMilliseconds,
+        keepAliveMaxTimeout: maxIdleMilliseconds,
+        keepAliveTimeoutThreshold: idleMarginMilliseconds,
+    });
+}
+
 /** Passes the failure of a connection that could not be opened through undici. */
 class DialError extends Error {
     constructor(readonly failure: Failure) {
--- a/packages/daisyturn/src/ports/http/__tests__/readEngineStream.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/readEngineStream.test.ts
@@ -201,6 +201,54 @@
     });
 });
 
+function encodeChunk(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Sends the same chunks until the connection is closed. */
+function sendWithoutEnd(chunk: string): RawScript {
+    const pieces = Buffer.from(chunk.repeat(Math.ceil(65_536 / chunk.length)));
+    return ({ socket }) => {
+        writeChunkedHead(socket);
+        socket.on("error", () => undefined);
+        const write = () => {
+            if (!socket.destroyed) {
+                socket.write(pieces, () => setImmediate(write));
+            }
+        };
+        write();
+    };
+}
+
+// Guards against an engine that keeps the process from all other work, or ends it, by a stream of small pieces.
+for (
+    const { name, chunk } of [
+        { name: "a line without end", chunk: encodeChunk("x") },
+        { name: "waiting lines", chunk: encodeChunk(`${JSON.stringify({ kind: "waiting", streamId: "st-1" })}\n`) },
+    ]
+) {
+    it(`leaves other work its turns while an engine sends ${name} in small chunks`, async test => {
+        const { clock, engine } = await startEngineCase(test, sendWithoutEnd(chunk));
+        const before = process.memoryUsage.rss();
+        let longest = 0;
+        let lastAt = performance.now();
+        const timer = setInterval(() => {
+            const at = performance.now();
+            longest = Math.max(longest, at - lastAt);
+            lastAt = at;
+        }, 5);
+        const caller = new AbortController();
+        setTimeout(() => caller.abort(), 3_000).unref();
+        const events = await generateAll(engine, clock, caller.signal);
+        clearInterval(timer);
+        const grown = (process.memoryUsage.rss() - before) / 1024 / 1024;
+        test.diagnostic(`longest turn ${Math.round(longest)} ms, ${Math.round(grown)} MiB, ${outcomeOf(events)}`);
+        assert.equal(events.at(-1)?.kind, StreamEventKind.Broken);
+        assert.ok(longest < 500, `a turn took ${longest} ms`);
+        assert.ok(grown < 100, `${grown} MiB`);
+    });
+}
+
 describe("resume", () => {
     it("requests the tokens after the offset and accepts no others", async test => {
         const { engine, target } = await startEngineCase(test, ({ socket }) => {
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -2,6 +2,8 @@
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth/result";
 import { Agent, buildConnector, type Dispatcher } from "undici";
+import { boundReads } from "../../connection/bytes/boundReads.js";
+import { createReadTurns, type ReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 
 const connectTimeoutMilliseconds = 2_000;
@@ -23,9 +25,10 @@
  * @param dial opens the connections; by default they are opened directly
  */
 export function createTargetDispatcher(dial?: TargetDial): Dispatcher {
+    const connect = dial ? createConnector(dial) : createDirectConnector();
     return new Agent({
         pipelining: 1,
-        connect: dial ? createConnector(dial) : createDirectConnector(),
+        connect: shareTurns(connect, createReadTurns()),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
@@ -33,6 +36,19 @@
     });
 }
 
+/** Bounds the time that each connection takes of a turn of the event loop, also over TLS. */
+function shareTurns(connect: buildConnector.connector, turns: ReadTurns): buildConnector.connector {
+    return (options, callback) =>
+        connect(options, (...[error, socket]) => {
+            if (error) {
+                callback(error, nothing);
+                return;
+            }
+            boundReads(socket, turns);
+            callback(nothing, socket);
+        });
+}
+
 function createConnector(dial: TargetDial): buildConnector.connector {
     const connectTls = buildConnector({ timeout: connectTimeoutMilliseconds });
     return (options, callback) => {
