Refuse an answer with a status below 100

Callers saw: nobody was served for 0.4 s after a target had answered with `HTTP/1.1 099` (first look at the incident, in a process with the whole bundle).

Cause: undici passes such a head on and fails an assertion at the end of its message. Node.js creates the message of an assertion from the parsed source text, which is the whole bundle.

Evidence, before: the two new tests got "The connection failed: ERR_ASSERTION."; the 0.4 s were not measured again.

Change: the connection refuses the head, before its message ends. The call may have run, as with any answer that is no HTTP.

After: both tests pass, as do the others of the connection.

--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -203,3 +203,17 @@
             assert.equal(await closed, true, "the connection was closed in order");
         },
     ));
+
+// Guards against an assertion of the HTTP client, for whose message Node.js parses the whole source text.
+for (const status of ["099", "000"]) {
+    test(`refuses an answer with status ${status}, without an assertion`, () =>
+        withTarget(
+            socket => void socket.write(`HTTP/1.1 ${status} Unknown\r\nContent-Length: 5\r\n\r\nhello`),
+            async connection => {
+                const { result } = await exchange(connection);
+                assert.ok(result.isErr, "the send must fail");
+                assert.equal(result.error.message, `The target answered with status ${Number(status)}.`);
+                assert.equal(result.error.verdict, ExecutionVerdict.MayHaveRun);
+            },
+        ));
+}
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -209,7 +209,9 @@
                 onResponseStart: (started, status, fields) => {
                     answerEnd = determineEnd(status, fields as IncomingFields);
                     undeliveredBytes = 0;
-                    reject(started, sink.onHead(status, fields as IncomingFields));
+                    // undici fails an assertion at the end of such an answer, whose message takes Node.js long to create.
+                    const failure = status < minStatus ? createStatusFailure(status) : undefined;
+                    reject(started, failure ?? sink.onHead(status, fields as IncomingFields));
                 },
                 onResponseData: (unused, chunk) => {
                     undeliveredBytes = 0;
@@ -279,6 +281,12 @@
 }
 
 const firstBodyStatus = 200;
+/** HTTP has no lower status. */
+const minStatus = 100;
+
+function createStatusFailure(status: number): Failure {
+    return mayHaveRun(FailureReason.TargetFailed, `The target answered with status ${status}.`);
+}
 
 /** undici's connector requires null where there is no value. */
 // eslint-disable-next-line no-restricted-syntax
