--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { Result } from "true-myth/result";
+import { createReadTurns } from "../../bytes/createReadTurns.js";
 import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
 import { openSocket } from "../openSocket.js";
 import { AnswerEnd, openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
@@ -20,6 +21,7 @@
     return openTargetConnection({
         address,
         now: () => performance.now(),
+        turns: createReadTurns(),
         dial: async () => {
             const opened = await openSocket(address, { deadline: performance.now() + 400, clock: new SystemClock() });
             return opened
@@ -269,3 +271,17 @@
             assert.equal(await closed, true, "the connection was closed in order");
         },
     ));
+
+// Guards against an assertion of the HTTP client, for whose message Node.js parses the whole source text.
+for (const status of ["099", "000"]) {
+    test(`refuses an answer with status ${status}, without an assertion`, () =>
+        withTarget(
+            socket => void socket.write(`HTTP/1.1 ${status} Unknown\r\nContent-Length: 5\r\n\r\nhello`),
+            async connection => {
+                const { result } = await exchange(connection);
+                assert.ok(result.isErr, "the send must fail");
+                assert.equal(result.error.message, `The target answered with status ${Number(status)}.`);
+                assert.equal(result.error.verdict, ExecutionVerdict.MayHaveRun);
+            },
+        ));
+}
--- a/packages/daisyturn/src/connection/target/interimAnswers.ts
+++ b/packages/daisyturn/src/connection/target/interimAnswers.ts
@@ -6,12 +6,13 @@
     record(status: number): Failure | undefined;
 }
 
+const firstInterimStatus = 100;
 const firstFinalStatus = 200;
 const switchingProtocolsStatus = 101;
 /** A target that reports its progress sends a few a second at most. */
 const maxInterimAnswers = 1_000;
 
-/** Whether a status is that of an interim answer, which the final one follows. */
+/** Whether a status is that of an interim answer, which the final one follows, or one that HTTP does not have. */
 export function isInterim(status: number): boolean {
     return status < firstFinalStatus;
 }
@@ -22,6 +23,10 @@
     return {
         record: status => {
             count += 1;
+            // undici fails an assertion at the end of such an answer, whose message takes Node.js long to create.
+            if (status < firstInterimStatus) {
+                return mayHaveRun(FailureReason.TargetFailed, `The target answered with status ${status}.`);
+            }
             if (status === switchingProtocolsStatus) {
                 return mayHaveRun(FailureReason.TargetFailed, "The target switched to another protocol.");
             }
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DialPlan } from "../../../process/forwarding/index.js";
+import { createReadTurns } from "../../bytes/createReadTurns.js";
 import { type RawTarget, startRawTarget } from "../../target/__fixtures__/rawTarget.js";
 import type { DialedConnection } from "../../target/createTargetDialer.js";
 import { openTargetConnection } from "../../target/openTargetConnection.js";
@@ -88,6 +89,7 @@
     const connection = openTargetConnection({
         address: target.address,
         now: () => performance.now(),
+        turns: createReadTurns(),
         dial: () => dialer.dial(target.address),
         onClosed: () => undefined,
     });
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -2,6 +2,8 @@
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth/result";
 import { Agent, buildConnector, type Dispatcher } from "undici";
+import { boundReads } from "../../connection/bytes/boundReads.js";
+import { createReadTurns, type ReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 
@@ -24,9 +26,10 @@
  * @param dial opens the connections; by default they are opened directly
  */
 export function createTargetDispatcher(dial?: TargetDial): Dispatcher {
+    const connect = dial ? createConnector(dial) : createDirectConnector();
     return new Agent({
         pipelining: 1,
-        connect: dial ? createConnector(dial) : createDirectConnector(),
+        connect: prepareReads(connect, createReadTurns()),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
@@ -34,6 +37,20 @@
     });
 }
 
+/** Reads past 100 answers and bounds the time that each connection takes of a turn of the event loop, also over TLS. */
+function prepareReads(connect: buildConnector.connector, turns: ReadTurns): buildConnector.connector {
+    return (options, callback) =>
+        connect(options, (...[error, socket]) => {
+            if (error) {
+                callback(error, nothing);
+                return;
+            }
+            readPastContinue(socket);
+            boundReads(socket, turns);
+            callback(nothing, socket);
+        });
+}
+
 function createConnector(dial: TargetDial): buildConnector.connector {
     const connectTls = buildConnector({ timeout: connectTimeoutMilliseconds });
     return (options, callback) => {
@@ -58,8 +75,7 @@
 /** undici opens the connections. Those over TLS are closed in order also after an abort. */
 function createDirectConnector(): buildConnector.connector {
     const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
-    return (options, callback) =>
-        connect(options, options.protocol === "https:" ? passReadingPast(callback) : passWithReset(callback));
+    return (options, callback) => connect(options, options.protocol === "https:" ? callback : passWithReset(callback));
 }
 
 /**
@@ -73,19 +89,6 @@
             return;
         }
         resetOnError(socket, connection ?? socket);
-        readPastContinue(socket);
-        callback(nothing, socket);
-    };
-}
-
-/** Passes on a connection on which interim answers with status 100 are read past. */
-function passReadingPast(callback: buildConnector.Callback): buildConnector.Callback {
-    return (...[error, socket]) => {
-        if (error) {
-            callback(error, nothing);
-            return;
-        }
-        readPastContinue(socket);
         callback(nothing, socket);
     };
 }
