Bound what one connection of a caller takes of the process

What callers saw: one caller that pipelines calls as fast as it can ended the process; callers that send blank lines without end, or bodies in chunks of one byte, had most calls of others refused.

Cause: Node reads up to 2 MiB of a connection in one turn of the event loop and emits every request and chunk on the way, and nothing limited the requests under way on a connection. The process then counts as overloaded and refuses calls of everybody.

Chunk extensions and trailers without end passed before, by Node's own limits.

Change: paceReads gives the parser small pieces, reads no more with eight requests under way, closes a connection that sends bytes that belong to no request, and lets connections that have spent their allowance of time read in turns that take a quarter of the process's time together. The bound is on time, because the cost of a byte depends on what it is.

--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,5 +1,6 @@
 import {
     type Arrival,
+    type ByteSource,
     type CallOutcome,
     createAccountCounts,
     ForwardingMetrics,
@@ -62,12 +63,12 @@
         "Connections from which no request could be read in time or at all, by the status that was sent",
         ["status"],
     );
-    const requests = new Counter({
-        name: "daisyturn_requests_total",
-        help: "Calls of callers by service",
-        labelNames: ["service"],
-        registers,
-    });
+    const readLimits = createCounter(
+        "daisyturn_read_limits_total",
+        "Connections and answers to which a limit on what the process reads applied, by who sent and by the limit",
+        ["source", "limit"],
+    );
+    const requests = createCounter("daisyturn_requests_total", "Calls of callers by service", ["service"]);
     const arrivals = new Counter({
         name: "daisyturn_arrivals_total",
         help: "Sends that reached a target, or may have, by whether the fleet's retry budget counts them",
@@ -155,6 +156,10 @@
             unreadable.inc({ status });
         }
 
+        override recordReadLimit(source: ByteSource, limit: string): void {
+            readLimits.inc({ source, limit });
+        }
+
         override recordRequest(service: string): void {
             requests.inc({ service });
         }
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -60,6 +60,8 @@
     RequestUnreadable = "request_unreadable",
     /** A request became complete on a connection that serves no more, mostly after {@link EventKind.RequestUnreadable}. */
     RequestAfterRefusal = "request_after_refusal",
+    /** Another party sends more than this process reads of one connection; `limit` says of what. */
+    ReadLimited = "read_limited",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
     /** A request, or a part of prompts, is kept out of targets, because several of them ended while they ran it. */
--- a/packages/daisyturn/src/connection/caller/callerConnection.ts
+++ b/packages/daisyturn/src/connection/caller/callerConnection.ts
@@ -20,6 +20,16 @@
     isAnswering(): boolean;
     /** Whether the body of a registered request has not arrived completely. */
     isReadingBody(): boolean;
+    /** Records a request that was read, whether or not it is served. */
+    recordRead(incoming: IncomingMessage): void;
+    /** Number of requests that were read. */
+    readCount(): number;
+    /** The last request that was read, if its body has not arrived completely. */
+    incomplete(): IncomingMessage | undefined;
+    /** Number of registered requests. */
+    underWay(): number;
+    /** Calls the listener once the answer to any registered request is finished. */
+    onceAnyAnswered(listener: () => void): void;
     /** Calls the listener once no registered request is left, at once if there is none. */
     onceAnswered(listener: () => void): void;
 }
@@ -37,7 +47,10 @@
     const open = new Map<() => void, IncomingMessage>();
     let isOpen = true;
     let latest: IncomingMessage | undefined;
+    let lastRead: IncomingMessage | undefined;
+    let readCount = 0;
     let answeredListeners: (() => void)[] = [];
+    let anyAnsweredListeners: (() => void)[] = [];
 
     const handleSocketClose = () => {
         isOpen = false;
@@ -54,6 +67,12 @@
         listeners.forEach(listener => listener());
     };
 
+    const notifyAnyAnswered = () => {
+        const listeners = anyAnsweredListeners;
+        anyAnsweredListeners = [];
+        listeners.forEach(listener => listener());
+    };
+
     return {
         isOpen: () => isOpen,
         endService: () => {
@@ -65,7 +84,11 @@
             return {
                 isLatest: () => latest === incoming,
                 end: () => {
-                    if (open.delete(handleClose) && open.size === 0) {
+                    if (!open.delete(handleClose)) {
+                        return;
+                    }
+                    notifyAnyAnswered();
+                    if (open.size === 0) {
                         notifyAnswered();
                     }
                 },
@@ -73,6 +96,14 @@
         },
         isAnswering: () => open.size > 0,
         isReadingBody: () => [...open.values()].some(incoming => !incoming.complete),
+        recordRead: incoming => {
+            lastRead = incoming;
+            readCount += 1;
+        },
+        readCount: () => readCount,
+        incomplete: () => lastRead?.complete === false ? lastRead : undefined,
+        underWay: () => open.size,
+        onceAnyAnswered: listener => void anyAnsweredListeners.push(listener),
         onceAnswered: listener => {
             answeredListeners.push(listener);
             if (open.size === 0) {
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -1,10 +1,14 @@
+import type { Clock } from "daisyturn-utils";
 import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { answerProtocolError, type ProtocolError } from "./answerProtocolError.js";
 import { type CallerConnection, createCallerConnection } from "./callerConnection.js";
 import type { CallerLimits, TlsMaterial } from "./callerServerOptions.js";
 import type { ListenerLog } from "./createListenerLog.js";
+import { createReadTurns } from "./reads/createReadTurns.js";
+import { paceReads, ReadLimit } from "./reads/paceReads.js";
 
 /** Handles one request. */
 export type RequestListener = (
@@ -18,6 +22,8 @@
 
 /** Node's error for a request whose head or body does not arrive in time. */
 const lateRequestCode = "ERR_HTTP_REQUEST_TIMEOUT";
+/** Node's error for a head that is too long. */
+const longHeadCode = "HPE_HEADER_OVERFLOW";
 const closedWithoutAnswer = "closed";
 
 /** Creates the HTTP listener. Node's limits are set so that a caller can't occupy a connection without a request. */
@@ -25,6 +31,7 @@
     tls: TlsMaterial | undefined,
     limits: CallerLimits,
     log: ListenerLog,
+    clock: Clock,
     listener: RequestListener,
 ): Server {
     const httpOptions = {
@@ -43,6 +50,7 @@
             handshakeTimeout: limits.headerMilliseconds,
         })
         : createPlainServer(httpOptions);
+    const turns = createReadTurns(clock);
     const connections = new WeakMap<Duplex, CallerConnection>();
     /** Connections that sent bytes from which no request could be read. */
     const refused = new WeakSet<Duplex>();
@@ -59,6 +67,7 @@
 
     const listen = (incoming: IncomingMessage, outgoing: ServerResponse) => {
         const connection = findConnection(incoming.socket);
+        connection.recordRead(incoming);
         if (connection.isOpen()) {
             listener(incoming, outgoing, connection);
         }
@@ -88,9 +97,22 @@
         }
     };
 
+    const pace = (socket: Socket) => {
+        const requests = findConnection(socket);
+        const onLimit = (limit: ReadLimit) => {
+            log.recordReadLimit(socket, limit);
+            if (limit === ReadLimit.Bytes) {
+                const message = "The connection sends bytes that belong to no request.";
+                handleProtocolError(Object.assign(new Error(message), { code: longHeadCode }), socket);
+            }
+        };
+        paceReads({ socket, requests, turns, clock, maxHeadBytes: limits.maxHeaderBytes, onLimit });
+    };
+
     // Node would silently drop fields beyond its limit, possibly an Idempotency-Key. validateHeaderFields refuses them.
     server.maxHeadersCount = 0;
     server.maxConnections = limits.maxConnections;
+    server.on(tls ? "secureConnection" : "connection", pace);
     server.on("request", listen);
     server.on("checkContinue", listen);
     server.on("clientError", handleProtocolError);
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -105,6 +105,7 @@
         options.tls,
         limits,
         createListenerLog({ eventLog }),
+        clock,
         (incoming, outgoing, connection) => {
             void serve(incoming, outgoing, connection);
         },
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
-import type { ConnectionGuard, ForwardingMetrics } from "../../process/forwarding/index.js";
+import { ByteSource, type ConnectionGuard, type ForwardingMetrics } from "../../process/forwarding/index.js";
 import type { CallHead } from "../../request/forwarding/checkCallHead.js";
 import { refuseCall } from "../../request/forwarding/refuseCall.js";
 import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
@@ -41,7 +41,7 @@
     readonly connectionGuard: Pick<ConnectionGuard, "shouldClose" | "recordRequest">;
     readonly clock: Clock;
     readonly eventLog: EventLog;
-    readonly metrics: Pick<ForwardingMetrics, "recordUnreadable">;
+    readonly metrics: Pick<ForwardingMetrics, "recordUnreadable" | "recordReadLimit">;
 }
 
 /** Node's limit can't change after start. The configured limit is smaller and is checked for each request. */
@@ -186,11 +186,13 @@
         eventLog,
         identify: rawFields => protocol.describeCall(rawFields).map(({ callId }) => callId).unwrapOr(undefined),
         recordUnreadable: status => options.metrics.recordUnreadable(status),
+        recordReadLimit: limit => options.metrics.recordReadLimit(ByteSource.Caller, limit),
     });
     const server: Server = createCallerListener(
         undefined,
         { ...defaultCallerLimits, maxHeaderBytes: listenerHeaderBytes },
         listenerLog,
+        clock,
         (incoming, outgoing, connection) => void serveRequest(incoming, outgoing, connection),
     );
 
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -17,6 +17,14 @@
     Cancelled = "cancelled",
 }
 
+/** Kinds of parties whose bytes this process reads. Used as a metric label. */
+export enum ByteSource {
+    Caller = "caller",
+    Store = "store",
+    Peer = "peer",
+    Operator = "operator",
+}
+
 /** Counts calls. The application that embeds the library decides where the counts are published. */
 export abstract class ForwardingMetrics {
     /**
@@ -32,6 +40,8 @@
     abstract recordAbandonedSend(progress: string, reason: string): void;
     /** Records one connection that the listener refused itself: the status, or `closed` if it sent none. */
     abstract recordUnreadable(status: string): void;
+    /** Records one connection or answer to which a limit on what this process reads applies. */
+    abstract recordReadLimit(source: ByteSource, limit: string): void;
     /** Records one call of a caller for a service. */
     abstract recordRequest(service: string): void;
     abstract recordArrival(arrival: Arrival): void;
@@ -54,6 +64,7 @@
     override recordSend(): void {}
     override recordAbandonedSend(): void {}
     override recordUnreadable(): void {}
+    override recordReadLimit(): void {}
     override recordRequest(): void {}
     override recordArrival(): void {}
     override recordRetry(): void {}
