Wait for a port that is in use instead of ending the process

What callers saw: a process whose port for callers or for the readiness probe is in use for a moment at its start ends with exit code 2 after 0.3 s. The port of the metrics does the same, although it is not in the platform's settings. Without its port for tunnels or for datagrams of peers a process serves, but never has it.

Cause: each listener was opened once, and an error of any but the tunnels ended the start.

Change: listenWhenFree tries every 200 ms, logs address_awaited and address_opened, and gives up only on errors that waiting can't heal. Tunnels, metrics and datagrams are opened beside the start; the process is ready once callers are accepted. A stop ends the wait, and a process that has never accepted callers stops without the notice period of the load balancer. The callers', operators' and peers' listeners of the own interface use the same function. Later errors of a listener, such as EMFILE at accept, are logged; without a listener of the event they would be thrown.

--- a/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
@@ -27,7 +27,7 @@
 
 /** One entry process. */
 export interface EntryProcess {
-    /** Joins the cell, adopts the configuration and starts to accept callers. */
+    /** Joins the cell, adopts the configuration and starts to accept callers. Rejects if the process is stopped before. */
     start(): Promise<EntryAddresses>;
     /** Withdraws readiness, finishes running requests, releases leases and leaves the cell. */
     stop(): Promise<void>;
@@ -51,6 +51,8 @@
     // Every background task listens to this signal, so Node.js's leak warning above ten listeners does not apply.
     setMaxListeners(0, background.signal);
     const tasks: Promise<void>[] = [];
+    const opening = new AbortController();
+    let isAccepting = false;
     const membershipStop = new AbortController();
     let membershipTask: Promise<void> | undefined;
     let operatorServer: OperatorServer | undefined;
@@ -64,18 +66,24 @@
         tasks.push(...startControl(cell, background.signal));
         tasks.push(reportMetrics(base.metrics, base.clock, cell, data, background.signal));
         tasks.push(startRolePlanner(policies, base, cell, data, background.signal));
-        operatorServer = await startOperatorServer(settings, base, cell, data);
+        operatorServer = await startOperatorServer(settings, base, cell, data, opening.signal);
         await waitForEngines(base, data, background.signal);
-        const { port } = await data.callerServer.start();
+        const { port } = await data.callerServer.start(opening.signal);
+        isAccepting = true;
         base.eventLog.record(EventKind.ProcessReady, { generation: cell.configurationManager.current().generation });
         return { callerPort: port, operatorPort: operatorServer.port };
     };
 
-    const stop = async () => {
-        const drainDeadline = base.clock.monotonicNow() + settings.callers.drainMilliseconds;
-        await Promise.all([data.callerServer.drain(drainDeadline), cell.tunnels.drain(drainDeadline)]);
+    const drainCallers = async (deadline: number) => {
+        await Promise.all([data.callerServer.drain(deadline), cell.tunnels.drain(deadline)]);
         // Peers take leaving the cell as proof that this process sends nothing more, so claims are drained first.
         await data.claims.drain(base.clock.monotonicNow() + claimDrainMilliseconds);
+    };
+
+    const stop = async () => {
+        opening.abort();
+        const drainDeadline = base.clock.monotonicNow() + settings.callers.drainMilliseconds;
+        await (isAccepting ? drainCallers(drainDeadline) : cell.tunnels.drain(drainDeadline));
         await operatorServer?.close();
         background.abort();
         if (await waitForEnd(base, tasks)) {
@@ -136,6 +144,7 @@
     base: Base,
     cell: Cell,
     data: DataPath,
+    signal: AbortSignal,
 ): Promise<OperatorServer> {
     const { self, ids, clock, eventLog } = base;
     const routes = [
@@ -159,6 +168,7 @@
         routes,
         clock,
         eventLog,
+        signal,
     });
 }
 
--- a/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/serveEntryProcess.ts
@@ -8,10 +8,12 @@
 export async function serveEntryProcess(settings: DaemonSettings, policies?: EntryPolicies): Promise<void> {
     const entry = createEntryProcess(settings, policies);
     const stopSignal = untilStopSignal(receiveSignals());
-    const addresses = await entry.start();
-    const callers = formatUrl(settings.callers, addresses.callerPort);
-    const operators = formatUrl(settings.operators, addresses.operatorPort);
-    process.stdout.write(`listening callers=${callers} operators=${operators}\n`);
+    const addresses = await Promise.race([entry.start(), stopSignal]);
+    if (addresses) {
+        const callers = formatUrl(settings.callers, addresses.callerPort);
+        const operators = formatUrl(settings.operators, addresses.operatorPort);
+        process.stdout.write(`listening callers=${callers} operators=${operators}\n`);
+    }
     await stopSignal;
     await entry.stop();
 }
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -33,7 +33,10 @@
 
 /** A process that forwards calls to targets. */
 export interface ForwardingProcess {
-    /** Starts listening; the process becomes ready once configuration and targets are known. */
+    /**
+     * Starts listening; the process becomes ready once configuration and targets are known and callers are accepted. Resolves
+     * when the listeners for callers and for the readiness probe are open, or the process is stopped before.
+     */
     start(): Promise<void>;
     /** Replaces the settings. If the new ones can't be read, the old ones stay active and a fault is logged. */
     reload(load: () => ForwardingSettings): void;
@@ -75,7 +78,7 @@
         refreshPeers: () => coordination.refreshPeers(),
         countProcesses: () => coordination.countProcesses(),
     });
-    const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
+    const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, clock, eventLog);
     const coordination = coordinate({
         ...parts,
         self: describeSelf(settings),
@@ -132,11 +135,15 @@
     });
     setMaxListeners(maxBackgroundTasks, signal);
     let isStopping = false;
+    /** Whether callers may have connected, so that the process must be withdrawn before it ends. */
+    let isAccepting = false;
+    const opening = new AbortController();
     let ordering: EngineOrdering | undefined;
     const isOverloaded = () => isGuarded && overloadGuard.isPersistentlyOverloaded();
     const isReady = () =>
-        !isStopping && !isOverloaded() && parts.configurationManager.current() !== undefined && parts.targets.isKnown();
-    const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady);
+        !isStopping && isAccepting && !isOverloaded() && parts.configurationManager.current() !== undefined
+        && parts.targets.isKnown();
+    const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady, { clock, eventLog });
     parts.configurationManager.onChanged(table => server.setLimits(table.configuration.limits));
 
     const startCoordination = () => {
@@ -169,10 +176,13 @@
         void reportSizeCounts({ sizeCounts: parts.sizeCounts, clock, eventLog }, background.signal);
         startTableWatches({ ...shared, settings: () => settings, signal: background.signal });
         startCoordination();
-        await tunnels.start();
-        await server.start();
-        await readiness.start();
-        await metricsServer?.start();
+        // The process serves without these two. The port of the metrics is a convention, which another program may have.
+        void tunnels.start(opening.signal);
+        void metricsServer?.start(opening.signal, { clock, eventLog });
+        const accepted = server.start(opening.signal).then(isOpen => {
+            isAccepting = isOpen;
+        });
+        await Promise.all([accepted, readiness.start(opening.signal)]);
     };
 
     const reload = (load: () => ForwardingSettings) => {
@@ -196,11 +206,12 @@
 
     const stopOnce = async () => {
         isStopping = true;
+        opening.abort();
         eventLog.record(EventKind.ProcessDraining, { running: server.running() });
         coordination.stopAnswering();
         const deadline = clock.monotonicNow() + settings.graceMilliseconds - endMarginMilliseconds;
         // The next holder of the duties does not wait for the calls of this process.
-        await Promise.all([server.drain(deadline), tunnels.drain(deadline), duties?.stop(deadline)]);
+        await Promise.all([isAccepting && server.drain(deadline), tunnels.drain(deadline), duties?.stop(deadline)]);
         eventLog.record(EventKind.ProcessStopped, { running: server.running() });
         readiness.close();
         metricsServer?.close();
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,10 +1,11 @@
+import type { Clock, EventLog } from "daisyturn-utils";
 import {
     type Arrival,
     type CallOutcome,
     createAccountCounts,
     ForwardingMetrics,
     type ListenAddress,
-    listenAt,
+    listenWhenFree,
 } from "daisyturn/forwarding";
 import { createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
@@ -17,7 +18,8 @@
     observe(parts: ObservedParts): void;
     /** Records the platform's answer to a report of usage. */
     recordUsageReport(answer: string): void;
-    start(): Promise<void>;
+    /** Resolves once it listens or `signal` is aborted. */
+    start(signal: AbortSignal, parts: { readonly clock: Clock; readonly eventLog: EventLog; }): Promise<boolean>;
     close(): void;
 }
 
@@ -195,7 +197,8 @@
         metrics: new RegistryMetrics(),
         observe: parts => registerGauges(parts, registers),
         recordUsageReport: answer => usageReports.inc({ answer }),
-        start: () => listenAt(server, listen),
+        start: (signal, { clock, eventLog }) =>
+            listenWhenFree(server, listen, { listener: "metrics", isOptional: true, signal, clock, eventLog }),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
@@ -1,9 +1,14 @@
-import { type ListenAddress, listenAt } from "daisyturn/forwarding";
+import type { Clock, EventLog } from "daisyturn-utils";
+import { type ListenAddress, listenWhenFree } from "daisyturn/forwarding";
 import { createServer } from "node:http";
 
 /** Serves the balancer's readiness probe. */
 export interface ReadinessServer {
-    start(): Promise<void>;
+    /**
+     * Listens once the address is free.
+     * @returns false if `signal` was aborted before
+     */
+    start(signal: AbortSignal): Promise<boolean>;
     close(): void;
 }
 
@@ -16,6 +21,7 @@
     listen: ListenAddress,
     path: string,
     isReady: () => boolean,
+    parts: { readonly clock: Clock; readonly eventLog: EventLog; },
 ): ReadinessServer {
     const server = createServer((incoming, outgoing) => {
         incoming.resume();
@@ -25,7 +31,7 @@
         outgoing.end();
     });
     return {
-        start: () => listenAt(server, listen),
+        start: signal => listenWhenFree(server, listen, { ...parts, listener: "readiness", signal }),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -12,6 +12,10 @@
     SignalReceived = "signal_received",
     /** Last line of a process; `code` is its exit code. */
     ProcessEnded = "process_ended",
+    /** A listener can't be opened, and is tried again. */
+    AddressAwaited = "address_awaited",
+    /** It is open. */
+    AddressOpened = "address_opened",
     OutOfService = "out_of_service",
     /** The load exceeds the process's processor time, so it refuses some of the calls. */
     Overloaded = "overloaded",
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -4,7 +4,7 @@
 import { createRetryBudget, defaultRetryBudget } from "../../process/admission/index.js";
 import type { RequestParts } from "../../request/requestParts.js";
 import { createResumeTokens } from "../../request/resumption/resumeToken.js";
-import { listenAt } from "../listenAt.js";
+import { listenWhenFree } from "../listenWhenFree.js";
 import type { CallerConnection } from "./callerConnection.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
 import { createCallerListener } from "./createCallerListener.js";
@@ -15,7 +15,8 @@
 
 /** The server for callers. */
 export interface CallerServer {
-    start(): Promise<{ readonly port: number; }>;
+    /** Listens once the address is free. Rejects if `signal` is aborted before. */
+    start(signal?: AbortSignal): Promise<{ readonly port: number; }>;
     /**
      * Stops gracefully. The process first reports itself as not ready and accepts requests until the load balancer has
      * detected that. It then refuses new requests and completes the running ones.
@@ -110,8 +111,9 @@
         },
     );
 
-    const start = async () => {
-        await listenAt(server, options.listen);
+    const start = async (signal = new AbortController().signal) => {
+        await listenWhenFree(server, options.listen, { listener: "callers", signal, clock, eventLog });
+        signal.throwIfAborted();
         return { port: (server.address() as AddressInfo).port };
     };
 
--- a/packages/daisyturn/src/connection/createPeerNetwork.ts
+++ b/packages/daisyturn/src/connection/createPeerNetwork.ts
@@ -8,7 +8,6 @@
     notRun,
     type Random,
 } from "daisyturn-utils";
-import { once } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
 import { err, type Result } from "true-myth/result";
 import {
@@ -18,6 +17,7 @@
     PeerMethod,
     type ProcessIdentity,
 } from "../process/peers/index.js";
+import { listenWhenFree } from "./listenWhenFree.js";
 import { createPeerAcceptor } from "./peerAcceptor.js";
 import { createPeerDialer } from "./peerDialer.js";
 import { HandshakeMethod, performHandshake } from "./peerHandshake.js";
@@ -47,7 +47,7 @@
 
 /** RPC between processes over TCP. */
 export abstract class TcpPeerNetwork extends DialingPeerNetwork {
-    /** Starts to listen. Rejects if the address is not available. */
+    /** Listens once the address is free. Rejects if it is not available by waiting, or the network is stopped before. */
     abstract start(): Promise<void>;
     /** Closes the listener and all connections. Bytes that are already written are flushed first. */
     abstract stop(): Promise<void>;
@@ -157,8 +157,15 @@
         }
 
         override async start(): Promise<void> {
-            server.listen(settings.listen.port, settings.listen.host);
-            await once(server, "listening");
+            const { host, port: listenPort } = settings.listen;
+            const { signal } = stopping;
+            await listenWhenFree(server, { address: host, port: listenPort }, {
+                listener: "peers",
+                signal,
+                clock,
+                eventLog,
+            });
+            signal.throwIfAborted();
             const { port } = server.address() as AddressInfo;
             self = { ...self, peerAddress: self.peerAddress.replace(/:0$/, `:${port}`) };
         }
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -11,12 +11,16 @@
 import { createCallerListener } from "../caller/createCallerListener.js";
 import { createListenerLog } from "../caller/createListenerLog.js";
 import { readBytes } from "../caller/readBody.js";
-import { listenAt } from "../listenAt.js";
+import { listenWhenFree } from "../listenWhenFree.js";
 import { createForwardExchange, type ForwardExchange } from "./forwardExchange.js";
 
 /** The server for calls that are forwarded unchanged to targets. */
 export interface ForwardServer {
-    start(): Promise<void>;
+    /**
+     * Listens for callers once the address is free.
+     * @returns false if `signal` was aborted before
+     */
+    start(signal: AbortSignal): Promise<boolean>;
     /** Applies new limits. Open connections keep the limits of their last request. */
     setLimits(limits: ForwardLimits): void;
     /**
@@ -203,7 +207,14 @@
         }
     });
 
-    const start = () => listenAt(server, options.listen, connectionBacklog);
+    const start = (signal: AbortSignal) =>
+        listenWhenFree(server, options.listen, {
+            listener: "callers",
+            backlog: connectionBacklog,
+            signal,
+            clock,
+            eventLog,
+        });
 
     const drain = async (deadline: number) => {
         isClosing = true;
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -1,6 +1,7 @@
-import { EventKind, type EventLog } from "daisyturn-utils";
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import { createSocket } from "node:dgram";
 import { DatagramChannel, type PeerAddress } from "../../process/forwarding/index.js";
+import { listenRetryMilliseconds } from "../listenWhenFree.js";
 
 /** A channel over UDP, with a function that closes its socket. */
 export interface OpenDatagramChannel {
@@ -8,27 +9,68 @@
     close(): void;
 }
 
-/** Opens a UDP socket. Datagrams that can't be sent or received are lost. Only the socket's first error is logged. */
-export function openDatagramChannel(host: string, port: number, eventLog: EventLog): OpenDatagramChannel {
+/**
+ * Opens a UDP socket. While its port can't be had, it is tried again until it is closed. Datagrams that can't be sent or
+ * received are lost. Of the errors in a row, the first is logged.
+ */
+export function openDatagramChannel(
+    host: string,
+    port: number,
+    clock: Clock,
+    eventLog: EventLog,
+): OpenDatagramChannel {
     const socket = createSocket("udp4");
+    const closing = new AbortController();
+    const names = { listener: "peer datagrams", address: `${host}:${port}` };
+    let isOpen = false;
+    let isAwaited = false;
     let hasFailed = false;
-    socket.on("error", error => {
-        if (!hasFailed) {
-            hasFailed = true;
-            eventLog.record(EventKind.Fault, { reason: `UDP socket for datagrams to peers: ${error.message}` });
+
+    const bind = () => {
+        if (!closing.signal.aborted) {
+            socket.bind(port, host);
+        }
+    };
+    socket.on("listening", () => {
+        isOpen = true;
+        if (isAwaited) {
+            eventLog.record(EventKind.AddressOpened, names);
+        }
+    });
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+        if (isOpen) {
+            if (!hasFailed) {
+                hasFailed = true;
+                eventLog.record(EventKind.Fault, { reason: `UDP socket for datagrams to peers: ${error.message}` });
+            }
+            return;
+        }
+        if (!isAwaited) {
+            isAwaited = true;
+            eventLog.record(EventKind.AddressAwaited, { ...names, reason: error.code });
         }
+        void clock.sleepUntil(clock.monotonicNow() + listenRetryMilliseconds, closing.signal).then(bind);
     });
-    socket.bind(port, host);
+    bind();
 
     class UdpChannel extends DatagramChannel {
         override send(to: PeerAddress, datagram: Buffer): void {
-            // Errors for an unreachable peer are ignored here: its failure is detected by the absence of its datagrams.
-            socket.send(datagram, to.port, to.host, () => undefined);
+            // Node.js would bind a socket that is not bound to any free port, at which no peer expects this process.
+            if (isOpen || !isAwaited) {
+                // Errors for an unreachable peer are ignored here: its failure is detected by the absence of its datagrams.
+                socket.send(datagram, to.port, to.host, () => undefined);
+            }
         }
 
         override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
             socket.on("message", (datagram, { address, port }) => listener(datagram, { host: address, port }));
         }
     }
-    return { channel: new UdpChannel(), close: () => socket.close() };
+    return {
+        channel: new UdpChannel(),
+        close: () => {
+            closing.abort();
+            socket.close();
+        },
+    };
 }
--- a/packages/daisyturn/src/connection/operator/createOperatorServer.ts
+++ b/packages/daisyturn/src/connection/operator/createOperatorServer.ts
@@ -13,6 +13,7 @@
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { err, type Result } from "true-myth/result";
+import { listenWhenFree } from "../listenWhenFree.js";
 import {
     matchRoute,
     type OperatorAnswer,
@@ -37,6 +38,8 @@
     readonly routes: OperatorRoutes;
     readonly clock: Clock;
     readonly eventLog: EventLog;
+    /** Ends the wait for an address that is in use. */
+    readonly signal?: AbortSignal;
 }
 
 /** The running server. */
@@ -46,15 +49,18 @@
     close(): Promise<void>;
 }
 
-/** Starts the HTTP server for operators. Rejects if the address is not available. */
+/**
+ * Starts the HTTP server for operators once its address is free. Rejects if the signal is aborted before, or the address
+ * is not available by waiting.
+ */
 export async function createOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
     const server = createHttpServer(options, (request, response) => {
         void serveRequest(options, request, response);
     });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.listen.port, options.listen.host, resolve);
-    });
+    const { signal = new AbortController().signal, clock, eventLog } = options;
+    const listen = { address: options.listen.host, port: options.listen.port };
+    await listenWhenFree(server, listen, { listener: "operators", signal, clock, eventLog });
+    signal.throwIfAborted();
     const close = () =>
         new Promise<void>(resolve => {
             server.close(() => resolve());
--- a/packages/daisyturn/src/connection/tunnel/__fixtures__/createTunnelBench.ts
+++ b/packages/daisyturn/src/connection/tunnel/__fixtures__/createTunnelBench.ts
@@ -55,7 +55,7 @@
         server,
         isAvailable: true,
     };
-    await server.start();
+    await server.start(new AbortController().signal);
     return relay;
 }
 
--- a/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnelServer.ts
@@ -1,17 +1,18 @@
-import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
+import type { Clock, EventLog } from "daisyturn-utils";
 import { createServer, type IncomingMessage, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { TargetLinks } from "../../process/forwarding/index.js";
 import type { ListenAddress } from "../caller/callerServerOptions.js";
-import { listenAt } from "../listenAt.js";
+import { listenWhenFree } from "../listenWhenFree.js";
 import { createPeerConnector } from "./createPeerConnector.js";
 import { createTunnel, type Tunnel } from "./createTunnel.js";
 import { TunnelAnswer } from "./tunnelAnswer.js";
 
 /** Carries connections of peers whose links to targets are lost. */
 export interface TunnelServer {
-    start(): Promise<void>;
+    /** Resolves once it listens or `signal` is aborted. Without it, this process still serves its own callers. */
+    start(signal: AbortSignal): Promise<boolean>;
     /** Number of tunnels that are open. */
     carried(): number;
     /**
@@ -108,15 +109,8 @@
     const closeAll = () => tunnels.forEach(tunnel => tunnel.close());
 
     return {
-        start: async () => {
-            try {
-                await listenAt(server, options.listen);
-            }
-            catch (error) {
-                // Without it, this process still serves its own callers.
-                eventLog.record(EventKind.Fault, { reason: `no listener for tunnels of peers: ${String(error)}` });
-            }
-        },
+        start: signal =>
+            listenWhenFree(server, options.listen, { listener: "tunnels", isOptional: true, signal, clock, eventLog }),
         carried: () => tunnels.size,
         drain: async deadline => {
             isStopping = true;
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -3,7 +3,7 @@
 export * from "./connection/forwarding/createForwardServer.js";
 export * from "./connection/forwarding/forwardExchange.js";
 export * from "./connection/forwarding/openDatagramChannel.js";
-export * from "./connection/listenAt.js";
+export * from "./connection/listenWhenFree.js";
 export * from "./connection/target/createTargetConnections.js";
 export * from "./connection/target/createTargetDialer.js";
 export * from "./connection/target/probeAddress.js";
