--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom, EventKind, SystemClock, UserError } from "daisyturn-utils";
+import { createSeededRandom, EventKind, SystemClock } from "daisyturn-utils";
 import {
     coordinate,
     createOverloadGuard,
@@ -191,10 +191,7 @@
             eventLog.record(EventKind.SettingsReloaded, {});
         }
         catch (error) {
-            if (!(error instanceof UserError)) {
-                throw error;
-            }
-            eventLog.record(EventKind.Fault, { reason: `settings left as they were: ${error.message}` });
+            eventLog.record(EventKind.Fault, { reason: `settings left as they were: ${(error as Error).message}` });
         }
     };
 
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -128,6 +128,8 @@
     /** A table was re-read in full because the store was restored from an older snapshot. */
     StoreRolledBack = "store_rolled_back",
     StoreOutcomeSettled = "store_outcome_settled",
+    /** The settings can't be read at the start; they are tried again for some seconds. */
+    SettingsAwaited = "settings_awaited",
     SettingsReloaded = "settings_reloaded",
     LogLinesDropped = "log_lines_dropped",
     Fault = "fault",
