--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -12,6 +12,10 @@
     SignalReceived = "signal_received",
     /** Last line of a process; `code` is its exit code. */
     ProcessEnded = "process_ended",
+    /** A listener can't be opened, and is tried again. */
+    AddressAwaited = "address_awaited",
+    /** It is open. */
+    AddressOpened = "address_opened",
     OutOfService = "out_of_service",
     /** The load exceeds the process's processor time, so it refuses some of the calls. */
     Overloaded = "overloaded",
@@ -128,6 +132,8 @@
     /** A table was re-read in full because the store was restored from an older snapshot. */
     StoreRolledBack = "store_rolled_back",
     StoreOutcomeSettled = "store_outcome_settled",
+    /** The settings can't be read at the start; they are tried again for some seconds. */
+    SettingsAwaited = "settings_awaited",
     SettingsReloaded = "settings_reloaded",
     LogLinesDropped = "log_lines_dropped",
     Fault = "fault",
