--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -77,12 +77,11 @@
         labelNames: ["service", "part", "result", "repeat"],
         registers,
     });
-    const retries = new Counter({
-        name: "daisyturn_retries_total",
-        help: "Retries that the retry budget of the fleet allowed or denied",
-        labelNames: ["service", "result"],
-        registers,
-    });
+    const retries = createCounter(
+        "daisyturn_retries_total",
+        "Retries that the retry budget of the fleet allowed or denied",
+        ["service", "result"],
+    );
 
     const relayedSends = new Counter({
         name: "daisyturn_relayed_sends_total",
@@ -90,12 +89,11 @@
         registers,
     });
 
-    const resumptions = new Counter({
-        name: "daisyturn_resumptions_total",
-        help: "Calls that resume a stream, by whether a target may continue it",
-        labelNames: ["result"],
-        registers,
-    });
+    const resumptions = createCounter(
+        "daisyturn_resumptions_total",
+        "Calls that resume a stream, by whether a target may continue it",
+        ["result"],
+    );
 
     const accountCounts = createAccountCounts();
     new Gauge({
@@ -112,19 +110,15 @@
         },
     });
 
-    const tokens = new Counter({
-        name: "daisyturn_quota_tokens_total",
-        help: "Requests for tokens of the limits that targets name, by result",
-        labelNames: ["result"],
-        registers,
-    });
+    const tokens = createCounter(
+        "daisyturn_quota_tokens_total",
+        "Requests for tokens of the limits that targets name, by result",
+        ["result"],
+    );
 
-    const usageReports = new Counter({
-        name: "daisyturn_usage_reports_total",
-        help: "Reports of usage by the platform's answer",
-        labelNames: ["answer"],
-        registers,
-    });
+    const usageReports = createCounter("daisyturn_usage_reports_total", "Reports of usage by the platform's answer", [
+        "answer",
+    ]);
 
     const queued = new Counter({
         name: "daisyturn_queued_calls_total",
