Bound the memory of all answers together

Callers saw: plain calls that were refused or waited for seconds, and a process beyond the memory of its machine, while many large answers were collected at once.

Cause: each answer is bounded by 16 MiB, their sum by nothing; and each was copied once more when its blocks were joined.

Change: createAnswerMemory counts what a process holds of answers until their callers have read them. Beyond 32 MiB, targets are not read (the reads of their connections wait), the answer opened first goes on, one at a time beyond the limit, and 64 KiB of each answer are always read. A waiting call fails at its deadline only. While others wait, an answer that its caller has not read by its deadline is given up. Bodies are passed on in their blocks. New gauges daisyturn_answer_bytes, daisyturn_waiting_answers, daisyturn_answer_waits, daisyturn_unread_answers; new log line answer_given_up.

Why it works: a socket that is not read fills and holds its target back, and the answer that is exempt always ends, at its end, its own bound or its deadline.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, Random } from "daisyturn-utils";
 import {
     type CrashEvidence,
+    createAnswerMemory,
     createArrivalCounts,
     createCallPlacement,
     createCrashEvidence,
@@ -152,6 +153,7 @@
         availabilityZone,
         budget,
         connections,
+        answerMemory: createAnswerMemory({ clock }),
         readBarrier,
         readTurns,
         protocol: adapters.targetProtocol,
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -60,6 +60,8 @@
     RequestUnreadable = "request_unreadable",
     /** A request became complete on a connection that serves no more, mostly after {@link EventKind.RequestUnreadable}. */
     RequestAfterRefusal = "request_after_refusal",
+    /** An answer was given up because of its length, or because the process had no memory for it until its deadline. */
+    AnswerGivenUp = "answer_given_up",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
     /** A request, or a part of prompts, is kept out of targets, because several of them ended while they ran it. */
--- a/packages/daisyturn/src/connection/bytes/createByteCollector.ts
+++ b/packages/daisyturn/src/connection/bytes/createByteCollector.ts
@@ -12,6 +12,8 @@
     add(piece: Buffer): CollectFault | undefined;
     /** Number of bytes that are held. */
     byteCount(): number;
+    /** Returns all bytes as the blocks that hold them, without a copy. The collector remains as it was. */
+    list(): readonly Buffer[];
     /** Returns all bytes as one buffer. The collector remains as it was. */
     join(): Buffer;
     /** Discards all bytes and returns their reservation. */
@@ -79,6 +81,10 @@
             return undefined;
         },
         byteCount: () => byteCount,
+        list: () => {
+            closeBlock();
+            return blocks.slice();
+        },
         join: () => {
             closeBlock();
             const [first] = blocks;
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -19,8 +19,8 @@
     longestPause(): number;
     /** Mean time between two chunks, in milliseconds; undefined with fewer than two chunks. */
     meanPause(): number | undefined;
-    /** Sends a complete answer. */
-    answer(status: number, fields: HeaderFields, body: Buffer): void;
+    /** Sends a complete answer. A large body comes in blocks, since a copy would take as much memory again. */
+    answer(status: number, fields: HeaderFields, body: Buffer | readonly Buffer[]): void;
     /** Begins a streamed answer, whose length is not known yet. */
     begin(status: number, fields: HeaderFields): void;
     write(chunk: Buffer): void;
@@ -98,8 +98,11 @@
                 return;
             }
             gate.close();
-            writeHead(status, [...fields, "Content-Length", String(body.length)]);
-            outgoing.end(body);
+            const blocks = Buffer.isBuffer(body) ? [body] : body;
+            const byteCount = blocks.reduce((sum, block) => sum + block.length, 0);
+            writeHead(status, [...fields, "Content-Length", String(byteCount)]);
+            blocks.slice(0, -1).forEach(block => outgoing.write(block));
+            outgoing.end(blocks.at(-1));
         },
         begin: writeHead,
         write: chunk => {
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -16,6 +16,8 @@
     onHead(status: number, fields: IncomingFields): Failure | undefined;
     /** @returns a failure if no more of the answer is acceptable; the connection is then closed and the send fails with it */
     onChunk(chunk: Buffer): Failure | undefined;
+    /** Whether more of the answer may be read; any may if absent. If not, `resume` is called when it may. */
+    mayRead?(resume: () => void): boolean;
 }
 
 /** What showed that an answer was complete. */
@@ -98,13 +100,13 @@
     let undeliveredBytes = 0;
 
     let reads: BoundReads | undefined;
-    /** Delivers what was read of the running answer; false if no more of it is acceptable. */
-    let deliver: () => boolean = () => true;
+    /** Delivers what was read of the running answer; false if no more of it may be read now. */
+    let prepareRead: () => boolean = () => true;
 
     /** The parser bounds neither the text of a status line nor the extensions of chunks. */
     const bound = (opened: Socket) =>
         boundReads(opened, options.turns, {
-            beforeRead: () => deliver(),
+            beforeRead: () => prepareRead(),
             onRead: byteCount => {
                 undeliveredBytes += byteCount;
                 if (undeliveredBytes > maxUndeliveredBytes) {
@@ -194,6 +196,7 @@
                 const chunk = isSettled ? undefined : batch.take();
                 return chunk === undefined || controller === undefined || !reject(controller, sink.onChunk(chunk));
             };
+            const mayReadMore = () => sink.mayRead?.(() => reads?.resume()) ?? true;
             const handler: Dispatcher.DispatchHandler = {
                 onRequestStart: started => {
                     if (reject(started, checkStart?.())) {
@@ -202,7 +205,7 @@
                     isStarted = true;
                     undeliveredBytes = 0;
                     controller = started;
-                    deliver = deliverBatch;
+                    prepareRead = () => deliverBatch() && (isSettled || mayReadMore());
                     reads?.renew();
                     onStarted?.(relayId);
                 },
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -1,3 +1,4 @@
+export * from "./connection/bytes/createAnswerMemory.js";
 export * from "./connection/bytes/createReadTurns.js";
 export type { ListenAddress } from "./connection/caller/callerServerOptions.js";
 export * from "./connection/createReadBarrier.js";
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -1,4 +1,5 @@
 import { type Clock, ExecutionVerdict, type Failure, FailureReason, notRun } from "daisyturn-utils";
+import type { HeldAnswer } from "../../connection/bytes/createAnswerMemory.js";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../ports/listedTarget.js";
@@ -22,6 +23,8 @@
     /** Smallest target pause of the routes of the service, in milliseconds. */
     readonly pauseAim: number;
     readonly exchange: ForwardExchange;
+    /** What this process holds of the answer. */
+    readonly heldAnswer: HeldAnswer;
     /** Aborted with a `Failure` as its reason once the caller has disconnected or the deadline has passed. */
     readonly signal: AbortSignal;
     /** Monotonic time by which the answer must be complete. */
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog } from "daisyturn-utils";
+import type { AnswerMemory } from "../../connection/bytes/createAnswerMemory.js";
 import type { ReadBarrier } from "../../connection/createReadBarrier.js";
 import type { TargetConnections } from "../../connection/target/createTargetConnections.js";
 import type { TargetProtocol } from "../../ports/forwardedCall.js";
@@ -69,6 +70,7 @@
     /** Asks other processes to lease repeats for a service to this one; resolves whether any has before the deadline. */
     readonly requestRetryLease: (service: string, deadline: number) => Promise<boolean>;
     readonly connections: TargetConnections;
+    readonly answerMemory: AnswerMemory;
     readonly readBarrier: ReadBarrier;
     readonly protocol: TargetProtocol;
     readonly metrics: ForwardingMetrics;
--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -169,7 +169,7 @@
     }
     recordPrefill(parts, context, prompt, step, parts.clock.monotonicNow() - startedAt);
     parts.caches.record(step.target.targetId, prompt.parts, context.service.engine?.kvTokens ?? 0);
-    return parts.protocol.readKvHandle(body).map(handle => ({ address: step.target.address, handle }));
+    return parts.protocol.readKvHandle(Buffer.concat(body)).map(handle => ({ address: step.target.address, handle }));
 }
 
 async function decode(
--- a/packages/daisyturn/src/request/forwarding/sending/callAttempt.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/callAttempt.ts
@@ -23,7 +23,7 @@
 export interface TargetReply {
     readonly head: ReplyHead;
     /** Empty if the chunks were passed to `onChunk`. */
-    readonly body: Buffer;
+    readonly body: readonly Buffer[];
 }
 
 /** The connection over which a call is sent. */
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -29,6 +29,7 @@
 const maxEventBytes = 1024 * 1024;
 /** The body of a refusal is not passed on. */
 const maxRefusalBytes = 64 * 1024;
+const tooLongMessage = "The answer is longer than can be held.";
 const answeredFailure = notRun(FailureReason.Cancelled, "The call has been answered already.");
 
 /** Sends a call, updates the load and health of the target, and assigns a verdict to each failure. */
@@ -71,6 +72,7 @@
         context.target = target;
     }
     const reply: { head?: ReplyHead; bytes: number; } = { bytes: 0 };
+    context.heldAnswer.update(0);
     const collected = createByteCollector({ maxBytes: maxCollectedBytes });
     const work = loads.begin(target.targetId, attempt.cost);
     const run = context.service.engine ? undefined : parts.speeds.beginRun(target);
@@ -163,12 +165,15 @@
                     else {
                         collected.add(chunk);
                     }
+                    context.heldAnswer.update(collected.byteCount() + (attempt.heldBytes?.() ?? 0));
                     return checkLength(attempt, reply);
                 },
+                mayRead: context.heldAnswer.mayRead,
             },
         },
     );
     silenceWatch.end();
+    recordGivenUp(parts, context, target, reply.bytes, sent);
     const result = await checkEnd(parts, attempt, route, sent);
     recordSend(parts, context, attempt, route, reply.head, result);
     work.end();
@@ -176,7 +181,10 @@
     run?.end(isMeasurable(attempt, route, reply.head, result));
     // Counts an answer without a body.
     countRun(parts, context, attempt, reply.head, sentAt);
-    const outcome = determineResult(result, reply.head, collected.join());
+    const outcome = determineResult(result, reply.head, collected.list());
+    if (outcome.isErr) {
+        context.heldAnswer.update(0);
+    }
     if (outcome.isErr && outcome.error.verdict === ExecutionVerdict.NotRun) {
         dispatch?.markNotRun();
     }
@@ -207,11 +215,26 @@
     }
     const isRelayed = onChunk !== undefined && head !== undefined && head.status < minFailureStatus;
     if (isRelayed ? heldBytes() > maxEventBytes : bytes > maxCollectedBytes) {
-        return mayHaveRun(FailureReason.TargetFailed, "The answer is longer than can be held.");
+        return mayHaveRun(FailureReason.TargetFailed, tooLongMessage);
     }
     return undefined;
 }
 
+/** Logs an answer that was given up for its length, or that waited for memory at the end. */
+function recordGivenUp(
+    { eventLog }: ForwardingParts,
+    { call, heldAnswer }: CallContext,
+    { targetId, address }: ListedTarget,
+    bytes: number,
+    sent: Result<AnswerEnd, Failure>,
+): void {
+    const isTooLong = sent.isErr && sent.error.message === tooLongMessage;
+    if (isTooLong || (sent.isErr && heldAnswer.isWaiting())) {
+        const reason = isTooLong ? "too_long" : "no_memory";
+        eventLog.record(EventKind.AnswerGivenUp, { request: call.callId, target: targetId, address, reason, bytes });
+    }
+}
+
 /** Checked right before the send, because the target may have stopped taking work since it was chosen. */
 function checkAvailable({ availability }: ForwardingParts, { targetId }: ListedTarget): Failure | undefined {
     const found = availability.check(targetId);
@@ -258,7 +281,7 @@
 function determineResult(
     result: Result<void, Failure>,
     head: ReplyHead | undefined,
-    body: Buffer,
+    body: readonly Buffer[],
 ): Result<TargetReply, Failure> {
     if (result.isErr) {
         return err(result.error);
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -1,5 +1,6 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
+import type { HeldAnswer } from "../../connection/bytes/createAnswerMemory.js";
 import { passReadBarrier } from "../../connection/createReadBarrier.js";
 import type { ForwardExchange } from "../../connection/forwarding/forwardExchange.js";
 import type { ForwardedCall } from "../../ports/forwardedCall.js";
@@ -120,6 +121,7 @@
             service,
             pauseAim,
             exchange,
+            heldAnswer: openHeldAnswer(parts, call, exchange),
             signal: lifetime.signal,
             deadline,
             trace,
@@ -130,6 +132,20 @@
     });
 }
 
+/** Opens the memory of an answer, which is held until the caller has it or is gone. */
+function openHeldAnswer(
+    { answerMemory, eventLog }: ForwardingParts,
+    { callId, deadline }: ForwardedCall,
+    exchange: ForwardExchange,
+): HeldAnswer {
+    const held = answerMemory.open(deadline, () => {
+        eventLog.record(EventKind.AnswerGivenUp, { request: callId, reason: "unread" });
+        exchange.abort();
+    });
+    void exchange.closed.then(held.close);
+    return held;
+}
+
 /** Adds the caller's account, and removes the key where the configuration has accounts: no target receives it. */
 function attachAccount(
     { accounts }: RouteTable,
