--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -71,6 +71,8 @@
     RequestAfterRefusal = "request_after_refusal",
     /** Another party sends more than this process reads of one connection; `limit` says of what. */
     ReadLimited = "read_limited",
+    /** An answer was given up because of its length, or because the process had no memory for it until its deadline. */
+    AnswerGivenUp = "answer_given_up",
     /** A target ended without notice while calls ran there. */
     TargetEnded = "target_ended",
     /** A request, or a part of prompts, is kept out of targets, because several of them ended while they ran it. */
