Log errors that nothing catches in every phase, and end a process only if they go on

What callers saw: an exception that no handler catches ends the process with exit code 1, and the calls of all callers with it; so does a rejection before the start or after the stop.

Cause: only rejections between start and stop were caught.

A log that can't be written loses its lines instead of throwing, and is closed at the end of the process. The process of the own interface uses the same function.

--- a/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
+++ b/packages/daisyturn-daemon/src/entry/createEntryProcess.ts
@@ -7,7 +7,7 @@
     type OperatorServer,
     runRolePlanner,
 } from "daisyturn";
-import { EventKind } from "daisyturn-utils";
+import { EventKind, type EventLog } from "daisyturn-utils";
 import { setMaxListeners } from "node:events";
 import type { DaemonSettings } from "../settings/daemonSettings.js";
 import { readTlsFiles } from "../settings/readSecret.js";
@@ -29,6 +29,7 @@
 export interface EntryProcess {
     /** Joins the cell, adopts the configuration and starts to accept callers. Rejects if the process is stopped before. */
     start(): Promise<EntryAddresses>;
+    readonly eventLog: EventLog;
     /** Withdraws readiness, finishes running requests, releases leases and leaves the cell. */
     stop(): Promise<void>;
 }
@@ -99,7 +100,7 @@
         base.logWriter.flush();
     };
 
-    return { start, stop };
+    return { eventLog: base.eventLog, start, stop };
 }
 
 function startObserving(cell: Cell, data: DataPath, signal: AbortSignal): Promise<void>[] {
--- a/packages/daisyturn-daemon/src/entry/createLogWriter.ts
+++ b/packages/daisyturn-daemon/src/entry/createLogWriter.ts
@@ -18,16 +18,39 @@
         sync: false,
         minLength: bufferBytes,
     });
+    // A full disk, for instance. Lines are lost; without a listener, the error would be thrown.
+    let hasFailed = false;
+    let isClosed = false;
+    output.on("error", () => {
+        hasFailed = true;
+    });
+    output.on("write", () => {
+        hasFailed = false;
+    });
     /** Set while lines wait. `periodicFlush` of the library would call the system four times a second without any. */
     let flushTimer: NodeJS.Timeout | undefined;
     return {
         writeLine: line => {
+            if (isClosed) {
+                return;
+            }
             output.write(line);
             flushTimer ??= setTimeout(() => {
                 flushTimer = undefined;
-                output.flush();
+                if (!isClosed) {
+                    output.flush();
+                }
             }, flushIntervalMilliseconds).unref();
         },
-        flush: () => output.flushSync(),
+        flush: () => {
+            if (!hasFailed) {
+                output.flushSync();
+            }
+            else if (!isClosed) {
+                // At the end of the process, the library would repeat a write that fails for ever.
+                isClosed = true;
+                output.destroy();
+            }
+        },
     };
 }
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -40,6 +40,8 @@
     start(): Promise<void>;
     /** Replaces the settings. If the new ones can't be read, the old ones stay active and a fault is logged. */
     reload(load: () => ForwardingSettings): void;
+    /** Counts an error that nothing caught. */
+    recordUncaughtError(kind: string): void;
     /** Withdraws readiness, finishes running calls, and resolves within the grace period of the platform. */
     stop(): Promise<void>;
 }
@@ -158,15 +160,7 @@
         }
     };
 
-    /** A background task that failed must not end the calls of all callers. */
-    const recordRejection = (reason: unknown) =>
-        eventLog.record(EventKind.Fault, {
-            reason: `unhandled rejection: ${reason instanceof Error ? reason.stack ?? reason.message : String(reason)}`,
-        });
-
     const start = async () => {
-        process.on("unhandledRejection", recordRejection);
-        signal.addEventListener("abort", () => process.off("unhandledRejection", recordRejection));
         eventLog.record(EventKind.ProcessStarted, { zone: settings.availabilityZone });
         void overloadGuard.run(background.signal);
         void reportArrivals(
@@ -222,7 +216,8 @@
     };
 
     let stopping: Promise<void> | undefined;
-    return { start, reload, stop: () => stopping ??= stopOnce() };
+    const recordUncaughtError = (kind: string) => metricsServer?.recordUncaughtError(kind);
+    return { start, reload, recordUncaughtError, stop: () => stopping ??= stopOnce() };
 }
 
 function describeSelf({ processId, peers, availabilityZone, strength }: ForwardingSettings): RegisteredPeer {
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -18,6 +18,8 @@
     observe(parts: ObservedParts): void;
     /** Records the platform's answer to a report of usage. */
     recordUsageReport(answer: string): void;
+    /** Records an error that nothing caught. */
+    recordUncaughtError(kind: string): void;
     /** Resolves once it listens or `signal` is aborted. */
     start(signal: AbortSignal, parts: { readonly clock: Clock; readonly eventLog: EventLog; }): Promise<boolean>;
     close(): void;
@@ -64,12 +66,7 @@
         "Connections from which no request could be read in time or at all, by the status that was sent",
         ["status"],
     );
-    const requests = new Counter({
-        name: "daisyturn_requests_total",
-        help: "Calls of callers by service",
-        labelNames: ["service"],
-        registers,
-    });
+    const requests = createCounter("daisyturn_requests_total", "Calls of callers by service", ["service"]);
     const arrivals = new Counter({
         name: "daisyturn_arrivals_total",
         help: "Sends that reached a target, or may have, by whether the fleet's retry budget counts them",
@@ -111,20 +108,22 @@
         },
     });
 
-    const tokens = new Counter({
-        name: "daisyturn_quota_tokens_total",
-        help: "Requests for tokens of the limits that targets name, by result",
-        labelNames: ["result"],
-        registers,
-    });
-
-    const usageReports = new Counter({
-        name: "daisyturn_usage_reports_total",
-        help: "Reports of usage by the platform's answer",
-        labelNames: ["answer"],
-        registers,
-    });
+    const tokens = createCounter(
+        "daisyturn_quota_tokens_total",
+        "Requests for tokens of the limits that targets name, by result",
+        ["result"],
+    );
+    const usageReports = createCounter(
+        "daisyturn_usage_reports_total",
+        "Reports of usage by the platform's answer",
+        ["answer"],
+    );
 
+    const uncaughtErrors = createCounter(
+        "daisyturn_uncaught_errors_total",
+        "Exceptions and rejections that nothing caught",
+        ["kind"],
+    );
     const queued = new Counter({
         name: "daisyturn_queued_calls_total",
         help: "Calls that waited because all targets of their service were full, by how the wait ended",
@@ -197,6 +196,7 @@
         metrics: new RegistryMetrics(),
         observe: parts => registerGauges(parts, registers),
         recordUsageReport: answer => usageReports.inc({ answer }),
+        recordUncaughtError: kind => uncaughtErrors.inc({ kind }),
         start: (signal, { clock, eventLog }) =>
             listenWhenFree(server, listen, { listener: "metrics", isOptional: true, signal, clock, eventLog }),
         close: () => {
--- a/packages/daisyturn-daemon/src/life/createProcessLife.ts
+++ b/packages/daisyturn-daemon/src/life/createProcessLife.ts
@@ -1,8 +1,9 @@
-import { EventKind, UserError } from "daisyturn-utils";
+import { type Clock, EventKind, UserError } from "daisyturn-utils";
 import { setImmediate } from "node:timers/promises";
 import type { ProcessLog } from "./createProcessLog.js";
 import { ProcessPhase } from "./processPhase.js";
 import { isStopSignal, type ReceivedSignals } from "./receiveSignals.js";
+import { describeError, type UncaughtErrorKind, watchUncaughtErrors } from "./watchUncaughtErrors.js";
 
 /** The life of one process, from the handover of its signals to its end. */
 export interface ProcessLife {
@@ -14,6 +15,10 @@
     onReload(reload: () => void): void;
     /** Resolves once the process is to stop. */
     untilStopRequested(): Promise<void>;
+    /** Sets what is told of errors that nothing catches, beside the log. */
+    onUncaughtError(record: (kind: UncaughtErrorKind) => void): void;
+    /** Ends the process at a monotonic time at which its stop should have ended. */
+    limitStop(deadline: number): void;
     /** Runs the program and ends the process after it. */
     run(serve: () => Promise<void>): Promise<void>;
 }
@@ -25,12 +30,14 @@
 }
 
 /** Creates the life of the process that has received `signals`. */
-export function createProcessLife(signals: ReceivedSignals, log: ProcessLog): ProcessLife {
+export function createProcessLife(signals: ReceivedSignals, log: ProcessLog, clock: Clock): ProcessLife {
     const { eventLog } = log;
     const stop = new AbortController();
     const stopped = new Promise<void>(resolve => stop.signal.addEventListener("abort", () => resolve()));
     let phase = ProcessPhase.Loading;
     let reload = (): void => undefined;
+    let recordUncaughtError: (kind: UncaughtErrorKind) => void = () => undefined;
+    let exitCode = ExitCode.Success;
 
     const handle = (signal: NodeJS.Signals) => {
         eventLog.record(EventKind.SignalReceived, { signal, phase });
@@ -43,11 +50,21 @@
     };
 
     const end = (code: ExitCode, reason: string) => {
-        eventLog.record(EventKind.ProcessEnded, { phase, code, reason });
+        log.unboundedLog.record(EventKind.ProcessEnded, { phase, code, reason });
         log.flush();
         process.exit(code);
     };
 
+    watchUncaughtErrors({
+        clock,
+        eventLog,
+        onError: kind => recordUncaughtError(kind),
+        onPersistent: () => {
+            exitCode = ExitCode.Failure;
+            stop.abort("too many errors that nothing caught");
+        },
+    });
+
     return {
         stopRequested: stop.signal,
         enter: async next => {
@@ -59,6 +76,13 @@
         onReload: next => {
             reload = next;
         },
+        onUncaughtError: next => {
+            recordUncaughtError = next;
+        },
+        limitStop: deadline => {
+            const expire = () => end(ExitCode.Failure, "the stop has not ended in time");
+            setTimeout(expire, Math.max(0, deadline - clock.monotonicNow())).unref();
+        },
         untilStopRequested: () => stopped,
         run: async serve => {
             signals.handOver(handle);
@@ -70,11 +94,7 @@
                 process.stderr.write(`${text}\n`);
                 end(error instanceof UserError ? ExitCode.InvalidSettings : ExitCode.Failure, text);
             }
-            end(ExitCode.Success, String(stop.signal.reason));
+            end(exitCode, String(stop.signal.reason));
         },
     };
 }
-
-function describeError(error: unknown): string {
-    return error instanceof Error ? error.stack ?? error.message : String(error);
-}
--- a/packages/daisyturn-daemon/src/life/createProcessLog.ts
+++ b/packages/daisyturn-daemon/src/life/createProcessLog.ts
@@ -11,6 +11,8 @@
 /** Log of a process, which can be written to before the settings name the process. */
 export interface ProcessLog {
     readonly eventLog: EventLog;
+    /** For lines that must not be dropped: the last one of the process. */
+    readonly unboundedLog: EventLog;
     /** Identifies this run of the process. */
     readonly incarnation: string;
     /** Sets the name with which later lines are written. */
@@ -36,6 +38,7 @@
         writeLine: logWriter.writeLine,
     });
     return {
+        unboundedLog: lines,
         eventLog: createBoundedEventLog(lines, clock),
         incarnation,
         setProcessId: next => {
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -131,6 +131,8 @@
     /** The settings can't be read at the start; they are tried again for some seconds. */
     SettingsAwaited = "settings_awaited",
     SettingsReloaded = "settings_reloaded",
+    /** An exception or a rejection that nothing caught. */
+    UncaughtError = "uncaught_error",
     LogLinesDropped = "log_lines_dropped",
     Fault = "fault",
 }
