--- a/scripts/__tests__/bundle.test.js
+++ b/scripts/__tests__/bundle.test.js
@@ -85,3 +85,32 @@
         fs.rmSync(folder, { recursive: true });
     }
 });
+
+// Guards against a bundled process that does not start because its code cache is damaged or can't be read.
+test("starts without its code cache if that is absent, cut, damaged or no file", () => {
+    const folder = fs.mkdtempSync(path.join(tmpdir(), "daisyturn-bundle-"));
+    const cacheFile = path.join(folder, "entry.cjs.cache");
+    const damage = cache => Buffer.from(cache).fill(0xa5, cache.length >> 1, (cache.length >> 1) + 4_096);
+    const states = {
+        absent: () => undefined,
+        cut: cache => fs.writeFileSync(cacheFile, cache.subarray(0, cache.length >> 1)),
+        damaged: cache => fs.writeFileSync(cacheFile, damage(cache)),
+        "no file": () => fs.mkdirSync(cacheFile),
+    };
+    try {
+        fs.cpSync("target", folder, { recursive: true });
+        const cache = fs.readFileSync(cacheFile);
+        for (const [state, change] of Object.entries(states)) {
+            fs.rmSync(cacheFile, { recursive: true, force: true });
+            change(cache);
+            const started = spawnSync(process.execPath, [...nodeOptions, path.join(folder, "daisyturn.cjs")], {
+                encoding: "utf8",
+                env: {},
+            });
+            assert.equal(started.status, settingsExitCode, `${state}: ${started.signal} ${started.stderr}`);
+        }
+    }
+    finally {
+        fs.rmSync(folder, { recursive: true });
+    }
+});
