--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -19,6 +19,8 @@
     observe(parts: ObservedParts): void;
     /** Records the platform's answer to a report of usage. */
     recordUsageReport(answer: string): void;
+    /** Records an error that nothing caught. */
+    recordUncaughtError(kind: string): void;
     /** Resolves once it listens or `signal` is aborted. */
     start(signal: AbortSignal, parts: { readonly clock: Clock; readonly eventLog: EventLog; }): Promise<boolean>;
     close(): void;
@@ -115,11 +117,17 @@
         "Requests for tokens of the limits that targets name, by result",
         ["result"],
     );
+    const usageReports = createCounter(
+        "daisyturn_usage_reports_total",
+        "Reports of usage by the platform's answer",
+        ["answer"],
+    );
 
-    const usageReports = createCounter("daisyturn_usage_reports_total", "Reports of usage by the platform's answer", [
-        "answer",
-    ]);
-
+    const uncaughtErrors = createCounter(
+        "daisyturn_uncaught_errors_total",
+        "Exceptions and rejections that nothing caught",
+        ["kind"],
+    );
     const queued = new Counter({
         name: "daisyturn_queued_calls_total",
         help: "Calls that waited because all targets of their service were full, by how the wait ended",
@@ -196,6 +204,7 @@
         metrics: new RegistryMetrics(),
         observe: parts => registerGauges(parts, registers),
         recordUsageReport: answer => usageReports.inc({ answer }),
+        recordUncaughtError: kind => uncaughtErrors.inc({ kind }),
         start: (signal, { clock, eventLog }) =>
             listenWhenFree(server, listen, { listener: "metrics", isOptional: true, signal, clock, eventLog }),
         close: () => {
