Leave an engine whose answer to a prefill is no handle

Cause: the answer to a prefill names a KV cache, but was collected up to the bound of answers that are passed on, 16 MiB.

Change: the answer to a prefill is bounded by 64 KiB, as the body of a refusal is.

--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -27,6 +27,8 @@
 /** Largest answer that is collected before it is sent to the caller. */
 const maxCollectedBytes = 16 * 1024 * 1024;
 const maxEventBytes = 1024 * 1024;
+/** The answer to a prefill names a KV cache and is not passed on. */
+const maxPrefillBytes = 64 * 1024;
 /** The body of a refusal is not passed on. */
 const maxRefusalBytes = 64 * 1024;
 const tooLongMessage = "The answer is longer than can be held.";
@@ -207,14 +209,15 @@
 
 /** Bounds the bytes of an answer that wait for its end, or for that of an event, or that nobody reads. */
 function checkLength(
-    { onChunk, heldBytes = () => 0 }: CallAttempt,
+    { onChunk, heldBytes = () => 0, terms }: CallAttempt,
     { head, bytes }: { readonly head?: ReplyHead; readonly bytes: number; },
 ): Failure | undefined {
     if (head?.isNotRun && bytes > maxRefusalBytes) {
         return notRun(FailureReason.TargetRefused, `The target refused the call with status ${head.status}.`);
     }
     const isRelayed = onChunk !== undefined && head !== undefined && head.status < minFailureStatus;
-    if (isRelayed ? heldBytes() > maxEventBytes : bytes > maxCollectedBytes) {
+    const maxBytes = terms.prefillOnly ? maxPrefillBytes : maxCollectedBytes;
+    if (isRelayed ? heldBytes() > maxEventBytes : bytes > maxBytes) {
         return mayHaveRun(FailureReason.TargetFailed, tooLongMessage);
     }
     return undefined;
