Count processor time in the turns of reads

Callers could see: on a machine that is busy with other work, connections used up their credit by waiting for the processor.

Cause: the turns measured elapsed time. This was found by reading, after endlessAnswers.test.ts ("a body that ends with the connection") had failed with 504 in 2 of 5 plays beside two other test files at a load of 23 to 28.

Change: reads are charged with the processor time of the process.

Measured: that test failed in the one play beside two other files after the change as well (load 24), so this is not its only cause; alone, it passed 2 of 2 plays at a load of 23.

--- a/packages/daisyturn/src/connection/bytes/__tests__/boundReads.test.ts
+++ b/packages/daisyturn/src/connection/bytes/__tests__/boundReads.test.ts
@@ -12,7 +12,7 @@
 /** Turns whose reads take a time that the test states. */
 function createTestTurns() {
     const time = { now: 0 };
-    return { time, turns: createReadTurns(() => time.now) };
+    return { time, turns: createReadTurns(() => time.now, () => time.now) };
 }
 
 /** A connection that has always more bytes, and whose reads take some milliseconds each. */
--- a/packages/daisyturn/src/connection/bytes/createReadTurns.ts
+++ b/packages/daisyturn/src/connection/bytes/createReadTurns.ts
@@ -59,6 +59,7 @@
     turn: number;
     turnBytes: number;
     isSlow: boolean;
+    /** Processor time at which the read began. */
     begunAt: number | undefined;
 }
 
@@ -66,8 +67,12 @@
  * Creates the turns of one process. Connections wait in the order in which they were cut. One that costs more time than
  * any correct answer shares a part of the time with its like, so that calls of others are served and not refused.
  * @param now monotonic time in milliseconds
+ * @param used processor time of the process in milliseconds. On a busy machine, elapsed time counts the work of others.
  */
-export function createReadTurns(now: () => number = () => performance.now()): ReadTurns {
+export function createReadTurns(
+    now: () => number = () => performance.now(),
+    used: () => number = readProcessorTime,
+): ReadTurns {
     const nextTurn = new Set<Member>();
     const throttled = new Set<Member>();
     let turn = 0;
@@ -113,10 +118,9 @@
         if (member) {
             throttled.delete(member);
             member.wait = Wait.Granted;
-            const startedAt = now();
+            const usedBefore = used();
             member.resume();
-            const endedAt = now();
-            throttledUntil = endedAt + (endedAt - startedAt) * (1 - throttledShare) / throttledShare;
+            throttledUntil = now() + (used() - usedBefore) * (1 - throttledShare) / throttledShare;
         }
         isThrottleScheduled = false;
         scheduleThrottled();
@@ -159,14 +163,14 @@
             }
         }
         member.wait = Wait.None;
-        member.begunAt = now();
+        member.begunAt = used();
         scheduleTurn();
         return member.isSlow ? maxSlowReadBytes : maxReadBytes;
     };
 
     const end = (member: Member, byteCount: number) => {
         if (member.begunAt !== undefined && member.turn === turn) {
-            const milliseconds = now() - member.begunAt;
+            const milliseconds = used() - member.begunAt;
             spentMilliseconds += milliseconds;
             member.credit -= milliseconds;
             member.turnBytes += byteCount;
@@ -202,3 +206,8 @@
         counts: () => ({ cut: cutCount, throttled: throttledCount, waiting: nextTurn.size + throttled.size }),
     };
 }
+
+function readProcessorTime(): number {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1_000;
+}
