Refuse calls that outlast a planned stop, and answer those that are left

Callers of a process that stopped lost calls: it took and sent on calls that could not be over before its end, and closed their connections then without an answer, also those that may not be repeated.

Cause: until the load balancer had noticed the shutdown (2.4 s), every call was taken, whatever its route's timeout. At the end the process stopped waiting and exited; nothing told the callers what was known of their calls.

From SIGTERM on, a call whose deadline (its route's and its caller's) lies beyond the end is refused with 503 before anything is sent, unless the longest recent call of its route would still fit; twice that for a route whose calls may not be repeated. Once the balancer has noticed, the deadline decides alone. At the end, calls that are left are cancelled at their targets and answered by their verdict (502, or 503 if none may have run them); begun streams are broken off, and so is the reading of a body, with 503.

--- a/packages/daisyturn/src/connection/forwarding/__tests__/forwardExchange.test.ts
+++ b/packages/daisyturn/src/connection/forwarding/__tests__/forwardExchange.test.ts
@@ -15,7 +15,7 @@
         write: () => true,
     }) as unknown as ServerResponse;
     const connection = createCallerConnection(new EventEmitter() as unknown as Duplex);
-    const exchange = createForwardExchange({} as IncomingMessage, outgoing, connection, () => false, () => now);
+    const exchange = createForwardExchange({} as IncomingMessage, outgoing, connection, () => undefined, () => now);
     exchange.begin(200, []);
     for (const time of times) {
         now = time;
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -12,7 +12,7 @@
 import { createListenerLog } from "../caller/createListenerLog.js";
 import { readBytes } from "../caller/readBody.js";
 import { listenAt } from "../listenAt.js";
-import { createForwardExchange, type ForwardExchange } from "./forwardExchange.js";
+import { createForwardExchange, type ForwardExchange, type ProcessStop } from "./forwardExchange.js";
 
 /** The server for calls that are forwarded unchanged to targets. */
 export interface ForwardServer {
@@ -20,10 +20,10 @@
     /** Applies new limits. Open connections keep the limits of their last request. */
     setLimits(limits: ForwardLimits): void;
     /**
-     * Stops gracefully. Until the load balancer has detected that the process is not ready, requests are still accepted
-     * and each connection is closed after its answer. After that, only requests whose timeout ends before the deadline
-     * are accepted. Running requests are completed.
-     * @param deadline monotonic time after which running requests are abandoned
+     * Stops gracefully. Requests are still accepted, unless they may last beyond the deadline, and each connection is
+     * closed after its answer. Running requests are completed; at the deadline those that are left are ended, and their
+     * callers are told whether they may have run.
+     * @param deadline monotonic time at which running requests are ended
      */
     drain(deadline: number): Promise<void>;
     running(): number;
@@ -54,6 +54,8 @@
  */
 const balancerNoticeMilliseconds = 2_400;
 const drainPollMilliseconds = 50;
+/** Time in which the answers of the calls that are ended at the deadline reach the kernel. */
+const flushMilliseconds = 200;
 /**
  * Connections that may wait to be accepted. A process at its limit accepts a few hundred a second. Connections beyond
  * the backlog would wait longer than their callers do, and another process can serve these callers sooner.
@@ -64,13 +66,10 @@
 export function createForwardServer(options: ForwardServerOptions): ForwardServer {
     const { clock, eventLog, protocol } = options;
     let limits: ForwardLimits | undefined;
-    let isClosing = false;
-    /**
-     * Monotonic time at which the process ends, set once the load balancer has detected the shutdown. Requests that may
-     * take longer are then refused.
-     */
-    let endsAt = Infinity;
+    let stop: ProcessStop | undefined;
     let running = 0;
+    /** For each request that is read or served: ends it, as the process does. */
+    const enders = new Set<(failure: Failure) => void>();
     let reservedBodyBytes = 0;
     /** Connections without a request so far. */
     const unused = new WeakSet<Socket>();
@@ -81,7 +80,7 @@
             incoming,
             outgoing,
             connection,
-            () => isClosing,
+            () => stop,
             () => clock.monotonicNow(),
         );
         let bodyBytes = 0;
@@ -127,22 +126,25 @@
             refuseKnown(incoming, outgoing, exchange, headFailure);
             return;
         }
+        const refuseReading = (failure: Failure) =>
+            refuseUnread(outgoing, exchange, { ...failure, retryAt: clock.wallNow() });
+        enders.add(refuseReading);
         const body = await readBytes(incoming, {
             maxBytes: limits?.maxBodyBytes ?? defaultCallerLimits.maxBodyBytes,
             milliseconds: defaultCallerLimits.bodyMilliseconds,
             reserve,
             sendContinue: () => incoming.headers.expect !== undefined && outgoing.writeContinue(),
         });
+        enders.delete(refuseReading);
+        if (exchange.isHeadSent()) {
+            return;
+        }
         if (body.isErr) {
             refuseUnread(outgoing, exchange, body.error);
             return;
         }
         const timeout = described.value.callerTimeoutMilliseconds ?? defaultTimeoutMilliseconds;
-        if (arrivedAt + timeout > endsAt) {
-            const message = "This process is stopping; ask again elsewhere.";
-            refuseCall(exchange, notRun(FailureReason.OutOfService, message, clock.wallNow()), clock);
-            return;
-        }
+        enders.add(exchange.cancel);
         await options.serve({
             ...described.value,
             method: incoming.method ?? "GET",
@@ -151,7 +153,7 @@
             body: body.value,
             arrivedAt,
             deadline: arrivedAt + timeout,
-        }, exchange);
+        }, exchange).finally(() => enders.delete(exchange.cancel));
     };
 
     /** Refuses a request whose body is not read, so that the connection can't be reused for another request. */
@@ -205,16 +207,22 @@
 
     const start = () => listenAt(server, options.listen, connectionBacklog);
 
+    const sleepUntilIdle = async (until: number) => {
+        while (running > 0 && clock.monotonicNow() < until) {
+            await clock.sleepUntil(Math.min(until, clock.monotonicNow() + drainPollMilliseconds));
+        }
+    };
+
     const drain = async (deadline: number) => {
-        isClosing = true;
         const noticedAt = Math.min(deadline, clock.monotonicNow() + balancerNoticeMilliseconds);
+        stop = { noticedAt, endsAt: deadline };
         await clock.sleepUntil(noticedAt);
-        endsAt = deadline;
         // Requests on new connections still arrive if the load balancer has no other process.
         server.closeIdleConnections();
-        while (running > 0 && clock.monotonicNow() < deadline) {
-            await clock.sleepUntil(clock.monotonicNow() + drainPollMilliseconds);
-        }
+        await sleepUntilIdle(deadline);
+        const failure = notRun(FailureReason.OutOfService, "This process has ended before the answer.");
+        enders.forEach(end => end(failure));
+        await sleepUntilIdle(clock.monotonicNow() + flushMilliseconds);
         server.close();
         server.closeIdleConnections();
     };
--- a/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
+++ b/packages/daisyturn/src/connection/forwarding/forwardExchange.ts
@@ -4,10 +4,22 @@
 import { createDispatchGate, type DispatchGate } from "../../request/forwarding/sending/dispatchGate.js";
 import type { CallerConnection } from "../caller/callerConnection.js";
 
+/** The planned end of the process, in monotonic times. */
+export interface ProcessStop {
+    /** When the load balancer has detected the shutdown. */
+    readonly noticedAt: number;
+    /** When calls that still run are ended. */
+    readonly endsAt: number;
+}
+
 /** Sends the answer to one forwarded request. */
 export interface ForwardExchange {
-    /** Aborted once the caller has closed the connection; the reason is a `Failure`. */
+    /** Aborted once the caller has closed the connection, or by `cancel`; the reason is a `Failure`. */
     readonly signal: AbortSignal;
+    /** The end of the process; undefined while none is planned. */
+    stop(): ProcessStop | undefined;
+    /** Ends the call without its caller, who is then answered. */
+    cancel(failure: Failure): void;
     /** Closed by the answer, and by the caller's close. */
     readonly gate: DispatchGate;
     /** Monotonic time at which the caller's close was seen; undefined before. */
@@ -40,7 +52,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     connection: CallerConnection,
-    isClosing: () => boolean,
+    stop: () => ProcessStop | undefined,
     now: () => number,
 ): ForwardExchange {
     const cancellation = new AbortController();
@@ -60,8 +72,10 @@
         request.end();
         resolveClosed();
     };
+    let isCallerGone = false;
     const handleClose = () => {
         if (!outgoing.writableFinished) {
+            isCallerGone = true;
             closedAt ??= now();
             cancellation.abort(notRun(FailureReason.Cancelled, "The caller closed the connection."));
         }
@@ -75,7 +89,7 @@
         firstByteAt = now();
         outgoing.sendDate = false;
         // A close here would leave the pipelined requests behind this one without an answer.
-        if (isClosing() && request.isLatest()) {
+        if (stop() && request.isLatest()) {
             outgoing.shouldKeepAlive = false;
         }
         if (!outgoing.shouldKeepAlive) {
@@ -86,6 +100,8 @@
 
     return {
         signal: cancellation.signal,
+        stop,
+        cancel: failure => cancellation.abort(failure),
         gate,
         closed,
         closedAt: () => closedAt,
@@ -94,7 +110,7 @@
         meanPause: () => chunkCount < 2 ? undefined : ((lastChunkAt ?? 0) - (firstChunkAt ?? 0)) / (chunkCount - 1),
         isHeadSent: () => outgoing.headersSent,
         answer: (status, fields, body) => {
-            if (outgoing.headersSent || cancellation.signal.aborted) {
+            if (outgoing.headersSent || isCallerGone) {
                 return;
             }
             gate.close();
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -50,6 +50,7 @@
 export * from "./views/createEventIntervals.js";
 export * from "./views/createPrefillDemand.js";
 export * from "./views/createPrefillRates.js";
+export * from "./views/createRunDurations.js";
 export * from "./views/createSlowdownEstimates.js";
 export * from "./views/createTargetLoads.js";
 export * from "./views/createTargetViews.js";
--- a/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/eventRelay.test.ts
@@ -13,6 +13,8 @@
         signal: new AbortController().signal,
         closed: Promise.resolve(),
         closedAt: () => undefined,
+        stop: () => undefined,
+        cancel: () => undefined,
         gate: createDispatchGate(),
         firstByteAt: () => undefined,
         longestPause: () => 0,
--- a/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
+++ b/packages/daisyturn/src/request/forwarding/__tests__/refuseCall.test.ts
@@ -13,6 +13,8 @@
         signal: new AbortController().signal,
         isHeadSent: () => isHeadSent,
         closedAt: () => undefined,
+        stop: () => undefined,
+        cancel: () => undefined,
         gate: createDispatchGate(),
         firstByteAt: () => undefined,
         longestPause: () => 0,
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -17,6 +17,7 @@
     PrefillDemand,
     PrefillRates,
     PromptDecisions,
+    RunDurations,
     SizeCounts,
     SizeFairness,
     SlowdownEstimates,
@@ -76,6 +77,7 @@
     readonly recordUsage?: (account: string, beganAt: number) => void;
     readonly arrivalCounts: ArrivalCounts;
     readonly sizeCounts: SizeCounts;
+    readonly runDurations: RunDurations;
     readonly sizeFairness: SizeFairness;
     readonly longPrefillTimes: LongPrefillTimes;
     readonly availabilityZone: string;
--- a/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
+++ b/packages/daisyturn/src/request/forwarding/serveForwardedCall.ts
@@ -18,6 +18,7 @@
 import { runPlainCall } from "./runPlainCall.js";
 import { runPromptCall } from "./runPromptCall.js";
 import type { TargetReply } from "./sending/callAttempt.js";
+import { checkProcessEnd } from "./sending/checkProcessEnd.js";
 import { impliesNotRun } from "./sending/dispatchGate.js";
 
 /** The answer to a call; undefined if it was relayed to the caller as it arrived. */
@@ -143,6 +144,10 @@
     if (context.signal.aborted) {
         return err(context.signal.reason as Failure);
     }
+    const ending = checkProcessEnd(parts, context);
+    if (ending) {
+        return err(ending);
+    }
     const listed = checkListed(parts, context);
     if (listed.isErr) {
         return err(listed.error);
@@ -196,6 +201,10 @@
     const outcome = determineOutcome(context, milliseconds, failure, reply);
     parts.metrics.recordCall(kind, outcome, milliseconds, longestPause);
     parts.metrics.recordAccountCall(context?.call.account, outcome);
+    if (context && failure?.verdict !== ExecutionVerdict.NotRun) {
+        const now = parts.clock.monotonicNow();
+        parts.runDurations.record(context.route.name, now - arrivedAt, now);
+    }
     if (context?.call.prompt) {
         parts.sizeCounts.record(context.route.name, measureSize(context.call.prompt), isServed(outcome));
     }
