Take only a last coding of chunked for the framing of an answer

Callers could get a part of an answer, framed as whole: with "Transfer-Encoding: chunked, gzip" or "xchunkedx", the body ends with the connection, also with one that breaks off.

Cause: an answer was taken as framed by chunks if its coding contained that word anywhere, so the checks of answers that end with their connection were passed over, on the operators' platform and on the own interface.

isChunked compares the last coding (RFC 9112, section 6.3), for both.

--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -94,6 +94,18 @@
         ));
 }
 
+// Guards against a part of an answer that counts as whole, because its coding only contains the word "chunked".
+for (const coding of ["chunked, gzip", "xchunkedx"]) {
+    test(`tells that an answer whose last coding is not chunked ended with its connection (${coding})`, () =>
+        withTarget(
+            socket => void socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\nhel`),
+            async connection => {
+                const { result } = await exchange(connection);
+                assert.equal(result.unwrapOr(AnswerEnd.Framed), AnswerEnd.ConnectionClosed);
+            },
+        ));
+}
+
 // Guards against a reset that Node.js reports as an end, since it arrives together with the last bytes.
 for (const delay of [0, 30]) {
     test(`rejects an answer without a length whose connection is reset (${delay} ms after its last bytes)`, () =>
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -5,6 +5,7 @@
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
 import type { DialedConnection } from "./createTargetDialer.js";
 import { createInterimAnswers, isInterim } from "./interimAnswers.js";
+import { isChunked } from "./isChunked.js";
 import { isReset } from "./isReset.js";
 import { readPastContinue } from "./readPastContinue.js";
 import { resetConnection } from "./resetConnection.js";
@@ -272,8 +273,7 @@
 
 function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
     const isBodyless = status === 204 || status === 304;
-    const isChunked = String(fields["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
-    return isBodyless || isChunked || fields["content-length"] !== undefined
+    return isBodyless || isChunked(fields["transfer-encoding"]) || fields["content-length"] !== undefined
         ? AnswerEnd.Framed
         : AnswerEnd.ConnectionClosed;
 }
--- a/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
@@ -78,6 +78,12 @@
             script: ({ socket }) => void socket.end("HTTP/1.1 200 X\r\nx-call-id: call-1\r\n\r\nperhaps whole"),
             expected: failed,
         },
+        {
+            name: "an answer whose last coding is not chunked",
+            script: ({ socket }) =>
+                void socket.end("HTTP/1.1 200 X\r\nx-call-id: call-1\r\ntransfer-encoding: chunked, gzip\r\n\r\nhalf"),
+            expected: failed,
+        },
         {
             name: "an answer to another call",
             script: ({ socket }) => writeAnswer(socket, 200, "other", { "x-call-id": "call-0" }),
--- a/packages/daisyturn/src/ports/http/targetHttpClient.ts
+++ b/packages/daisyturn/src/ports/http/targetHttpClient.ts
@@ -2,6 +2,7 @@
 import Result from "true-myth/result";
 import type { Dispatcher } from "undici";
 import { passReadBarrier, type ReadBarrier } from "../../connection/createReadBarrier.js";
+import { isChunked } from "../../connection/target/isChunked.js";
 import { AbortReason, type Operation } from "./operation.js";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 import { createTargetDispatcher } from "./targetDispatcher.js";
@@ -146,8 +147,7 @@
  */
 function hasFramedBody(answer: OpenedAnswer): boolean {
     const bodyless = answer.status === 204 || answer.status === 304;
-    const chunked = String(answer.headers["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
-    return bodyless || chunked || answer.headers["content-length"] !== undefined;
+    return bodyless || isChunked(answer.headers["transfer-encoding"]) || answer.headers["content-length"] !== undefined;
 }
 
 const failureByAbortReason: Record<AbortReason, FailureReason> = {
