Take an answer to HEAD as whole by its head

Callers heard 502 for a HEAD call whose target answered with neither a length nor chunks.

Cause: such an answer counted as one that ends with its connection, which was still open, so that it looked like a reset. An answer to HEAD has no body, whatever its fields state (RFC 9112, section 6.3).

A head that is cut still fails the call.

--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -30,11 +30,15 @@
     });
 }
 
-async function exchange(connection: TargetConnection, signal = new AbortController().signal): Promise<Exchange> {
+async function exchange(
+    connection: TargetConnection,
+    signal = new AbortController().signal,
+    method = "GET",
+): Promise<Exchange> {
     let body = "";
     const statuses: number[] = [];
     const result = await connection.send({
-        head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
+        head: { method, path: "/x", fields: ["Host", "target.example"] },
         body: undefined,
         signal,
         sink: {
@@ -106,6 +110,16 @@
         ));
 }
 
+// Guards against a HEAD call that fails although it was answered whole, because its answer states no length.
+test("accepts an answer to HEAD as complete, whatever it states of a body", () =>
+    withTarget(
+        socket => void socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n"),
+        async connection => {
+            const { result } = await exchange(connection, AbortSignal.timeout(2_000), "HEAD");
+            assert.equal(result.unwrapOr(AnswerEnd.ConnectionClosed), AnswerEnd.Framed);
+        },
+    ));
+
 // Guards against a reset that Node.js reports as an end, since it arrives together with the last bytes.
 for (const delay of [0, 30]) {
     test(`rejects an answer without a length whose connection is reset (${delay} ms after its last bytes)`, () =>
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -208,7 +208,7 @@
                         reject(controller, interimAnswers.record(status));
                         return;
                     }
-                    answerEnd = determineEnd(status, fields as IncomingFields);
+                    answerEnd = determineEnd(head.method, status, fields as IncomingFields);
                     undeliveredBytes = 0;
                     reject(controller, sink.onHead(status, fields as IncomingFields));
                 },
@@ -271,8 +271,8 @@
 
 const resetMessage = "The connection was reset within an answer without a length.";
 
-function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
-    const isBodyless = status === 204 || status === 304;
+function determineEnd(method: string, status: number, fields: IncomingFields): AnswerEnd {
+    const isBodyless = method === "HEAD" || status === 204 || status === 304;
     return isBodyless || isChunked(fields["transfer-encoding"]) || fields["content-length"] !== undefined
         ? AnswerEnd.Framed
         : AnswerEnd.ConnectionClosed;
