--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -8,6 +8,7 @@
 import type { ReadTurns } from "../bytes/createReadTurns.js";
 import type { DialedConnection } from "./createTargetDialer.js";
 import { createInterimAnswers, isInterim } from "./interimAnswers.js";
+import { isChunked } from "./isChunked.js";
 import { isReset } from "./isReset.js";
 import { readPastContinue } from "./readPastContinue.js";
 import { resetConnection } from "./resetConnection.js";
@@ -217,7 +218,7 @@
                         reject(started, interimAnswers.record(status));
                         return;
                     }
-                    answerEnd = determineEnd(status, fields as IncomingFields);
+                    answerEnd = determineEnd(head.method, status, fields as IncomingFields);
                     undeliveredBytes = 0;
                     reject(started, sink.onHead(status, fields as IncomingFields));
                 },
@@ -300,10 +301,9 @@
 
 const resetMessage = "The connection was reset within an answer without a length.";
 
-function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
-    const isBodyless = status === 204 || status === 304;
-    const isChunked = String(fields["transfer-encoding"] ?? "").toLowerCase().includes("chunked");
-    return isBodyless || isChunked || fields["content-length"] !== undefined
+function determineEnd(method: string, status: number, fields: IncomingFields): AnswerEnd {
+    const isBodyless = method === "HEAD" || status === 204 || status === 304;
+    return isBodyless || isChunked(fields["transfer-encoding"]) || fields["content-length"] !== undefined
         ? AnswerEnd.Framed
         : AnswerEnd.ConnectionClosed;
 }
