Pause between calls of a feed that answers at once

What was seen: a store that answers each call for changes at once, without rows, is called without end; a process of the deploy file made 5,711 calls in 8 s to such a store, and 6,480 to one that names more pages after an empty one.

Cause: watchTable has a delay after failures and after changes, but none after an answer without rows, since the wait of the call itself is the pause where the store keeps it.

Evidence, watchTable.test.ts on the code before: 106 calls in five seconds, which are all answers of the script and the regular ones.

Change: after two answers in a row without rows and before half of their wait, calls are delayed as after failures, from 250 ms to 1,200 ms. An answer in time, or with rows, ends the delays. Measured now: fewer than 12 calls in five seconds (the bound of the test); the other tests of watchTable pass.

--- a/packages/daisyturn/src/process/forwarding/targets/__tests__/watchTable.test.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/__tests__/watchTable.test.ts
@@ -157,3 +157,11 @@
     const { waits } = await watch([page(5, "a"), err(failure), page(6, "b"), page(7, "c")], 1_000);
     assert.deepEqual(waits.slice(0, 3), [1_000, 0, 1_000]);
 });
+
+// Guards against a store that answers each call at once, which would be called without end.
+test("pauses between calls whose answers come without rows and before the end of their wait", async () => {
+    const early = Array.from({ length: 100 }, () => page(1));
+    const { calls } = await watch(early, 5_000);
+    assert.ok(calls.length < 12, `${calls.length} calls in five seconds`);
+    assert.ok(calls.length > 5, `${calls.length} calls in five seconds`);
+});
--- a/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/watchTable.ts
@@ -67,6 +67,12 @@
 const firstRetryMilliseconds = 250;
 const maxRetryMilliseconds = 1_200;
 
+/**
+ * Answers without rows that come well before the end of their wait, one after another, without a delay between the calls.
+ * A store that answers all calls at once would otherwise be called without end.
+ */
+const maxEarlyAnswers = 2;
+
 /** A relay that ends sooner without rows had no recent report to follow. */
 const minRelayMilliseconds = 20;
 
@@ -87,6 +93,9 @@
     let rollback: Rollback | undefined;
     let retryMilliseconds = firstRetryMilliseconds;
     let isReachable = true;
+    let earlyAnswers = 0;
+    /** Monotonic time before which an answer without rows is early. */
+    let expectedAt = -Infinity;
     /** Whether a coordinator's reports were followed since the last call to the store. */
     let isResuming = false;
     /** Monotonic time. */
@@ -165,11 +174,22 @@
     const requestPage = () => {
         const now = clock.monotonicNow();
         const wait = computeWait();
+        expectedAt = position === undefined ? -Infinity : now + wait / 2;
         return position === undefined
             ? feed.readAll(now + readTimeoutMilliseconds)
             : feed.waitForChanges(position, wait, now + wait + answerSlackMilliseconds);
     };
 
+    /** Counts answers that come early and returns the delay that they cause. A full read leaves the count as it is. */
+    const computeEarlyDelay = (page: FeedPage): number => {
+        if (position === undefined) {
+            return 0;
+        }
+        earlyAnswers = page.rows.length === 0 && answeredAt < expectedAt ? earlyAnswers + 1 : 0;
+        const excess = earlyAnswers - maxEarlyAnswers;
+        return excess > 0 ? Math.min(maxRetryMilliseconds, firstRetryMilliseconds * 2 ** (excess - 1)) : 0;
+    };
+
     /** @returns the delay before the next call, in milliseconds */
     const applyAnswer = (answer: Result<FeedPage, Failure>): number => {
         const isResumed = isResuming;
@@ -182,10 +202,11 @@
             return delay;
         }
         answeredAt = clock.monotonicNow();
+        const earlyDelay = computeEarlyDelay(answer.value);
         options.reader?.recordAnswer(options.name, answer.value, position, isResumed);
         options.confirmation?.recordAnswer();
         retryMilliseconds = firstRetryMilliseconds;
-        return applyPage(answer.value);
+        return Math.max(earlyDelay, applyPage(answer.value));
     };
 
     /** Applies changes that coordinators relay, if any, while the store is not called. */
