Bound what the store's answers cost

What callers saw: a store that answers with a body without end in chunks of one byte ended the process by its heap limit; with large chunks, blank lines, interim answers or one long page of tiny values, most calls were refused or late.

Cause: PlatformConnection read whole answers with no bound in bytes and kept each piece; undici reads all that has arrived in one turn of the event loop; a page of tiny objects takes twenty times its length once it is parsed; nothing bounded the pages of a read.

The reading fails as in an outage: it is logged with its reason, the last state stays in use, and the next reading follows after a pause.

--- a/packages/daisyturn/src/connection/caller/reads/createTimeAllowance.ts
+++ b/packages/daisyturn/src/connection/bytes/createTimeAllowance.ts
@@ -13,7 +13,7 @@
 const connectionShare = 0.05;
 
 /** Creates the allowance of one connection. */
-export function createTimeAllowance(clock: Clock): TimeAllowance {
+export function createTimeAllowance(clock: Pick<Clock, "monotonicNow">): TimeAllowance {
     let remaining = burstMilliseconds;
     let grantedAt = clock.monotonicNow();
 
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -3,11 +3,11 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { createReadTurns } from "../bytes/createReadTurns.js";
 import { answerProtocolError, type ProtocolError } from "./answerProtocolError.js";
 import { type CallerConnection, createCallerConnection } from "./callerConnection.js";
 import type { CallerLimits, TlsMaterial } from "./callerServerOptions.js";
 import type { ListenerLog } from "./createListenerLog.js";
-import { createReadTurns } from "./reads/createReadTurns.js";
 import { paceReads, ReadLimit } from "./reads/paceReads.js";
 
 /** Handles one request. */
--- a/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
+++ b/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
@@ -6,11 +6,11 @@
 import { describe, it, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../../__fixtures__/peerNetworks.js";
+import { createReadTurns } from "../../../bytes/createReadTurns.js";
+import { createTimeAllowance } from "../../../bytes/createTimeAllowance.js";
 import { defaultCallerLimits } from "../../callerServerOptions.js";
 import { createCallerListener } from "../../createCallerListener.js";
 import { createListenerLog } from "../../createListenerLog.js";
-import { createReadTurns } from "../createReadTurns.js";
-import { createTimeAllowance } from "../createTimeAllowance.js";
 
 const requestCount = 300;
 /** Eight under way, and the rest of the piece with the last of them. */
--- a/packages/daisyturn/src/connection/caller/reads/paceReads.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceReads.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "daisyturn-utils";
 import type { Socket } from "node:net";
+import type { ReadTurns } from "../../bytes/createReadTurns.js";
+import { createTimeAllowance } from "../../bytes/createTimeAllowance.js";
 import type { CallerConnection } from "../callerConnection.js";
-import type { ReadTurns } from "./createReadTurns.js";
-import { createTimeAllowance } from "./createTimeAllowance.js";
 
 /** Limits on what the HTTP parser is given of one connection. */
 export enum ReadLimit {
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -1,7 +1,10 @@
 import { type Clock, createInterruption, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import type { Socket } from "node:net";
-import { err, ok, type Result } from "true-myth/result";
+import { err, type Result } from "true-myth/result";
 import { buildConnector, Pool } from "undici";
+import { collectBytes } from "../../connection/bytes/collectBytes.js";
+import { createReadTurns } from "../../connection/bytes/createReadTurns.js";
+import { paceSocket } from "../../connection/bytes/paceSocket.js";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 
 /** Reason of aborts, which would otherwise create an error with a stack trace for each request. */
@@ -21,6 +24,8 @@
      * later. By default, it is closed.
      */
     readonly resetsAborted?: boolean;
+    /** Bytes of the body of an answer. A longer answer is a failure. */
+    readonly maxAnswerBytes?: number;
 }
 
 /** One HTTP request to the platform. */
@@ -56,13 +61,17 @@
 /** Enough for a few seconds of a process's writes while the store is slow. Further requests wait unsent. */
 const defaultConnections = 128;
 const keepAliveMilliseconds = 4_000;
+/** A page of the store holds a few hundred rows, the largest of which is a configuration. */
+const defaultMaxAnswerBytes = 8 * 1024 * 1024;
+/** undici holds this many bytes in the pieces in which they arrived, and reads no more until they are collected. */
+const heldPieceBytes = 4 * 1024;
 
 /** Creates the connection pool of one platform service. Connections are opened on demand. */
 export function createPlatformConnection(options: HttpPlatformOptions): PlatformConnection {
     const pool = new Pool(options.url, {
         connections: options.connections ?? defaultConnections,
         pipelining: 1,
-        ...describeConnect(options),
+        connect: createConnector(options),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         // Each call has its own deadline.
@@ -70,12 +79,13 @@
         bodyTimeout: 0,
     });
     const dispatcher = trackRequestProgress(pool);
+    const maxBytes = options.maxAnswerBytes ?? defaultMaxAnswerBytes;
 
     const exchange = async (
         request: PlatformRequest,
         progress: RequestProgress,
         signal: AbortSignal,
-    ): Promise<PlatformAnswer> => {
+    ): Promise<Result<PlatformAnswer, Failure>> => {
         const response = await dispatcher.request({
             origin: options.url,
             method: request.method,
@@ -87,8 +97,13 @@
             body: request.body,
             signal,
             opaque: progress,
+            highWaterMark: heldPieceBytes,
         });
-        return { status: response.statusCode, body: await response.body.text(), headers: response.headers };
+        const { statusCode: status, headers } = response;
+        const collected = await collectBytes(response.body as AsyncIterable<Buffer>, maxBytes, options.clock);
+        return collected
+            .map(bytes => ({ status, headers, body: bytes.toString("utf8") }))
+            .mapErr(() => mayHaveRun(FailureReason.BodyTooLarge, `the platform's answer exceeds ${maxBytes} bytes`));
     };
 
     const send = async (
@@ -105,10 +120,7 @@
         // If a request waits for a connection, undici reports its abort only once the connection is free (it does not
         // send the request then). So the deadline resolves independently of undici.
         const timedOut = options.clock.sleepUntil(deadline, answered.signal).then(describe);
-        const exchanged = exchange(request, progress, timeout.signal).then(
-            answer => ok<PlatformAnswer, Failure>(answer),
-            describe,
-        );
+        const exchanged = exchange(request, progress, timeout.signal).catch(describe);
         const result = await Promise.race([exchanged, timedOut]);
         // A request that was reported as not sent must not be sent later.
         progress.abandoned = true;
@@ -120,22 +132,21 @@
     return { send, close: () => pool.destroy() };
 }
 
-function describeConnect({ connectMilliseconds: timeout, resetsAborted }: HttpPlatformOptions): Pool.Options {
-    const connectOptions = timeout === undefined ? {} : { timeout };
-    if (!resetsAborted) {
-        return { connect: connectOptions };
-    }
-    const connect = buildConnector(connectOptions);
-    return {
-        connect: (target, onConnected) =>
-            connect(target, (...result) => {
-                const [, socket] = result;
-                if (socket) {
-                    resetOnError(socket);
-                }
-                onConnected(...result);
-            }),
-    };
+function createConnector({ connectMilliseconds: timeout, resetsAborted, clock }: HttpPlatformOptions) {
+    const connect = buildConnector(timeout === undefined ? {} : { timeout });
+    const turns = createReadTurns(clock);
+    const connector: buildConnector.connector = (target, onConnected) =>
+        connect(target, (...result) => {
+            const [, socket] = result;
+            if (socket) {
+                paceSocket(socket, turns, clock);
+            }
+            if (socket && resetsAborted) {
+                resetOnError(socket);
+            }
+            onConnected(...result);
+        });
+    return connector;
 }
 
 /** Resets a socket when undici destroys it with an error, as it does when a request in progress is aborted. */
