Drop datagrams of a host that take much of the process's time

What could be seen: anyone can send datagrams to the peers' port, and each was parsed and handled, however many came. Cause: no bound on what one sender takes.

Change: the datagrams of a host are handled while its allowance of time lasts (20 ms at once, a twentieth of the time later); the others are dropped unparsed, counted in daisyturn_read_limits_total{source="peer"} and logged once for each host. Hosts beyond 512 share one allowance, since a sender can name any host. Peers need no datagram to arrive.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -76,18 +76,19 @@
         writeLine: logWriter.writeLine,
     });
     const eventLog = createBoundedEventLog(lines, clock);
+    const metrics = metricsServer?.metrics ?? new NoForwardingMetrics();
     const parts = createForwardingParts({
         adapters,
         settings: () => settings,
         clock,
         random,
         eventLog,
-        metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
+        metrics,
         listPeers: () => coordination.listPeers(),
         refreshPeers: () => coordination.refreshPeers(),
         countProcesses: () => coordination.countProcesses(),
     });
-    const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, eventLog);
+    const peerChannel = openDatagramChannel({ listen: settings.peers, clock, eventLog, metrics });
     const coordination = coordinate({
         ...parts,
         self: describeSelf(settings),
--- /dev/null
+++ b/packages/daisyturn/src/connection/forwarding/limitSenders.ts
@@ -0,0 +1,41 @@
+import type { Clock } from "daisyturn-utils";
+import type { PeerAddress } from "../../process/forwarding/index.js";
+import { createTimeAllowance, type TimeAllowance } from "../bytes/createTimeAllowance.js";
+
+/** Handles one datagram. */
+export type DatagramListener = (datagram: Buffer, from: PeerAddress) => void;
+
+/** More hosts than a fleet has. Anyone can name any host as the sender of a datagram, so further ones share an allowance. */
+const maxHosts = 512;
+const otherHosts = "other";
+/** A process that stands still within a datagram would charge its sender for it. */
+const maxChargedMilliseconds = 10;
+
+/**
+ * Drops datagrams of hosts whose datagrams take too much time, before they are parsed. Their senders rely on none.
+ * @param onLimited called with the first datagram of a host that is dropped
+ */
+export function limitSenders(
+    clock: Pick<Clock, "monotonicNow">,
+    listener: DatagramListener,
+    onLimited: (from: PeerAddress) => void,
+): DatagramListener {
+    const allowances = new Map<string, TimeAllowance>();
+    const limited = new Set<string>();
+
+    return (datagram, from) => {
+        const name = allowances.size < maxHosts || allowances.has(from.host) ? from.host : otherHosts;
+        const allowance = allowances.get(name) ?? createTimeAllowance(clock);
+        allowances.set(name, allowance);
+        if (allowance.isSpent()) {
+            if (!limited.has(name)) {
+                limited.add(name);
+                onLimited(from);
+            }
+            return;
+        }
+        const startedAt = clock.monotonicNow();
+        listener(datagram, from);
+        allowance.spend(Math.min(clock.monotonicNow() - startedAt, maxChargedMilliseconds));
+    };
+}
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -1,6 +1,13 @@
-import { EventKind, type EventLog } from "daisyturn-utils";
+import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import { createSocket } from "node:dgram";
-import { DatagramChannel, type PeerAddress } from "../../process/forwarding/index.js";
+import {
+    ByteSource,
+    DatagramChannel,
+    type ForwardingMetrics,
+    type PeerAddress,
+} from "../../process/forwarding/index.js";
+import type { ListenAddress } from "../caller/callerServerOptions.js";
+import { limitSenders } from "./limitSenders.js";
 
 /** A channel over UDP, with a function that closes its socket. */
 export interface OpenDatagramChannel {
@@ -8,8 +15,17 @@
     close(): void;
 }
 
+/** What {@link openDatagramChannel} needs. */
+export interface DatagramChannelOptions {
+    readonly listen: ListenAddress;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    readonly metrics: Pick<ForwardingMetrics, "recordReadLimit">;
+}
+
 /** Opens a UDP socket. Datagrams that can't be sent or received are lost. Only the socket's first error is logged. */
-export function openDatagramChannel(host: string, port: number, eventLog: EventLog): OpenDatagramChannel {
+export function openDatagramChannel(options: DatagramChannelOptions): OpenDatagramChannel {
+    const { listen, clock, eventLog, metrics } = options;
     const socket = createSocket("udp4");
     let hasFailed = false;
     socket.on("error", error => {
@@ -18,7 +34,12 @@
             eventLog.record(EventKind.Fault, { reason: `UDP socket for datagrams to peers: ${error.message}` });
         }
     });
-    socket.bind(port, host);
+    socket.bind(listen.port, listen.address);
+
+    const recordLimited = (from: PeerAddress) => {
+        metrics.recordReadLimit(ByteSource.Peer, "time");
+        eventLog.record(EventKind.ReadLimited, { limit: "time", remote: from.host });
+    };
 
     class UdpChannel extends DatagramChannel {
         override send(to: PeerAddress, datagram: Buffer): void {
@@ -27,7 +48,8 @@
         }
 
         override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
-            socket.on("message", (datagram, { address, port }) => listener(datagram, { host: address, port }));
+            const receive = limitSenders(clock, listener, recordLimited);
+            socket.on("message", (datagram, sender) => receive(datagram, { host: sender.address, port: sender.port }));
         }
     }
     return { channel: new UdpChannel(), close: () => socket.close() };
