--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -69,18 +69,19 @@
     const { eventLog, incarnation } = log;
     log.setProcessId(settings.processId);
     const metricsServer = settings.metrics && createMetricsServer(settings.metrics);
+    const metrics = metricsServer?.metrics ?? new NoForwardingMetrics();
     const parts = createForwardingParts({
         adapters,
         settings: () => settings,
         clock,
         random,
         eventLog,
-        metrics: metricsServer?.metrics ?? new NoForwardingMetrics(),
+        metrics,
         listPeers: () => coordination.listPeers(),
         refreshPeers: () => coordination.refreshPeers(),
         countProcesses: () => coordination.countProcesses(),
     });
-    const peerChannel = openDatagramChannel(settings.peers.address, settings.peers.port, clock, eventLog);
+    const peerChannel = openDatagramChannel({ listen: settings.peers, clock, eventLog, metrics });
     const coordination = coordinate({
         ...parts,
         self: describeSelf(settings),
--- a/packages/daisyturn/src/connection/caller/reads/createReadTurns.ts
+++ b/packages/daisyturn/src/connection/bytes/createTimeShares.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "daisyturn-utils";
 
 /** Distributes the time of the event loop among the connections that take much of it. */
-export interface ReadTurns {
+export interface TimeShares {
     /**
      * Calls `read` in a turn of its own, after the connections that wait already.
      * @param read reads for a limited time and returns the milliseconds that it has taken
@@ -16,7 +16,7 @@
 const processShare = 0.25;
 
 /** Creates the turns of one process. */
-export function createReadTurns(clock: Clock): ReadTurns {
+export function createTimeShares(clock: Clock): TimeShares {
     const waiting: (() => number)[] = [];
     let isRunning = false;
 
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -3,11 +3,11 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { createTimeShares } from "../bytes/createTimeShares.js";
 import { answerProtocolError, type ProtocolError } from "./answerProtocolError.js";
 import { type CallerConnection, createCallerConnection } from "./callerConnection.js";
 import type { CallerLimits, TlsMaterial } from "./callerServerOptions.js";
 import type { ListenerLog } from "./createListenerLog.js";
-import { createReadTurns } from "./reads/createReadTurns.js";
 import { paceReads, ReadLimit } from "./reads/paceReads.js";
 
 /** Handles one request. */
@@ -50,7 +50,7 @@
             handshakeTimeout: limits.headerMilliseconds,
         })
         : createPlainServer(httpOptions);
-    const turns = createReadTurns(clock);
+    const turns = createTimeShares(clock);
     const connections = new WeakMap<Duplex, CallerConnection>();
     /** Connections that sent bytes from which no request could be read. */
     const refused = new WeakSet<Duplex>();
--- a/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
+++ b/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
@@ -6,11 +6,11 @@
 import { describe, it, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../../__fixtures__/peerNetworks.js";
+import { createTimeAllowance } from "../../../bytes/createTimeAllowance.js";
+import { createTimeShares } from "../../../bytes/createTimeShares.js";
 import { defaultCallerLimits } from "../../callerServerOptions.js";
 import { createCallerListener } from "../../createCallerListener.js";
 import { createListenerLog } from "../../createListenerLog.js";
-import { createReadTurns } from "../createReadTurns.js";
-import { createTimeAllowance } from "../createTimeAllowance.js";
 
 const requestCount = 300;
 /** Eight under way, and the rest of the piece with the last of them. */
@@ -100,7 +100,7 @@
     // Guards against many connections that together take the time in which others are served.
     it("take a quarter of the time in turns, whatever the number of connections", async () => {
         const clock = new FakeClock();
-        const turns = createReadTurns(clock);
+        const turns = createTimeShares(clock);
         const counts = [0, 0, 0];
         counts.forEach((count, index) => {
             const read = () => {
--- a/packages/daisyturn/src/connection/caller/reads/paceReads.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceReads.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "daisyturn-utils";
 import type { Socket } from "node:net";
+import { createTimeAllowance } from "../../bytes/createTimeAllowance.js";
+import type { TimeShares } from "../../bytes/createTimeShares.js";
 import type { CallerConnection } from "../callerConnection.js";
-import type { ReadTurns } from "./createReadTurns.js";
-import { createTimeAllowance } from "./createTimeAllowance.js";
 
 /** Limits on what the HTTP parser is given of one connection. */
 export enum ReadLimit {
@@ -24,7 +24,7 @@
 export interface PaceOptions {
     readonly socket: Socket;
     readonly requests: PacedRequests;
-    readonly turns: ReadTurns;
+    readonly turns: TimeShares;
     readonly clock: Clock;
     /** Bytes that may arrive without completing the head of a request. */
     readonly maxHeadBytes: number;
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -1,7 +1,14 @@
 import { type Clock, EventKind, type EventLog } from "daisyturn-utils";
 import { createSocket } from "node:dgram";
-import { DatagramChannel, type PeerAddress } from "../../process/forwarding/index.js";
+import {
+    ByteSource,
+    DatagramChannel,
+    type ForwardingMetrics,
+    type PeerAddress,
+} from "../../process/forwarding/index.js";
+import type { ListenAddress } from "../caller/callerServerOptions.js";
 import { listenRetryMilliseconds } from "../listenWhenFree.js";
+import { limitSenders } from "./limitSenders.js";
 
 /** A channel over UDP, with a function that closes its socket. */
 export interface OpenDatagramChannel {
@@ -9,26 +16,29 @@
     close(): void;
 }
 
+/** What {@link openDatagramChannel} needs. */
+export interface DatagramChannelOptions {
+    readonly listen: ListenAddress;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    readonly metrics: Pick<ForwardingMetrics, "recordReadLimit">;
+}
+
 /**
  * Opens a UDP socket. While its port can't be had, it is tried again until it is closed. Datagrams that can't be sent or
  * received are lost. Of the errors in a row, the first is logged.
  */
-export function openDatagramChannel(
-    host: string,
-    port: number,
-    clock: Clock,
-    eventLog: EventLog,
-): OpenDatagramChannel {
+export function openDatagramChannel({ listen, clock, eventLog, metrics }: DatagramChannelOptions): OpenDatagramChannel {
     const socket = createSocket("udp4");
     const closing = new AbortController();
-    const names = { listener: "peer datagrams", address: `${host}:${port}` };
+    const names = { listener: "peer datagrams", address: `${listen.address}:${listen.port}` };
     let isOpen = false;
     let isAwaited = false;
     let hasFailed = false;
 
     const bind = () => {
         if (!closing.signal.aborted) {
-            socket.bind(port, host);
+            socket.bind(listen.port, listen.address);
         }
     };
     socket.on("listening", () => {
@@ -53,6 +63,11 @@
     });
     bind();
 
+    const recordLimited = (from: PeerAddress) => {
+        metrics.recordReadLimit(ByteSource.Peer, "time");
+        eventLog.record(EventKind.ReadLimited, { limit: "time", remote: from.host });
+    };
+
     class UdpChannel extends DatagramChannel {
         override send(to: PeerAddress, datagram: Buffer): void {
             // Node.js would bind a socket that is not bound to any free port, at which no peer expects this process.
@@ -63,7 +78,8 @@
         }
 
         override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
-            socket.on("message", (datagram, { address, port }) => listener(datagram, { host: address, port }));
+            const receive = limitSenders(clock, listener, recordLimited);
+            socket.on("message", (datagram, sender) => receive(datagram, { host: sender.address, port: sender.port }));
         }
     }
     return {
