--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -113,7 +113,7 @@
 // Guards against a HEAD call that fails although it was answered whole, because its answer states no length.
 test("accepts an answer to HEAD as complete, whatever it states of a body", () =>
     withTarget(
-        socket => void socket.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n"),
+        socket => void socket.write("HTTP/1.1 200 OK\r\nX: y\r\n\r\n"),
         async connection => {
             const { result } = await exchange(connection, AbortSignal.timeout(2_000), "HEAD");
             assert.equal(result.unwrapOr(AnswerEnd.ConnectionClosed), AnswerEnd.Framed);
