Resume no stream at a target that may have restarted

Cause: a target's software version was taken from its row, and the row of the next incarnation is read later than its port is open. The process had seen that the target's connections broke and that its port refused, but neither the choice of a target nor the origin of a stream was told.

Change: TargetContinuity records what the connections show. A target to which one broke, within an answer, idle or while opening, is unconfirmed: no stream of a version goes on there, and a stream that begins there gets a version that no target has. It is confirmed by a connection that is taken 100 ms after the break or later, unless its port has refused one since; by bytes over a connection that was open before the break; or by its row that is still listed 5 s later, outages of the store apart. The next incarnation, by `born`, begins confirmed, and the former one never is again. listUsableTargets and the checks right before the send ask it, so that it holds for the process's own choice, the coordinator's and the baseline's. New lines target_unconfirmed, and daisyturn_unconfirmed_targets.

Not covered: a restart within 100 ms of the end, and one that a process without a connection to the target can't see; they are noticed with the new row, as before.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingParts.ts
@@ -96,7 +96,13 @@
     const openTunnel = createHttpTunnels(settings().peers.address);
     const dialer = createTargetDialer({ links: views.links, relays, openTunnel, clock });
     const readBarrier = createReadBarrier(clock);
-    const connections = createTargetConnections(clock, views.links, dialer, readBarrier);
+    const { targets, continuity } = views;
+    const connections = createTargetConnections(clock, views.links, dialer, readBarrier, {
+        recordBroken: (address, how) =>
+            targets.findAt(address).forEach(id => continuity.recordBroken(id, how, () => dialer.probe(address))),
+        recordOpened: (address, dialedAt) =>
+            targets.findAt(address).forEach(id => continuity.recordOpened(id, dialedAt)),
+    });
     const placement = policy === PlacementPolicy.LeastRunning
         ? createLeastRunningPlacement(views)
         : createCallPlacement({ ...views, random, availabilityZone, switchedOff });
--- a/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerGauges.ts
@@ -15,7 +15,8 @@
 import { Gauge, type Registry } from "prom-client";
 
 /** The parts from which gauges are read. */
-export interface ObservedParts extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget"> {
+export interface ObservedParts
+    extends Pick<ForwardingParts, "configurationManager" | "targets" | "budget" | "continuity"> {
     readonly links: Pick<TargetLinks, "lostCount">;
     readonly limits: Pick<TargetLimits, "count">;
     readonly speeds: Pick<TargetSpeeds, "listNotable">;
@@ -163,7 +164,10 @@
     registerEngineNumbers(parts, registers);
 }
 
-function registerTargetNumbers({ configurationManager, targets }: ObservedParts, registers: Registry[]): void {
+function registerTargetNumbers(
+    { configurationManager, targets, continuity }: ObservedParts,
+    registers: Registry[],
+): void {
     new Gauge({
         name: "daisyturn_targets_kept_closed",
         help: "Listed targets that get no work, although their rows list them as open, since they have left before",
@@ -172,6 +176,15 @@
             this.set(targets.countKeptClosed());
         },
     });
+    new Gauge({
+        name: "daisyturn_unconfirmed_targets",
+        help:
+            "Targets that may have restarted, as connections of this process to them broke; no stream is resumed there",
+        registers,
+        collect() {
+            this.set(continuity.countUnconfirmed());
+        },
+    });
     new Gauge({
         name: "daisyturn_open_engines",
         help: "Engines that take new work, by service and stage",
--- a/packages/daisyturn-utils/src/events/eventLog.ts
+++ b/packages/daisyturn-utils/src/events/eventLog.ts
@@ -88,6 +88,8 @@
     TargetLeaving = "target_leaving",
     /** A row lists a target as open that is known to have left in this incarnation; it gets no work. */
     TargetKeptClosed = "target_kept_closed",
+    /** A connection to a target broke, so that another incarnation may answer at its address until its row is read. */
+    TargetUnconfirmed = "target_unconfirmed",
     TargetSuspected = "target_suspected",
     TargetTrusted = "target_trusted",
     TargetChecked = "target_checked",
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { Result } from "true-myth/result";
+import { ConnectionBreak } from "../../../process/forwarding/index.js";
 import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
 import { openSocket } from "../openSocket.js";
 import { AnswerEnd, openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
@@ -14,7 +15,7 @@
     readonly body: string;
 }
 
-function open(address: string): TargetConnection {
+function open(address: string, onBroken?: (how: ConnectionBreak) => void): TargetConnection {
     return openTargetConnection({
         address,
         now: () => performance.now(),
@@ -24,6 +25,7 @@
                 .map(socket => ({ socket }))
                 .mapErr(({ message }) => notRun(FailureReason.TargetFailed, `The connection failed: ${message}.`));
         },
+        onBroken,
         onClosed: () => undefined,
     });
 }
@@ -201,3 +203,40 @@
             assert.equal(await closed, true, "the connection was closed in order");
         },
     ));
+
+// Guards against a restart of a target that goes unnoticed because no call was under way (review/2).
+test("a connection that the target breaks off is reported, within an answer or idle, and one that ends as planned is not", async () => {
+    const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=1\r\n\r\nok";
+    const last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+    const { Answering, Idle } = ConnectionBreak;
+    const cases: readonly (readonly [string, (socket: Socket) => void, ConnectionBreak?])[] = [
+        ["within an answer", socket => void socket.end(whole.slice(0, -1)), Answering],
+        [
+            "reset within an answer",
+            socket => void socket.write(whole.slice(0, -1), () => socket.resetAndDestroy()),
+            Answering,
+        ],
+        ["idle", socket => void socket.write(whole, () => setTimeout(() => socket.end(), 30)), Idle],
+        ["idle until its announced time", socket => void socket.write(whole)],
+        ["last answer", socket => void socket.end(last)],
+        ["answer that ends with its connection", socket => void socket.end("HTTP/1.1 200 OK\r\n\r\nok")],
+    ];
+    for (const [name, answer, expected] of cases) {
+        const broken: ConnectionBreak[] = [];
+        const target = await startRawTarget(answer);
+        const connection = open(target.address, how => void broken.push(how));
+        try {
+            await exchange(connection);
+            const deadline = performance.now() + 3_000;
+            while (connection.isAlive() && performance.now() < deadline) {
+                await new Promise(resolve => setTimeout(resolve, 10));
+            }
+            assert.equal(connection.isAlive(), false, name);
+            assert.equal(broken[0], expected, name);
+        }
+        finally {
+            connection.close();
+            await target.close();
+        }
+    }
+});
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Failure, FailureReason, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
-import type { TargetLinks } from "../../process/forwarding/index.js";
+import { ConnectionBreak, type TargetLinks } from "../../process/forwarding/index.js";
 import type { ReadBarrier } from "../createReadBarrier.js";
 import { createSpareSockets } from "./createSpareSockets.js";
 import type { DialedConnection, TargetDialer } from "./createTargetDialer.js";
@@ -41,12 +41,21 @@
 /** Idle connections retained for each target. More would only accumulate after a load peak. */
 const maxIdleConnections = 8;
 
+/** Learns what the connections show of the targets at an address. */
+export interface ConnectionObserver {
+    /** A connection broke, possibly reported more than once, or could not be opened. */
+    recordBroken(address: string, how: ConnectionBreak): void;
+    /** The target has taken a connection that was begun at a monotonic time. */
+    recordOpened(address: string, dialedAt: number): void;
+}
+
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
 export function createTargetConnections(
     clock: Clock,
     links: Pick<TargetLinks, "recordAnswered" | "isLost" | "hasLost">,
     dialer: Pick<TargetDialer, "dial" | "retryLink" | "probePeer">,
     readBarrier: ReadBarrier,
+    observer: ConnectionObserver = { recordBroken: () => undefined, recordOpened: () => undefined },
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
     const spareSockets = createSpareSockets(recentAnswerMilliseconds);
@@ -80,14 +89,27 @@
     const isRecentlyVerified = (connection: TargetConnection) =>
         clock.monotonicNow() - (connection.lastAnsweredAt() ?? -Infinity) <= recentAnswerMilliseconds;
 
+    const dial = async (address: string) => {
+        const dialedAt = clock.monotonicNow();
+        const dialed = await dialer.dial(address);
+        if (dialed.isOk) {
+            observer.recordOpened(address, dialedAt);
+        }
+        else if (dialed.error.reason === FailureReason.TargetFailed) {
+            observer.recordBroken(address, ConnectionBreak.Opening);
+        }
+        return dialed;
+    };
+
     const open = (address: string): TargetConnection => {
         const connection = openTargetConnection({
             address,
             now: () => clock.monotonicNow(),
             dial: async () => {
                 const spare = spareSockets.take(address);
-                return waitForCaller(spare ? ok(spare) : await dialer.dial(address));
+                return waitForCaller(spare ? ok(spare) : await dial(address));
             },
+            onBroken: how => observer.recordBroken(address, how),
             onClosed: () => removeIdle(address, connection),
         });
         return connection;
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
+import { ConnectionBreak } from "../../process/forwarding/index.js";
 import type { DialedConnection } from "./createTargetDialer.js";
 import { isReset } from "./isReset.js";
 import { resetConnection } from "./resetConnection.js";
@@ -41,8 +42,12 @@
     readonly signal: AbortSignal;
     /** Called right before the call is sent, perhaps after a connection was opened. A failure prevents the send. */
     readonly checkStart?: () => Failure | undefined;
-    /** Called when the call is sent, with the peer that carries the connection; undefined for a direct one. */
-    readonly onStarted?: (relayId: string | undefined) => void;
+    /**
+     * Called when the call is sent.
+     * @param relayId the peer that carries the connection; undefined for a direct one
+     * @param openedAt monotonic time since which the connection has been open
+     */
+    readonly onStarted?: (relayId: string | undefined, openedAt: number) => void;
     /** Called when the send is abandoned, with the number of bytes that the process still held. */
     readonly onAbandoned?: (progress: AbandonedSend, heldBytes: number) => void;
 }
@@ -66,6 +71,8 @@
     readonly address: string;
     readonly now: () => number;
     readonly dial: () => Promise<Result<DialedConnection, Failure>>;
+    /** Called when the target breaks the open connection off, within an answer or while it is idle. */
+    readonly onBroken?: (how: ConnectionBreak) => void;
     /** Called once the connection can carry no further call. */
     readonly onClosed: () => void;
 }
@@ -86,8 +93,10 @@
     const { now } = options;
     let socket: Socket | undefined;
     let relayId: string | undefined;
+    let openedAt = Infinity;
     let isAlive = true;
     let isEnded = false;
+    let isSending = false;
     let lastAnsweredAt: number | undefined;
     /** Bytes read since the last ones that belong to the head or the body of an answer. */
     let undeliveredBytes = 0;
@@ -114,6 +123,7 @@
             ({ socket, relayId } = dialed.value);
             // undici takes any close, also a reset, for the end of an answer without a length.
             const opened = socket;
+            openedAt = now();
             boundUndelivered(opened);
             opened.once("end", () => {
                 isEnded = !isReset(opened);
@@ -142,7 +152,13 @@
         // Without this, undici would reconnect for the next call. The running call reports its own error.
         void client.destroy().catch(() => undefined);
     };
-    client.on("disconnect", close);
+    client.on("disconnect", (origin, targets, error: Error & { code?: string; }) => {
+        // Otherwise this process has closed the connection, as it was idle for long or its answer said that it is the last.
+        if (isAlive && !isSending && error.code !== "UND_ERR_INFO") {
+            options.onBroken?.(ConnectionBreak.Idle);
+        }
+        close();
+    });
     client.on("connectionError", close);
 
     const send = ({ head, body, sink, signal, checkStart, onStarted, onAbandoned }: TargetSend) =>
@@ -152,6 +168,7 @@
             let fault: Failure | undefined;
 
             const settle = (result: Result<AnswerEnd, Failure>) => {
+                isSending = false;
                 signal.removeEventListener("abort", abandon);
                 resolve(result);
             };
@@ -161,7 +178,8 @@
                     return;
                 }
                 const build = isStarted ? mayHaveRun : notRun;
-                settle(err(fault ?? build(FailureReason.TargetFailed, `The connection failed: ${describe(error)}.`)));
+                const message = `The connection failed: ${describe(error)}.`;
+                settle(fault ? err(fault) : breakOff(options, build(FailureReason.TargetFailed, message)));
             };
             const reportAbandoned = () => {
                 const heldBytes = isStarted ? socket?.writableLength ?? 0 : 0;
@@ -193,7 +211,7 @@
                     }
                     isStarted = true;
                     undeliveredBytes = 0;
-                    onStarted?.(relayId);
+                    onStarted?.(relayId, openedAt);
                 },
                 onResponseStart: (controller, status, fields) => {
                     answerEnd = determineEnd(status, fields as IncomingFields);
@@ -210,7 +228,7 @@
                         settle(ok(answerEnd));
                         return;
                     }
-                    settle(isEnded ? ok(answerEnd) : err(mayHaveRun(FailureReason.TargetFailed, resetMessage)));
+                    settle(isEnded ? ok(answerEnd) : breakOff(options, resetFailure));
                     close();
                 },
                 onResponseError: (controller, error) => fail(error),
@@ -220,6 +238,7 @@
                 abandon();
                 return;
             }
+            isSending = true;
             signal.addEventListener("abort", abandon, { once: true });
             try {
                 client.dispatch({
@@ -259,7 +278,15 @@
 // eslint-disable-next-line no-restricted-syntax
 const noSocket = null;
 
-const resetMessage = "The connection was reset within an answer without a length.";
+const resetFailure = mayHaveRun(
+    FailureReason.TargetFailed,
+    "The connection was reset within an answer without a length.",
+);
+
+function breakOff({ onBroken }: TargetConnectionOptions, failure: Failure): Result<never, Failure> {
+    onBroken?.(ConnectionBreak.Answering);
+    return err(failure);
+}
 
 function determineEnd(status: number, fields: IncomingFields): AnswerEnd {
     const isBodyless = status < firstBodyStatus || status === 204 || status === 304;
--- a/packages/daisyturn/src/ports/listedTarget.ts
+++ b/packages/daisyturn/src/ports/listedTarget.ts
@@ -35,6 +35,9 @@
     readonly leavesInMilliseconds?: number;
 }
 
+/** Begins the version of a target that is not known to be the listed one. Targets can't report such a version. */
+export const unconfirmedVersionPrefix = "unconfirmed:";
+
 /** The last entry of a target that is no longer listed. */
 export interface TargetRemoval {
     readonly target: ListedTarget;
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinate.ts
@@ -189,7 +189,7 @@
         decideLocally: options.decideLocally,
         caches,
         findTarget: targets.find,
-        listDistrusted: service => listDistrusted(views, service),
+        listDistrusted: (service, isResumption) => listDistrusted(views, service, isResumption),
     });
 
     const receivers: NotificationReceiver[] = [originPublisher.receive, retryLeases.receive, roomQuery.receive];
@@ -279,8 +279,14 @@
 }
 
 /** Lists the targets of a service that take no work of this process or are not trusted. The coordinator may not know. */
-function listDistrusted({ targets, availability, health }: TargetViews, service: string): readonly string[] {
+function listDistrusted(
+    { targets, availability, continuity, health }: TargetViews,
+    service: string,
+    isResumption: boolean,
+): readonly string[] {
     const trusted: ReadonlySet<ListedTarget> = new Set(health.selectTrusted(targets.open(service)));
-    const isUsable = (target: ListedTarget) => trusted.has(target) && availability.check(target.targetId) === undefined;
+    const isUsable = (target: ListedTarget) =>
+        trusted.has(target) && availability.check(target.targetId) === undefined
+        && (!isResumption || continuity.isConfirmed(target.targetId));
     return targets.list(service).filter(target => !isUsable(target)).map(target => target.targetId);
 }
--- a/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/coordinatedDecisions.ts
@@ -15,7 +15,7 @@
     readonly caches: CacheEstimates;
     readonly findTarget: (targetId: string) => ListedTarget | undefined;
     /** Lists the targets of a service that this process does not trust. */
-    readonly listDistrusted: (service: string) => readonly string[];
+    readonly listDistrusted: (service: string, isResumption: boolean) => readonly string[];
 }
 
 /**
@@ -56,7 +56,7 @@
             route,
             prompt,
             bodyBytes,
-            avoid: [...avoid, ...this.options.listDistrusted(service.name)],
+            avoid: [...avoid, ...this.options.listDistrusted(service.name, softwareVersion !== undefined)],
             softwareVersion,
             isWholeOnly,
             aim,
--- a/packages/daisyturn/src/process/forwarding/index.ts
+++ b/packages/daisyturn/src/process/forwarding/index.ts
@@ -43,6 +43,7 @@
 export * from "./targets/createClosedTargets.js";
 export * from "./targets/createForwardingConfigurationManager.js";
 export * from "./targets/createTargetAvailability.js";
+export * from "./targets/createTargetContinuity.js";
 export * from "./targets/createTargetHealth.js";
 export * from "./targets/createTargetList.js";
 export * from "./targets/watchTable.js";
--- a/packages/daisyturn/src/process/forwarding/placement/__tests__/softwareVersions.test.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/__tests__/softwareVersions.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { ProbeResult } from "../../../../connection/target/probeAddress.js";
 import { EngineStage } from "../../../../ports/listedTarget.js";
 import {
     createDemand,
@@ -8,6 +9,7 @@
     createShortPrompt,
     engineService,
 } from "../../__fixtures__/placementBench.js";
+import { ConnectionBreak } from "../../targets/createTargetContinuity.js";
 import { createLeastRunningPlacement } from "../createLeastRunningPlacement.js";
 
 const { Prefill, Decode } = EngineStage;
@@ -48,8 +50,8 @@
     });
 
     it("continues a stream at the version that began it, and nowhere if that has no engine", () => {
-        const { placement, targets, loads, availability } = createVersionedBench(mixedEngines);
-        const policies = [placement, createLeastRunningPlacement({ targets, loads, availability })];
+        const { placement, targets, loads, availability, continuity } = createVersionedBench(mixedEngines);
+        const policies = [placement, createLeastRunningPlacement({ targets, loads, availability, continuity })];
         for (const policy of policies) {
             const place = (softwareVersion: string, avoid: readonly string[] = []) =>
                 policy.placePrompt(createDemand(createShortPrompt("a"), { softwareVersion, avoid: new Set(avoid) }));
@@ -60,6 +62,21 @@
         }
     });
 
+    // Guards against a stream that goes on at an engine which has crashed and is back with another version (review/2).
+    it("continues no stream at an engine that may have restarted, and begins new ones there", () => {
+        const { placement, targets, loads, availability, continuity } = createVersionedBench(mixedEngines);
+        const policies = [placement, createLeastRunningPlacement({ targets, loads, availability, continuity })];
+        continuity.recordBroken("i-2", ConnectionBreak.Opening, () => Promise.resolve(ProbeResult.Refused));
+        for (const policy of policies) {
+            const place = (softwareVersion?: string) =>
+                policy.placePrompt(
+                    createDemand(createShortPrompt("a"), { softwareVersion, avoid: new Set(["i-3", "i-4"]) }),
+                );
+            assert.equal(place("v1"), undefined);
+            assert.equal(place()?.decode.target.targetId, "i-2");
+        }
+    });
+
     it("prefills at an engine that decodes if no engine of its version prefills", () => {
         const { placement } = createVersionedBench([[Prefill, "v1"], [Decode, "v2"]]);
         const placed = placement.placePrompt(createDemand(createLongPrompt("guide", "own")));
--- a/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/createLeastRunningPlacement.ts
@@ -1,6 +1,7 @@
 import type { PromptDescription } from "../../../ports/forwardedCall.js";
 import { EngineStage, type ListedTarget } from "../../../ports/listedTarget.js";
 import type { TargetAvailability } from "../targets/createTargetAvailability.js";
+import type { TargetContinuity } from "../targets/createTargetContinuity.js";
 import type { TargetList } from "../targets/createTargetList.js";
 import type { TargetLoads } from "../views/createTargetLoads.js";
 import {
@@ -19,6 +20,7 @@
     readonly targets: TargetList;
     readonly loads: TargetLoads;
     readonly availability: TargetAvailability;
+    readonly continuity: TargetContinuity;
 }
 
 /** Shorter prompts are prefilled where they are decoded: moving their KV cache takes as long as prefilling them. */
--- a/packages/daisyturn/src/process/forwarding/placement/listUsableTargets.ts
+++ b/packages/daisyturn/src/process/forwarding/placement/listUsableTargets.ts
@@ -1,5 +1,6 @@
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { TargetAvailability } from "../targets/createTargetAvailability.js";
+import type { TargetContinuity } from "../targets/createTargetContinuity.js";
 import type { TargetList } from "../targets/createTargetList.js";
 import type { TargetRestriction } from "./callPlacement.js";
 
@@ -7,17 +8,22 @@
 export interface UsableTargetsParts {
     readonly targets: Pick<TargetList, "open">;
     readonly availability: Pick<TargetAvailability, "check">;
+    readonly continuity: Pick<TargetContinuity, "isConfirmed">;
 }
 
-/** Lists the targets of a service that may serve a call. Every choice of a target starts from this list. */
+/**
+ * Lists the targets of a service that may serve a call. Every choice of a target starts from this list. A stream of a
+ * version goes on only where the listed incarnation still runs, since the next one may have another version.
+ */
 export function listUsableTargets(
-    { targets, availability }: UsableTargetsParts,
+    { targets, availability, continuity }: UsableTargetsParts,
     service: string,
     { avoid, softwareVersion }: TargetRestriction,
 ): readonly ListedTarget[] {
     return targets.open(service).filter(target =>
         availability.check(target.targetId) === undefined && !avoid.has(target.targetId)
-        && (softwareVersion === undefined || target.softwareVersion === softwareVersion)
+        && (softwareVersion === undefined
+            || (target.softwareVersion === softwareVersion && continuity.isConfirmed(target.targetId)))
     );
 }
 
--- a/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
+++ b/packages/daisyturn/src/process/forwarding/targets/createTargetList.ts
@@ -23,6 +23,8 @@
     onVersionsChanged(listener: () => void): void;
     /** Whether the list has been read at least once. */
     isKnown(): boolean;
+    /** Monotonic time at which the store was last known not to answer; infinite while it does not. */
+    outageEndedAt(): number;
     /** Records each call to the store, so that entries that expire because of an outage are recognized. */
     recordStoreCall(isAnswered: boolean): void;
     /** Records that a target has said itself that it leaves, which holds until it has restarted. */
@@ -178,6 +180,7 @@
         listVersions: () => views.versionsByService,
         onVersionsChanged: listener => void versionListeners.push(listener),
         isKnown: () => isKnown,
+        outageEndedAt: () => isAnswering ? lastOutageAt : Infinity,
         recordStoreCall: isAnswered => {
             if (!isAnswered || !isAnswering) {
                 lastOutageAt = clock.monotonicNow();
--- a/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
+++ b/packages/daisyturn/src/process/forwarding/views/createTargetViews.ts
@@ -5,6 +5,7 @@
 import { createTargetSpeeds, type TargetSpeeds } from "../speeds/createTargetSpeeds.js";
 import { type ClosedTargets, createClosedTargets } from "../targets/createClosedTargets.js";
 import { createTargetAvailability, type TargetAvailability } from "../targets/createTargetAvailability.js";
+import { createTargetContinuity, type TargetContinuity } from "../targets/createTargetContinuity.js";
 import { createTargetHealth, type TargetHealth } from "../targets/createTargetHealth.js";
 import { createTargetList, type TargetList, type TargetListOptions } from "../targets/createTargetList.js";
 import { type CacheEstimates, createCacheEstimates } from "./createCacheEstimates.js";
@@ -26,6 +27,7 @@
     readonly eventIntervals: EventIntervals;
     readonly closed: ClosedTargets;
     readonly availability: TargetAvailability;
+    readonly continuity: TargetContinuity;
     readonly limits: TargetLimits;
     readonly demand: PrefillDemand;
     /**
@@ -65,6 +67,7 @@
     const limits = createTargetLimits(clock, eventLog);
     const closed = createClosedTargets(clock, eventLog);
     const availability = createTargetAvailability(targets, closed, clock, eventLog);
+    const continuity = createTargetContinuity(targets, clock, eventLog);
     const speeds = createTargetSpeeds(targets, clock, eventLog);
     const views = [loads, health, caches, slowdowns, limits, availability, speeds];
     targets.onRemoved(targetId => views.forEach(view => view.forget(targetId)));
@@ -80,6 +83,7 @@
         limits,
         closed,
         availability,
+        continuity,
         demand: createPrefillDemand(clock),
         leastDemand: createPrefillDemand(clock),
         firstReads: createPrefillDemand(clock),
--- a/packages/daisyturn/src/process/shortage/__fixtures__/simulateSurge.ts
+++ b/packages/daisyturn/src/process/shortage/__fixtures__/simulateSurge.ts
@@ -59,6 +59,7 @@
         const shortage: PlainShortage = createPlainShortage({
             targets: { open: () => open },
             availability: { check: () => undefined },
+            continuity: { isConfirmed: () => true },
             health: { selectTrusted: usable => usable },
             loads,
             isActive: () => hasQueue,
--- a/packages/daisyturn/src/process/shortage/__tests__/createPlainShortage.test.ts
+++ b/packages/daisyturn/src/process/shortage/__tests__/createPlainShortage.test.ts
@@ -15,6 +15,7 @@
     const shortage = createPlainShortage({
         targets: { open: () => targets },
         availability: { check: () => undefined },
+        continuity: { isConfirmed: () => true },
         health: { selectTrusted: usable => usable.filter(({ targetId }) => !distrusted.has(targetId)) },
         loads,
         isActive: () => isActive,
--- a/packages/daisyturn/src/request/forwarding/callContext.ts
+++ b/packages/daisyturn/src/request/forwarding/callContext.ts
@@ -41,6 +41,8 @@
     nextTokenAt?: number;
     /** The target to which the call was last sent to be run. */
     target?: ListedTarget;
+    /** Whether that target's incarnation was confirmed when the call was sent. */
+    isTargetConfirmed?: boolean;
     /** Whether the call was counted as one that began to run. */
     isRunCounted?: boolean;
 }
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -22,6 +22,7 @@
     SlowdownEstimates,
     StageReturns,
     TargetAvailability,
+    TargetContinuity,
     TargetHealth,
     TargetLimits,
     TargetLinks,
@@ -53,6 +54,7 @@
     readonly firstReads: PrefillDemand;
     readonly closed: ClosedTargets;
     readonly availability: TargetAvailability;
+    readonly continuity: TargetContinuity;
     readonly limits: TargetLimits;
     /** Takes the tokens of targets that name a limit. */
     readonly targetQuotas: TargetQuotas;
--- a/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
+++ b/packages/daisyturn/src/request/forwarding/resumption/recordOrigin.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import type { ForwardedCall } from "../../../ports/forwardedCall.js";
+import { unconfirmedVersionPrefix } from "../../../ports/listedTarget.js";
 import { type CallContext, isRepeatable } from "../callContext.js";
 import type { ForwardingParts } from "../forwardingParts.js";
 import { readCredentials } from "../guardForwardedCall.js";
@@ -29,16 +30,24 @@
     return hash.subarray(0, streamIdBytes).toString("base64url");
 }
 
-/** Records which software version began a stream, before its first event is sent to the caller. */
-export function recordOrigin({ origins }: Pick<ForwardingParts, "origins">, context: CallContext): void {
+/**
+ * Records which software version began a stream, before its first event is sent to the caller. Where another incarnation
+ * than the listed one may have begun it, the version is one that no target has, so that nobody continues the stream.
+ */
+export function recordOrigin(
+    { origins, continuity }: Pick<ForwardingParts, "origins" | "continuity">,
+    context: CallContext,
+): void {
     const { target, call } = context;
     if (!target || !isRepeatable(context.route)) {
         return;
     }
-    context.softwareVersion = target.softwareVersion;
+    const isConfirmed = context.isTargetConfirmed === true && !continuity.hasRestarted(target.targetId);
+    const softwareVersion = isConfirmed ? target.softwareVersion : unconfirmedVersionPrefix + target.targetId;
+    context.softwareVersion = softwareVersion;
     const origin = {
         service: context.service.name,
-        softwareVersion: target.softwareVersion,
+        softwareVersion,
         deadline: call.deadline,
     };
     origins.record({ ...origin, streamId: identifyStream(call) });
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -3,13 +3,12 @@
 import { ConnectionPolicy } from "../../../connection/target/createTargetConnections.js";
 import { AbandonedSend, AnswerEnd } from "../../../connection/target/openTargetConnection.js";
 import type { ReplyHead } from "../../../ports/forwardedCall.js";
-import type { ListedTarget } from "../../../ports/listedTarget.js";
-import { UnavailableReason } from "../../../process/forwarding/index.js";
 import type { CallContext } from "../callContext.js";
 import { checkListed } from "../checkListed.js";
 import type { ForwardingParts } from "../forwardingParts.js";
 import { acquireToken } from "./acquireToken.js";
 import { type CallAttempt, describePart, type SendRoute, type TargetReply } from "./callAttempt.js";
+import { checkAvailable, checkRestart, checkVersion } from "./checkTarget.js";
 import { countRun } from "./countRun.js";
 import type { Dispatch } from "./dispatchGate.js";
 import {
@@ -45,14 +44,11 @@
         recordAbandoned(parts, context, attempt, AbandonedSend.NotSent);
         return err(context.signal.reason as Failure);
     }
-    const unavailable = checkAvailable(parts, target);
+    const unavailable = checkAvailable(parts, target) ?? checkVersion(parts, context, target);
     if (unavailable) {
         return err(unavailable);
     }
     const { softwareVersion } = context;
-    if (softwareVersion !== undefined && target.softwareVersion !== softwareVersion) {
-        return err(notRun(FailureReason.NoTarget, "The chosen target's software version did not begin the stream."));
-    }
     const needsToken = parts.targetQuotas.needsToken(target.targetId);
     const full = needsToken ? await acquireToken(parts, context, target) : undefined;
     if (full) {
@@ -104,6 +100,7 @@
         attempt.onFirstByte?.();
     };
     let dispatch: Dispatch | undefined;
+    let connectionOpenedAt = Infinity;
     const sentAt = clock.monotonicNow();
     const sent = await parts.connections.send(
         target.address,
@@ -117,12 +114,14 @@
             body: context.call.body.length > 0 ? context.call.body : undefined,
             signal: silenceWatch.signal,
             checkStart: () => {
-                const stopped = checkAvailable(parts, target);
+                const stopped = checkAvailable(parts, target) ?? checkVersion(parts, context, target);
                 dispatch = stopped ? undefined : context.exchange.gate.begin(!attempt.terms.prefillOnly);
                 return dispatch ? undefined : stopped ?? answeredFailure;
             },
-            onStarted: relayId => {
+            onStarted: (relayId, openedAt) => {
                 route.isStarted = true;
+                connectionOpenedAt = openedAt;
+                context.isTargetConfirmed = parts.continuity.isConfirmed(target.targetId, openedAt);
                 route.relayId = relayId;
                 run?.start();
                 if (relayId !== undefined) {
@@ -146,10 +145,12 @@
                         recordNotices(parts, context, target, head);
                     }
                     reply.head = head;
-                    return checkOrigin(context, attempt, head);
+                    return checkOrigin(context, attempt, head)
+                        ?? (softwareVersion === undefined ? undefined : checkRestart(parts, target));
                 },
                 onChunk: chunk => {
                     health.recordBytesReceived(target.targetId);
+                    parts.continuity.recordBytesReceived(target.targetId, connectionOpenedAt);
                     parts.crashGuard.recordBytesReceived(target.targetId);
                     silenceWatch.recordBytesReceived();
                     reply.bytes += chunk.length;
@@ -215,16 +216,6 @@
     return undefined;
 }
 
-/** Checked right before the send, because the target may have stopped taking work since it was chosen. */
-function checkAvailable({ availability }: ForwardingParts, { targetId }: ListedTarget): Failure | undefined {
-    const found = availability.check(targetId);
-    // Another call found it without tokens; this one has its own, or asks for it.
-    if (found === undefined || found.reason === UnavailableReason.Throttled) {
-        return undefined;
-    }
-    return notRun(FailureReason.NoTarget, `The chosen target has just stopped taking new work (${found.reason}).`);
-}
-
 /** An answer is valid only if it names the call and, if it is a success for the caller, is signed by its target. */
 function checkOrigin(context: CallContext, attempt: CallAttempt, head: ReplyHead): Failure | undefined {
     if (head.callId !== context.call.callId) {
