--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -34,12 +34,6 @@
 export function createMetricsServer(listen: ListenAddress): MetricsServer {
     const registry = new Registry();
     const registers = [registry];
-    const calls = new Counter({
-        name: "daisyturn_calls_total",
-        help: "Calls by kind of route and by how they ended",
-        labelNames: ["kind", "outcome"],
-        registers,
-    });
     const firstByte = new Histogram({
         name: "daisyturn_first_byte_seconds",
         help: "From a call's arrival to the first byte of its answer",
@@ -56,6 +50,10 @@
     });
     const createCounter = <Label extends string>(name: string, help: string, labelNames: Label[]) =>
         new Counter({ name, help, labelNames, registers });
+    const calls = createCounter("daisyturn_calls_total", "Calls by kind of route and by how they ended", [
+        "kind",
+        "outcome",
+    ]);
     const sends = createCounter("daisyturn_sends_total", "Sends to targets by result", ["result"]);
     const abandonedSends = createCounter(
         "daisyturn_abandoned_sends_total",
@@ -73,24 +71,22 @@
         ["source", "limit"],
     );
     const requests = createCounter("daisyturn_requests_total", "Calls of callers by service", ["service"]);
-    const arrivals = new Counter({
-        name: "daisyturn_arrivals_total",
-        help: "Sends that reached a target, or may have, by whether the fleet's retry budget counts them",
-        labelNames: ["service", "part", "result", "repeat"],
-        registers,
-    });
+    const arrivals = createCounter(
+        "daisyturn_arrivals_total",
+        "Sends that reached a target, or may have, by whether the fleet's retry budget counts them",
+        ["service", "part", "result", "repeat"],
+    );
     const retries = createCounter(
         "daisyturn_retries_total",
         "Retries that the retry budget of the fleet allowed or denied",
         ["service", "result"],
     );
 
-    const relayedSends = new Counter({
-        name: "daisyturn_relayed_sends_total",
-        help: "Sends to targets over connections that a peer carries",
-        registers,
-    });
-
+    const relayedSends = createCounter(
+        "daisyturn_relayed_sends_total",
+        "Sends to targets over connections that a peer carries",
+        [],
+    );
     const resumptions = createCounter(
         "daisyturn_resumptions_total",
         "Calls that resume a stream, by whether a target may continue it",
@@ -128,13 +124,11 @@
         "Exceptions and rejections that nothing caught",
         ["kind"],
     );
-    const queued = new Counter({
-        name: "daisyturn_queued_calls_total",
-        help: "Calls that waited because all targets of their service were full, by how the wait ended",
-        labelNames: ["result"],
-        registers,
-    });
-
+    const queued = createCounter(
+        "daisyturn_queued_calls_total",
+        "Calls that waited because all targets of their service were full, by how the wait ended",
+        ["result"],
+    );
     class RegistryMetrics extends ForwardingMetrics {
         override recordCall(kind: string, outcome: CallOutcome, milliseconds: number, longestPause: number): void {
             calls.inc({ kind, outcome });
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -64,7 +64,7 @@
  * Connections that may wait to be accepted. A process at its limit accepts a few hundred a second. Connections beyond
  * the backlog would wait longer than their callers do, and another process can serve these callers sooner.
  */
-const connectionBacklog = 128;
+const listener = { listener: "callers", backlog: 128 };
 
 /** Creates the server. */
 export function createForwardServer(options: ForwardServerOptions): ForwardServer {
@@ -80,13 +80,8 @@
 
     const serveRequest = async (incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection) => {
         running += 1;
-        const exchange = createForwardExchange(
-            incoming,
-            outgoing,
-            connection,
-            () => stop,
-            () => clock.monotonicNow(),
-        );
+        const now = () => clock.monotonicNow();
+        const exchange = createForwardExchange(incoming, outgoing, connection, () => stop, now);
         let bodyBytes = 0;
         const reserve = (byteCount: number) => {
             bodyBytes += byteCount;
@@ -212,13 +207,7 @@
     });
 
     const start = (signal: AbortSignal) =>
-        listenWhenFree(server, options.listen, {
-            listener: "callers",
-            backlog: connectionBacklog,
-            signal,
-            clock,
-            eventLog,
-        });
+        listenWhenFree(server, options.listen, { ...listener, signal, clock, eventLog });
 
     const sleepUntilIdle = async (until: number) => {
         while (running > 0 && clock.monotonicNow() < until) {
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -1,67 +1,19 @@
-import { ExecutionVerdict, type Failure, FailureReason, notRun, SystemClock } from "daisyturn-utils";
+import { ExecutionVerdict, FailureReason, notRun } from "daisyturn-utils";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { test } from "node:test";
-import type { Result } from "true-myth/result";
-import { createReadTurns } from "../../bytes/createReadTurns.js";
+import { type Exchange, exchange, openRawConnection } from "../__fixtures__/rawConnection.js";
 import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
-import { openSocket } from "../openSocket.js";
-import { AnswerEnd, openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
+import { AnswerEnd, type TargetConnection } from "../openTargetConnection.js";
 
 const cancellation = notRun(FailureReason.Cancelled, "cancelled by the test");
 
-interface Exchange {
-    readonly result: Result<AnswerEnd, Failure>;
-    readonly body: string;
-    /** The statuses of all heads that were passed on. */
-    readonly statuses: readonly number[];
-}
-
-function open(address: string): TargetConnection {
-    return openTargetConnection({
-        address,
-        now: () => performance.now(),
-        turns: createReadTurns(),
-        dial: async () => {
-            const opened = await openSocket(address, { deadline: performance.now() + 400, clock: new SystemClock() });
-            return opened
-                .map(socket => ({ socket }))
-                .mapErr(({ message }) => notRun(FailureReason.TargetFailed, `The connection failed: ${message}.`));
-        },
-        onClosed: () => undefined,
-    });
-}
-
-async function exchange(
-    connection: TargetConnection,
-    signal = new AbortController().signal,
-    method = "GET",
-): Promise<Exchange> {
-    let body = "";
-    const statuses: number[] = [];
-    const result = await connection.send({
-        head: { method, path: "/x", fields: ["Host", "target.example"] },
-        body: undefined,
-        signal,
-        sink: {
-            onHead: status => {
-                statuses.push(status);
-                return undefined;
-            },
-            onChunk: chunk => {
-                body += chunk.toString("latin1");
-            },
-        },
-    });
-    return { result, body, statuses };
-}
-
 async function withTarget(
     onRequest: (socket: Socket, count: number) => unknown,
     run: (connection: TargetConnection, target: RawTarget) => Promise<void>,
 ): Promise<void> {
     const target = await startRawTarget(onRequest);
-    const connection = open(target.address);
+    const connection = openRawConnection(target.address);
     try {
         await run(connection, target);
     }
@@ -250,7 +202,7 @@
 test("reports a call to an address without a listener as not run", async () => {
     const target = await startRawTarget(() => undefined);
     await target.close();
-    const connection = open(target.address);
+    const connection = openRawConnection(target.address);
     assertFailed(await exchange(connection), ExecutionVerdict.NotRun);
     assert.equal(connection.isAlive(), false);
 });
@@ -274,7 +226,7 @@
     ));
 
 test("reports a call that is cancelled before the connection is established as not run", async () => {
-    const connection = open("127.0.0.1:9");
+    const connection = openRawConnection("127.0.0.1:9");
     const controller = new AbortController();
     const pending = exchange(connection, controller.signal);
     controller.abort(cancellation);
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
+import { ConnectionBreak } from "../../process/forwarding/index.js";
 import { type BoundReads, boundReads } from "../bytes/boundReads.js";
 import { createChunkBatch } from "../bytes/createChunkBatch.js";
 import type { ReadTurns } from "../bytes/createReadTurns.js";
@@ -52,8 +53,12 @@
     readonly signal: AbortSignal;
     /** Called right before the call is sent, perhaps after a connection was opened. A failure prevents the send. */
     readonly checkStart?: () => Failure | undefined;
-    /** Called when the call is sent, with the peer that carries the connection; undefined for a direct one. */
-    readonly onStarted?: (relayId: string | undefined) => void;
+    /**
+     * Called when the call is sent.
+     * @param relayId the peer that carries the connection; undefined for a direct one
+     * @param openedAt monotonic time since which the connection has been open
+     */
+    readonly onStarted?: (relayId: string | undefined, openedAt: number) => void;
     /** Called when the send is abandoned, with the number of bytes that the process still held. */
     readonly onAbandoned?: (progress: AbandonedSend, heldBytes: number) => void;
 }
@@ -79,6 +84,8 @@
     readonly dial: () => Promise<Result<DialedConnection, Failure>>;
     /** The turns that all connections of the process share. */
     readonly turns: ReadTurns;
+    /** Called when the target breaks the open connection off, within an answer or while it is idle. */
+    readonly onBroken?: (how: ConnectionBreak) => void;
     /** Called once the connection can carry no further call. */
     readonly onClosed: () => void;
 }
@@ -99,28 +106,15 @@
     const { now } = options;
     let socket: Socket | undefined;
     let relayId: string | undefined;
+    let openedAt = Infinity;
     let isAlive = true;
     let isEnded = false;
+    let isSending = false;
     let lastAnsweredAt: number | undefined;
-    /** Bytes read since the last ones that belong to the head or the body of a final answer. */
-    let undeliveredBytes = 0;
-
-    let reads: BoundReads | undefined;
+    let reads: AnswerReads | undefined;
     /** Delivers what was read of the running answer; false if no more of it may be read now. */
     let prepareRead: () => boolean = () => true;
 
-    /** The parser bounds neither the text of a status line nor the extensions of chunks. */
-    const bound = (opened: Socket) =>
-        boundReads(opened, options.turns, {
-            beforeRead: () => prepareRead(),
-            onRead: byteCount => {
-                undeliveredBytes += byteCount;
-                if (undeliveredBytes > maxUndeliveredBytes) {
-                    opened.destroy(new Error("The target sends bytes that are no answer."));
-                }
-            },
-        });
-
     const connectSocket = (unused: unknown, done: (error: Error | null, socket: Socket | null) => void) =>
         void options.dial().then(dialed => {
             if (dialed.isErr) {
@@ -130,8 +124,9 @@
             ({ socket, relayId } = dialed.value);
             // undici takes any close, also a reset, for the end of an answer without a length.
             const opened = socket;
+            openedAt = now();
             readPastContinue(opened);
-            reads = bound(opened);
+            reads = boundAnswerReads(opened, options.turns, () => prepareRead());
             opened.once("end", () => {
                 isEnded = !isReset(opened);
             });
@@ -151,7 +146,13 @@
         // Without this, undici would reconnect for the next call. The running call reports its own error.
         void client.destroy().catch(() => undefined);
     };
-    client.on("disconnect", close);
+    client.on("disconnect", (origin, targets, error: Error & { code?: string; }) => {
+        // Otherwise this process has closed the connection, as it was idle for long or its answer said that it is the last.
+        if (isAlive && !isSending && error.code !== "UND_ERR_INFO") {
+            options.onBroken?.(ConnectionBreak.Idle);
+        }
+        close();
+    });
     client.on("connectionError", close);
 
     const send = ({ head, body, sink, signal, checkStart, onStarted, onAbandoned }: TargetSend) =>
@@ -166,6 +167,7 @@
 
             const settle = (result: Result<AnswerEnd, Failure>) => {
                 isSettled = true;
+                isSending = false;
                 signal.removeEventListener("abort", abandon);
                 resolve(result);
             };
@@ -175,7 +177,8 @@
                     return;
                 }
                 const build = isStarted ? mayHaveRun : notRun;
-                settle(err(fault ?? build(FailureReason.TargetFailed, `The connection failed: ${describe(error)}.`)));
+                const message = `The connection failed: ${describe(error)}.`;
+                settle(fault ? err(fault) : breakOff(options, build(FailureReason.TargetFailed, message)));
             };
             const abandon = () => {
                 const build = isStarted ? mayHaveRun : notRun;
@@ -207,11 +210,11 @@
                         return;
                     }
                     isStarted = true;
-                    undeliveredBytes = 0;
+                    reads?.recordDelivered();
                     controller = started;
                     prepareRead = () => deliverBatch() && (isSettled || mayReadMore());
                     reads?.renew();
-                    onStarted?.(relayId);
+                    onStarted?.(relayId, openedAt);
                 },
                 onResponseStart: (started, status, fields) => {
                     if (isInterim(status)) {
@@ -219,11 +222,11 @@
                         return;
                     }
                     answerEnd = determineEnd(head.method, status, fields as IncomingFields);
-                    undeliveredBytes = 0;
+                    reads?.recordDelivered();
                     reject(started, sink.onHead(status, fields as IncomingFields));
                 },
                 onResponseData: (unused, chunk) => {
-                    undeliveredBytes = 0;
+                    reads?.recordDelivered();
                     batch.add(chunk);
                 },
                 onResponseEnd: () => {
@@ -236,7 +239,7 @@
                         settle(ok(answerEnd));
                         return;
                     }
-                    settle(isEnded ? ok(answerEnd) : err(mayHaveRun(FailureReason.TargetFailed, resetMessage)));
+                    settle(isEnded ? ok(answerEnd) : breakOff(options, resetFailure));
                     close();
                 },
                 onResponseError: (unused, error) => fail(error),
@@ -246,6 +249,7 @@
                 abandon();
                 return;
             }
+            isSending = true;
             signal.addEventListener("abort", abandon, { once: true });
             try {
                 client.dispatch({
@@ -282,6 +286,28 @@
     });
 }
 
+interface AnswerReads extends BoundReads {
+    /** Records that all bytes so far belong to the request before, or to the head or the body of a final answer. */
+    recordDelivered(): void;
+}
+
+/** Bounds the reads of a connection. The parser bounds neither the text of a status line nor the extensions of chunks. */
+function boundAnswerReads(opened: Socket, turns: ReadTurns, beforeRead: () => boolean): AnswerReads {
+    let undeliveredBytes = 0;
+    const onRead = (byteCount: number) => {
+        undeliveredBytes += byteCount;
+        if (undeliveredBytes > maxUndeliveredBytes) {
+            opened.destroy(new Error("The target sends bytes that are no answer."));
+        }
+    };
+    return {
+        ...boundReads(opened, turns, { beforeRead, onRead }),
+        recordDelivered: () => {
+            undeliveredBytes = 0;
+        },
+    };
+}
+
 function describeSent(heldBytes: number): AbandonedSend {
     return heldBytes > 0 ? AbandonedSend.PartlySent : AbandonedSend.Sent;
 }
@@ -299,7 +325,15 @@
 // eslint-disable-next-line no-restricted-syntax
 const noSocket = null;
 
-const resetMessage = "The connection was reset within an answer without a length.";
+const resetFailure = mayHaveRun(
+    FailureReason.TargetFailed,
+    "The connection was reset within an answer without a length.",
+);
+
+function breakOff({ onBroken }: TargetConnectionOptions, failure: Failure): Result<never, Failure> {
+    onBroken?.(ConnectionBreak.Answering);
+    return err(failure);
+}
 
 function determineEnd(method: string, status: number, fields: IncomingFields): AnswerEnd {
     const isBodyless = method === "HEAD" || status === 204 || status === 304;
--- a/packages/daisyturn/src/request/forwarding/forwardingParts.ts
+++ b/packages/daisyturn/src/request/forwarding/forwardingParts.ts
@@ -24,6 +24,7 @@
     SlowdownEstimates,
     StageReturns,
     TargetAvailability,
+    TargetContinuity,
     TargetHealth,
     TargetLimits,
     TargetLinks,
@@ -55,6 +56,7 @@
     readonly firstReads: PrefillDemand;
     readonly closed: ClosedTargets;
     readonly availability: TargetAvailability;
+    readonly continuity: TargetContinuity;
     readonly limits: TargetLimits;
     /** Takes the tokens of targets that name a limit. */
     readonly targetQuotas: TargetQuotas;
