Leave no listener behind at a failed try of a port

A process whose metrics port is held for good would end by its heap limit. Cause: each failed listen(callback) leaves its listener of 'listening' on the server. Evidence: 1,346 bytes are kept a try (script of the review); at five tries a second that is 24 MB an hour (calculated). Change: both listeners are taken off, whatever the outcome. Result: listenAt.test.ts passes. Its run on the code before did not end and printed nothing.

--- a/packages/daisyturn/src/connection/listenAt.ts
+++ b/packages/daisyturn/src/connection/listenAt.ts
@@ -7,10 +7,13 @@
  */
 export function listenAt(server: Server, { address, port }: ListenAddress, backlog?: number): Promise<void> {
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ port, host: address, backlog }, () => {
-            server.off("error", reject);
-            resolve();
-        });
+        const finish = (settle: () => void) => {
+            server.off("error", handleError).off("listening", handleListening);
+            settle();
+        };
+        const handleError = (error: Error) => finish(() => reject(error));
+        const handleListening = () => finish(resolve);
+        server.on("error", handleError).on("listening", handleListening);
+        server.listen({ port, host: address, backlog });
     });
 }
