Let bounded reads go on after an end and after an exception

An answer that ends with its connection could wait for its deadline; after an exception in the handler of one connection, all others without credit would wait for ever. Cause: a stream emits its end only in a read that finds nothing buffered, and that read was refused with the others. The shared turns kept their marks (scheduled, running, parsing) when a resumed connection threw. Change: a read with nothing buffered always goes through; the marks are reset in finally blocks, and the connection whose parser throws is closed. Result: two new tests of boundReads pass; they were not seen failing on the code before, as that run did not end.

--- a/packages/daisyturn/src/connection/bytes/__tests__/boundReads.test.ts
+++ b/packages/daisyturn/src/connection/bytes/__tests__/boundReads.test.ts
@@ -6,7 +6,8 @@
 import { boundReads } from "../boundReads.js";
 import { createReadTurns } from "../createReadTurns.js";
 
-const endOfStream = null; // eslint-disable-line no-restricted-syntax
+const nothing = null; // eslint-disable-line no-restricted-syntax
+const endOfStream = nothing;
 const megabyte = 1024 * 1024;
 
 /** Turns whose reads take a time that the test states. */
@@ -119,3 +120,45 @@
     reads.resume();
     assert.deepEqual(pieces, ["abc"]);
 });
+
+// Guards against an answer that ends with its connection and that no one hears the end of.
+test("a stream whose last bytes were read ends, although no more may be read", async () => {
+    const stream = createStream();
+    let mayRead = true;
+    boundReads(stream, createReadTurns(), { beforeRead: () => mayRead });
+    stream.on("readable", () => {
+        while (stream.read()) {
+            mayRead = false;
+        }
+    });
+    const ended = once(stream, "end", { signal: AbortSignal.timeout(2_000) });
+    stream.push("last bytes");
+    stream.push(endOfStream);
+    await ended;
+});
+
+// Guards against an exception of one connection that stops all others without credit.
+test("connections without credit are read on after one of them has thrown", async () => {
+    const { time, turns } = createTestTurns();
+    const log: string[] = [];
+    const spend = (turn: ReturnType<typeof turns.join>) => {
+        turn.begin();
+        time.now += 1_000;
+        turn.end(1);
+        turn.begin();
+    };
+    const thrown: unknown[] = [];
+    process.setUncaughtExceptionCaptureCallback(error => void thrown.push(error));
+    spend(turns.join(() => {
+        throw new Error("thrown by the test");
+    }));
+    spend(turns.join(() => log.push("other")));
+    const deadline = performance.now() + 2_000;
+    while (log.length === 0 && performance.now() < deadline) {
+        time.now += 10_000;
+        await sleep(5);
+    }
+    process.setUncaughtExceptionCaptureCallback(nothing);
+    assert.equal(thrown.length, 1);
+    assert.deepEqual(log, ["other"]);
+});
--- a/packages/daisyturn/src/connection/bytes/boundReads.ts
+++ b/packages/daisyturn/src/connection/bytes/boundReads.ts
@@ -38,12 +38,14 @@
         }
         turn.end(lastBytes);
         lastBytes = 0;
-        if (observer.beforeRead?.() === false) {
-            return noBytes;
-        }
+        const mayRead = observer.beforeRead?.() !== false;
+        // The stream emits `end` only if it is read once nothing is buffered.
         if (stream.readableLength === 0) {
             return read(size);
         }
+        if (!mayRead) {
+            return noBytes;
+        }
         const maxBytes = turn.begin();
         if (maxBytes === 0) {
             return noBytes;
--- a/packages/daisyturn/src/connection/bytes/createReadTurns.ts
+++ b/packages/daisyturn/src/connection/bytes/createReadTurns.ts
@@ -94,17 +94,22 @@
         isTurnScheduled = false;
         turn += 1;
         spentMilliseconds = 0;
-        for (const member of [...nextTurn]) {
-            if (spentMilliseconds >= maxTurnMilliseconds) {
-                break;
-            }
-            if (nextTurn.delete(member)) {
-                member.wait = Wait.None;
-                member.resume();
+        try {
+            for (const member of [...nextTurn]) {
+                if (spentMilliseconds >= maxTurnMilliseconds) {
+                    break;
+                }
+                if (nextTurn.delete(member)) {
+                    member.wait = Wait.None;
+                    member.resume();
+                }
             }
         }
-        if (nextTurn.size > 0) {
-            scheduleTurn();
+        finally {
+            // An exception of one connection must not stop the others.
+            if (nextTurn.size > 0) {
+                scheduleTurn();
+            }
         }
     };
     const scheduleThrottled = () => {
@@ -119,11 +124,17 @@
             throttled.delete(member);
             member.wait = Wait.Granted;
             const usedBefore = used();
-            member.resume();
-            throttledUntil = now() + (used() - usedBefore) * (1 - throttledShare) / throttledShare;
+            try {
+                member.resume();
+            }
+            finally {
+                throttledUntil = now() + (used() - usedBefore) * (1 - throttledShare) / throttledShare;
+                isThrottleScheduled = false;
+                scheduleThrottled();
+            }
+            return;
         }
         isThrottleScheduled = false;
-        scheduleThrottled();
     };
     const wait = (member: Member, kind: Wait.NextTurn | Wait.Throttled) => {
         member.wait = kind;
--- a/packages/daisyturn/src/connection/bytes/createTimeShares.ts
+++ b/packages/daisyturn/src/connection/bytes/createTimeShares.ts
@@ -21,26 +21,33 @@
     let isRunning = false;
 
     const run = async () => {
-        isRunning = true;
-        for (let read = waiting.shift(); read; read = waiting.shift()) {
-            const taken = read();
-            // A connection that has been closed takes no time.
-            if (taken === 0) {
-                continue;
+        try {
+            for (let read = waiting.shift(); read; read = waiting.shift()) {
+                const taken = read();
+                // A connection that has been closed takes no time.
+                if (taken > 0) {
+                    await clock.sleepUntil(clock.monotonicNow() + taken / processShare - taken);
+                }
             }
-            await clock.sleepUntil(clock.monotonicNow() + taken / processShare - taken);
         }
-        isRunning = false;
+        finally {
+            isRunning = false;
+            // An exception of one connection must not stop the others.
+            start();
+        }
+    };
+    const start = () => {
+        if (!isRunning && waiting.length > 0) {
+            // A turn never runs within the call that requests it.
+            isRunning = true;
+            setImmediate(() => void run());
+        }
     };
 
     return {
         request: read => {
             waiting.push(read);
-            if (!isRunning) {
-                // A turn never runs within the call that requests it.
-                isRunning = true;
-                setImmediate(() => void run());
-            }
+            start();
         },
     };
 }
--- a/packages/daisyturn/src/connection/bytes/paceSocket.ts
+++ b/packages/daisyturn/src/connection/bytes/paceSocket.ts
@@ -34,8 +34,12 @@
         isWaiting = false;
         const startedAt = clock.monotonicNow();
         turnEndsAt = startedAt + turnMilliseconds;
-        socket.emit("readable");
-        turnEndsAt = undefined;
+        try {
+            socket.emit("readable");
+        }
+        finally {
+            turnEndsAt = undefined;
+        }
         return Math.min(clock.monotonicNow() - startedAt, maxPieceMilliseconds);
     };
     const mayRead = () => {
--- a/packages/daisyturn/src/connection/caller/reads/paceReads.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceReads.ts
@@ -98,8 +98,16 @@
         const isBody = requests.incomplete() !== undefined;
         const startedAt = clock.monotonicNow();
         isParsing = true;
-        parse.call(socket, piece);
-        isParsing = false;
+        try {
+            parse.call(socket, piece);
+        }
+        catch (error) {
+            socket.destroy();
+            throw error;
+        }
+        finally {
+            isParsing = false;
+        }
         const read = requests.readCount() - countBefore;
         headBytes = read > 0 || isBody ? 0 : headBytes + piece.length;
         bodyBytes = read > 0 || !isBody ? 0 : bodyBytes + piece.length;
