--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -42,6 +42,8 @@
     reload(load: () => ForwardingSettings): void;
     /** Counts an error that nothing caught. */
     recordUncaughtError(kind: string): void;
+    /** Monotonic time by which the platform wants a process to have ended that begins to stop now. */
+    stopDeadline(): number;
     /** Withdraws readiness, finishes running calls, and resolves within the grace period of the platform. */
     stop(): Promise<void>;
 }
@@ -218,7 +220,13 @@
 
     let stopping: Promise<void> | undefined;
     const recordUncaughtError = (kind: string) => metricsServer?.recordUncaughtError(kind);
-    return { start, reload, recordUncaughtError, stop: () => stopping ??= stopOnce() };
+    return {
+        stopDeadline: () => clock.monotonicNow() + settings.graceMilliseconds,
+        start,
+        reload,
+        recordUncaughtError,
+        stop: () => stopping ??= stopOnce(),
+    };
 }
 
 function describeSelf({ processId, peers, availabilityZone, strength }: ForwardingSettings): RegisteredPeer {
