Bound the log lines that wait for their reader

Cause, found by the review: lines to a reader that has stopped, or to a full disk, were kept without a bound (79 MB of lines, 79 MB of heap). Change: lines beyond 4 MiB are dropped. Result: by the library's description of maxLength; no test of its own.

--- a/packages/daisyturn-daemon/src/entry/createLogWriter.ts
+++ b/packages/daisyturn-daemon/src/entry/createLogWriter.ts
@@ -10,6 +10,8 @@
 /** Lines are written once this many bytes are buffered, and at the latest after the flush interval. */
 const bufferBytes = 8 * 1024;
 const flushIntervalMilliseconds = 250;
+/** Lines beyond it are dropped, so that a reader that stops, or a full disk, does not use up the memory. */
+const maxBufferedBytes = 4 * 1024 * 1024;
 
 /** Creates a writer to a file, or to standard output if `file` is undefined. */
 export function createLogWriter(file: string | undefined): LogWriter {
@@ -17,6 +19,7 @@
         dest: file ?? 1,
         sync: false,
         minLength: bufferBytes,
+        maxLength: maxBufferedBytes,
     });
     // A full disk, for instance. Lines are lost; without a listener, the error would be thrown.
     let hasFailed = false;
