Give the senders of datagrams a larger share than connections of callers

Cause, found by reading at the merge: a coordinator's messages to a member could take more than a twentieth of a small machine's time, and would be dropped where they are needed most. Change: a fifth, and a burst of 100 ms.

--- a/packages/daisyturn/src/connection/bytes/createTimeAllowance.ts
+++ b/packages/daisyturn/src/connection/bytes/createTimeAllowance.ts
@@ -8,19 +8,26 @@
 }
 
 /** Enough for a body of the greatest size in large pieces. */
-const burstMilliseconds = 20;
-/** Fraction of the time that is granted anew. A connection with ordinary calls, one after another, takes less. */
-const connectionShare = 0.05;
+const defaultBurstMilliseconds = 20;
+/** A connection with ordinary calls, one after another, takes less. */
+const defaultShare = 0.05;
 
-/** Creates the allowance of one connection. */
-export function createTimeAllowance(clock: Pick<Clock, "monotonicNow">): TimeAllowance {
+/**
+ * Creates the allowance of one connection.
+ * @param share fraction of the time that is granted anew
+ */
+export function createTimeAllowance(
+    clock: Pick<Clock, "monotonicNow">,
+    share = defaultShare,
+    burstMilliseconds = defaultBurstMilliseconds,
+): TimeAllowance {
     let remaining = burstMilliseconds;
     let grantedAt = clock.monotonicNow();
 
     return {
         isSpent: () => {
             const now = clock.monotonicNow();
-            remaining = Math.min(burstMilliseconds, remaining + (now - grantedAt) * connectionShare);
+            remaining = Math.min(burstMilliseconds, remaining + (now - grantedAt) * share);
             grantedAt = now;
             return remaining <= 0;
         },
--- a/packages/daisyturn/src/connection/forwarding/limitSenders.ts
+++ b/packages/daisyturn/src/connection/forwarding/limitSenders.ts
@@ -8,6 +8,9 @@
 /** More hosts than a fleet has. Anyone can name any host as the sender of a datagram, so further ones share an allowance. */
 const maxHosts = 512;
 const otherHosts = "other";
+/** A coordinator sends more to a member than others do, and its messages are wanted most while the process is busy. */
+const senderShare = 0.2;
+const senderBurstMilliseconds = 100;
 /** A process that stands still within a datagram would charge its sender for it. */
 const maxChargedMilliseconds = 10;
 
@@ -25,7 +28,7 @@
 
     return (datagram, from) => {
         const name = allowances.size < maxHosts || allowances.has(from.host) ? from.host : otherHosts;
-        const allowance = allowances.get(name) ?? createTimeAllowance(clock);
+        const allowance = allowances.get(name) ?? createTimeAllowance(clock, senderShare, senderBurstMilliseconds);
         allowances.set(name, allowance);
         if (allowance.isSpent()) {
             if (!limited.has(name)) {
