Share the time of all reads of a process in one module

What callers saw: the turns in which connections read were built three times (callers, targets, the store). Each gave its connections without credit a share of elapsed time, 70 % of the process together in the worst case. On a busy machine that time also passes while the process waits for a processor, so floods took most of the little that the process got, and calls of others were refused as overloaded.

Cause: time was measured as elapsed, in two of the three also for what a connection is charged. A connection without credit always paused, also in a process with nothing else to do.

The gauges of cut and waiting reads have the sender as a label.

--- a/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
@@ -4,6 +4,7 @@
     createConnectionGuard,
     createForwardServer,
     type ForwardingParts,
+    type ReadTurns,
     serveForwardedCall,
 } from "daisyturn/forwarding";
 import { performance } from "node:perf_hooks";
@@ -13,7 +14,7 @@
 export interface CallerServerOptions {
     readonly settings: Pick<ForwardingSettings, "callers">;
     readonly protocol: CallerProtocol;
-    readonly parts: ForwardingParts;
+    readonly parts: ForwardingParts & { readonly readTurns: ReadTurns; };
     /** Whether a call that arrives now is refused without reading it, because the process is overloaded. */
     readonly shouldRefuse: () => boolean;
     /** Whether other processes can take connections beyond what this one can serve. */
@@ -22,7 +23,7 @@
 
 /** Creates the server for callers and the guard of its connections. */
 export function createCallerServer({ settings, protocol, parts, ...checks }: CallerServerOptions) {
-    const { clock, eventLog, metrics } = parts;
+    const { clock, eventLog, metrics, readTurns } = parts;
     const connectionGuard = createConnectionGuard({
         busyMilliseconds: () => performance.eventLoopUtilization().active,
         hasRoomElsewhere: checks.hasRoomElsewhere,
@@ -36,6 +37,7 @@
         checkHead: head => checkCallHead(parts, head),
         shouldRefuse: checks.shouldRefuse,
         connectionGuard,
+        readTurns,
         clock,
         eventLog,
         metrics,
--- a/packages/daisyturn-daemon/src/forwarding/registerAnswerGauges.ts
+++ b/packages/daisyturn-daemon/src/forwarding/registerAnswerGauges.ts
@@ -1,31 +1,36 @@
-import type { AnswerMemory, ReadTurns } from "daisyturn/forwarding";
+import { type AnswerMemory, ByteSource, type ReadTurns } from "daisyturn/forwarding";
 import { Gauge, type Registry } from "prom-client";
 
-/** The parts from which the gauges of targets' answers are read. */
+/** The parts from which the gauges of bounded reads and of targets' answers are read. */
 export interface ObservedAnswers {
-    readonly readTurns: Pick<ReadTurns, "counts">;
+    readonly readTurns: ReadTurns;
     readonly answerMemory: Pick<AnswerMemory, "counts">;
 }
 
-/** Registers the gauges of what targets send. */
+/** Registers the gauges of what is read and held. */
 export function registerAnswerGauges({ readTurns, answerMemory }: ObservedAnswers, registers: Registry[]): void {
     new Gauge({
         name: "daisyturn_cut_reads",
-        help: "Reads of targets' answers since the start by why they were cut: end of a turn, or no credit left",
-        labelNames: ["reason"],
+        help: "Reads since the start by who sends and why they were cut: end of a turn, or no credit left",
+        labelNames: ["source", "reason"],
         registers,
         collect() {
-            const { cut, throttled } = readTurns.counts();
-            this.set({ reason: "turn" }, cut);
-            this.set({ reason: "credit" }, throttled);
+            for (const source of Object.values(ByteSource)) {
+                const { cut, throttled } = readTurns.counts(source);
+                this.set({ source, reason: "turn" }, cut);
+                this.set({ source, reason: "credit" }, throttled);
+            }
         },
     });
     new Gauge({
         name: "daisyturn_waiting_reads",
-        help: "Connections to targets with bytes that wait for a turn of the event loop",
+        help: "Connections with bytes that wait for a turn of the event loop, by who sends",
+        labelNames: ["source"],
         registers,
         collect() {
-            this.set(readTurns.counts().waiting);
+            for (const source of Object.values(ByteSource)) {
+                this.set({ source }, readTurns.counts(source).waiting);
+            }
         },
     });
     new Gauge({
--- a/packages/daisyturn/src/connection/bytes/boundReads.ts
+++ b/packages/daisyturn/src/connection/bytes/boundReads.ts
@@ -1,4 +1,5 @@
 import type { Duplex } from "node:stream";
+import type { ByteSource } from "../../process/forwarding/index.js";
 import type { ReadTurns } from "./createReadTurns.js";
 
 /** What is done beside the reads of a connection. */
@@ -23,7 +24,12 @@
  * Bounds what a parser reads of a connection in a turn of the event loop. What is not read stays in the buffer of the
  * stream, which holds back the sender, and the stream emits `end` only after it.
  */
-export function boundReads(stream: Duplex, turns: ReadTurns, observer: ReadObserver = {}): BoundReads {
+export function boundReads(
+    stream: Duplex,
+    turns: ReadTurns,
+    source: ByteSource,
+    observer: ReadObserver = {},
+): BoundReads {
     const read = stream.read.bind(stream) as (size?: number) => Buffer | null;
     let lastBytes = 0;
     const resume = () => {
@@ -31,7 +37,7 @@
             stream.emit("readable");
         }
     };
-    const turn = turns.join(resume);
+    const turn = turns.join(source, resume);
     stream.read = (size?: number) => {
         if (size === 0) {
             return read(0);
--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -1,9 +1,8 @@
-import type { Clock } from "daisyturn-utils";
 import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { createTimeShares } from "../bytes/createTimeShares.js";
+import type { ReadTurns } from "../bytes/createReadTurns.js";
 import { answerProtocolError, type ProtocolError } from "./answerProtocolError.js";
 import { type CallerConnection, createCallerConnection } from "./callerConnection.js";
 import type { CallerLimits, TlsMaterial } from "./callerServerOptions.js";
@@ -26,12 +25,15 @@
 const longHeadCode = "HPE_HEADER_OVERFLOW";
 const closedWithoutAnswer = "closed";
 
-/** Creates the HTTP listener. Node's limits are set so that a caller can't occupy a connection without a request. */
+/**
+ * Creates the HTTP listener. Node's limits are set so that a caller can't occupy a connection without a request.
+ * @param turns share the time of the process with its other connections
+ */
 export function createCallerListener(
     tls: TlsMaterial | undefined,
     limits: CallerLimits,
     log: ListenerLog,
-    clock: Clock,
+    turns: ReadTurns,
     listener: RequestListener,
 ): Server {
     const httpOptions = {
@@ -50,7 +52,6 @@
             handshakeTimeout: limits.headerMilliseconds,
         })
         : createPlainServer(httpOptions);
-    const turns = createTimeShares(clock);
     const connections = new WeakMap<Duplex, CallerConnection>();
     /** Connections that sent bytes from which no request could be read. */
     const refused = new WeakSet<Duplex>();
@@ -106,7 +107,7 @@
                 handleProtocolError(Object.assign(new Error(message), { code: longHeadCode }), socket);
             }
         };
-        paceReads({ socket, requests, turns, clock, maxHeadBytes: limits.maxHeaderBytes, onLimit });
+        paceReads({ socket, requests, turns, maxHeadBytes: limits.maxHeaderBytes, onLimit });
     };
 
     // Node would silently drop fields beyond its limit, possibly an Idempotency-Key. validateHeaderFields refuses them.
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -4,6 +4,7 @@
 import { createRetryBudget, defaultRetryBudget } from "../../process/admission/index.js";
 import type { RequestParts } from "../../request/requestParts.js";
 import { createResumeTokens } from "../../request/resumption/resumeToken.js";
+import { createReadTurns } from "../bytes/createReadTurns.js";
 import { listenWhenFree } from "../listenWhenFree.js";
 import type { CallerConnection } from "./callerConnection.js";
 import { type CallerServerOptions, defaultCallerLimits } from "./callerServerOptions.js";
@@ -106,7 +107,7 @@
         options.tls,
         limits,
         createListenerLog({ eventLog }),
-        clock,
+        createReadTurns(),
         (incoming, outgoing, connection) => {
             void serve(incoming, outgoing, connection);
         },
--- a/packages/daisyturn/src/connection/caller/reads/paceReads.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceReads.ts
@@ -1,7 +1,6 @@
-import type { Clock } from "daisyturn-utils";
 import type { Socket } from "node:net";
-import { createTimeAllowance } from "../../bytes/createTimeAllowance.js";
-import type { TimeShares } from "../../bytes/createTimeShares.js";
+import { ByteSource } from "../../../process/forwarding/index.js";
+import type { ReadTurns } from "../../bytes/createReadTurns.js";
 import type { CallerConnection } from "../callerConnection.js";
 
 /** Limits on what the HTTP parser is given of one connection. */
@@ -24,8 +23,8 @@
 export interface PaceOptions {
     readonly socket: Socket;
     readonly requests: PacedRequests;
-    readonly turns: TimeShares;
-    readonly clock: Clock;
+    readonly turns: ReadTurns;
+    readonly source?: ByteSource;
     /** Bytes that may arrive without completing the head of a request. */
     readonly maxHeadBytes: number;
     /** Called when a limit applies to the connection for the first time. After {@link ReadLimit.Bytes}, nothing is read. */
@@ -36,10 +35,6 @@
 const pieceBytes = 2 * 1024;
 /** Pipelined requests beyond it wait unread until others are answered. */
 const maxRequestsUnderWay = 8;
-/** Time of one turn of a connection that has spent its allowance. */
-const turnMilliseconds = 2;
-/** A process that stands still within a piece would charge the connection for it. */
-const maxPieceMilliseconds = 10;
 /**
  * What is charged for a request that is read while others of its connection are under way. Most of its work follows
  * after its bytes were read.
@@ -52,12 +47,11 @@
  * for data and of the methods by which the parser holds back the connection.
  */
 export function paceReads(options: PaceOptions): void {
-    const { socket, requests, turns, clock } = options;
+    const { socket, requests, turns, source = ByteSource.Caller } = options;
     const [parse] = socket.listeners("data") as ((piece: Buffer) => void)[];
     if (!parse) {
         return;
     }
-    const allowance = createTimeAllowance(clock);
     const pauseSocket = socket.pause.bind(socket);
     const resumeSocket = socket.resume.bind(socket);
     const reported = new Set<ReadLimit>();
@@ -79,9 +73,9 @@
     };
 
     /** Removes the next piece from the bytes that wait. A body without chunks costs little, so its rest is one piece. */
-    const takePiece = (chunk: Buffer): Buffer => {
+    const takePiece = (chunk: Buffer, maxBytes: number): Buffer => {
         const length = Number(requests.incomplete()?.headers["content-length"] ?? 0);
-        const size = Math.max(pieceBytes, length - bodyBytes);
+        const size = Math.min(maxBytes, Math.max(pieceBytes, length - bodyBytes));
         if (chunk.length <= size) {
             pending.shift();
             return chunk;
@@ -90,13 +84,10 @@
         return chunk.subarray(0, size);
     };
 
-    /** Parses one piece and returns the milliseconds that it is charged. */
-    const parsePiece = (chunk: Buffer): number => {
-        const piece = takePiece(chunk);
+    const parsePiece = (piece: Buffer) => {
         const countBefore = requests.readCount();
         const wasUnderWay = requests.underWay() > 0;
         const isBody = requests.incomplete() !== undefined;
-        const startedAt = clock.monotonicNow();
         isParsing = true;
         try {
             parse.call(socket, piece);
@@ -112,8 +103,7 @@
         headBytes = read > 0 || isBody ? 0 : headBytes + piece.length;
         bodyBytes = read > 0 || !isBody ? 0 : bodyBytes + piece.length;
         const pipelined = wasUnderWay ? read : Math.max(0, read - 1);
-        return Math.min(clock.monotonicNow() - startedAt, maxPieceMilliseconds)
-            + pipelined * pipelinedRequestMilliseconds;
+        turn.end(piece.length, pipelined * pipelinedRequestMilliseconds);
     };
 
     const mayParse = (): boolean => {
@@ -137,36 +127,21 @@
         return true;
     };
 
-    /** Parses until a time has been taken, a limit applies or nothing is left. Returns the time. */
-    const parseFor = (milliseconds: number): number => {
-        let taken = 0;
-        for (let [chunk] = pending; chunk && taken < milliseconds && mayParse(); [chunk] = pending) {
-            const charged = parsePiece(chunk);
-            allowance.spend(charged);
-            taken += charged;
-        }
-        return taken;
-    };
-
+    /** Parses until the turn ends, a limit applies or nothing is left. */
     const advance = () => {
-        while (pending.length > 0 && mayParse()) {
-            if (allowance.isSpent()) {
-                report(ReadLimit.Time);
-                isWaiting = true;
-                turns.request(takeTurn);
+        for (let [chunk] = pending; chunk && mayParse(); [chunk] = pending) {
+            const maxBytes = turn.begin();
+            if (maxBytes === 0) {
                 break;
             }
-            parseFor(turnMilliseconds);
+            parsePiece(takePiece(chunk, maxBytes));
+        }
+        if (turn.isThrottled()) {
+            report(ReadLimit.Time);
         }
         updateSocket();
     };
-
-    const takeTurn = (): number => {
-        isWaiting = false;
-        const taken = parseFor(turnMilliseconds);
-        advance();
-        return taken;
-    };
+    const turn = turns.join(source, advance);
 
     const updateSocket = () => {
         if (pending.length > 0 || isParserPaused || isWaiting || isClosed) {
@@ -198,5 +173,6 @@
     socket.once("close", () => {
         isClosed = true;
         pending = [];
+        turn.leave();
     });
 }
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -6,6 +6,7 @@
 import type { CallHead } from "../../request/forwarding/checkCallHead.js";
 import { refuseCall } from "../../request/forwarding/refuseCall.js";
 import type { ForwardLimits } from "../../version/forwarding/forwardingConfiguration.js";
+import type { ReadTurns } from "../bytes/createReadTurns.js";
 import type { CallerConnection } from "../caller/callerConnection.js";
 import { defaultCallerLimits, type ListenAddress } from "../caller/callerServerOptions.js";
 import { createCallerListener } from "../caller/createCallerListener.js";
@@ -43,6 +44,8 @@
     /** Refuses a call before its body is read. */
     readonly checkHead?: (head: CallHead) => Failure | undefined;
     readonly connectionGuard: Pick<ConnectionGuard, "shouldClose" | "recordRequest">;
+    /** The turns that all connections of the process share. */
+    readonly readTurns: ReadTurns;
     readonly clock: Clock;
     readonly eventLog: EventLog;
     readonly metrics: Pick<ForwardingMetrics, "recordUnreadable" | "recordReadLimit">;
@@ -193,7 +196,7 @@
         undefined,
         { ...defaultCallerLimits, maxHeaderBytes: listenerHeaderBytes },
         listenerLog,
-        clock,
+        options.readTurns,
         (incoming, outgoing, connection) => void serveRequest(incoming, outgoing, connection),
     );
 
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from "true-myth/result";
 import { Client, type Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
-import { ConnectionBreak } from "../../process/forwarding/index.js";
+import { ByteSource, ConnectionBreak } from "../../process/forwarding/index.js";
 import { type BoundReads, boundReads } from "../bytes/boundReads.js";
 import { createChunkBatch } from "../bytes/createChunkBatch.js";
 import type { ReadTurns } from "../bytes/createReadTurns.js";
@@ -301,7 +301,7 @@
         }
     };
     return {
-        ...boundReads(opened, turns, { beforeRead, onRead }),
+        ...boundReads(opened, turns, ByteSource.Target, { beforeRead, onRead }),
         recordDelivered: () => {
             undeliveredBytes = 0;
         },
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -2,9 +2,10 @@
 import type { Socket } from "node:net";
 import { err, type Result } from "true-myth/result";
 import { buildConnector, Pool } from "undici";
+import { boundReads } from "../../connection/bytes/boundReads.js";
 import { collectBytes } from "../../connection/bytes/collectBytes.js";
-import { createTimeShares } from "../../connection/bytes/createTimeShares.js";
-import { paceSocket } from "../../connection/bytes/paceSocket.js";
+import { createReadTurns } from "../../connection/bytes/createReadTurns.js";
+import { ByteSource } from "../../process/forwarding/index.js";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 
 /** Reason of aborts, which would otherwise create an error with a stack trace for each request. */
@@ -132,14 +133,14 @@
     return { send, close: () => pool.destroy() };
 }
 
-function createConnector({ connectMilliseconds: timeout, resetsAborted, clock }: HttpPlatformOptions) {
+function createConnector({ connectMilliseconds: timeout, resetsAborted }: HttpPlatformOptions) {
     const connect = buildConnector(timeout === undefined ? {} : { timeout });
-    const turns = createTimeShares(clock);
+    const turns = createReadTurns();
     const connector: buildConnector.connector = (target, onConnected) =>
         connect(target, (...result) => {
             const [, socket] = result;
             if (socket) {
-                paceSocket(socket, turns, clock);
+                boundReads(socket, turns, ByteSource.Store);
             }
             if (socket && resetsAborted) {
                 resetOnError(socket);
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -6,6 +6,7 @@
 import { createReadTurns, type ReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
+import { ByteSource } from "../../process/forwarding/index.js";
 
 const connectTimeoutMilliseconds = 2_000;
 /** Shorter than the time after which targets close idle connections. */
@@ -46,7 +47,7 @@
                 return;
             }
             readPastContinue(socket);
-            boundReads(socket, turns);
+            boundReads(socket, turns, ByteSource.Target);
             callback(nothing, socket);
         });
 }
--- a/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
+++ b/packages/daisyturn/src/process/forwarding/forwardingMetrics.ts
@@ -20,6 +20,7 @@
 /** Kinds of parties whose bytes this process reads. Used as a metric label. */
 export enum ByteSource {
     Caller = "caller",
+    Target = "target",
     Store = "store",
     Peer = "peer",
     Operator = "operator",
