Bound what clients of readiness, metrics and operators' ports take

What callers saw: a client that pipelined requests at the readiness or the metrics port took the whole process.

Cause: Node's parser reads up to 2 MiB of a connection in one turn of the event loop and serves each request on the way, some 50,000 of them. Only the connections of callers were bounded.

Change: paceServer gives the connections of the three servers the limits of callers: pieces of 2 KiB, eight requests under way, a share of the process's time in the turns of all its connections, and at most 64 connections.

Why it works: what is read in a turn has a bound in time, whatever the number of requests in it, and what is not read holds back the sender.

--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -148,7 +148,7 @@
     const isReady = () =>
         !isStopping && isAccepting && !isOverloaded() && parts.configurationManager.current() !== undefined
         && parts.targets.isKnown();
-    const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady, { clock, eventLog });
+    const readiness = createReadinessServer(settings.readiness, adapters.readinessPath, isReady, parts);
     parts.configurationManager.onChanged(table => server.setLimits(table.configuration.limits));
 
     const startCoordination = () => {
--- a/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createMetricsServer.ts
@@ -1,21 +1,22 @@
 import type { Clock, EventLog } from "daisyturn-utils";
 import {
     type Arrival,
-    type ByteSource,
+    ByteSource,
     type CallOutcome,
     createAccountCounts,
     ForwardingMetrics,
     type ListenAddress,
     listenWhenFree,
+    paceServer,
 } from "daisyturn/forwarding";
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { type ObservedParts, registerGauges } from "./registerGauges.js";
 
 /** Metrics of one process, served over HTTP in the Prometheus text format. */
 export interface MetricsServer {
     readonly metrics: ForwardingMetrics;
-    /** Registers the gauges, whose values are read at each scrape. */
+    /** Registers the gauges, whose values are read at each scrape, and lets the server share the turns of the process. */
     observe(parts: ObservedParts): void;
     /** Records the platform's answer to a report of usage. */
     recordUsageReport(answer: string): void;
@@ -187,16 +188,13 @@
         }
     }
 
-    const server = createServer((incoming, outgoing) => {
-        incoming.resume();
-        void registry.metrics().then(text => {
-            outgoing.writeHead(200, { "Content-Type": registry.contentType });
-            outgoing.end(text);
-        }, () => outgoing.destroy());
-    });
+    const server = createScrapeServer(registry);
     return {
         metrics: new RegistryMetrics(),
-        observe: parts => registerGauges(parts, registers),
+        observe: parts => {
+            registerGauges(parts, registers);
+            paceServer(server, parts.readTurns, ByteSource.Operator);
+        },
         recordUsageReport: answer => usageReports.inc({ answer }),
         recordUncaughtError: kind => uncaughtErrors.inc({ kind }),
         start: (signal, { clock, eventLog }) =>
@@ -207,3 +205,13 @@
         },
     };
 }
+
+function createScrapeServer(registry: Registry): Server {
+    return createServer((incoming, outgoing) => {
+        incoming.resume();
+        void registry.metrics().then(text => {
+            outgoing.writeHead(200, { "Content-Type": registry.contentType });
+            outgoing.end(text);
+        }, () => outgoing.destroy());
+    });
+}
--- a/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createReadinessServer.ts
@@ -1,5 +1,5 @@
 import type { Clock, EventLog } from "daisyturn-utils";
-import { type ListenAddress, listenWhenFree } from "daisyturn/forwarding";
+import { ByteSource, type ListenAddress, listenWhenFree, paceServer, type ReadTurns } from "daisyturn/forwarding";
 import { createServer } from "node:http";
 
 /** Serves the balancer's readiness probe. */
@@ -21,7 +21,7 @@
     listen: ListenAddress,
     path: string,
     isReady: () => boolean,
-    parts: { readonly clock: Clock; readonly eventLog: EventLog; },
+    parts: { readonly clock: Clock; readonly eventLog: EventLog; readonly readTurns: ReadTurns; },
 ): ReadinessServer {
     const server = createServer((incoming, outgoing) => {
         incoming.resume();
@@ -30,6 +30,7 @@
         outgoing.setHeader("Content-Length", "0");
         outgoing.end();
     });
+    paceServer(server, parts.readTurns, ByteSource.Operator);
     return {
         start: signal => listenWhenFree(server, listen, { ...parts, listener: "readiness", signal }),
         close: () => {
--- a/packages/daisyturn/src/connection/operator/createOperatorServer.ts
+++ b/packages/daisyturn/src/connection/operator/createOperatorServer.ts
@@ -13,6 +13,9 @@
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { err, type Result } from "true-myth/result";
+import { ByteSource } from "../../process/forwarding/index.js";
+import { createReadTurns } from "../bytes/createReadTurns.js";
+import { paceServer } from "../caller/reads/paceServer.js";
 import { listenWhenFree } from "../listenWhenFree.js";
 import {
     matchRoute,
@@ -57,6 +60,7 @@
     const server = createHttpServer(options, (request, response) => {
         void serveRequest(options, request, response);
     });
+    paceServer(server, createReadTurns(), ByteSource.Operator, options.tls && "secureConnection");
     const { signal = new AbortController().signal, clock, eventLog } = options;
     const listen = { address: options.listen.host, port: options.listen.port };
     await listenWhenFree(server, listen, { listener: "operators", signal, clock, eventLog });
--- a/packages/daisyturn/src/forwarding.ts
+++ b/packages/daisyturn/src/forwarding.ts
@@ -1,6 +1,7 @@
 export * from "./connection/bytes/createAnswerMemory.js";
 export * from "./connection/bytes/createReadTurns.js";
 export type { ListenAddress } from "./connection/caller/callerServerOptions.js";
+export { paceServer } from "./connection/caller/reads/paceServer.js";
 export * from "./connection/createReadBarrier.js";
 export * from "./connection/forwarding/createForwardServer.js";
 export * from "./connection/forwarding/forwardExchange.js";
