Read lines of peers in turns of the event loop

Change: boundReads gives a connection of a peer 2 KiB at a time, with the turns and the credit of the other readers.

--- a/packages/daisyturn/src/connection/__tests__/rpcConnection.test.ts
+++ b/packages/daisyturn/src/connection/__tests__/rpcConnection.test.ts
@@ -4,6 +4,8 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { waitUntil } from "../__fixtures__/peerNetworks.js";
+import { createReadTurns } from "../bytes/createReadTurns.js";
+import type { ProcessTimes } from "../bytes/processTimes.js";
 import { peerNetworkSettingsSchema } from "../peerNetworkSettings.js";
 import { createRpcConnection, createTrafficCounters } from "../rpcConnection.js";
 
@@ -15,7 +17,7 @@
 });
 
 /** Opens a connection whose other end is a plain socket that is not read. */
-async function connectToStalledPeer(context: TestContext) {
+async function connectToStalledPeer(context: TestContext, times?: ProcessTimes) {
     const server = createServer({ pauseOnConnect: true });
     context.after(() => server.close());
     server.listen(0, "127.0.0.1");
@@ -34,6 +36,7 @@
         methods: ["work"],
         answer: () => Promise.resolve({ text: "a".repeat(10_000) }),
         counters,
+        turns: createReadTurns(times),
     });
     return { clock, connection, counters, peer, socket };
 }
@@ -74,4 +77,25 @@
         await clock.advance(200);
         assert.match(await connection.closed, /nothing received/);
     });
+
+    // Guards against a peer whose short lines keep the process from all other work.
+    it("reads short lines of a peer in turns of the event loop", async context => {
+        let used = 0;
+        const { counters, peer } = await connectToStalledPeer(context, {
+            now: () => used,
+            used: () => used += 5,
+            idle: () => performance.now(),
+        });
+        const line = `${JSON.stringify({ jsonrpc: "2.0", method: "unknown" })}\n`;
+        const lineCount = 5_000;
+        peer.write(line.repeat(lineCount));
+        let most = 0;
+        while (counters.messagesReceived < lineCount) {
+            const before = counters.messagesReceived;
+            await new Promise(setImmediate);
+            most = Math.max(most, counters.messagesReceived - before);
+        }
+        // Two reads of 5 ms fill a turn, and a third one may be granted to a connection without credit.
+        assert.ok(most <= 3 * 2 * 1024 / line.length + 1, `${most} lines in a turn`);
+    });
 });
--- a/packages/daisyturn/src/connection/bytes/readBounds.ts
+++ b/packages/daisyturn/src/connection/bytes/readBounds.ts
@@ -33,7 +33,7 @@
         maxGrant: 0,
     },
     [ByteSource.Store]: smallReads,
-    // Bytes in a tunnel are passed on without being parsed. A coordinator sends more to a member than others do.
-    [ByteSource.Peer]: { ...smallReads, maxReadBytes: 64 * kibibyte, maxSlowReadBytes: 8 * kibibyte, maxCredit: 100 },
+    // A coordinator sends more to a member than others do.
+    [ByteSource.Peer]: { ...smallReads, maxCredit: 100 },
     [ByteSource.Operator]: smallReads,
 };
--- a/packages/daisyturn/src/connection/createPeerNetwork.ts
+++ b/packages/daisyturn/src/connection/createPeerNetwork.ts
@@ -17,6 +17,7 @@
     PeerMethod,
     type ProcessIdentity,
 } from "../process/peers/index.js";
+import { createReadTurns } from "./bytes/createReadTurns.js";
 import { listenWhenFree } from "./listenWhenFree.js";
 import { createPeerAcceptor } from "./peerAcceptor.js";
 import { createPeerDialer } from "./peerDialer.js";
@@ -62,6 +63,7 @@
     const handlers = new Map<PeerMethod, PeerHandler>();
     const helloListeners: HelloListener[] = [];
     const traffic = createTrafficCounters();
+    const turns = createReadTurns();
     const stopping = new AbortController();
     const links = createPeerLinks(configuredSelf, clock);
     const unauthenticated = new Set<RpcConnection>();
@@ -76,6 +78,7 @@
             methods: [...handshakeMethods, ...peerMethods],
             answer,
             counters: traffic,
+            turns,
         });
         unauthenticated.add(connection);
         void connection.closed.then(() => unauthenticated.delete(connection));
--- a/packages/daisyturn/src/connection/rpcConnection.ts
+++ b/packages/daisyturn/src/connection/rpcConnection.ts
@@ -20,6 +20,9 @@
 } from "json-rpc-2.0";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "true-myth/result";
+import { ByteSource } from "../process/forwarding/index.js";
+import { boundReads } from "./bytes/boundReads.js";
+import type { ReadTurns } from "./bytes/createReadTurns.js";
 import { createLineReader } from "./lineReader.js";
 import type { PeerNetworkSettings } from "./peerNetworkSettings.js";
 
@@ -57,6 +60,8 @@
     readonly methods: readonly string[];
     readonly answer: RpcHandler;
     readonly counters: TrafficCounters;
+    /** The turns that all connections of peers share. */
+    readonly turns: ReadTurns;
 }
 
 /** Bidirectional JSON-RPC over one socket, with one message per line. */
@@ -165,7 +170,8 @@
         rpc.receiveAndSend(message, undefined, undefined).catch((error: unknown) => destroy(describe(error)));
     };
 
-    socket.on("data", (chunk: Buffer) => {
+    boundReads(socket, options.turns, ByteSource.Peer);
+    const receive = (chunk: Buffer) => {
         lastReceivedAt = clock.monotonicNow();
         counters.bytesReceived += chunk.length;
         const lines = reader.push(chunk);
@@ -179,6 +185,11 @@
         catch (error) {
             destroy(describe(error));
         }
+    };
+    socket.on("readable", () => {
+        for (let chunk = readSocket(socket); chunk; chunk = readSocket(socket)) {
+            receive(chunk);
+        }
     });
     socket.on("error", error => destroy(error.message));
     socket.on("end", () => destroy("closed by the peer"));
@@ -250,6 +261,10 @@
     };
 }
 
+function readSocket(socket: Socket): Buffer | undefined {
+    return (socket.read() as Buffer | null) ?? undefined;
+}
+
 function readAnswer(response: JSONRPCResponse, status: MessageStatus): Result<JsonObject, Failure> {
     const { error, result } = response;
     if (!error) {
