--- a/packages/daisyturn-cli/src/client/createOperatorClient.ts
+++ b/packages/daisyturn-cli/src/client/createOperatorClient.ts
@@ -8,6 +8,10 @@
 
 const connectTimeoutMilliseconds = 3_000;
 const responseTimeoutMilliseconds = 40_000;
+/** For a whole answer, whose bytes may arrive slowly. */
+const answerTimeoutMilliseconds = 120_000;
+/** Far more than a fleet of hundreds of machines lists. */
+const defaultMaxAnswerBytes = 64 * 1024 * 1024;
 const successStatus = 200;
 
 /** Codes of connection errors, which occur before any byte of the request is sent. */
@@ -56,10 +60,18 @@
     close(): Promise<void>;
 }
 
-export function createOperatorClient(settings: ClientSettings): OperatorClient {
+/**
+ * Creates the client.
+ * @param maxAnswerBytes bytes of the body of an answer; a longer one is a failure
+ */
+export function createOperatorClient(
+    settings: ClientSettings,
+    maxAnswerBytes = defaultMaxAnswerBytes,
+): OperatorClient {
     const dispatcher = new Agent({
         headersTimeout: responseTimeoutMilliseconds,
         bodyTimeout: responseTimeoutMilliseconds,
+        maxResponseSize: maxAnswerBytes,
         connect: { timeout: connectTimeoutMilliseconds, ...readTls(settings) },
     });
 
@@ -92,6 +104,7 @@
         try {
             const answer = await request(target, {
                 dispatcher,
+                signal: AbortSignal.timeout(answerTimeoutMilliseconds),
                 method: given.method,
                 headers: { authorization: `Bearer ${settings.key}`, "content-type": "application/json" },
                 body: given.body === undefined ? undefined : JSON.stringify(given.body),
