Pass on the exemption of an answer whose target stalls

What callers saw: while the memory of answers was full, one answer at a time was read beyond it. If its target stalled, all others above 64 KiB waited until the deadline of that call.

Cause: the exemption ended only with its answer.

Change: an answer that has not grown for 250 ms loses it to the next one that waits, as long as all answers together are less than 16 MiB beyond the bound. It gets it back in its turn, as the one opened first.

Why it works: what stalled answers hold beyond the bound has a bound of its own, so memory stays below 32 + 16 MiB and one answer.

--- a/packages/daisyturn/src/connection/bytes/__tests__/createAnswerMemory.test.ts
+++ b/packages/daisyturn/src/connection/bytes/__tests__/createAnswerMemory.test.ts
@@ -88,3 +88,23 @@
     await settle();
     assert.equal(memory.counts().bytes, 0);
 });
+
+// Guards against a target that stalls within the one answer that may be read, which held back all others until its deadline.
+test("reads another answer when the one beyond the memory has not grown for 250 ms, within a bound of bytes", async () => {
+    const { clock, memory, open } = createBench(2);
+    open("large", 2);
+    const stalled = memory.open(Infinity, () => undefined);
+    stalled.update(mebibyte);
+    assert.equal(stalled.mayRead(() => undefined), false);
+    await settle();
+    assert.equal(stalled.mayRead(() => undefined), true, "it alone may be read");
+    const others = [8, 8, 8].map((mebibytes, index) => open(`other ${index}`, mebibytes));
+    await settle();
+    assert.deepEqual(others.map(({ isWhole }) => isWhole()), [false, false, false]);
+    for (let round = 0; round < 5; round++) {
+        await clock.advance(300);
+        await sleep(150);
+    }
+    assert.deepEqual(others.map(({ isWhole }) => isWhole()), [true, true, false]);
+    assert.ok(memory.counts().bytes < (2 + 16 + 8) * mebibyte, `${memory.counts().bytes} bytes`);
+});
--- a/packages/daisyturn/src/connection/bytes/createAnswerMemory.ts
+++ b/packages/daisyturn/src/connection/bytes/createAnswerMemory.ts
@@ -48,6 +48,10 @@
 /** Bytes of each answer that are never held back, so that short calls do not wait for large ones. */
 const maxFreeBytes = 64 * 1024;
 const checkIntervalMilliseconds = 100;
+/** An answer that has not grown for so long does not keep its exemption from others, whose targets may send. */
+const stallMilliseconds = 250;
+/** Bytes beyond the bound at which no further answer is exempt, since those that stall hold what they have. */
+const maxExcessBytes = 16 * 1024 * 1024;
 
 interface Answer {
     /** Grows with each answer that is opened. */
@@ -55,6 +59,8 @@
     readonly deadline: number;
     readonly giveUp: () => void;
     bytes: number;
+    /** Monotonic time at which it became larger. */
+    grownAt: number;
     resume: (() => void) | undefined;
 }
 
@@ -92,6 +98,7 @@
             waitingCount -= 1;
             if (totalBytes >= maxBytes) {
                 exempt = first;
+                first.grownAt = clock.monotonicNow();
             }
             resume?.();
             scheduleWake();
@@ -111,6 +118,10 @@
             return;
         }
         const now = clock.monotonicNow();
+        if (exempt && now - exempt.grownAt >= stallMilliseconds && totalBytes < maxBytes + maxExcessBytes) {
+            exempt = undefined;
+            scheduleWake();
+        }
         for (const answer of [...answers]) {
             if (answer.deadline < now && answer.bytes > 0 && !answer.resume) {
                 unread += 1;
@@ -135,6 +146,7 @@
     };
     const update = (answer: Answer, byteCount: number) => {
         if (answers.has(answer)) {
+            answer.grownAt = byteCount > answer.bytes ? clock.monotonicNow() : answer.grownAt;
             totalBytes += byteCount - answer.bytes;
             answer.bytes = byteCount;
             scheduleWake();
@@ -147,7 +159,8 @@
 
     return {
         open: (deadline, giveUp) => {
-            const answer: Answer = { number: ++lastNumber, deadline, giveUp, bytes: 0, resume: undefined };
+            const grownAt = clock.monotonicNow();
+            const answer: Answer = { number: ++lastNumber, deadline, giveUp, bytes: 0, grownAt, resume: undefined };
             answers.add(answer);
             return {
                 update: byteCount => update(answer, byteCount),
