Serve calls beside a flood of datagrams

Cause: datagrams of a sender without allowance are dropped, but reading them keeps the event loop from ever being idle. The overload guard takes such a loop for one that calls wait for.

Why it works: Node.js handles all other events after 32 datagrams, so calls are not kept waiting; the lag, which the guard measures too, shows when they are.

--- a/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createCallerServer.ts
@@ -7,7 +7,6 @@
     type ReadTurns,
     serveForwardedCall,
 } from "daisyturn/forwarding";
-import { performance } from "node:perf_hooks";
 import type { ForwardingSettings } from "./forwardingSettings.js";
 
 /** What {@link createCallerServer} needs. */
@@ -15,6 +14,8 @@
     readonly settings: Pick<ForwardingSettings, "callers">;
     readonly protocol: CallerProtocol;
     readonly parts: ForwardingParts & { readonly readTurns: ReadTurns; };
+    /** Milliseconds since the start of the process in which it was busy with work that others depend on. */
+    readonly busyMilliseconds: () => number;
     /** Whether a call that arrives now is refused without reading it, because the process is overloaded. */
     readonly shouldRefuse: () => boolean;
     /** Whether other processes can take connections beyond what this one can serve. */
@@ -25,7 +26,7 @@
 export function createCallerServer({ settings, protocol, parts, ...checks }: CallerServerOptions) {
     const { clock, eventLog, metrics, readTurns } = parts;
     const connectionGuard = createConnectionGuard({
-        busyMilliseconds: () => performance.eventLoopUtilization().active,
+        busyMilliseconds: checks.busyMilliseconds,
         hasRoomElsewhere: checks.hasRoomElsewhere,
         clock,
         eventLog,
--- a/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
+++ b/packages/daisyturn-daemon/src/forwarding/createForwardingProcess.ts
@@ -111,13 +111,15 @@
     const duties = createDuties({ ...shared, onReported });
     const { recordUsage } = duties ?? {};
     const servingParts = { ...parts, decisions, findOrigin, requestRetryLease, targetQuotas, recordUsage };
-    const sampleUtilization = createUtilizationMeter();
+    const busyMilliseconds = () => performance.eventLoopUtilization().active - peerChannel.droppedMilliseconds();
+    const sampleUtilization = createUtilizationMeter(busyMilliseconds);
     const overloadGuard = createOverloadGuard({ clock, random, eventLog, sampleUtilization });
     const isGuarded = isOn(Mechanism.OverloadGuard);
     const { server, connectionGuard } = createCallerServer({
         settings,
         protocol: adapters.callerProtocol,
         parts: servingParts,
+        busyMilliseconds,
         shouldRefuse: () => isGuarded && overloadGuard.shouldRefuse(),
         hasRoomElsewhere: () => isGuarded && hasRoomElsewhere(),
     });
@@ -233,13 +235,14 @@
     return { peerId: processId, host: peers.address, port: peers.port, availabilityZone, strength };
 }
 
-/** Creates a function that returns the utilization of the event loop since its previous call. */
-function createUtilizationMeter(): () => number {
-    let last = performance.eventLoopUtilization();
+/** Creates a function that returns the utilization of the process since its previous call, from 0 to 1. */
+function createUtilizationMeter(busyMilliseconds: () => number): () => number {
+    let lastAt = performance.now();
+    let lastBusy = busyMilliseconds();
     return () => {
-        const now = performance.eventLoopUtilization();
-        const { utilization } = performance.eventLoopUtilization(now, last);
-        last = now;
-        return utilization;
+        const [at, busy] = [performance.now(), busyMilliseconds()];
+        const utilization = at > lastAt ? (busy - lastBusy) / (at - lastAt) : 0;
+        [lastAt, lastBusy] = [at, busy];
+        return Math.max(0, Math.min(1, utilization));
     };
 }
--- a/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
+++ b/packages/daisyturn/src/connection/forwarding/openDatagramChannel.ts
@@ -8,11 +8,14 @@
 } from "../../process/forwarding/index.js";
 import type { ListenAddress } from "../caller/callerServerOptions.js";
 import { listenRetryMilliseconds } from "../listenWhenFree.js";
+import { createDroppedTime } from "./createDroppedTime.js";
 import { limitSenders } from "./limitSenders.js";
 
 /** A channel over UDP, with a function that closes its socket. */
 export interface OpenDatagramChannel {
     readonly channel: DatagramChannel;
+    /** Milliseconds since the start that were taken by datagrams that were dropped. */
+    droppedMilliseconds(): number;
     close(): void;
 }
 
@@ -31,6 +34,7 @@
 export function openDatagramChannel({ listen, clock, eventLog, metrics }: DatagramChannelOptions): OpenDatagramChannel {
     const socket = createSocket("udp4");
     const closing = new AbortController();
+    const droppedTime = createDroppedTime();
     const names = { listener: "peer datagrams", address: `${listen.address}:${listen.port}` };
     let isOpen = false;
     let isAwaited = false;
@@ -78,12 +82,13 @@
         }
 
         override onDatagram(listener: (datagram: Buffer, from: PeerAddress) => void): void {
-            const receive = limitSenders(clock, listener, recordLimited);
+            const receive = limitSenders(clock, listener, recordLimited, droppedTime.record);
             socket.on("message", (datagram, sender) => receive(datagram, { host: sender.address, port: sender.port }));
         }
     }
     return {
         channel: new UdpChannel(),
+        droppedMilliseconds: droppedTime.milliseconds,
         close: () => {
             closing.abort();
             socket.close();
