Split openTargetConnection

Change: boundAnswerReads, createTargetClient and answerEnd are modules of their own. No behaviour changes.

--- a/packages/daisyturn/src/connection/target/__fixtures__/rawConnection.ts
+++ b/packages/daisyturn/src/connection/target/__fixtures__/rawConnection.ts
@@ -2,8 +2,9 @@
 import type { Result } from "true-myth/result";
 import type { ConnectionBreak } from "../../../process/forwarding/index.js";
 import { createReadTurns } from "../../bytes/createReadTurns.js";
+import type { AnswerEnd } from "../answerEnd.js";
 import { openSocket } from "../openSocket.js";
-import { type AnswerEnd, openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
+import { openTargetConnection, type TargetConnection } from "../openTargetConnection.js";
 
 /** What came of one call. */
 export interface Exchange {
--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -4,7 +4,8 @@
 import { test } from "node:test";
 import { type Exchange, exchange, openRawConnection } from "../__fixtures__/rawConnection.js";
 import { type RawTarget, startRawTarget } from "../__fixtures__/rawTarget.js";
-import { AnswerEnd, type TargetConnection } from "../openTargetConnection.js";
+import { AnswerEnd } from "../answerEnd.js";
+import type { TargetConnection } from "../openTargetConnection.js";
 
 const cancellation = notRun(FailureReason.Cancelled, "cancelled by the test");
 
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -1,15 +1,16 @@
 import { type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import type { Socket } from "node:net";
 import { err, ok, type Result } from "true-myth/result";
-import { Client, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import type { HeaderFields, IncomingFields, OutgoingHead } from "../../ports/forwardedCall.js";
-import { ByteSource, ConnectionBreak } from "../../process/forwarding/index.js";
-import { type BoundReads, boundReads } from "../bytes/boundReads.js";
+import { ConnectionBreak } from "../../process/forwarding/index.js";
 import { createChunkBatch } from "../bytes/createChunkBatch.js";
 import type { ReadTurns } from "../bytes/createReadTurns.js";
+import { AnswerEnd, determineEnd } from "./answerEnd.js";
+import { type AnswerReads, boundAnswerReads } from "./boundAnswerReads.js";
+import { createTargetClient } from "./createTargetClient.js";
 import type { DialedConnection } from "./createTargetDialer.js";
 import { createInterimAnswers, isInterim } from "./interimAnswers.js";
-import { isChunked } from "./isChunked.js";
 import { isReset } from "./isReset.js";
 import { readPastContinue } from "./readPastContinue.js";
 import { resetConnection } from "./resetConnection.js";
@@ -27,14 +28,6 @@
     mayRead?(resume: () => void): boolean;
 }
 
-/** What showed that an answer was complete. */
-export enum AnswerEnd {
-    /** Its length or its last chunk. */
-    Framed = "framed",
-    /** The close of its connection, which a target that ends closes in the same way. */
-    ConnectionClosed = "connection_closed",
-}
-
 /** How much of a request a process had sent when it gave up the send. */
 export enum AbandonedSend {
     NotSent = "not_sent",
@@ -90,17 +83,6 @@
     readonly onClosed: () => void;
 }
 
-/**
- * Used where a target states no idle timeout. Targets state it in whole seconds, so one that states none may close an
- * idle connection within a second.
- */
-const defaultIdleMilliseconds = 400;
-const maxIdleMilliseconds = 20_000;
-/** More than the head of an answer, and than the framing of chunks that arrive together. */
-const maxUndeliveredBytes = 512 * 1024;
-/** Subtracted from the stated idle timeout, so that no call is sent while the target closes the connection. */
-const idleMarginMilliseconds = 300;
-
 /** Opens a connection. Calls that are sent before it is established wait for it. */
 export function openTargetConnection(options: TargetConnectionOptions): TargetConnection {
     const { now } = options;
@@ -136,7 +118,7 @@
             done(noError, socket);
         });
 
-    const client = createClient(options.address, connectSocket as never);
+    const client = createTargetClient(options.address, connectSocket as never);
 
     const close = () => {
         if (isAlive) {
@@ -274,40 +256,6 @@
     };
 }
 
-function createClient(address: string, connect: Client.Options["connect"]): Client {
-    return new Client(`http://${address}`, {
-        connect,
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        keepAliveTimeout: defaultIdleMilliseconds,
-        keepAliveMaxTimeout: maxIdleMilliseconds,
-        keepAliveTimeoutThreshold: idleMarginMilliseconds,
-    });
-}
-
-interface AnswerReads extends BoundReads {
-    /** Records that all bytes so far belong to the request before, or to the head or the body of a final answer. */
-    recordDelivered(): void;
-}
-
-/** Bounds the reads of a connection. The parser bounds neither the text of a status line nor the extensions of chunks. */
-function boundAnswerReads(opened: Socket, turns: ReadTurns, beforeRead: () => boolean): AnswerReads {
-    let undeliveredBytes = 0;
-    const onRead = (byteCount: number) => {
-        undeliveredBytes += byteCount;
-        if (undeliveredBytes > maxUndeliveredBytes) {
-            opened.destroy(new Error("The target sends bytes that are no answer."));
-        }
-    };
-    return {
-        ...boundReads(opened, turns, ByteSource.Target, { beforeRead, onRead }),
-        recordDelivered: () => {
-            undeliveredBytes = 0;
-        },
-    };
-}
-
 function describeSent(heldBytes: number): AbandonedSend {
     return heldBytes > 0 ? AbandonedSend.PartlySent : AbandonedSend.Sent;
 }
@@ -335,13 +283,6 @@
     return err(failure);
 }
 
-function determineEnd(method: string, status: number, fields: IncomingFields): AnswerEnd {
-    const isBodyless = method === "HEAD" || status === 204 || status === 304;
-    return isBodyless || isChunked(fields["transfer-encoding"]) || fields["content-length"] !== undefined
-        ? AnswerEnd.Framed
-        : AnswerEnd.ConnectionClosed;
-}
-
 /** Prefers the error code, because a message may contain text that a caller wrote. */
 function describe(error: Error & { code?: string; }): string {
     return error.code ?? error.message.slice(0, 60);
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -1,8 +1,9 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { createByteCollector } from "../../../connection/bytes/createByteCollector.js";
+import { AnswerEnd } from "../../../connection/target/answerEnd.js";
 import { ConnectionPolicy } from "../../../connection/target/createTargetConnections.js";
-import { AbandonedSend, AnswerEnd } from "../../../connection/target/openTargetConnection.js";
+import { AbandonedSend } from "../../../connection/target/openTargetConnection.js";
 import type { ReplyHead } from "../../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import type { CallContext } from "../callContext.js";
