--- a/packages/daisyturn/src/connection/target/boundAnswerReads.ts
+++ b/packages/daisyturn/src/connection/bytes/boundAnswerReads.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 import { ByteSource } from "../../process/forwarding/index.js";
-import { type BoundReads, boundReads } from "../bytes/boundReads.js";
-import type { ReadTurns } from "../bytes/createReadTurns.js";
+import { type BoundReads, boundReads } from "./boundReads.js";
+import type { ReadTurns } from "./createReadTurns.js";
 
 /** Reads of a connection to a target that are bounded. */
 export interface AnswerReads extends BoundReads {
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -3,14 +3,10 @@
 import { ConnectionBreak, type TargetLinks } from "../../process/forwarding/index.js";
 import type { ReadTurns } from "../bytes/createReadTurns.js";
 import type { ReadBarrier } from "../createReadBarrier.js";
+import type { AnswerEnd } from "./answerEnd.js";
 import { createSpareSockets } from "./createSpareSockets.js";
 import type { DialedConnection, TargetDialer } from "./createTargetDialer.js";
-import {
-    type AnswerEnd,
-    openTargetConnection,
-    type TargetConnection,
-    type TargetSend,
-} from "./openTargetConnection.js";
+import { openTargetConnection, type TargetConnection, type TargetSend } from "./openTargetConnection.js";
 import { ProbeResult } from "./probeAddress.js";
 
 /** Which open connections may be reused for a call. */
