A connection to a target carries no call twice

Callers saw 503, which promises that a call has not run and never will, for a call that was running.

Cause: a target may send an answer once more, where the next answer on the connection is due. The identifier in it names the call, not the send. If a refused call came again and was sent over the connection of its refusal, the copy of the refusal was taken for its answer.

Change: the pool retains the identifiers of the calls that a connection has carried and does not choose it for one of them again, so that the identifier always tells. A connection whose identifiers exceed 8,192 characters together is not reused. target_answered names the connection.

--- a/packages/daisyturn/src/connection/target/__fixtures__/rawConnection.ts
+++ b/packages/daisyturn/src/connection/target/__fixtures__/rawConnection.ts
@@ -18,6 +18,7 @@
 export function openRawConnection(address: string, onBroken?: (how: ConnectionBreak) => void): TargetConnection {
     return openTargetConnection({
         address,
+        connectionNumber: 1,
         now: () => performance.now(),
         turns: createReadTurns(),
         dial: async () => {
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -37,6 +37,8 @@
 const recentAnswerMilliseconds = 250;
 /** Idle connections retained for each target. More would only accumulate after a load peak. */
 const maxIdleConnections = 8;
+/** Characters of the identifiers that are retained for each connection, which is not reused after that. */
+const maxIdentifierCharacters = 8_192;
 
 /** Learns what the connections show of the targets at an address. */
 export interface ConnectionObserver {
@@ -46,6 +48,13 @@
     recordOpened(address: string, dialedAt: number): void;
 }
 
+/** The calls that one connection has carried. */
+interface CarriedCalls {
+    readonly callIds: Set<string>;
+    /** The length of all identifiers together. */
+    characters: number;
+}
+
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
 export function createTargetConnections(
     clock: Clock,
@@ -57,13 +66,15 @@
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
     const spareSockets = createSpareSockets(recentAnswerMilliseconds);
+    const carriedCalls = new WeakMap<TargetConnection, CarriedCalls>();
+    let connectionCount = 0;
 
     /** Prefers the most recently used connection, which most likely still works; surplus ones idle until they close. */
-    const acquire = (address: string, policy: ConnectionPolicy): TargetConnection => {
+    const acquire = (address: string, policy: ConnectionPolicy, callId: string | undefined): TargetConnection => {
         const idle = idleByAddress.get(address) ?? [];
         for (let index = idle.length - 1; index >= 0; index--) {
             const candidate = idle[index];
-            if (candidate?.isAlive() && isReusable(address, candidate, policy)) {
+            if (candidate?.isAlive() && !hasCarried(candidate, callId) && isReusable(address, candidate, policy)) {
                 idle.splice(index, 1);
                 return candidate;
             }
@@ -71,6 +82,22 @@
         return open(address);
     };
 
+    /**
+     * A target may send an answer once more, where the next one is due. Its identifier tells it apart, unless the same call
+     * is under way again on the same connection.
+     */
+    const hasCarried = (connection: TargetConnection, callId: string | undefined) =>
+        callId !== undefined && carriedCalls.get(connection)?.callIds.has(callId) === true;
+
+    const recordCarried = (connection: TargetConnection, callId: string | undefined) => {
+        if (callId !== undefined) {
+            const carried = carriedCalls.get(connection) ?? { callIds: new Set(), characters: 0 };
+            carried.callIds.add(callId);
+            carried.characters += callId.length;
+            carriedCalls.set(connection, carried);
+        }
+    };
+
     /**
      * A connection over a lost link may have fallen silent, and a peer may close one that it carries. While any link is
      * lost, others may be too.
@@ -102,6 +129,7 @@
     const open = (address: string): TargetConnection => {
         const connection = openTargetConnection({
             address,
+            connectionNumber: ++connectionCount,
             now: () => clock.monotonicNow(),
             turns,
             dial: async () => {
@@ -147,7 +175,9 @@
 
     const release = (address: string, connection: TargetConnection) => {
         const idle = idleByAddress.get(address) ?? [];
-        if (!connection.isAlive() || idle.length >= maxIdleConnections) {
+        const characters = carriedCalls.get(connection)?.characters ?? 0;
+        const mayCarryMore = connection.isAlive() && characters < maxIdentifierCharacters;
+        if (!mayCarryMore || idle.length >= maxIdleConnections) {
             connection.close();
             return;
         }
@@ -167,7 +197,8 @@
 
     return {
         send: async (address, policy, send) => {
-            const connection = acquire(address, policy);
+            const connection = acquire(address, policy, send.callId);
+            recordCarried(connection, send.callId);
             dialer.retryLink(address);
             const result = await connection.send(send);
             if (result.isOk) {
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -37,8 +37,20 @@
     Sent = "sent",
 }
 
+/** The connection by which a call is sent. */
+export interface StartedSend {
+    /** The peer that carries the connection; undefined for a direct one. */
+    readonly relayId: string | undefined;
+    /** Monotonic time since which the connection has been open. */
+    readonly openedAt: number;
+    /** Identifies the connection in the logs of its process. */
+    readonly connectionNumber: number;
+}
+
 /** One send over one connection. */
 export interface TargetSend {
+    /** Identifier that the answer bears; undefined if it bears none. */
+    readonly callId?: string;
     readonly head: OutgoingHead;
     readonly body: Buffer | undefined;
     readonly sink: AnswerSink;
@@ -46,12 +58,8 @@
     readonly signal: AbortSignal;
     /** Called right before the call is sent, perhaps after a connection was opened. A failure prevents the send. */
     readonly checkStart?: () => Failure | undefined;
-    /**
-     * Called when the call is sent.
-     * @param relayId the peer that carries the connection; undefined for a direct one
-     * @param openedAt monotonic time since which the connection has been open
-     */
-    readonly onStarted?: (relayId: string | undefined, openedAt: number) => void;
+    /** Called when the call is sent. */
+    readonly onStarted?: (started: StartedSend) => void;
     /** Called when the send is abandoned, with the number of bytes that the process still held. */
     readonly onAbandoned?: (progress: AbandonedSend, heldBytes: number) => void;
 }
@@ -73,6 +81,8 @@
 export interface TargetConnectionOptions {
     /** IP number and port. */
     readonly address: string;
+    /** Identifies the connection in the logs of its process. */
+    readonly connectionNumber: number;
     readonly now: () => number;
     readonly dial: () => Promise<Result<DialedConnection, Failure>>;
     /** The turns that all connections of the process share. */
@@ -85,7 +95,7 @@
 
 /** Opens a connection. Calls that are sent before it is established wait for it. */
 export function openTargetConnection(options: TargetConnectionOptions): TargetConnection {
-    const { now } = options;
+    const { now, connectionNumber } = options;
     let socket: Socket | undefined;
     let relayId: string | undefined;
     let openedAt = Infinity;
@@ -196,7 +206,7 @@
                     controller = started;
                     prepareRead = () => deliverBatch() && (isSettled || mayReadMore());
                     reads?.renew();
-                    onStarted?.(relayId, openedAt);
+                    onStarted?.({ relayId, openedAt, connectionNumber });
                 },
                 onResponseStart: (started, status, fields) => {
                     if (isInterim(status)) {
--- a/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/tunnels.test.ts
@@ -88,6 +88,7 @@
     state.fault = LinkFault.Refused;
     const connection = openTargetConnection({
         address: target.address,
+        connectionNumber: 1,
         now: () => performance.now(),
         turns: createReadTurns(),
         dial: () => dialer.dial(target.address),
--- a/packages/daisyturn/src/request/forwarding/sending/callAttempt.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/callAttempt.ts
@@ -1,3 +1,4 @@
+import type { StartedSend } from "../../../connection/target/openTargetConnection.js";
 import type { ReplyHead, SendTerms } from "../../../ports/forwardedCall.js";
 import type { ListedTarget } from "../../../ports/listedTarget.js";
 import { type CallCost, SendPart } from "../../../process/forwarding/index.js";
@@ -28,10 +29,8 @@
 
 /** The connection over which a call is sent. */
 export interface SendRoute {
-    /** Whether the call was sent, so that it may have reached the target. */
-    isStarted: boolean;
-    /** The peer that carries the connection; undefined for a direct one, and before the call is sent. */
-    relayId?: string;
+    /** Set once the call is sent, so that it may have reached the target. */
+    started?: StartedSend;
     /** Whether the connection is a direct one over a link that is lost. */
     readonly isLinkLost: () => boolean;
 }
--- a/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/recordSend.ts
@@ -44,14 +44,15 @@
     parts: ForwardingParts,
     context: CallContext,
     { target }: CallAttempt,
-    { relayId }: SendRoute,
+    { started }: SendRoute,
     head: ReplyHead | undefined,
     result: Result<void, Failure>,
 ): void {
     parts.metrics.recordSend(result.isErr ? result.error.reason : head?.isNotRun ? "not_run" : "answered");
     context.trace.record(EventKind.TargetAnswered, {
         target: target.targetId,
-        relay: relayId,
+        relay: started?.relayId,
+        connection: started?.connectionNumber,
         status: head?.status,
         isNotRun: head?.isNotRun,
         load: head?.load && `${head.load.running}+${head.load.waiting}/${head.load.slots}`,
@@ -110,7 +111,7 @@
     if (outcome.isErr && outcome.error.reason === FailureReason.LinkFailed) {
         parts.health.record(targetId, TargetEvidence.LinkFailed);
     }
-    else if (outcome.isErr && (route.relayId !== undefined || route.isLinkLost())) {
+    else if (outcome.isErr && (route.started?.relayId !== undefined || route.isLinkLost())) {
         // The connection may have broken on its way to the target.
         return;
     }
--- a/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
+++ b/packages/daisyturn/src/request/forwarding/sending/sendToTarget.ts
@@ -79,8 +79,7 @@
     const wait = health.beginWait(target.targetId, context.service.engine !== undefined);
     const endRun = parts.crashGuard.beginRun(target, context.guarded);
     const route: SendRoute = {
-        isStarted: false,
-        isLinkLost: () => !route.relayId && parts.links.isLost(target.address),
+        isLinkLost: () => !route.started?.relayId && parts.links.isLost(target.address),
     };
     const silenceWatch = watchSilence({
         clock,
@@ -107,12 +106,12 @@
         attempt.onFirstByte?.();
     };
     let dispatch: Dispatch | undefined;
-    let connectionOpenedAt = Infinity;
     const sentAt = clock.monotonicNow();
     const sent = await parts.connections.send(
         target.address,
         attempt.isRepeatable ? ConnectionPolicy.Reuse : ConnectionPolicy.RecentlyVerified,
         {
+            callId: context.call.callId,
             head: protocol.encodeCall(context.call, {
                 ...attempt.terms,
                 targetName: target.name,
@@ -125,13 +124,11 @@
                 dispatch = stopped ? undefined : context.exchange.gate.begin(!attempt.terms.prefillOnly);
                 return dispatch ? undefined : stopped ?? answeredFailure;
             },
-            onStarted: (relayId, openedAt) => {
-                route.isStarted = true;
-                connectionOpenedAt = openedAt;
-                context.isTargetConfirmed = parts.continuity.isConfirmed(target.targetId, openedAt);
-                route.relayId = relayId;
+            onStarted: started => {
+                route.started = started;
+                context.isTargetConfirmed = parts.continuity.isConfirmed(target.targetId, started.openedAt);
                 run?.start();
-                if (relayId !== undefined) {
+                if (started.relayId !== undefined) {
                     // The silence of a peer is not that of the target.
                     wait.end();
                     parts.metrics.recordRelayedSend();
@@ -157,7 +154,7 @@
                 },
                 onChunk: chunk => {
                     health.recordBytesReceived(target.targetId);
-                    parts.continuity.recordBytesReceived(target.targetId, connectionOpenedAt);
+                    parts.continuity.recordBytesReceived(target.targetId, route.started?.openedAt ?? Infinity);
                     parts.crashGuard.recordBytesReceived(target.targetId);
                     silenceWatch.recordBytesReceived();
                     reply.bytes += chunk.length;
@@ -193,7 +190,7 @@
     if (outcome.isErr && outcome.error.verdict === ExecutionVerdict.NotRun) {
         dispatch?.markNotRun();
     }
-    endArrival(parts, context, attempt, arrival, route.isStarted ? outcome : undefined);
+    endArrival(parts, context, attempt, arrival, route.started ? outcome : undefined);
     recordEvidence(parts, context, attempt, route, outcome, silenceWatch.isSilent());
     endRun(determineRunEnd(context, attempt, outcome, silenceWatch.isSilent()));
     return outcome;
@@ -202,12 +199,12 @@
 /** Streams last as long as their events do, and the way over a peer takes longer than the target's work. */
 function isMeasurable(
     { onChunk }: CallAttempt,
-    { isStarted, relayId }: SendRoute,
+    { started }: SendRoute,
     head: ReplyHead | undefined,
     result: Result<void, Failure>,
 ): boolean {
     const isSuccess = result.isOk && head !== undefined && head.status < minFailureStatus;
-    return isSuccess && isStarted && relayId === undefined && onChunk === undefined;
+    return isSuccess && started !== undefined && started.relayId === undefined && onChunk === undefined;
 }
 
 /** Bounds the bytes of an answer that wait for its end, or for that of an event, or that nobody reads. */
@@ -260,7 +257,7 @@
 async function checkEnd(
     { connections }: ForwardingParts,
     { target, isWhole = () => true }: CallAttempt,
-    { relayId }: SendRoute,
+    { started }: SendRoute,
     sent: Result<AnswerEnd, Failure>,
 ): Promise<Result<void, Failure>> {
     if (sent.isErr || sent.value === AnswerEnd.Framed) {
@@ -269,7 +266,7 @@
     if (!isWhole()) {
         return err(mayHaveRun(FailureReason.TargetFailed, "The connection closed inside an event."));
     }
-    return await connections.confirmListening(target.address, relayId)
+    return await connections.confirmListening(target.address, started?.relayId)
         ? ok(undefined)
         : err(mayHaveRun(FailureReason.TargetFailed, "The target ended as it closed its answer."));
 }
