Close the connection of a refusal to an engine of the own interface

A request could be answered as not run, and be repeated elsewhere, while its engine ran it.

Cause: a refusal of the own interface (503 with a verdict) names no request. If an engine sends it once more, the next request on the connection takes the copy for its answer.

Plain services are not affected: each send has an identifier of its own, which the answer must name.

Change: the client of a connection to a target closes it after an answer with status 503, so that a copy reaches no other request.

--- a/packages/daisyturn/src/ports/http/refusal.ts
+++ b/packages/daisyturn/src/ports/http/refusal.ts
@@ -14,7 +14,7 @@
 export type Refusal = z.infer<typeof refusalSchema>;
 
 /** Status of a refusal by a target that did not run the request. */
-const notRunStatus = 503;
+export const notRunStatus = 503;
 
 /** Converts an error answer to a failure. Only status 503 with a NotRun refusal proves that the request did not run. */
 export function parseErrorAnswer(status: number, body: string): Failure {
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -1,12 +1,13 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth/result";
-import { Agent, buildConnector, type Dispatcher } from "undici";
+import { Agent, buildConnector, Client, type Dispatcher, Pool } from "undici";
 import { boundReads } from "../../connection/bytes/boundReads.js";
 import { createReadTurns, type ReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 import { ByteSource } from "../../process/forwarding/index.js";
+import { notRunStatus } from "./refusal.js";
 
 const connectTimeoutMilliseconds = 2_000;
 /** Shorter than the time after which targets close idle connections. */
@@ -30,6 +31,7 @@
     const connect = dial ? createConnector(dial) : createDirectConnector();
     return new Agent({
         pipelining: 1,
+        factory: (origin, options) => new Pool(origin, { ...options as Pool.Options, factory: createRefusableClient }),
         connect: prepareReads(connect, createReadTurns()),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
@@ -38,6 +40,51 @@
     });
 }
 
+/**
+ * Creates the client of one connection, which is closed after a refusal. A target may send a refusal once more, and nothing
+ * in it tells to which request it belongs.
+ */
+function createRefusableClient(origin: URL, options: object): Dispatcher {
+    const clientOptions = options as Client.Options;
+    const connect = clientOptions.connect as buildConnector.connector;
+    let opened: Socket | undefined;
+    const client = new Client(origin, {
+        ...clientOptions,
+        connect: (target, callback) =>
+            connect(target, (...[error, socket]) => {
+                if (error) {
+                    callback(error, nothing);
+                    return;
+                }
+                opened = socket;
+                callback(nothing, socket);
+            }),
+    });
+    return client.compose(dispatch => (request, handler) =>
+        dispatch(request, closeAfterRefusal(handler, () => opened?.destroy()))
+    );
+}
+
+function closeAfterRefusal(handler: Dispatcher.DispatchHandler, close: () => void): Dispatcher.DispatchHandler {
+    let isRefused = false;
+    return {
+        onRequestStart: (...parameters) => handler.onRequestStart?.(...parameters),
+        onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
+        onResponseStart: (controller, status, ...parameters) => {
+            isRefused = status === notRunStatus;
+            handler.onResponseStart?.(controller, status, ...parameters);
+        },
+        onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
+        onResponseEnd: (...parameters) => {
+            handler.onResponseEnd?.(...parameters);
+            if (isRefused) {
+                close();
+            }
+        },
+        onResponseError: (...parameters) => handler.onResponseError?.(...parameters),
+    };
+}
+
 /** Reads past 100 answers and bounds the time that each connection takes of a turn of the event loop, also over TLS. */
 function prepareReads(connect: buildConnector.connector, turns: ReadTurns): buildConnector.connector {
     return (options, callback) =>
