Close a connection whose release of a KV cache gets a call's answer

A call failed, or was read a second time at another engine, because it took the answer to the release of a KV cache for its own.

Cause: a release names no call, and any answer was accepted for it. If the engine sent the answer to an earlier call once more, the release took the copy, and its own answer arrived where the next call's was due.

Change: an answer that names a call is not the one to a release; the connection is closed with it.

--- a/packages/daisyturn/src/request/forwarding/runPromptCall.ts
+++ b/packages/daisyturn/src/request/forwarding/runPromptCall.ts
@@ -1,7 +1,7 @@
 import { EventKind, ExecutionVerdict, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
 import { err, ok, type Result } from "true-myth/result";
 import { ConnectionPolicy } from "../../connection/target/createTargetConnections.js";
-import type { KvSource, PromptDescription } from "../../ports/forwardedCall.js";
+import type { IncomingFields, KvSource, PromptDescription } from "../../ports/forwardedCall.js";
 import { EngineStage, type ListedTarget } from "../../ports/listedTarget.js";
 import {
     countSharedTokens,
@@ -35,6 +35,7 @@
 const maxWaitFraction = 0.25;
 /** A release that takes longer is abandoned; the KV cache then expires at the engine. */
 const releaseTimeoutMilliseconds = 500;
+const foreignAnswerFailure = mayHaveRun(FailureReason.TargetFailed, "The answer belongs to a call.");
 const releaseTimeoutFailure = notRun(FailureReason.DeadlinePassed, "The engine did not free the KV cache in time.");
 
 /**
@@ -248,7 +249,10 @@
 function releaseKv(parts: ForwardingParts, context: CallContext, source: KvSource): void {
     const controller = new AbortController();
     const timer = setTimeout(() => controller.abort(releaseTimeoutFailure), releaseTimeoutMilliseconds);
-    const sink = { onHead: () => undefined, onChunk: () => undefined };
+    // The answer to a release names no call. One that does was sent once more, and that of the release is still to come.
+    const onHead = (status: number, fields: IncomingFields) =>
+        parts.protocol.readHead(status, fields).callId === undefined ? undefined : foreignAnswerFailure;
+    const sink = { onHead, onChunk: () => undefined };
     const send = {
         head: parts.protocol.encodeKvRelease(source.handle),
         body: undefined,
