Close the longest idle connection of a port beside that for callers

A client that held 64 idle connections to the readiness port kept the balancer's probe out, and with it all new callers.

Change: beyond the bound, the connection that has been without a request for longest is closed for the new one; a connection with a request under way is never closed for another.

--- a/packages/daisyturn/src/connection/caller/reads/paceServer.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceServer.ts
@@ -4,6 +4,7 @@
 import type { ByteSource } from "../../../process/forwarding/index.js";
 import type { ReadTurns } from "../../bytes/createReadTurns.js";
 import { type CallerConnection, createCallerConnection } from "../callerConnection.js";
+import { limitConnections } from "./limitConnections.js";
 import { paceReads, ReadLimit } from "./paceReads.js";
 
 /** More than a balancer, a scraper and some operators keep open. */
@@ -14,7 +15,7 @@
 /** Bounds what the connections of a server beside that for callers take of the process, as {@link paceReads} does for callers. */
 export function paceServer(server: Server, turns: ReadTurns, source: ByteSource, connectionEvent = "connection"): void {
     const connections = new WeakMap<Duplex, CallerConnection>();
-    server.maxConnections = maxConnections;
+    limitConnections(server, maxConnections);
     server.on(connectionEvent, (socket: Socket) => {
         const requests = createCallerConnection(socket);
         connections.set(socket, requests);
