--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -40,7 +40,9 @@
 }
 
 /** Starts the deployment; `startWorkers` adds the workers before the entries start. */
-export async function startDeployment({ tools, machines = [1, 2, 3], startWorkers, isLogged, configuration, more = {} }) {
+export async function startDeployment(
+    { tools, machines = [1, 2, 3], startWorkers, isLogged, configuration, more = {}, zoneOf = machine => `zone-${machine}` },
+) {
     const { record, onClose, waitFor } = tools;
     const store = createStore();
     const network = await createNetwork(machines);
@@ -55,7 +57,7 @@
         const host = network.selfHost(machine);
         const settings = {
             ...{ nodeName: `front-${machine}`, role: "entry", machineClass: "front", serves: "front" },
-            ...{ ip: host, zone: `zone-${machine}`, region: "region-1" },
+            ...{ ip: host, zone: zoneOf(machine), region: "region-1" },
             "listenAddrs.front": `${host}:${network.ports.callers}`,
             "listenAddrs.ready": `${host}:${network.ports.readiness}`,
             internalPorts: `${network.ports.peers},${network.ports.peers}`,
--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -15,6 +15,7 @@
     const waiting = new Set();
     const startedAt = performance.now();
     let version = 0;
+    let answerMilliseconds = 4;
 
     const write = (row, value) => {
         const { table, part = "", key } = row;
@@ -104,6 +105,10 @@
             transact({ puts: [{ table, key, value: Buffer.from(JSON.stringify(value)).toString("base64") }] }),
         remove: (table, key) => transact({ remove: [{ table, key }] }),
         /** Returns the value of a row; undefined if there is none. */
+        setAnswerTime: milliseconds => {
+            answerMilliseconds = milliseconds;
+        },
+        answerTime: () => answerMilliseconds,
         read: (table, key) => {
             const row = rows.get(nameRow({ table, key }));
             return row && JSON.parse(Buffer.from(row.value, "base64").toString("utf8"));
@@ -138,6 +143,7 @@
             body = JSON.stringify(call);
         }
         const answer = await store.handle(incoming.method, incoming.url, body);
+        await new Promise(resolve => setTimeout(resolve, store.answerTime()));
         if (answer.body.rows) {
             answer.body.rows = answer.body.rows.map(row => rewrite(row, translate.outward));
         }
