--- a/review/lib-2/workers.js
+++ b/review/lib-2/workers.js
@@ -217,7 +217,7 @@
  * and the headers that each answer has
  */
 export async function startPlainWorker(options) {
-    const { network, store, number, service, zone, slots = 6 } = options;
+    const { network, store, number, service, zone, slots = 6, version = "v1" } = options;
     const id = `i-${randomBytes(4).toString("hex")}`;
     const answer = async (incoming, outgoing, body, machine) => {
         if (incoming.headers["x-expect-instance"] !== undefined && incoming.headers["x-expect-instance"] !== id) {
@@ -234,7 +234,7 @@
     };
     const { port, onOpened, close } = await listen(answer);
     const { address, links } = await network.addWorker(number, port, { ...options.link, onOpened });
-    const describe = () => ({ service, address, zone, version: "v1", slots, state: "ready", coldLeftMs: 0 });
+    const describe = () => ({ service, address, zone, version, slots, state: "ready", coldLeftMs: 0 });
     const entry = keepEntry(store, id, describe);
     entry.begin();
     return {
