Review: the cases name the records that they write

Cause: the name of the record stood in the shared script only. Change: each case names its record.txt.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -119,4 +119,4 @@
     );
 }
 
-await runScript(fileURLToPath(new URL(".", import.meta.url)), play);
+await runScript(fileURLToPath(new URL("record.txt", import.meta.url)), play);
--- a/review/lib-2/script.js
+++ b/review/lib-2/script.js
@@ -1,6 +1,5 @@
 // Runs the script of one case: records what happens, bounds its time, and ends with the exit code of its result.
 import { rmSync, writeFileSync, appendFileSync } from "node:fs";
-import { join } from "node:path";
 
 const maxMilliseconds = 110_000;
 
@@ -8,11 +7,10 @@
 export class CannotRun extends Error {}
 
 /**
- * Runs `play`, which returns descriptions of the violations that it has seen. Its functions: `record` writes a line,
+ * Runs `play` and records it in `file`. `play` returns descriptions of the violations that it has seen. Its functions: `record` writes a line,
  * `onClose` registers what is ended afterwards, `waitFor` waits for a condition, and `sleep` for a time.
  */
-export async function runScript(folder, play) {
-    const file = join(folder, "record.txt");
+export async function runScript(file, play) {
     rmSync(file, { force: true });
     writeFileSync(file, "");
     const startedAt = performance.now();
