Read no request after the last look at what is running

What callers saw: of some 5,800 requests around 30 stops, 1 to 7 were run by a target and their connections closed without an answer. They came on connections that had been opened up to a second ahead.

Cause: the drain looked once whether a request was running, and then closed the port and the connections that Node.js counts as idle. A connection without any request so far is not among these. Requests on it were still passed on while the process handed over its duties and left the table of peers, and the process exited without looking again.

Evidence: lines added to a scratch copy show the drain's end with nothing running, then twelve requests that begin while the peer entry is removed, then the exit. Logs show process_stopped with running=0 and process_ended 7 to 14 ms later.

Change: the port and every connection without a request under way are closed in one turn of the event loop, and nothing that is read later is served. The drain then waits for a request that came in between. No time limit is changed.

Why it works: after the look, no socket is left from which a request could be read, however long the process takes to leave.

--- a/packages/daisyturn/src/connection/caller/createCallerListener.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerListener.ts
@@ -9,6 +9,16 @@
 import type { ListenerLog } from "./createListenerLog.js";
 import { paceReads, ReadLimit } from "./reads/paceReads.js";
 
+/** A port for callers and the connections that it has accepted. */
+export interface CallerListener {
+    readonly server: Server;
+    /**
+     * Accepts no more connections and reads no more requests, from this call on. A connection without a request under way is
+     * closed at once, with whatever it has not read; every other one after its last answer.
+     */
+    endService(): void;
+}
+
 /** Handles one request. */
 export type RequestListener = (
     incoming: IncomingMessage,
@@ -35,7 +45,7 @@
     log: ListenerLog,
     turns: ReadTurns,
     listener: RequestListener,
-): Server {
+): CallerListener {
     const httpOptions = {
         maxHeaderSize: limits.maxHeaderBytes,
         headersTimeout: limits.headerMilliseconds,
@@ -52,7 +62,8 @@
             handshakeTimeout: limits.headerMilliseconds,
         })
         : createPlainServer(httpOptions);
-    const connections = new WeakMap<Duplex, CallerConnection>();
+    const connections = new Map<Duplex, CallerConnection>();
+    let isEnded = false;
     /** Connections that sent bytes from which no request could be read. */
     const refused = new WeakSet<Duplex>();
 
@@ -63,6 +74,7 @@
         }
         const connection = createCallerConnection(socket);
         connections.set(socket, connection);
+        socket.once("close", () => connections.delete(socket));
         return connection;
     };
 
@@ -99,6 +111,10 @@
     };
 
     const pace = (socket: Socket) => {
+        if (isEnded) {
+            socket.destroy();
+            return;
+        }
         const requests = findConnection(socket);
         const onLimit = (limit: ReadLimit) => {
             log.recordReadLimit(socket, limit);
@@ -117,5 +133,17 @@
     server.on("request", listen);
     server.on("checkContinue", listen);
     server.on("clientError", handleProtocolError);
-    return server;
+
+    const endService = () => {
+        isEnded = true;
+        server.close();
+        for (const [socket, connection] of connections) {
+            // Bytes that were read before may still reach the parser, also after the connection is destroyed.
+            connection.endService();
+            if (!connection.isAnswering()) {
+                socket.destroy();
+            }
+        }
+    };
+    return { server, endService };
 }
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -103,7 +103,7 @@
         refuseExchange(parts, exchange, failure);
     };
 
-    const server = createCallerListener(
+    const { server } = createCallerListener(
         options.tls,
         limits,
         createListenerLog({ eventLog }),
--- a/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
+++ b/packages/daisyturn/src/connection/caller/reads/__tests__/paceReads.test.ts
@@ -20,7 +20,7 @@
     const unanswered: (() => void)[] = [];
     const limits: string[] = [];
     const log = createListenerLog({ eventLog: new MemoryEventLog(), recordReadLimit: limit => limits.push(limit) });
-    const server = createCallerListener(
+    const { server } = createCallerListener(
         undefined,
         defaultCallerLimits,
         log,
--- a/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
+++ b/packages/daisyturn/src/connection/forwarding/createForwardServer.ts
@@ -1,5 +1,5 @@
 import { type Clock, EventKind, type EventLog, type Failure, FailureReason, mayHaveRun, notRun } from "daisyturn-utils";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerProtocol, ForwardedCall } from "../../ports/forwardedCall.js";
 import { ByteSource, type ConnectionGuard, type ForwardingMetrics } from "../../process/forwarding/index.js";
@@ -25,9 +25,9 @@
     /** Applies new limits. Open connections keep the limits of their last request. */
     setLimits(limits: ForwardLimits): void;
     /**
-     * Stops gracefully. Requests are still accepted, unless they may last beyond the deadline, and each connection is
-     * closed after its answer. Running requests are completed; at the deadline those that are left are ended, and their
-     * callers are told whether they may have run.
+     * Stops gracefully. Requests are still accepted until none is running, unless they may last beyond the deadline, and each
+     * connection is closed after its answer. At the deadline the running requests are ended, and their callers are told
+     * whether they may have run. No request is served any more once this resolves.
      * @param deadline monotonic time at which running requests are ended
      */
     drain(deadline: number): Promise<void>;
@@ -192,13 +192,14 @@
         recordUnreadable: status => options.metrics.recordUnreadable(status),
         recordReadLimit: limit => options.metrics.recordReadLimit(ByteSource.Caller, limit),
     });
-    const server: Server = createCallerListener(
+    const callerListener = createCallerListener(
         undefined,
         { ...defaultCallerLimits, maxHeaderBytes: listenerHeaderBytes },
         listenerLog,
         options.readTurns,
         (incoming, outgoing, connection) => void serveRequest(incoming, outgoing, connection),
     );
+    const { server } = callerListener;
 
     server.on("connection", (socket: Socket) => {
         if (options.connectionGuard.shouldClose()) {
@@ -225,11 +226,12 @@
         // Requests on new connections still arrive if the load balancer has no other process.
         server.closeIdleConnections();
         await sleepUntilIdle(deadline);
+        callerListener.endService();
+        // A request may have arrived after the last look at what is running, but none can any more.
+        await sleepUntilIdle(deadline);
         const failure = notRun(FailureReason.OutOfService, "This process has ended before the answer.");
         enders.forEach(end => end(failure));
         await sleepUntilIdle(clock.monotonicNow() + flushMilliseconds);
-        server.close();
-        server.closeIdleConnections();
     };
 
     return {
