Answer aborted requests of the own interface before their connections are closed

What callers saw: a call that still ran at the drain's deadline, streamed or not, ended with a closed connection, so that they could not tell whether it had run.

Cause: `stop` aborted the running requests and closed all connections in the same turn, before an answer could be written.

Change: `stop` ends the service of the listener, aborts the requests, and gives their answers 200 ms to reach the kernel. A failure that would have status 503 but may have run has status 502, since clients take 503 for a promise.

The check in "aborts requests that still run at the deadline" asked that the stream breaks off; it asks now that the stream ends with the error event and without [DONE], which a break alone would not meet.

--- a/packages/daisyturn/src/connection/caller/__tests__/drainCallers.test.ts
+++ b/packages/daisyturn/src/connection/caller/__tests__/drainCallers.test.ts
@@ -46,6 +46,20 @@
         assert.equal(bench.eventLog.of(EventKind.ProcessDraining).length, 1);
     });
 
+    // Guards against calls that end without an answer, because all connections are closed right after the calls.
+    test("tells the callers of calls that still run at the deadline that these may have run", async () => {
+        const clock = new FakeClock();
+        const bench = await createCallerBench({ clock, limits });
+        bench.engines[0].script = [(request, signal) => ok(yieldUntilCancelled(0, 0, signal))];
+        const running = [true, false, true, false].map(stream => postCompletion(bench.url, { stream }));
+        await waitUntil(() => bench.admitted() === running.length);
+        const drained = bench.server.drain(clock.monotonicNow() + noticeMilliseconds + 100);
+        await clock.advance(noticeMilliseconds + 100);
+        await drained;
+        const answers = await Promise.all(running);
+        assert.deepEqual(new Set(answers.map(({ status }) => status)), new Set([502]));
+    });
+
     test("aborts requests that still run at the deadline and cancels them on the engine", async () => {
         const clock = new FakeClock();
         const bench = await createCallerBench({ clock, limits });
@@ -54,7 +68,8 @@
         const drained = bench.server.drain(clock.monotonicNow() + noticeMilliseconds + 100);
         await clock.advance(noticeMilliseconds + 100);
         await drained;
-        await assert.rejects(running.text());
+        const { errorCode, isDone } = readStream(await running.text());
+        assert.deepEqual([errorCode, isDone], ["out_of_service", false]);
         await waitUntil(() => bench.engines[0].cancelled.length === 1);
         await waitUntil(() => bench.admitted() === 0);
         assert.equal(bench.eventLog.of(EventKind.RequestFailed)[0]?.fields.reason, "out_of_service");
--- a/packages/daisyturn/src/connection/caller/createCallerServer.ts
+++ b/packages/daisyturn/src/connection/caller/createCallerServer.ts
@@ -24,7 +24,7 @@
      * @param deadline monotonic time after which running requests are aborted
      */
     drain(deadline: number): Promise<void>;
-    /** Stops at once and aborts running requests. */
+    /** Reads nothing more, aborts running requests, and resolves once their callers have been told. */
     stop(): Promise<void>;
 }
 
@@ -35,6 +35,9 @@
     Refusing,
 }
 
+/** Time in which the answers of aborted requests reach the kernel. */
+const flushMilliseconds = 200;
+
 /** Creates the server for callers. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     const { clock, eventLog } = options;
@@ -103,7 +106,7 @@
         refuseExchange(parts, exchange, failure);
     };
 
-    const { server } = createCallerListener(
+    const { server, endService } = createCallerListener(
         options.tls,
         limits,
         createListenerLog({ eventLog }),
@@ -138,7 +141,9 @@
 
     const stop = async () => {
         phase = ServerPhase.Refusing;
+        endService();
         running.forEach(exchange => exchange.abort(describeStop()));
+        await waitUntilIdle(clock.monotonicNow() + flushMilliseconds);
         const closed = new Promise<void>(resolve => server.close(() => resolve()));
         server.closeAllConnections();
         await closed;
--- a/packages/daisyturn/src/request/answer/answer.ts
+++ b/packages/daisyturn/src/request/answer/answer.ts
@@ -1,7 +1,8 @@
-import { type Clock, type Failure, FailureReason } from "daisyturn-utils";
+import { type Clock, ExecutionVerdict, type Failure, FailureReason } from "daisyturn-utils";
 import type { AnswerHeaders, CallerAnswer } from "../callerExchange.js";
 
 const millisecondsPerSecond = 1000;
+const unavailableStatus = 503;
 
 /** HTTP status of each failure reason. */
 const statusByReason: Readonly<Record<FailureReason, number>> = {
@@ -65,10 +66,13 @@
     };
 }
 
-/** Builds the complete answer that refuses a request. */
+/** Builds the complete answer that refuses a request, or tells that it failed. */
 export function buildRefusal(failure: Failure, clock: Clock): CallerAnswer {
+    const status = statusOfFailure(failure.reason);
+    const isRefusal = failure.verdict === ExecutionVerdict.NotRun;
     return {
-        status: statusByReason[failure.reason],
+        // Clients take 503 for a promise that the request has not run.
+        status: status === unavailableStatus && !isRefusal ? statusOfFailure(FailureReason.OutcomeUnknown) : status,
         contentType: "application/json",
         body: JSON.stringify(buildErrorBody(failure)),
         headers: buildRetryHeaders(failure, clock),
