Close the operators' port without waiting for connections that are not in use

What operators saw: a process of the own interface did not end its stop, kept its leases, and was killed, while a client held a connection to the operators' port on which it had sent nothing, or kept one open after an answer.

Cause: `close` waited for all connections to end. Node.js closes only those that are idle after a request, and stops to check its time limits once a server is closed.

Change: connections without a request under way are closed at once, the others after their answers, and a request that is read meanwhile is refused as not run.

--- a/packages/daisyturn/src/connection/caller/reads/limitConnections.ts
+++ b/packages/daisyturn/src/connection/caller/reads/limitConnections.ts
@@ -9,11 +9,17 @@
     requests: number;
 }
 
+/** The open connections of a server. */
+export interface LimitedConnections {
+    /** Closes the connections without a request under way, also those that are new or within a TLS handshake. */
+    closeIdle(): void;
+}
+
 /**
  * Bounds the number of open connections of a server. Beyond the bound, the idle connection with the earliest last request
  * is closed for the new one, or the new one if none is idle.
  */
-export function limitConnections(server: Server, maxConnections: number): void {
+export function limitConnections(server: Server, maxConnections: number): LimitedConnections {
     /** Ordered by the last request, or else by the time of opening. */
     const connections = new Map<string, OpenConnection>();
 
@@ -23,7 +29,8 @@
         }
     };
 
-    const closeIdle = () => {
+    /** @returns false if no connection is idle */
+    const closeEarliestIdle = () => {
         for (const [name, { socket, requests }] of connections) {
             if (requests === 0) {
                 remove(name, socket);
@@ -35,7 +42,7 @@
     };
 
     server.prependListener("connection", (socket: Socket) => {
-        if (connections.size >= maxConnections && !closeIdle()) {
+        if (connections.size >= maxConnections && !closeEarliestIdle()) {
             socket.destroy();
             return;
         }
@@ -53,6 +60,15 @@
             outgoing.once("close", () => connection.requests--);
         }
     });
+
+    return {
+        closeIdle: () => {
+            let isLeft = true;
+            while (isLeft) {
+                isLeft = closeEarliestIdle();
+            }
+        },
+    };
 }
 
 /** The request of a server that uses TLS names the TLS connection, not the one below it. */
--- a/packages/daisyturn/src/connection/caller/reads/paceServer.ts
+++ b/packages/daisyturn/src/connection/caller/reads/paceServer.ts
@@ -4,7 +4,7 @@
 import type { ByteSource } from "../../../process/forwarding/index.js";
 import type { ReadTurns } from "../../bytes/createReadTurns.js";
 import { type CallerConnection, createCallerConnection } from "../callerConnection.js";
-import { limitConnections } from "./limitConnections.js";
+import { limitConnections, type LimitedConnections } from "./limitConnections.js";
 import { paceReads, ReadLimit } from "./paceReads.js";
 
 /** More than a balancer, a scraper and some operators keep open. */
@@ -13,9 +13,14 @@
 const maxHeadBytes = 16 * 1024;
 
 /** Bounds what the connections of a server beside that for callers take of the process, as {@link paceReads} does for callers. */
-export function paceServer(server: Server, turns: ReadTurns, source: ByteSource, connectionEvent = "connection"): void {
+export function paceServer(
+    server: Server,
+    turns: ReadTurns,
+    source: ByteSource,
+    connectionEvent = "connection",
+): LimitedConnections {
     const connections = new WeakMap<Duplex, CallerConnection>();
-    limitConnections(server, maxConnections);
+    const limited = limitConnections(server, maxConnections);
     server.on(connectionEvent, (socket: Socket) => {
         const requests = createCallerConnection(socket);
         connections.set(socket, requests);
@@ -32,4 +37,5 @@
         const request = requests?.beginRequest(incoming, () => undefined);
         outgoing.once("close", () => request?.end());
     });
+    return limited;
 }
--- a/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
+++ b/packages/daisyturn/src/connection/operator/__tests__/createOperatorServer.test.ts
@@ -1,7 +1,9 @@
 import { createIdSource, FailureReason, hashText, MemoryEventLog, notRun } from "daisyturn-utils";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { err } from "true-myth/result";
+import { err, ok } from "true-myth/result";
 import { TableFaultKind } from "../../../ports/faultyTableService.js";
 import {
     type CellProcess,
@@ -32,8 +34,20 @@
     let cell: ConfigurationCell;
     let process: CellProcess;
     let server: OperatorServer;
+    let slowCount: number;
+    let slowBegan: Promise<void>;
+    let slowEnded: Promise<void>;
+    let noteSlow: () => void;
+    let endSlow: () => void;
 
     beforeEach(async () => {
+        slowCount = 0;
+        slowBegan = new Promise(resolve => {
+            noteSlow = resolve;
+        });
+        slowEnded = new Promise(resolve => {
+            endSlow = resolve;
+        });
         cell = createConfigurationCell({ timing: { publishMilliseconds: 100, storeCallMilliseconds: 100 } });
         process = cell.start("a");
         const { clock } = cell;
@@ -56,6 +70,16 @@
                             clock.wallNow() + 2_500,
                         )),
                 },
+                {
+                    method: OperatorMethod.Get,
+                    path: "/v1/slow",
+                    handle: async () => {
+                        slowCount += 1;
+                        noteSlow();
+                        await slowEnded;
+                        return ok({});
+                    },
+                },
             ],
             clock,
             eventLog: new MemoryEventLog(),
@@ -195,4 +219,40 @@
         assert.equal(response.headers.get("retry-after"), "3");
         assert.match(await response.text(), /south-op a b/);
     });
+
+    describe("close", () => {
+        const openConnection = async () => {
+            const socket = connect(server.port, "127.0.0.1");
+            await once(socket, "connect");
+            socket.on("error", () => undefined);
+            return { socket, closed: new Promise(resolve => socket.once("close", resolve)) };
+        };
+
+        // Guards against a process that never ends its stop, because a client holds a connection without a request.
+        it("does not wait for connections without a request", async () => {
+            const unused = await openConnection();
+            const partial = await openConnection();
+            partial.socket.write("GET /v1/items HTTP/1.1\r\n");
+            await server.close();
+            await Promise.all([unused.closed, partial.closed]);
+        });
+
+        it("answers the running request of a kept connection, and refuses the next one", async () => {
+            const { socket, closed } = await openConnection();
+            let received = "";
+            socket.on("data", data => {
+                received += String(data);
+            });
+            const head = "HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-north\r\n\r\n";
+            socket.write(`GET /v1/slow ${head}`);
+            await slowBegan;
+            const ended = server.close();
+            socket.write(`GET /v1/slow ${head}`);
+            await new Promise(resolve => setTimeout(resolve, 50));
+            endSlow();
+            await Promise.all([ended, closed]);
+            assert.match(received, /^HTTP\/1.1 200 [^]*HTTP\/1.1 503 [^]*"verdict":"not_run"/);
+            assert.equal(slowCount, 1);
+        });
+    });
 });
--- a/packages/daisyturn/src/connection/operator/createOperatorServer.ts
+++ b/packages/daisyturn/src/connection/operator/createOperatorServer.ts
@@ -48,7 +48,7 @@
 /** The running server. */
 export interface OperatorServer {
     readonly port: number;
-    /** Waits for running requests, then closes. */
+    /** Accepts no more requests, and resolves once the running ones are answered. */
     close(): Promise<void>;
 }
 
@@ -57,18 +57,27 @@
  * is not available by waiting.
  */
 export async function createOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
+    let isClosing = false;
     const server = createHttpServer(options, (request, response) => {
+        // Otherwise a client that keeps its connection open would hold up the close.
+        response.on("close", () => isClosing && connections.closeIdle());
+        if (isClosing) {
+            const failure = notRun(FailureReason.OutOfService, "this process is stopping");
+            writeAnswer(response, err(failure), options.clock.wallNow());
+            return;
+        }
         void serveRequest(options, request, response);
     });
-    paceServer(server, createReadTurns(), ByteSource.Operator, options.tls && "secureConnection");
+    const connections = paceServer(server, createReadTurns(), ByteSource.Operator, options.tls && "secureConnection");
     const { signal = new AbortController().signal, clock, eventLog } = options;
     const listen = { address: options.listen.host, port: options.listen.port };
     await listenWhenFree(server, listen, { listener: "operators", signal, clock, eventLog });
     signal.throwIfAborted();
     const close = () =>
         new Promise<void>(resolve => {
+            isClosing = true;
             server.close(() => resolve());
-            server.closeIdleConnections();
+            connections.closeIdle();
         });
     return { port: (server.address() as AddressInfo).port, close };
 }
