Carry an answer through a pause of its target while the carrying process stops

What callers saw: a call that a peer carried was broken off within its answer if the peer was stopping and the target sent nothing for a second.

Cause: a stopping process closes a tunnel that has been silent for a second after bytes of the target, as unused. Silence does not tell an unused tunnel from a pause within an answer. Peers close an unused tunnel within half a second themselves.

Change: the limit is three seconds, longer than callers wait for the next piece of an answer (2 s, four times the objective or eight times the pause of the route). A pause beyond it is still taken for disuse.

--- a/packages/daisyturn/src/connection/tunnel/createPeerTunnels.ts
+++ b/packages/daisyturn/src/connection/tunnel/createPeerTunnels.ts
@@ -44,8 +44,8 @@
 const sendTimeoutMilliseconds = 30_000;
 /** Bounds the memory for bytes in transit. */
 const maxCarried = 512;
-/** Longer than the pauses between the tokens of an answer. */
-const idleMilliseconds = 1_000;
+/** Longer than callers wait for the next token, as silence does not tell an unused tunnel from a pause within an answer. */
+const idleMilliseconds = 3_000;
 const drainPollMilliseconds = 50;
 
 interface Carried {
--- a/packages/daisyturn/src/connection/tunnel/createTunnel.ts
+++ b/packages/daisyturn/src/connection/tunnel/createTunnel.ts
@@ -20,8 +20,11 @@
     readonly onClosed: () => void;
 }
 
-/** Longer than the pauses between the events of an answer, and than peers keep an unused tunnel. */
-const idleMilliseconds = 1_000;
+/**
+ * Longer than callers wait for the next piece of an answer, as silence does not tell an unused tunnel from a target that
+ * pauses. Peers close an unused tunnel sooner.
+ */
+const idleMilliseconds = 3_000;
 /** Longer than a call lasts without a byte of its answer. */
 const silenceMilliseconds = 60_000;
 /** Bytes of a request that wait for a target. Most requests are shorter; all tunnels together hold up to 64 MiB. */
