Stop using a peer for carried calls two seconds after the connection was opened

What callers saw: where a process reaches a target by way of a peer, and calls follow each other without a pause, a planned stop of that peer cut the call that was under way at its end, after the target had got it.

Cause: a connection that a peer carries was reused as long as its last answer was at most 250 ms old. The peer carries it until it is closed or the grace period ends, and can't tell when no call is under way.

Change: such a connection carries no further call two seconds after it was opened. A stopping peer opens no new ones, so that calls go by way of others long before its end.

--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -37,6 +37,11 @@
 const recentAnswerMilliseconds = 250;
 /** Idle connections retained for each target. More would only accumulate after a load peak. */
 const maxIdleConnections = 8;
+/**
+ * A peer that stops can't tell whether a call is under way on a connection that it carries, so it carries each one until it
+ * is closed here, or cuts it at its end. Far shorter than the grace period of a process.
+ */
+const maxRelayedMilliseconds = 2_000;
 /** Characters of the identifiers that are retained for each connection, which is not reused after that. */
 const maxIdentifierCharacters = 8_192;
 
@@ -111,6 +116,9 @@
         return isAnyReusable || isRecentlyVerified(connection);
     };
 
+    const isRelayOver = (connection: TargetConnection) =>
+        connection.relayId() !== undefined && clock.monotonicNow() - connection.openedAt > maxRelayedMilliseconds;
+
     const isRecentlyVerified = (connection: TargetConnection) =>
         clock.monotonicNow() - (connection.lastAnsweredAt() ?? -Infinity) <= recentAnswerMilliseconds;
 
@@ -176,7 +184,7 @@
     const release = (address: string, connection: TargetConnection) => {
         const idle = idleByAddress.get(address) ?? [];
         const characters = carriedCalls.get(connection)?.characters ?? 0;
-        const mayCarryMore = connection.isAlive() && characters < maxIdentifierCharacters;
+        const mayCarryMore = connection.isAlive() && characters < maxIdentifierCharacters && !isRelayOver(connection);
         if (!mayCarryMore || idle.length >= maxIdleConnections) {
             connection.close();
             return;
--- a/packages/daisyturn/src/connection/tunnel/__tests__/carriedAtStop.test.ts
+++ b/packages/daisyturn/src/connection/tunnel/__tests__/carriedAtStop.test.ts
@@ -72,4 +72,26 @@
             await findCarrier(relays).server.drain(clock.monotonicNow() + 5_000);
             assert.deepEqual(await call, { isWhole: true, text: "halfhalf" });
         }));
+
+    // Guards against a peer that is used until its end, so that the call which is under way then is cut.
+    it("move to another peer before its end if one follows the other", () =>
+        withCarriedCalls(async socket => {
+            await sleep(100);
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        }, async (send, relays) => {
+            const first = await send("call-0");
+            assert.ok(first.isWhole);
+            const carrier = findCarrier(relays);
+            const graceMilliseconds = 5_000;
+            let isEnded = false;
+            const ended = carrier.server.drain(clock.monotonicNow() + graceMilliseconds).then(() => isEnded = true);
+            const startedAt = performance.now();
+            const calls = [first];
+            while (!isEnded) {
+                calls.push(await send(`call-${calls.length}`));
+            }
+            await ended;
+            assert.deepEqual(calls.filter(({ isWhole }) => !isWhole), []);
+            assert.ok(performance.now() - startedAt < graceMilliseconds - 500, "the peer was used until its end");
+        }));
 });
