Fail a call to the store whose answer is reset within a body without a length

What users saw: a part of an object (a configuration, for instance) could be read as the whole, if the store answered without a length and the connection was reset within the body.

Cause: undici takes any close of the connection, a reset too, for the end of such an answer. Forwarded calls ask for a close in order (`isReset`); the client of the store and of the object store did not.

Change: the client of each connection to the platform tells whether the connection ended in order. An answer without a length that is cut by a reset is a failure after which the call may have run. `createObservedClient` serves this and the close after a refusal.

--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -6,6 +6,8 @@
 import { collectBytes } from "../../connection/bytes/collectBytes.js";
 import { createReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { ByteSource } from "../../process/forwarding/index.js";
+import { failAfterReset } from "./failAfterReset.js";
+import { createObservedClient } from "./observedClient.js";
 import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 
 /** Reason of aborts, which would otherwise create an error with a stack trace for each request. */
@@ -72,6 +74,7 @@
     const pool = new Pool(options.url, {
         connections: options.connections ?? defaultConnections,
         pipelining: 1,
+        factory: (origin, clientOptions) => createObservedClient(origin, clientOptions, failAfterReset),
         connect: createConnector(options),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -1,12 +1,13 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth/result";
-import { Agent, buildConnector, Client, type Dispatcher, Pool } from "undici";
+import { Agent, buildConnector, type Dispatcher, Pool } from "undici";
 import { boundReads } from "../../connection/bytes/boundReads.js";
 import { createReadTurns, type ReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 import { ByteSource } from "../../process/forwarding/index.js";
+import { createObservedClient, type ObservedConnection } from "./observedClient.js";
 import { notRunStatus } from "./refusal.js";
 
 const connectTimeoutMilliseconds = 2_000;
@@ -45,27 +46,13 @@
  * in it tells to which request it belongs.
  */
 function createRefusableClient(origin: URL, options: object): Dispatcher {
-    const clientOptions = options as Client.Options;
-    const connect = clientOptions.connect as buildConnector.connector;
-    let opened: Socket | undefined;
-    const client = new Client(origin, {
-        ...clientOptions,
-        connect: (target, callback) =>
-            connect(target, (...[error, socket]) => {
-                if (error) {
-                    callback(error, nothing);
-                    return;
-                }
-                opened = socket;
-                callback(nothing, socket);
-            }),
-    });
-    return client.compose(dispatch => (request, handler) =>
-        dispatch(request, closeAfterRefusal(handler, () => opened?.destroy()))
-    );
+    return createObservedClient(origin, options, closeAfterRefusal);
 }
 
-function closeAfterRefusal(handler: Dispatcher.DispatchHandler, close: () => void): Dispatcher.DispatchHandler {
+function closeAfterRefusal(
+    handler: Dispatcher.DispatchHandler,
+    connection: ObservedConnection,
+): Dispatcher.DispatchHandler {
     let isRefused = false;
     return {
         onRequestStart: (...parameters) => handler.onRequestStart?.(...parameters),
@@ -78,7 +65,7 @@
         onResponseEnd: (...parameters) => {
             handler.onResponseEnd?.(...parameters);
             if (isRefused) {
-                close();
+                connection.close();
             }
         },
         onResponseError: (...parameters) => handler.onResponseError?.(...parameters),
