Take an answer with a status outside 100 to 599 for none

Those below 100 were refused already.

Cause: only statuses below 200 were checked, so that one above the range of HTTP (RFC 9110, section 15) passed for a final answer.

Change: such an answer fails like bytes that are no HTTP: the call may have run, is repeated where it may be, and its caller gets 502. The check serves forwarded calls, also by way of a peer, the targets of the own interface, and the store.

Result (x86_64): the new cases with 600 and 999 failed before on each of these paths (12 results), and pass after. A stream route answered 502 before too.

--- a/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/openTargetConnection.test.ts
@@ -251,8 +251,9 @@
         },
     ));
 
-// Guards against an assertion of the HTTP client, for whose message Node.js parses the whole source text.
-for (const status of ["099", "000"]) {
+// Guards against answers that are passed on although HTTP has no such status, and against an assertion of the HTTP client,
+// for whose message Node.js parses the whole source text.
+for (const status of ["099", "000", "600", "999"]) {
     test(`refuses an answer with status ${status}, without an assertion`, () =>
         withTarget(
             socket => void socket.write(`HTTP/1.1 ${status} Unknown\r\nContent-Length: 5\r\n\r\nhello`),
--- a/packages/daisyturn/src/connection/target/openTargetConnection.ts
+++ b/packages/daisyturn/src/connection/target/openTargetConnection.ts
@@ -10,7 +10,7 @@
 import { AnswerEnd, determineEnd } from "./answerEnd.js";
 import { createTargetClient } from "./createTargetClient.js";
 import type { DialedConnection } from "./createTargetDialer.js";
-import { createInterimAnswers, isInterim } from "./interimAnswers.js";
+import { createInterimAnswers, isFinal } from "./interimAnswers.js";
 import { isReset } from "./isReset.js";
 import { readPastContinue } from "./readPastContinue.js";
 import { resetConnection } from "./resetConnection.js";
@@ -209,7 +209,7 @@
                     onStarted?.({ relayId, openedAt, connectionNumber });
                 },
                 onResponseStart: (started, status, fields) => {
-                    if (isInterim(status)) {
+                    if (!isFinal(status)) {
                         reject(started, interimAnswers.record(status));
                         return;
                     }
--- a/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/createHttpPlainService.test.ts
@@ -5,6 +5,7 @@
 import { createTestDispatcher, failureOf } from "../__fixtures__/engineCase.js";
 import {
     findClosedUrl,
+    type RawRequest,
     type RawScript,
     startRawTarget,
     writeAnswer,
@@ -78,6 +79,20 @@
             script: ({ socket }) => void socket.end("HTTP/1.1 200 X\r\nx-call-id: call-1\r\n\r\nperhaps whole"),
             expected: failed,
         },
+        ...["000", "099", "600", "999"].map(status => ({
+            name: `an answer with status ${status}`,
+            script: ({ socket }: RawRequest) =>
+                void socket.write(`HTTP/1.1 ${status} X\r\nx-call-id: call-1\r\ncontent-length: 4\r\n\r\ntext`),
+            expected: failed,
+        })),
+        {
+            name: "an answer whose length is not given and whose connection is reset within it",
+            script: ({ socket }) => {
+                socket.write("HTTP/1.1 200 X\r\nx-call-id: call-1\r\n\r\nhalf");
+                socket.resetAndDestroy();
+            },
+            expected: failed,
+        },
         {
             name: "an answer whose last coding is not chunked",
             script: ({ socket }) =>
--- a/packages/daisyturn/src/ports/http/__tests__/platformConnection.test.ts
+++ b/packages/daisyturn/src/ports/http/__tests__/platformConnection.test.ts
@@ -46,3 +46,16 @@
         }
     });
 }
+
+for (const status of ["000", "099", "600", "999"]) {
+    test(`an answer with status ${status}, which HTTP does not have, is a failure`, async context => {
+        const clock = new SystemClock();
+        const { url } = await startRawTarget(context, {
+            onRequest: ({ socket }) => void socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`),
+        });
+        const connection = createPlatformConnection({ url, clock });
+        context.after(() => connection.close());
+        const sent = await connection.send({ method: "GET", path: "/" }, clock.monotonicNow() + 5_000);
+        assert.equal(sent.isErr && sent.error.verdict, ExecutionVerdict.MayHaveRun);
+    });
+}
--- a/packages/daisyturn/src/ports/http/requestProgress.ts
+++ b/packages/daisyturn/src/ports/http/requestProgress.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from "undici";
-import { createInterimAnswers, isInterim } from "../../connection/target/interimAnswers.js";
+import { createInterimAnswers, isFinal } from "../../connection/target/interimAnswers.js";
 
 /** Progress of a request. It determines the verdict of a failure, so it is updated before the first byte is written. */
 export interface RequestProgress {
@@ -40,7 +40,7 @@
         },
         onRequestUpgrade: (...parameters) => handler.onRequestUpgrade?.(...parameters),
         onResponseStart: (controller, status, ...parameters) => {
-            const failure = isInterim(status) ? interimAnswers.record(status) : undefined;
+            const failure = isFinal(status) ? undefined : interimAnswers.record(status);
             if (failure) {
                 controller.abort(new Error(failure.message));
                 return;
