Register in a large fleet, and keep the entry of a living process fresh

What callers saw: in a fleet of 195 that had run for over 15 minutes, a process that was started again knew no peer.

Cause: it removed the rows of all ended processes in the call that wrote its own, and the store takes 100 entries a call. The failure also discarded the list that had been read. The rows were stale because a process with a coordinator did not renew its own.

--- a/packages/daisyturn/src/ports/peerRegistry.ts
+++ b/packages/daisyturn/src/ports/peerRegistry.ts
@@ -17,11 +17,16 @@
     readonly peers: readonly RegisteredPeer[];
     /** Number of entries that could not be parsed, because another writer made them or they are damaged. */
     readonly unreadable: number;
+    /** Why the entry of this process could not be written; absent if it is up to date. */
+    readonly writeFailure?: Failure;
 }
 
 /** Registry through which the processes of the fleet discover each other. Adapters implement the protocol. */
 export abstract class PeerRegistry {
-    /** Registers this process or renews its entry, and returns all registered processes, including this one. */
+    /**
+     * Registers this process or renews its entry, and returns all registered processes, this one once it is registered. Each
+     * process has to call it every few minutes, or its entry counts as that of a process that has ended.
+     */
     abstract refresh(self: RegisteredPeer, deadline: number): Promise<Result<PeerListing, Failure>>;
     /** Removes this process's entry. */
     abstract leave(self: RegisteredPeer, deadline: number): Promise<void>;
--- a/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
+++ b/packages/daisyturn/src/process/forwarding/coordination/watchPeers.ts
@@ -33,6 +33,8 @@
  * coordinator may count processes that have just ended.
  */
 const maxReadsToSettle = 3;
+/** Far shorter than the time after which an entry counts as that of a process that has ended. */
+const renewalMilliseconds = 300_000;
 /** Interval at which a process checks that it still has contact with a coordinator. */
 const checkMilliseconds = 2_000;
 const timeoutMilliseconds = 1_000;
@@ -68,6 +70,8 @@
     const { self, registry, link, refreshRequest, clock, eventLog } = options;
     let unreadable = 0;
     let mustRefresh = true;
+    /** Monotonic time at which this process renews its entry, also while a coordinator names its peers. */
+    let renewAt = -Infinity;
     /** Monotonic time until which unlisted peers are retained. */
     let retainUnlistedUntil = -Infinity;
     let found: readonly RegisteredPeer[] = [];
@@ -93,9 +97,15 @@
             mustRefresh = true;
             return searchMilliseconds;
         }
-        mustRefresh = false;
+        const { peers, unreadable: unreadableNow, writeFailure } = listing.value;
+        if (writeFailure) {
+            eventLog.record(EventKind.Fault, { reason: `could not register with the peers: ${writeFailure.message}` });
+        }
+        else {
+            renewAt = clock.monotonicNow() + renewalMilliseconds;
+        }
+        mustRefresh = writeFailure !== undefined;
         reads += 1;
-        const { peers, unreadable: unreadableNow } = listing.value;
         // Processes start together, so the first reads of the registry return only some of the others.
         const isSettled = peers.length > 1 && peers.length === found.length;
         found = peers;
@@ -113,7 +123,8 @@
     const isIncomplete = () => reads < maxReadsToSettle && (link.countProcesses() ?? 0) > (link.countListed() ?? 0);
 
     while (!signal.aborted) {
-        const isRefreshDue = mustRefresh || refreshRequest.isPending || refreshRequest.isReadPending
+        const isRefreshDue = mustRefresh || clock.monotonicNow() >= renewAt || refreshRequest.isPending
+            || refreshRequest.isReadPending
             || found.length === 0 || link.isCandidate()
             || !link.hasContact() || isIncomplete();
         const interval = isRefreshDue ? await refresh() : checkMilliseconds;
