Move what both HTTP clients add to undici to a folder of its own

Change: `failAfterReset`, `observedClient` and `requestProgress`, which the clients of targets and of platform services share, are in `ports/http/client`. No behaviour changes.

--- a/packages/daisyturn/src/ports/http/failAfterReset.ts
+++ b/packages/daisyturn/src/ports/http/client/failAfterReset.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from "undici";
-import { AnswerEnd, determineEnd } from "../../connection/target/answerEnd.js";
-import type { IncomingFields } from "../forwardedCall.js";
+import { AnswerEnd, determineEnd } from "../../../connection/target/answerEnd.js";
+import type { IncomingFields } from "../../forwardedCall.js";
 import type { ObservedConnection } from "./observedClient.js";
 
 /**
--- a/packages/daisyturn/src/ports/http/observedClient.ts
+++ b/packages/daisyturn/src/ports/http/client/observedClient.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { isReset } from "../../connection/target/isReset.js";
+import { isReset } from "../../../connection/target/isReset.js";
 
 /** What the handlers of a client learn of its connection. */
 export interface ObservedConnection {
--- a/packages/daisyturn/src/ports/http/requestProgress.ts
+++ b/packages/daisyturn/src/ports/http/client/requestProgress.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from "undici";
-import { createInterimAnswers, isFinal } from "../../connection/target/interimAnswers.js";
+import { createInterimAnswers, isFinal } from "../../../connection/target/interimAnswers.js";
 
 /** Progress of a request. It determines the verdict of a failure, so it is updated before the first byte is written. */
 export interface RequestProgress {
--- a/packages/daisyturn/src/ports/http/platformConnection.ts
+++ b/packages/daisyturn/src/ports/http/platformConnection.ts
@@ -6,9 +6,9 @@
 import { collectBytes } from "../../connection/bytes/collectBytes.js";
 import { createReadTurns } from "../../connection/bytes/createReadTurns.js";
 import { ByteSource } from "../../process/forwarding/index.js";
-import { failAfterReset } from "./failAfterReset.js";
-import { createObservedClient } from "./observedClient.js";
-import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
+import { failAfterReset } from "./client/failAfterReset.js";
+import { createObservedClient } from "./client/observedClient.js";
+import { type RequestProgress, trackRequestProgress } from "./client/requestProgress.js";
 
 /** Reason of aborts, which would otherwise create an error with a stack trace for each request. */
 const exchangeEnded = new Error("the exchange with the platform has ended");
--- a/packages/daisyturn/src/ports/http/targetDispatcher.ts
+++ b/packages/daisyturn/src/ports/http/targetDispatcher.ts
@@ -7,7 +7,7 @@
 import { readPastContinue } from "../../connection/target/readPastContinue.js";
 import { resetOnError } from "../../connection/target/resetConnection.js";
 import { ByteSource } from "../../process/forwarding/index.js";
-import { createObservedClient, type ObservedConnection } from "./observedClient.js";
+import { createObservedClient, type ObservedConnection } from "./client/observedClient.js";
 import { notRunStatus } from "./refusal.js";
 
 const connectTimeoutMilliseconds = 2_000;
--- a/packages/daisyturn/src/ports/http/targetHttpClient.ts
+++ b/packages/daisyturn/src/ports/http/targetHttpClient.ts
@@ -4,8 +4,8 @@
 import { createByteCollector } from "../../connection/bytes/createByteCollector.js";
 import { passReadBarrier, type ReadBarrier } from "../../connection/createReadBarrier.js";
 import { isChunked } from "../../connection/target/isChunked.js";
+import { type RequestProgress, trackRequestProgress } from "./client/requestProgress.js";
 import { AbortReason, type Operation } from "./operation.js";
-import { type RequestProgress, trackRequestProgress } from "./requestProgress.js";
 import { createTargetDispatcher } from "./targetDispatcher.js";
 
 /** Connection options of one target. */
