Check again right before the first byte that callers' connections were read

What callers saw: a request whose caller had left during a pause of the process reached a target afterwards (`departures`, "reached t-8 too late").

Cause: a call passes the read barrier before it takes a connection. undici then waits for a turn of the event loop where the connection was used before. If the process is paused in that turn, the request is written first and the close of its caller is read after it. A read that had begun before the pause, and ended after it, also counted as a recent one, since its age was that of its end.

Change: `createTargetConnections` checks the barrier once more as a request starts. If the last read is too long ago, the request is not started, the next read is awaited, and the request goes over another connection, unless its caller has left.

Why it works: between the check and the write of the first byte there is no turn of the event loop.

--- a/packages/daisyturn/src/connection/__tests__/createReadBarrier.test.ts
+++ b/packages/daisyturn/src/connection/__tests__/createReadBarrier.test.ts
@@ -66,3 +66,28 @@
     clearImmediate(immediate);
     assert.ok(secondTurn > firstTurn, `passed at turn ${secondTurn}, the first at ${firstTurn}`);
 });
+
+/** Counts the turns of the event loop until a barrier's next read has ended, where the given ones take long. */
+async function countTurnsOfRead(longTurns: readonly number[]): Promise<number> {
+    const barrier = createReadBarrier(clock);
+    let turns = 0;
+    const count = () => {
+        turns += 1;
+        if (longTurns.includes(turns)) {
+            keepBusy(busyMilliseconds);
+        }
+        immediate = setImmediate(count);
+    };
+    const read = barrier.nextRead();
+    let immediate = setImmediate(count);
+    await read;
+    clearImmediate(immediate);
+    return turns;
+}
+
+// Guards against closes that arrived while the process was paused within a read, which had not begun to wait for them.
+test("a read is repeated once if it takes long", async () => {
+    const undisturbed = await countTurnsOfRead([]);
+    assert.equal(await countTurnsOfRead([1]), undisturbed + 1);
+    assert.equal(await countTurnsOfRead([1, 2, 3, 4]), undisturbed + 1);
+});
--- a/packages/daisyturn/src/connection/createReadBarrier.ts
+++ b/packages/daisyturn/src/connection/createReadBarrier.ts
@@ -37,13 +37,21 @@
     /** Monotonic time at which it had been read. */
     let readAt = -Infinity;
 
-    /** The event loop reads from all connections between two immediates, of which one is set by the other. */
-    const poll = () => {
+    /**
+     * The event loop reads from all connections between two immediates, of which one is set by the other. A read that takes
+     * long is repeated once: the process may have been paused after it had determined which connections to read.
+     */
+    const poll = (isRepeated: boolean) => {
         const startedAt = clock.monotonicNow();
         setImmediate(() => {
+            const endedAt = clock.monotonicNow();
+            if (endedAt - startedAt > recentMilliseconds && !isRepeated) {
+                poll(true);
+                return;
+            }
             isPolling = false;
             readUntil = startedAt;
-            readAt = clock.monotonicNow();
+            readAt = endedAt;
             const released = waiting;
             waiting = [];
             released.forEach(release => release());
@@ -57,7 +65,7 @@
                 waiting.push(resolve);
                 if (!isPolling) {
                     isPolling = true;
-                    setImmediate(poll);
+                    setImmediate(poll, false);
                 }
             }),
     };
--- a/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
+++ b/packages/daisyturn/src/connection/target/__tests__/createTargetConnections.test.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
+import { createPausedBarrier } from "../../__fixtures__/pausedBarrier.js";
 import { createReadTurns } from "../../bytes/createReadTurns.js";
 import type { ReadBarrier } from "../../createReadBarrier.js";
 import { startRawTarget } from "../__fixtures__/rawTarget.js";
@@ -39,12 +40,17 @@
     );
 }
 
-function send(connections: TargetConnections, address: string, callId: string) {
+function send(
+    connections: TargetConnections,
+    address: string,
+    callId: string,
+    signal: AbortSignal = new AbortController().signal,
+) {
     return connections.send(address, ConnectionPolicy.Reuse, {
         callId,
         head: { method: "GET", path: "/x", fields: ["Host", "target.example"] },
         body: undefined,
-        signal: new AbortController().signal,
+        signal,
         sink: { onHead: () => undefined, onChunk: () => undefined },
     });
 }
@@ -103,3 +109,38 @@
     await target.close();
     assert.deepEqual(counts, [1, 1, 1, 1, 2, 3]);
 });
+
+// Guards against requests that reach a target after a pause although their caller left during it.
+test("a call that waits for its connection during a pause of the process is not sent if its caller has left", async () => {
+    const target = await startRawTarget(socket => void socket.write(whole));
+    const caller = new AbortController();
+    const failure = notRun(FailureReason.Cancelled, "The caller has left.");
+    const barrier = createPausedBarrier(() => caller.abort(failure));
+    const connections = createPool(dialDirectly, barrier);
+    assert.ok((await send(connections, target.address, "call-1")).isOk);
+    const sent = send(connections, target.address, "call-2", caller.signal);
+    barrier.pause();
+    const result = await sent;
+    const third = await send(connections, target.address, "call-3");
+    connections.close();
+    await target.close();
+    assert.ok(result.isErr);
+    assert.deepEqual(result.error, failure);
+    assert.ok(third.isOk);
+    assert.equal(target.received().split("GET /x").length - 1, 2);
+});
+
+// Guards against calls that fail because their process was paused.
+test("a call that waits for its connection during a pause of the process is sent once its caller's connection was read", async () => {
+    const target = await startRawTarget(socket => void socket.write(whole));
+    let reads = 0;
+    const barrier = createPausedBarrier(() => void reads++);
+    const connections = createPool(dialDirectly, barrier);
+    assert.ok((await send(connections, target.address, "call-1")).isOk);
+    const sent = send(connections, target.address, "call-2");
+    barrier.pause();
+    assert.ok((await sent).isOk);
+    connections.close();
+    await target.close();
+    assert.deepEqual({ reads, sends: target.received().split("GET /x").length - 1 }, { reads: 1, sends: 2 });
+});
--- a/packages/daisyturn/src/connection/target/createTargetConnections.ts
+++ b/packages/daisyturn/src/connection/target/createTargetConnections.ts
@@ -45,6 +45,12 @@
 /** Characters of the identifiers that are retained for each connection, which is not reused after that. */
 const maxIdentifierCharacters = 8_192;
 
+/**
+ * A call waits for a turn of the event loop where its connection was idle. If the process is paused in that turn, the caller
+ * may have left before the next read.
+ */
+const unreadFailure = notRun(FailureReason.Overloaded, "The process has not read from its connections for too long.");
+
 /** Learns what the connections show of the targets at an address. */
 export interface ConnectionObserver {
     /** A connection broke, possibly reported more than once, or could not be opened. */
@@ -53,11 +59,15 @@
     recordOpened(address: string, dialedAt: number): void;
 }
 
-/** The calls that one connection has carried. */
+/**
+ * The calls that each connection has carried. A target may send an answer once more, where the next one is due. Its
+ * identifier tells it apart, unless the same call is under way again on the same connection.
+ */
 interface CarriedCalls {
-    readonly callIds: Set<string>;
-    /** The length of all identifiers together. */
-    characters: number;
+    has(connection: TargetConnection, callId: string | undefined): boolean;
+    record(connection: TargetConnection, callId: string | undefined): void;
+    /** Whether no more calls can be remembered, so that the connection must not be reused. */
+    isFull(connection: TargetConnection): boolean;
 }
 
 /** Creates a pool that opens connections on demand and retains them for as long as the target allows. */
@@ -71,7 +81,7 @@
 ): TargetConnections {
     const idleByAddress = new Map<string, TargetConnection[]>();
     const spareSockets = createSpareSockets(recentAnswerMilliseconds);
-    const carriedCalls = new WeakMap<TargetConnection, CarriedCalls>();
+    const carriedCalls = createCarriedCalls();
     let connectionCount = 0;
 
     /** Prefers the most recently used connection, which most likely still works; surplus ones idle until they close. */
@@ -79,7 +89,9 @@
         const idle = idleByAddress.get(address) ?? [];
         for (let index = idle.length - 1; index >= 0; index--) {
             const candidate = idle[index];
-            if (candidate?.isAlive() && !hasCarried(candidate, callId) && isReusable(address, candidate, policy)) {
+            if (
+                candidate?.isAlive() && !carriedCalls.has(candidate, callId) && isReusable(address, candidate, policy)
+            ) {
                 idle.splice(index, 1);
                 return candidate;
             }
@@ -87,22 +99,6 @@
         return open(address);
     };
 
-    /**
-     * A target may send an answer once more, where the next one is due. Its identifier tells it apart, unless the same call
-     * is under way again on the same connection.
-     */
-    const hasCarried = (connection: TargetConnection, callId: string | undefined) =>
-        callId !== undefined && carriedCalls.get(connection)?.callIds.has(callId) === true;
-
-    const recordCarried = (connection: TargetConnection, callId: string | undefined) => {
-        if (callId !== undefined) {
-            const carried = carriedCalls.get(connection) ?? { callIds: new Set(), characters: 0 };
-            carried.callIds.add(callId);
-            carried.characters += callId.length;
-            carriedCalls.set(connection, carried);
-        }
-    };
-
     /**
      * A connection over a lost link may have fallen silent, and a peer may close one that it carries. While any link is
      * lost, others may be too.
@@ -150,6 +146,12 @@
         return connection;
     };
 
+    const waitForRead = async () => {
+        while (!readBarrier.isPassed(-Infinity)) {
+            await readBarrier.nextRead();
+        }
+    };
+
     /** The caller may have left while the connection was opened, and the target may break it off in the meantime. */
     const waitForCaller = async (
         dialed: Result<DialedConnection, Failure>,
@@ -160,9 +162,7 @@
         const { socket } = dialed.value;
         const ignore = () => undefined;
         socket.on("error", ignore);
-        while (!readBarrier.isPassed(-Infinity)) {
-            await readBarrier.nextRead();
-        }
+        await waitForRead();
         if (socket.destroyed) {
             return err(notRun(FailureReason.TargetFailed, "The connection was closed before the call was sent."));
         }
@@ -183,8 +183,7 @@
 
     const release = (address: string, connection: TargetConnection) => {
         const idle = idleByAddress.get(address) ?? [];
-        const characters = carriedCalls.get(connection)?.characters ?? 0;
-        const mayCarryMore = connection.isAlive() && characters < maxIdentifierCharacters && !isRelayOver(connection);
+        const mayCarryMore = connection.isAlive() && !carriedCalls.isFull(connection) && !isRelayOver(connection);
         if (!mayCarryMore || idle.length >= maxIdleConnections) {
             connection.close();
             return;
@@ -203,20 +202,30 @@
         }
     };
 
+    const sendOver = async (connection: TargetConnection, address: string, send: TargetSend) => {
+        carriedCalls.record(connection, send.callId);
+        dialer.retryLink(address);
+        const checkStart = () => readBarrier.isPassed(-Infinity) ? send.checkStart?.() : unreadFailure;
+        const result = await connection.send({ ...send, checkStart });
+        if (result.isOk) {
+            if (connection.relayId() === undefined) {
+                links.recordAnswered(address);
+            }
+            release(address, connection);
+        }
+        else {
+            connection.close();
+        }
+        return result;
+    };
+
     return {
         send: async (address, policy, send) => {
-            const connection = acquire(address, policy, send.callId);
-            recordCarried(connection, send.callId);
-            dialer.retryLink(address);
-            const result = await connection.send(send);
-            if (result.isOk) {
-                if (connection.relayId() === undefined) {
-                    links.recordAnswered(address);
-                }
-                release(address, connection);
-            }
-            else {
-                connection.close();
+            let result = await sendOver(acquire(address, policy, send.callId), address, send);
+            while (result.isErr && result.error === unreadFailure) {
+                await waitForRead();
+                // A new connection takes the call without another turn.
+                result = await sendOver(open(address), address, send);
             }
             return result;
         },
@@ -242,3 +251,20 @@
         },
     };
 }
+
+function createCarriedCalls(): CarriedCalls {
+    const byConnection = new WeakMap<TargetConnection, { readonly callIds: Set<string>; characters: number; }>();
+
+    return {
+        has: (connection, callId) => callId !== undefined && byConnection.get(connection)?.callIds.has(callId) === true,
+        record: (connection, callId) => {
+            if (callId !== undefined) {
+                const carried = byConnection.get(connection) ?? { callIds: new Set(), characters: 0 };
+                carried.callIds.add(callId);
+                carried.characters += callId.length;
+                byConnection.set(connection, carried);
+            }
+        },
+        isFull: connection => (byConnection.get(connection)?.characters ?? 0) >= maxIdentifierCharacters,
+    };
+}
