Own interface: check again right before the first byte that callers' connections were read

Change: the barrier is checked as a request starts; a rejected request passes the barrier and is sent again, unless its caller has left. `RequestProgress` tells that it was rejected.

Result: both cases of `pausedSends` fail on the code before ("POST /second" was sent; 0 reads were awaited) and pass now.

--- a/packages/daisyturn/src/ports/http/client/requestProgress.ts
+++ b/packages/daisyturn/src/ports/http/client/requestProgress.ts
@@ -9,6 +9,8 @@
     abandoned: boolean;
     /** Checked immediately before the first byte is written; the request is not sent if it returns false. */
     readonly mayStart?: () => boolean;
+    /** Set if `mayStart` kept the request from being started. */
+    rejected?: boolean;
 }
 
 /**
@@ -30,7 +32,9 @@
     const interimAnswers = createInterimAnswers();
     return {
         onRequestStart: (controller, context) => {
-            if (progress.started || progress.abandoned || progress.mayStart?.() === false) {
+            const mayStart = !progress.started && !progress.abandoned;
+            progress.rejected = mayStart && progress.mayStart?.() === false;
+            if (!mayStart || progress.rejected) {
                 // undici may requeue a request when a connection ends, but a request must be sent at most once.
                 controller.abort(new Error("The request was already sent, was abandoned, or may no longer be sent."));
                 return;
--- a/packages/daisyturn/src/ports/http/targetHttpClient.ts
+++ b/packages/daisyturn/src/ports/http/targetHttpClient.ts
@@ -52,10 +52,26 @@
 export function createTargetHttpClient(options: TargetHttpOptions): TargetHttpClient {
     const dispatcher = trackRequestProgress(options.dispatcher ?? createTargetDispatcher());
 
+    const mayStart = () => options.readBarrier?.isPassed(-Infinity) ?? true;
+
+    /** A process that was paused since the last read passes the barrier again: its caller may have left in the meantime. */
     const send = async (
         request: TargetRequest,
         operation: Operation,
         progress: RequestProgress,
+    ): Promise<Result<OpenedAnswer, Failure>> => {
+        let result = await sendOnce(request, operation, progress);
+        while (result.isErr && progress.rejected && !progress.abandoned) {
+            progress.rejected = false;
+            result = await sendOnce(request, operation, progress);
+        }
+        return result;
+    };
+
+    const sendOnce = async (
+        request: TargetRequest,
+        operation: Operation,
+        progress: RequestProgress,
     ): Promise<Result<OpenedAnswer, Failure>> => {
         if (options.readBarrier) {
             await passReadBarrier(options.readBarrier, options.clock);
@@ -80,7 +96,7 @@
     };
 
     const open = (request: TargetRequest, operation: Operation): Promise<Result<OpenedAnswer, Failure>> => {
-        const progress: RequestProgress = { started: false, abandoned: false };
+        const progress: RequestProgress = { started: false, abandoned: false, mayStart };
         return Promise.race([send(request, operation, progress), resolveWhenAbandoned(operation, progress)]);
     };
 
